--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 CC ?= gcc
 PKGS = libmicrohttpd neon liburcu libtirpc json-c libsodium libxxhash gsl gnutls
-CPPFLAGS += -D_GNU_SOURCE -Isrc -Irpc $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Irpc -Iplatform $(foreach p,$(PKGS) $(FRONT_PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   -Wno-unused-parameter -Werror -fno-strict-aliasing -pthread -MMD -MP $(SANITIZE)
@@ -13,7 +13,14 @@
 BASE = $(wildcard src/util_*.c src/settings*.c src/config*.c src/platform*.c src/rpc_*.c \
   src/cluster*.c src/choose*.c src/bill*.c src/claim*.c src/http_*.c src/session*.c)
 RPC = rpc/lovage_xdr.c rpc/lovage_clnt.c
-PROGRAMS = lovage-gate lovage-steward lovagectl
+PROGRAMS = lovage-gate lovage-steward lovagectl lovage-front
+# What lovage-front is made of beside src/front_*.c; small, as its memory has a price.
+FRONT_PKGS = libevent json-c libsodium libxxhash libtirpc
+FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
+FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
+  src/http_head.c src/http_intake.c src/http_reply.c src/choose_retry.c src/choose_quarantine.c)
+FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front_*.c)) src/settings_front.c \
+  $(wildcard platform/*.c)
 STANDINS = standin-platform standin-engine standin-service
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 TEST_HELPERS = tests/suite.c $(wildcard tests/fake_*.c)
@@ -25,6 +32,7 @@
 
 all: programs standins
 programs: $(PROGRAMS:%=$(BUILD)/%)
+front: $(BUILD)/lovage-front
 standins: $(STANDINS:%=$(BUILD)/%)
 tests: $(TESTS:%=$(BUILD)/%)
 benches: $(BENCHES:%=$(BUILD)/%)
@@ -43,6 +51,8 @@
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/lovage-steward: $(call obj,$(wildcard src/steward_*.c)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+$(BUILD)/lovage-front: $(call obj,src/front_main.c $(FRONT_PARTS) $(FRONT_SHARED))
+	$(CC) $(LDFLAGS) -Wl,--as-needed $^ $(FRONT_LIBS) -o $@
 $(BUILD)/lovagectl: $(call obj,$(wildcard src/ctl_*.c)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/standin-platform: $(call obj,$(wildcard standin/platform_*.c standin/common_*.c)) $(LIB)
@@ -128,7 +138,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all programs standins tests benches clean check unit regress asan tsan \
+.PHONY: front all programs standins tests benches clean check unit regress asan tsan \
   asan-regress tsan-regress lint format-lint tidy \
   cppcheck man-lint demo site
 .SECONDARY:
--- /dev/null
+++ b/src/front_attempt.c
@@ -0,0 +1,131 @@
+#include "front_attempt.h"
+#include "front_socket.h"
+#include "util_memory.h"
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+/* Milliseconds without an acknowledgement after which a connection is taken for dead. A cut path
+ * shows only so; servers in reach acknowledge within a few milliseconds. */
+#define SILENT_MS 2000
+
+struct FrontAttempt
+{
+  FrontServer *server;
+  struct bufferevent *bev;
+  Buffer head;
+  const Buffer *body;
+  HttpReply reply;
+  bool sent;
+  const AttemptOwner *owner;
+  void *user;
+};
+
+static void
+send_request (FrontAttempt *attempt)
+{
+  attempt->sent = true;
+  bufferevent_write (attempt->bev, attempt->head.data, attempt->head.len);
+  if (attempt->body->len > 0)
+    bufferevent_write (attempt->bev, attempt->body->data, attempt->body->len);
+  buffer_free (&attempt->head);
+}
+
+static void
+on_read (struct bufferevent *bev, void *user)
+{
+  FrontAttempt *attempt = user;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  size_t len;
+
+  while ((len = evbuffer_get_contiguous_space (input)) > 0)
+    {
+      http_reply_feed (&attempt->reply, (const char *)evbuffer_pullup (input, (ev_ssize_t)len),
+                       len);
+      evbuffer_drain (input, len);
+    }
+  if (attempt->reply.broken)
+    attempt->owner->cut (attempt->user);
+  else if (attempt->reply.status)
+    attempt->owner->progress (attempt->user);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *user)
+{
+  FrontAttempt *attempt = user;
+
+  if (what & BEV_EVENT_CONNECTED)
+    {
+      send_request (attempt);
+      attempt->owner->sent (attempt->user);
+      return;
+    }
+  /* Only an orderly close ends an answer that has no length; a reset cuts it. */
+  if (what & BEV_EVENT_EOF)
+    http_reply_end (&attempt->reply);
+  if (attempt->reply.complete)
+    attempt->owner->progress (attempt->user);
+  else
+    attempt->owner->cut (attempt->user);
+}
+
+FrontAttempt *
+front_attempt_start (Front *front,
+                     FrontServer *server,
+                     Buffer *head,
+                     const Buffer *body,
+                     const AttemptOwner *owner,
+                     void *user)
+{
+  struct bufferevent *bev = front_socket_connect (front->base, &server->address, SILENT_MS);
+  FrontAttempt *attempt;
+
+  if (!bev)
+    return NULL;
+  attempt = memory_alloc (sizeof *attempt);
+  attempt->server = server;
+  attempt->bev = bev;
+  attempt->head = *head;
+  *head = (Buffer){ 0 };
+  attempt->body = body;
+  attempt->owner = owner;
+  attempt->user = user;
+  http_reply_init (&attempt->reply);
+  front_server_ref (server);
+  server->running++;
+  bufferevent_setcb (bev, on_read, NULL, on_event, attempt);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+  return attempt;
+}
+
+void
+front_attempt_free (FrontAttempt *attempt)
+{
+  bufferevent_free (attempt->bev);
+  http_reply_clear (&attempt->reply);
+  buffer_free (&attempt->head);
+  attempt->server->running--;
+  front_server_unref (attempt->server);
+  free (attempt);
+}
+
+HttpReply *
+front_attempt_reply (FrontAttempt *attempt)
+{
+  return &attempt->reply;
+}
+
+bool
+front_attempt_is_sent (const FrontAttempt *attempt)
+{
+  return attempt->sent;
+}
+
+void
+front_attempt_pause (FrontAttempt *attempt, bool pause)
+{
+  if (pause)
+    bufferevent_disable (attempt->bev, EV_READ);
+  else
+    bufferevent_enable (attempt->bev, EV_READ);
+}
--- /dev/null
+++ b/src/front_channel.c
@@ -0,0 +1,182 @@
+#include "front_channel.h"
+#include "front_socket.h"
+#include "util_memory.h"
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+#define MS_PER_S 1000
+/* Milliseconds without an acknowledgement or an answer to a probe after which the connection is
+ * dead: news has to arrive within two seconds, so a silent connection must show earlier. */
+#define SILENT_MS 1200
+
+struct FrontChannel
+{
+  struct event_base *base;
+  struct sockaddr_in address;
+  char host[INET_ADDRSTRLEN];
+  struct bufferevent *bev; /* NULL: not connected */
+  struct event *timer;
+  HttpReply reply;
+  bool waiting;
+  ChannelAnswer answer;
+  void *user;
+};
+
+static void
+disconnect (FrontChannel *channel)
+{
+  if (channel->bev)
+    bufferevent_free (channel->bev);
+  channel->bev = NULL;
+}
+
+static void
+finish (FrontChannel *channel, int status, const char *text, size_t len)
+{
+  channel->waiting = false;
+  event_del (channel->timer);
+  channel->answer (channel->user, status, text, len);
+}
+
+static void
+fail (FrontChannel *channel)
+{
+  disconnect (channel);
+  if (channel->waiting)
+    finish (channel, 0, "", 0);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *user)
+{
+  fail (user);
+}
+
+static void
+take_answer (FrontChannel *channel)
+{
+  HttpReply reply = channel->reply;
+
+  http_reply_init (&channel->reply);
+  if (!http_should_keep_alive (&reply.parser) || reply.surplus)
+    disconnect (channel);
+  if (channel->waiting)
+    finish (channel, reply.status, reply.body.data ? reply.body.data : "", reply.body.len);
+  http_reply_clear (&reply);
+}
+
+static void
+on_read (struct bufferevent *bev, void *user)
+{
+  FrontChannel *channel = user;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  size_t len;
+
+  while ((len = evbuffer_get_contiguous_space (input)) > 0)
+    {
+      http_reply_feed (&channel->reply, (const char *)evbuffer_pullup (input, (ev_ssize_t)len),
+                       len);
+      evbuffer_drain (input, len);
+    }
+  if (channel->reply.broken || !channel->waiting)
+    fail (channel);
+  else if (channel->reply.complete)
+    take_answer (channel);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *user)
+{
+  FrontChannel *channel = user;
+
+  if (what & BEV_EVENT_CONNECTED)
+    return;
+  if (what & BEV_EVENT_EOF)
+    http_reply_end (&channel->reply);
+  disconnect (channel);
+  if (channel->waiting && channel->reply.complete && (what & BEV_EVENT_EOF))
+    take_answer (channel);
+  else
+    fail (channel);
+}
+
+FrontChannel *
+front_channel_new (struct event_base *base,
+                   const struct sockaddr_in *address,
+                   ChannelAnswer answer,
+                   void *user)
+{
+  FrontChannel *channel = memory_alloc (sizeof *channel);
+
+  channel->base = base;
+  channel->address = *address;
+  inet_ntop (AF_INET, &address->sin_addr, channel->host, sizeof channel->host);
+  channel->timer = evtimer_new (base, on_timer, channel);
+  channel->answer = answer;
+  channel->user = user;
+  http_reply_init (&channel->reply);
+  return channel;
+}
+
+void
+front_channel_free (FrontChannel *channel)
+{
+  disconnect (channel);
+  event_free (channel->timer);
+  http_reply_clear (&channel->reply);
+  free (channel);
+}
+
+static bool
+connect_now (FrontChannel *channel)
+{
+  if (channel->bev)
+    return true;
+  channel->bev = front_socket_connect (channel->base, &channel->address, SILENT_MS);
+  if (!channel->bev)
+    return false;
+  bufferevent_setcb (channel->bev, on_read, NULL, on_event, channel);
+  bufferevent_enable (channel->bev, EV_READ | EV_WRITE);
+  return true;
+}
+
+void
+front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms)
+{
+  struct timeval wait
+      = { .tv_sec = timeout_ms / MS_PER_S, .tv_usec = timeout_ms % MS_PER_S * MS_PER_S };
+  struct evbuffer *output;
+
+  channel->waiting = true;
+  http_reply_clear (&channel->reply);
+  http_reply_init (&channel->reply);
+  if (!connect_now (channel))
+    wait = (struct timeval){ .tv_usec = MS_PER_S };
+  evtimer_add (channel->timer, &wait);
+  if (!channel->bev)
+    return;
+  output = bufferevent_get_output (channel->bev);
+  evbuffer_add_printf (output, "%s %s HTTP/1.1\r\nHost: %s\r\n", body ? "POST" : "GET", path,
+                       channel->host);
+  if (body)
+    evbuffer_add_printf (output, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
+                         body->len);
+  evbuffer_add (output, "\r\n", 2);
+  if (body)
+    evbuffer_add (output, body->data, body->len);
+}
+
+void
+front_channel_drop (FrontChannel *channel)
+{
+  channel->waiting = false;
+  event_del (channel->timer);
+  disconnect (channel);
+}
+
+bool
+front_channel_is_open (const FrontChannel *channel)
+{
+  return channel->waiting;
+}
--- /dev/null
+++ b/src/front_channel.h
@@ -0,0 +1,29 @@
+/**
+ * A connection on which this process asks one HTTP question after the other: to the platform's
+ * store, or to another front. It is opened again after any error.
+ */
+#ifndef FRONT_CHANNEL_H
+#define FRONT_CHANNEL_H
+
+#include "http_reply.h"
+#include <event2/event.h>
+#include <netinet/in.h>
+
+typedef struct FrontChannel FrontChannel;
+
+/** status 0: no answer came; the question may have had its effect. text is valid in the call. */
+typedef void (*ChannelAnswer) (void *user, int status, const char *text, size_t len);
+
+FrontChannel *front_channel_new (struct event_base *base,
+                                 const struct sockaddr_in *address,
+                                 ChannelAnswer answer,
+                                 void *user);
+void front_channel_free (FrontChannel *channel);
+/** Asks; no other question may be open. body NULL: a GET without one. */
+void
+front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms);
+/** Forgets an open question; its answer will not come. */
+void front_channel_drop (FrontChannel *channel);
+bool front_channel_is_open (const FrontChannel *channel);
+
+#endif
--- /dev/null
+++ b/src/front_config.c
@@ -0,0 +1,129 @@
+#include "front_config.h"
+#include "util_memory.h"
+#include <stdlib.h>
+#include <string.h>
+
+FrontConfig *
+front_config_new (void)
+{
+  FrontConfig *config = memory_alloc (sizeof *config);
+
+  config->references = 1;
+  return config;
+}
+
+FrontConfig *
+front_config_ref (FrontConfig *config)
+{
+  config->references++;
+  return config;
+}
+
+static void
+strings_free (char **strings, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    free (strings[i]);
+  free (strings);
+}
+
+static void
+route_clear (FrontRoute *route)
+{
+  free (route->name);
+  free (route->host);
+  free (route->prefix);
+  strings_free (route->models, route->model_count);
+  for (unsigned i = 0; i < route->target_count; i++)
+    free (route->targets[i].service);
+  free (route->targets);
+}
+
+static void
+service_clear (FrontService *service)
+{
+  free (service->name);
+  for (unsigned i = 0; i < service->model_count; i++)
+    free (service->models[i].name);
+  free (service->models);
+}
+
+void
+front_config_unref (FrontConfig *config)
+{
+  if (!config || --config->references > 0)
+    return;
+  for (unsigned i = 0; i < config->route_count; i++)
+    route_clear (&config->routes[i]);
+  for (unsigned i = 0; i < config->team_count; i++)
+    {
+      free (config->teams[i].name);
+      strings_free (config->teams[i].keys, config->teams[i].key_count);
+    }
+  for (unsigned i = 0; i < config->service_count; i++)
+    service_clear (&config->services[i]);
+  free (config->routes);
+  free (config->teams);
+  free (config->services);
+  free (config);
+}
+
+const FrontRoute *
+front_config_route (const FrontConfig *config, Span host, Span path)
+{
+  const FrontRoute *best = NULL;
+  size_t best_len = 0;
+
+  for (unsigned i = 0; i < config->route_count; i++)
+    {
+      const FrontRoute *route = &config->routes[i];
+      size_t len = strlen (route->prefix);
+
+      if (len <= best_len || len > path.len || memcmp (route->prefix, path.text, len) != 0)
+        continue;
+      if (!span_is_nocase (host, route->host))
+        continue;
+      best = route;
+      best_len = len;
+    }
+  return best;
+}
+
+const FrontTeam *
+front_config_team (const FrontConfig *config, Span key)
+{
+  for (unsigned i = 0; i < config->team_count; i++)
+    {
+      const FrontTeam *team = &config->teams[i];
+
+      for (unsigned k = 0; k < team->key_count; k++)
+        {
+          if (span_is (key, team->keys[k]))
+            return team;
+        }
+    }
+  return NULL;
+}
+
+const FrontService *
+front_config_service (const FrontConfig *config, const char *name)
+{
+  for (unsigned i = 0; i < config->service_count; i++)
+    {
+      if (strcmp (config->services[i].name, name) == 0)
+        return &config->services[i];
+    }
+  return NULL;
+}
+
+int64_t
+front_config_priority (const FrontRoute *route, const FrontTeam *team)
+{
+  return team && team->priority >= 0 ? team->priority : route->priority;
+}
+
+bool
+front_route_is_idempotent (const FrontRoute *route)
+{
+  return route->kind == ROUTE_IDEMPOTENT || (route->kind == ROUTE_STREAM && route->resumable);
+}
--- /dev/null
+++ b/src/front_control.h
@@ -0,0 +1,15 @@
+/**
+ * What this process answers to the balancer, to monitoring and to other fronts.
+ */
+#ifndef FRONT_CONTROL_H
+#define FRONT_CONTROL_H
+
+#include "front.h"
+
+typedef struct FrontControl FrontControl;
+
+/** NULL if an address can't be bound. */
+FrontControl *front_control_new (Front *front);
+void front_control_free (FrontControl *control);
+
+#endif
--- /dev/null
+++ b/src/front_main.c
@@ -0,0 +1,262 @@
+/* lovage-front: callers' requests on the users' platform, in one process a VM. */
+#include "front.h"
+#include "front_conn.h"
+#include "front_control.h"
+#include "front_log.h"
+#include "front_peers.h"
+#include "front_socket.h"
+#include "front_store.h"
+#include "settings_arguments.h"
+#include "util_clock.h"
+#include "util_id.h"
+#include "util_log.h"
+#include <event2/listener.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <syslog.h>
+
+#define TICK_MS       100 /* of time-outs, roll-outs and news; far below any bound that they keep */
+#define MS_PER_S      1000
+#define BACKLOG       1024 /* callers of a whole failure domain may come at once */
+#define STOP_LEAST_MS 2500 /* the balancer needs two questions to send callers elsewhere */
+#define STOP_SPARE_MS 400  /* before the process would be killed */
+/* Of the retries allowed beyond their share, what this node may save up: it does not know how many
+ * others there are when it starts, and a restarted one must not bring a new allowance. */
+#define RETRY_BURST_SHARE 0.06
+#define RETRY_SHARE_USED  0.85 /* the rest is for sends that the servers count and we don't */
+
+typedef struct
+{
+  Front front;
+  const char *settings_file;
+  struct evconnlistener *listener;
+  FrontControl *control;
+  struct event *tick;
+  struct event *signals[2];
+} Main;
+
+const char *argp_program_version = "lovage-front 0.1";
+
+static const QuarantineSettings quarantine_settings = {
+  .servers = 3, /* two may die by chance under one caller's retries */
+  .memory_ms = 60000,
+  .outage_ms = 1000,
+  .same_ms = 3000,
+  .hold_ms = 60000,
+};
+
+bool
+front_is_ready (const Front *front)
+{
+  return front->stop_ms == 0 && front->config && front->servers_known;
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *from,
+           int len,
+           void *user)
+{
+  Main *self = user;
+
+  front_conn_new (&self->front, fd);
+}
+
+static void
+stop_check (Main *self, int64_t now_ms)
+{
+  Front *front = &self->front;
+  int64_t passed_ms = now_ms - front->stop_ms;
+  int64_t most_ms = (int64_t)(front->settings.stop_s * MS_PER_S) - STOP_SPARE_MS;
+
+  if (front->stop_ms == 0)
+    return;
+  if (passed_ms >= most_ms || (passed_ms >= STOP_LEAST_MS && front->request_count == 0))
+    event_base_loopbreak (front->base);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  Main *self = user;
+  int64_t now_ms = clock_boot_ms ();
+
+  front_servers_sweep (self->front.servers, now_ms);
+  front_conn_sweep (&self->front, now_ms);
+  front_store_tick (self->front.store, now_ms);
+  front_peers_tick (self->front.peers, now_ms);
+  stop_check (self, now_ms);
+}
+
+static void
+on_stop (evutil_socket_t fd, short what, void *user)
+{
+  Main *self = user;
+  FrontLine *line;
+
+  if (self->front.stop_ms != 0)
+    return;
+  self->front.stop_ms = clock_boot_ms ();
+  line = front_log_begin (FRONT_EVENT_STOP);
+  front_log_text (line, "phase", "asked");
+  front_log_number (line, "requests", self->front.request_count);
+  front_log_end (line);
+}
+
+static void
+on_reload (evutil_socket_t fd, short what, void *user)
+{
+  Main *self = user;
+  SettingsFront settings;
+  CheckList list = { .file = self->settings_file };
+  FrontLine *line = front_log_begin (FRONT_EVENT_RELOAD);
+
+  /* Addresses stay until a restart; what may change while requests are served is taken over. */
+  if (settings_front_read (self->settings_file, &settings, &list))
+    {
+      self->front.settings.stop_s = settings.stop_s;
+      self->front.settings.reuse_window_s = settings.reuse_window_s;
+      settings_front_clear (&settings);
+      front_log_text (line, "outcome", "applied");
+    }
+  else
+    {
+      front_log_text (line, "outcome", "kept");
+      front_log_text (line, "error", list.text.data);
+    }
+  front_log_end (line);
+  check_free (&list);
+}
+
+static bool
+listen_for_callers (Main *self)
+{
+  struct sockaddr_in address;
+
+  if (!front_socket_address (self->front.settings.callers, &address))
+    return false;
+  self->listener = evconnlistener_new_bind (self->front.base, on_accept, self,
+                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+                                            (struct sockaddr *)&address, sizeof address);
+  return self->listener != NULL;
+}
+
+static void
+timers_start (Main *self)
+{
+  struct timeval every = { .tv_usec = TICK_MS * MS_PER_S };
+
+  self->tick = event_new (self->front.base, -1, EV_PERSIST, on_tick, self);
+  event_add (self->tick, &every);
+  self->signals[0] = evsignal_new (self->front.base, SIGTERM, on_stop, self);
+  self->signals[1] = evsignal_new (self->front.base, SIGHUP, on_reload, self);
+  event_add (self->signals[0], NULL);
+  event_add (self->signals[1], NULL);
+}
+
+/* Names the first part that could not be started; NULL: all were. */
+static const char *
+parts_start (Main *self)
+{
+  Front *front = &self->front;
+  const SettingsFront *settings = &front->settings;
+
+  front->base = event_base_new ();
+  front->incarnation = id_random_u64 ();
+  CDS_INIT_LIST_HEAD (&front->conns);
+  CDS_INIT_LIST_HEAD (&front->requests);
+  front->servers = front_servers_new (settings->failure_domain);
+  front->sessions = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S));
+  front->rollouts = front_rollouts_new (front->sessions);
+  front->budget = front_budget_new (settings->retry_share * RETRY_SHARE_USED,
+                                    settings->retry_burst * RETRY_BURST_SHARE);
+  front->quarantine = quarantine_new (&quarantine_settings);
+  front->peers = front_peers_new (front);
+  if (!front->peers)
+    return "peers";
+  front->store = front_store_new (front);
+  if (!front->store)
+    return "store";
+  self->control = front_control_new (front);
+  if (!self->control)
+    return "control";
+  if (!listen_for_callers (self))
+    return "callers";
+  timers_start (self);
+  return NULL;
+}
+
+static void
+parts_stop (Main *self)
+{
+  Front *front = &self->front;
+
+  evconnlistener_free (self->listener);
+  front_control_free (self->control);
+  front_store_free (front->store);
+  front_peers_free (front->peers);
+  event_free (self->tick);
+  event_free (self->signals[0]);
+  event_free (self->signals[1]);
+}
+
+static void
+log_start (const Main *self)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_START);
+
+  front_log_text (line, "version", argp_program_version);
+  front_log_text (line, "failure_domain", self->front.settings.failure_domain);
+  front_log_text (line, "callers", self->front.settings.callers);
+  front_log_text (line, "store", self->front.settings.store);
+  front_log_number (line, "incarnation", (int64_t)self->front.incarnation);
+  front_log_end (line);
+}
+
+static int
+serve (Main *self)
+{
+  const char *missing;
+  FrontLine *line;
+
+  front_log_init (self->front.settings.vm);
+  log_start (self);
+  missing = parts_start (self);
+  if (missing)
+    {
+      fprintf (stderr, "lovage-front: can't start: %s\n", missing);
+      return 1;
+    }
+  event_base_dispatch (self->front.base);
+  line = front_log_begin (FRONT_EVENT_STOP);
+  front_log_text (line, "phase", "done");
+  front_log_number (line, "requests", self->front.request_count);
+  front_log_end (line);
+  parts_stop (self);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static Main self;
+  SettingsArguments arguments;
+  CheckList list = { 0 };
+
+  settings_arguments_read (argc, argv, "Serves callers' requests on the platform.", &arguments);
+  log_init ("lovage-front", LOG_NOTICE);
+  signal (SIGPIPE, SIG_IGN);
+  self.settings_file = arguments.settings_file;
+  list.file = arguments.settings_file;
+  if (!settings_front_read (arguments.settings_file, &self.front.settings, &list))
+    {
+      fprintf (stderr, "%s", list.text.data ? list.text.data : "");
+      check_free (&list);
+      return 1;
+    }
+  if (arguments.check)
+    return 0;
+  return serve (&self);
+}
--- /dev/null
+++ b/src/front_peer_message.c
@@ -0,0 +1,126 @@
+#include "front_peer_message.h"
+#include <rpc/xdr.h>
+#include <string.h>
+
+#define MAGIC 0x4c484246u /* "LHBF"; rises with any change of the form */
+
+static bool_t
+xdr_hash (XDR *xdr, uint64_t *value)
+{
+  return xdr_uint64_t (xdr, value);
+}
+
+/* Counts are small for most of a roll-out; one word holds answers and one the two kinds of bad. */
+static bool_t
+xdr_count (XDR *xdr, EvidenceCount *count)
+{
+  return xdr_uint32_t (xdr, &count->answers) && xdr_uint32_t (xdr, &count->failed)
+         && xdr_uint32_t (xdr, &count->slow);
+}
+
+static bool_t
+xdr_rollout (XDR *xdr, PeerRollout *rollout)
+{
+  if (!xdr_hash (xdr, &rollout->service) || !xdr_int64_t (xdr, &rollout->order)
+      || !xdr_uint32_t (xdr, &rollout->old_running) || !xdr_uint32_t (xdr, &rollout->is_bad))
+    return FALSE;
+  for (unsigned side = 0; side < EVIDENCE_SIDES; side++)
+    {
+      for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
+        {
+          if (!xdr_count (xdr, &rollout->evidence.counts[side][i]))
+            return FALSE;
+        }
+    }
+  return TRUE;
+}
+
+static bool_t
+xdr_death (XDR *xdr, QuarantineDeath *death)
+{
+  if (!xdr_hash (xdr, &death->server) || !xdr_uint32_t (xdr, &death->age_ms)
+      || !xdr_uint32_t (xdr, &death->count) || death->count > QUARANTINE_FLIGHT_MAX)
+    return FALSE;
+  for (unsigned i = 0; i < death->count; i++)
+    {
+      if (!xdr_hash (xdr, &death->flights[i]))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static bool_t
+xdr_counted (XDR *xdr, uint32_t *count, uint32_t most)
+{
+  return xdr_uint32_t (xdr, count) && *count <= most;
+}
+
+static bool_t
+xdr_lists (XDR *xdr, PeerMessage *message)
+{
+  if (!xdr_counted (xdr, &message->rollout_count, PEER_ROLLOUTS_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->rollout_count; i++)
+    {
+      if (!xdr_rollout (xdr, &message->rollouts[i]))
+        return FALSE;
+    }
+  if (!xdr_counted (xdr, &message->death_count, PEER_DEATHS_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->death_count; i++)
+    {
+      if (!xdr_death (xdr, &message->deaths[i]))
+        return FALSE;
+    }
+  if (!xdr_counted (xdr, &message->address_count, PEER_ADDRESSES_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->address_count; i++)
+    {
+      if (!xdr_uint32_t (xdr, &message->addresses[i]))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static bool_t
+xdr_message (XDR *xdr, PeerMessage *message)
+{
+  uint32_t magic = MAGIC;
+
+  if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC)
+    return FALSE;
+  if (!xdr_hash (xdr, &message->incarnation) || !xdr_uint32_t (xdr, &message->is_ready))
+    return FALSE;
+  for (unsigned i = 0; i < PEER_TABLES; i++)
+    {
+      if (!xdr_int64_t (xdr, &message->newest[i]))
+        return FALSE;
+    }
+  return xdr_lists (xdr, message);
+}
+
+size_t
+peer_message_encode (const PeerMessage *message, void *out, size_t size)
+{
+  PeerMessage copy = *message;
+  size_t len;
+  XDR xdr;
+
+  xdrmem_create (&xdr, out, (u_int)size, XDR_ENCODE);
+  len = xdr_message (&xdr, &copy) ? xdr_getpos (&xdr) : 0;
+  xdr_destroy (&xdr);
+  return len;
+}
+
+bool
+peer_message_decode (PeerMessage *message, const void *data, size_t len)
+{
+  XDR xdr;
+  bool good;
+
+  memset (message, 0, sizeof *message);
+  xdrmem_create (&xdr, (char *)(uintptr_t)data, (u_int)len, XDR_DECODE);
+  good = xdr_message (&xdr, message);
+  xdr_destroy (&xdr);
+  return good;
+}
--- /dev/null
+++ b/src/front_peer_message.h
@@ -0,0 +1,47 @@
+/**
+ * What fronts tell each other several times a second, in one datagram, encoded by XDR.
+ */
+#ifndef FRONT_PEER_MESSAGE_H
+#define FRONT_PEER_MESSAGE_H
+
+#include "choose_quarantine.h"
+#include "front_evidence.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define PEER_MESSAGE_MAX   1400 /**< bytes; fits one packet of any network */
+#define PEER_TABLES        3
+#define PEER_ROLLOUTS_MAX  3
+#define PEER_DEATHS_MAX    2
+#define PEER_ADDRESSES_MAX 16
+
+/** How a roll-out stands at the sender. */
+typedef struct
+{
+  uint64_t service; /**< hash of its name */
+  int64_t order;    /**< row version of the order */
+  uint32_t old_running;
+  uint32_t is_bad;
+  FrontEvidence evidence;
+} PeerRollout;
+
+typedef struct
+{
+  uint64_t incarnation;
+  uint32_t is_ready;
+  int64_t newest[PEER_TABLES]; /**< newest change known of each table */
+  uint32_t rollout_count;
+  PeerRollout rollouts[PEER_ROLLOUTS_MAX];
+  uint32_t death_count;
+  QuarantineDeath deaths[PEER_DEATHS_MAX];
+  uint32_t address_count;
+  uint32_t addresses[PEER_ADDRESSES_MAX]; /**< IPv4, host order, of fronts that it heard lately */
+} PeerMessage;
+
+/** Bytes written; 0 if they don't fit. */
+size_t peer_message_encode (const PeerMessage *message, void *out, size_t size);
+/** False if the bytes are no message of this kind. */
+bool peer_message_decode (PeerMessage *message, const void *data, size_t len);
+
+#endif
--- /dev/null
+++ b/src/front_peers.h
@@ -0,0 +1,24 @@
+/**
+ * News between fronts: who lives, who knows newer rows than we do, what the versions of a roll-out
+ * answered, which requests crash servers. Datagrams to a few peers, several times a second; what is
+ * too large for one is fetched from the peer that has it.
+ */
+#ifndef FRONT_PEERS_H
+#define FRONT_PEERS_H
+
+#include "front.h"
+
+/** NULL if the port can't be bound. */
+FrontPeers *front_peers_new (Front *front);
+void front_peers_free (FrontPeers *peers);
+/** Another front is, or was, at this address ("IP" or "IP:PORT"). */
+void front_peers_add (FrontPeers *peers, const char *address);
+/** Sends and fetches what is due. */
+void front_peers_tick (FrontPeers *peers, int64_t now_ms);
+/** Number of fronts known to live, this one included. */
+unsigned front_peers_alive (const FrontPeers *peers, int64_t now_ms);
+/** Place of this front, from 0, in an order of the living ones that differs from subject to
+ *  subject: who is to act first. */
+unsigned front_peers_rank (const FrontPeers *peers, uint64_t subject, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/front_pick.c
@@ -0,0 +1,121 @@
+#include "front_pick.h"
+#include <string.h>
+
+/* Milliseconds. What a server in another failure domain has to be faster by: twice the way there
+ * and back (about 3 ms), the rest for the bytes between domains, which have a price. */
+#define FAR_MS 10.0
+/* What each request that we have running there adds to the time of a token of all others. */
+#define MODEL_RUNNING_MS 1.5
+/* What a running request of a plain service adds, on average, once all places are taken: about its
+ * own time. */
+#define SERVICE_RUNNING_MS 25.0
+#define SERVICE_QUEUED_MS  60.0
+#define COLD_MS            40.0
+#define SLOTS_DEFAULT      8
+
+static bool
+was_tried (const PickQuery *query, const FrontServer *server)
+{
+  for (unsigned i = 0; i < query->tried_count; i++)
+    {
+      if (query->tried[i] == server->hash)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_usable (const PickQuery *query, const FrontServer *server)
+{
+  return server->listed && !server->leaving && strcmp (server->entry.service, query->service) == 0
+         && (!query->version || strcmp (server->entry.version, query->version) == 0);
+}
+
+static unsigned
+slots_of (const PickQuery *query, const FrontServer *server)
+{
+  unsigned slots = server->entry.slots ? server->entry.slots : query->slots;
+
+  return slots ? slots : SLOTS_DEFAULT;
+}
+
+static double
+prompt_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  int64_t cached;
+
+  if (!query->is_model)
+    return 0;
+  cached = front_prompts_cached (&server->prompts, query->call, query->model, now_ms,
+                                 query->reuse_window_ms);
+  return (double)(query->call->prompt_tokens - cached) * query->ms_per_token;
+}
+
+static double
+queue_ms (const PickQuery *query, const FrontServer *server)
+{
+  unsigned slots = slots_of (query, server);
+  unsigned queued = server->running >= slots ? server->running - slots + 1 : 0;
+
+  if (query->is_model)
+    return server->pending_ms + server->running * MODEL_RUNNING_MS + queued * SERVICE_QUEUED_MS;
+  return (double)server->running / slots * SERVICE_RUNNING_MS + queued * SERVICE_QUEUED_MS;
+}
+
+static double
+cost_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  double cost = queue_ms (query, server) + prompt_ms (query, server, now_ms)
+                + front_health_penalty_ms (&server->health, now_ms);
+
+  if (!server->is_near)
+    cost += FAR_MS;
+  if (server->cold_until_ms > now_ms)
+    cost += COLD_MS;
+  return cost;
+}
+
+PickAnswer
+front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms)
+{
+  PickAnswer best = { 0 };
+  double best_cost = 0;
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    bool avoided;
+    double cost;
+
+    if (!is_usable (query, server) || was_tried (query, server))
+      continue;
+    avoided = front_health_avoided (&server->health, now_ms);
+    if (best.server && avoided && !best.avoided)
+      continue;
+    cost = cost_ms (query, server, now_ms);
+    if (best.server && avoided == best.avoided && cost >= best_cost)
+      continue;
+    best = (PickAnswer){ .server = server, .avoided = avoided };
+    best_cost = cost;
+  }
+  if (best.server)
+    {
+      best.prompt_ms = prompt_ms (query, best.server, now_ms);
+      best.predicted_ms = best.prompt_ms + queue_ms (query, best.server);
+    }
+  return best;
+}
+
+unsigned
+front_pick_usable (FrontServers *servers, const PickQuery *query, int64_t now_ms)
+{
+  unsigned count = 0;
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    if (is_usable (query, server) && !front_health_avoided (&server->health, now_ms))
+      count++;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/front_pick.h
@@ -0,0 +1,40 @@
+/**
+ * Which backend server gets a request: the one where it is predicted to begin its answer first,
+ * counting the work that we have there, the prompt that it has to read, the way to it and how it
+ * has treated us. No I/O.
+ */
+#ifndef FRONT_PICK_H
+#define FRONT_PICK_H
+
+#include "front_servers.h"
+
+#define PICK_TRIED_MAX 8
+
+typedef struct
+{
+  const char *service;
+  const char *version; /**< NULL: any */
+  const FrontCall *call;
+  uint64_t model;          /**< hash of the model's name */
+  double ms_per_token;     /**< to read a prompt with that model */
+  unsigned slots;          /**< of one server; 0: what its entry says */
+  bool is_model;           /**< a model engine, not a plain service */
+  int64_t reuse_window_ms; /**< how long a server's cache is relied on */
+  unsigned tried_count;
+  uint64_t tried[PICK_TRIED_MAX]; /**< hashes of servers that this request was sent to */
+} PickQuery;
+
+typedef struct
+{
+  FrontServer *server; /**< NULL: there is none */
+  double predicted_ms; /**< until the answer begins */
+  double prompt_ms;    /**< of that, reading the prompt */
+  bool avoided;        /**< it is one to be avoided; there was no better */
+} PickAnswer;
+
+PickAnswer front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms);
+
+/** Number of servers that could take the request, tried or not, and need not be avoided. */
+unsigned front_pick_usable (FrontServers *servers, const PickQuery *query, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/front_request.c
@@ -0,0 +1,220 @@
+#include "front_counter.h"
+#include "front_log.h"
+#include "front_request_private.h"
+#include "util_clock.h"
+#include "util_id.h"
+#include "util_memory.h"
+#include "wire_call.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_NOT_FOUND    404
+#define STATUS_BAD_GATEWAY  502
+#define STATUS_UNAVAILABLE  503
+#define STATUS_TIMEOUT      504
+
+/* Milliseconds that a caller is told to stay away. */
+#define COME_BACK_STARTING_MS    400  /* a process learns the configuration within this time */
+#define COME_BACK_QUARANTINED_MS 3000 /* the request crashes servers; it will not do better soon   \
+                                       */
+
+FrontRequest *
+front_request_new (Front *front, FrontConn *conn)
+{
+  FrontRequest *request = memory_alloc (sizeof *request);
+
+  request->front = front;
+  request->conn = conn;
+  request->arrived_ms = clock_boot_ms ();
+  request->model = NO_MODEL;
+  request->first_ms = -1;
+  front_events_init (&request->events);
+  cds_list_add_tail (&request->node, &front->requests);
+  front->request_count++;
+  front_counter_add (FRONT_COUNTER_REQUESTS);
+  return request;
+}
+
+void
+request_free (FrontRequest *request)
+{
+  request_drop_attempt (request);
+  if (request->version_hash)
+    front_sessions_end (request->front->sessions, request->session, clock_boot_ms ());
+  if (request->timer)
+    event_free (request->timer);
+  cds_list_del (&request->node);
+  request->front->request_count--;
+  front_config_unref (request->config);
+  free (request);
+}
+
+static FrontLine *
+log_begin (const FrontRequest *request, FrontEventId id, const char *reason)
+{
+  FrontLine *line = front_log_begin (id);
+
+  front_log_span (line, "request", request->call.id);
+  front_log_text (line, "reason", reason);
+  front_log_text (line, "route", request->route ? request->route->name : NULL);
+  front_log_number (line, "attempts", request->attempts);
+  front_log_number (line, "after_ms", clock_boot_ms () - request->arrived_ms);
+  front_log_number (line, "config", request->config ? request->config->version : 0);
+  return line;
+}
+
+void
+request_refuse (FrontRequest *request, int status, const char *reason, int64_t retry_after_ms)
+{
+  FrontConn *conn = request->conn;
+  Buffer head = { 0 };
+  bool not_run = status != STATUS_BAD_GATEWAY && status != STATUS_TIMEOUT;
+  FrontLine *line = log_begin (request, not_run ? FRONT_EVENT_REFUSED : FRONT_EVENT_FAILED, reason);
+
+  front_log_number (line, "status", status);
+  front_log_number (line, "retry_after_ms", retry_after_ms);
+  front_log_span (line, "path", request->call.path);
+  front_log_end (line);
+  front_counter_add (not_run ? FRONT_COUNTER_REFUSED : FRONT_COUNTER_FAILED);
+  wire_refusal_encode (&head, status, request->call.id, retry_after_ms);
+  request_free (request);
+  front_conn_answer (conn, &head, "", 0);
+  buffer_free (&head);
+}
+
+void
+request_give_up (FrontRequest *request, const char *reason, int64_t retry_after_ms)
+{
+  bool late = clock_boot_ms () >= request->end_ms;
+
+  if (request->head_sent)
+    {
+      FrontConn *conn = request->conn;
+
+      front_log_end (log_begin (request, FRONT_EVENT_FAILED, reason));
+      front_counter_add (FRONT_COUNTER_FAILED);
+      request_free (request);
+      front_conn_abort (conn);
+    }
+  else if (request->may_have_run)
+    request_refuse (request, late ? STATUS_TIMEOUT : STATUS_BAD_GATEWAY, reason, 0);
+  else
+    request_refuse (request, STATUS_UNAVAILABLE, reason, retry_after_ms);
+}
+
+void
+front_request_cancel (FrontRequest *request)
+{
+  front_log_end (log_begin (request, FRONT_EVENT_CANCELLED, "caller_left"));
+  front_counter_add (FRONT_COUNTER_CANCELLED);
+  request_free (request);
+}
+
+/* A route may send to several services by weight; a session always to the same. */
+static const char *
+target_of (const FrontRoute *route, uint64_t session)
+{
+  double all = 0, at;
+
+  for (unsigned i = 0; i < route->target_count; i++)
+    all += route->targets[i].weight;
+  at = all * ((double)(session >> 11) / (double)(UINT64_MAX >> 11));
+  for (unsigned i = 0; i < route->target_count; i++)
+    {
+      at -= route->targets[i].weight;
+      if (at < 0 && route->targets[i].weight > 0)
+        return route->targets[i].service;
+    }
+  return route->targets[route->target_count - 1].service;
+}
+
+/* The last part of a prompt belongs to a session or to the request alone; a request that has
+ * neither session nor prompt is a session of its own. */
+static uint64_t
+session_of (const FrontCall *call)
+{
+  if (call->session.len > 0)
+    return span_hash (call->session);
+  if (call->part_count > 0)
+    return call->parts[call->part_count - 1].id;
+  return span_hash (call->id);
+}
+
+static uint64_t
+fingerprint_of (const FrontRequest *request)
+{
+  const HttpIntake *intake = front_conn_intake (request->conn);
+  const char *team = request->team ? request->team->name : "";
+  uint64_t print = quarantine_fingerprint (team, intake->body.data, intake->body.len);
+
+  return id_hash (intake->target.text, intake->target.len, print) | 1;
+}
+
+/* False if it was refused. */
+static bool
+admit (FrontRequest *request)
+{
+  Front *front = request->front;
+  FrontConfig *config = front->config;
+
+  if (!config || !front->servers_known)
+    {
+      request_refuse (request, STATUS_UNAVAILABLE, "no_configuration", COME_BACK_STARTING_MS);
+      return false;
+    }
+  request->config = front_config_ref (config);
+  request->route = front_config_route (config, request->call.host, request->call.path);
+  if (!request->route)
+    {
+      request_refuse (request, STATUS_NOT_FOUND, "no_route", 0);
+      return false;
+    }
+  request->team = front_config_team (config, request->call.key);
+  if (!request->team && !request->route->is_public && config->team_count > 0)
+    {
+      request_refuse (request, STATUS_UNAUTHORIZED, "unknown_key", 0);
+      return false;
+    }
+  request->fingerprint = fingerprint_of (request);
+  if (!quarantine_holds (front->quarantine, request->fingerprint, request->arrived_ms))
+    return true;
+  request_refuse (request, STATUS_UNAVAILABLE, "quarantined", COME_BACK_QUARANTINED_MS);
+  return false;
+}
+
+void
+front_request_start (FrontRequest *request)
+{
+  const FrontRoute *route;
+
+  wire_call_decode (front_conn_intake (request->conn), &request->call);
+  if (!admit (request))
+    return;
+  route = request->route;
+  request->end_ms = request->arrived_ms + route->timeout_ms;
+  if (request->call.deadline_ms >= 0 && request->call.deadline_ms < route->timeout_ms)
+    request->end_ms = request->arrived_ms + request->call.deadline_ms;
+  request->session = session_of (&request->call);
+  request->service = target_of (route, request->session);
+  if (route->model_count > 0 && span_is (request->call.model, "*"))
+    request->model = 0;
+  request->events.last_id = request->call.after_event;
+  retry_budget_first (front_budget_of (request->front->budget, request->service),
+                      request->arrived_ms);
+  request_send (request);
+}
+
+unsigned
+front_request_running (const Front *front, const char *service, const char *version)
+{
+  const FrontRequest *request;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (request, &front->requests, node)
+  {
+    count += request->attempt && strcmp (request->service, service) == 0
+             && strcmp (request->version, version) == 0;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/front_request_relay.c
@@ -0,0 +1,307 @@
+/* What a backend server answers, and how it reaches the caller. */
+#include "front_counter.h"
+#include "front_log.h"
+#include "front_request_private.h"
+#include "util_clock.h"
+#include "wire_call.h"
+#include <string.h>
+
+#define STATUS_OK           200
+#define STATUS_REDIRECT     300
+#define STATUS_MISDIRECTED  421
+#define STATUS_TOO_MANY     429
+#define STATUS_SERVER_ERROR 500
+#define STATUS_UNAVAILABLE  503
+
+/* The smallest model's answer is kept if it trusts it at least so much, of 100. Measured over the
+ * thresholds 20, 40, 60 and 80: 60 earned most; below, poor answers are kept, above, the largest
+ * model does work that the smallest had done well. */
+#define CONFIDENCE_KEPT 60
+/* A larger model is tried only while this part of the time to the first event is left. */
+#define CASCADE_LATEST 0.6
+
+typedef enum
+{
+  REPLY_STREAM,       /* events to pass on as they come */
+  REPLY_WHOLE,        /* to be passed on when it is whole */
+  REPLY_NOT_RUN,      /* turned away */
+  REPLY_OTHER_SERVER, /* the address belongs to another server now */
+  REPLY_FAILED,       /* the server's own failure */
+  REPLY_GARBLED,      /* no answer of this server to this request */
+} ReplyKind;
+
+static bool
+is_success (int status)
+{
+  return status >= STATUS_OK && status < STATUS_REDIRECT;
+}
+
+static ReplyKind
+reply_kind (const FrontRequest *request, const HttpReply *reply, const ReplyFacts *facts)
+{
+  if (facts->request_id.text && !span_equal (facts->request_id, request->call.id))
+    return REPLY_GARBLED;
+  if (reply->status == STATUS_MISDIRECTED && facts->other_server)
+    return REPLY_OTHER_SERVER;
+  if (facts->not_executed)
+    return REPLY_NOT_RUN;
+  if (is_success (reply->status))
+    {
+      if (!facts->is_signed || facts->is_encoded)
+        return REPLY_GARBLED;
+      return request->route->kind == ROUTE_STREAM ? REPLY_STREAM : REPLY_WHOLE;
+    }
+  if (reply->status >= STATUS_SERVER_ERROR || reply->status == STATUS_TOO_MANY)
+    return REPLY_FAILED;
+  return REPLY_WHOLE;
+}
+
+/* Counts the answer for its server and, during a roll-out, for its version. */
+static void
+account_first (FrontRequest *request, bool failed)
+{
+  FrontRollout *rollout = front_rollouts_get (request->front->rollouts, request->service);
+  int64_t now_ms = clock_boot_ms ();
+  double first_ms = (double)(now_ms - request->sent_ms);
+
+  request->server->pending_ms -= request->pending_ms;
+  request->pending_ms = 0;
+  if (failed)
+    front_health_failed (&request->server->health, now_ms);
+  else
+    front_health_answered (&request->server->health, now_ms, first_ms, request->predicted_ms);
+  if (front_rollout_is_running (rollout))
+    front_evidence_add (&rollout->evidence,
+                        strcmp (request->version, rollout->order.target) == 0 ? EVIDENCE_NEW
+                                                                              : EVIDENCE_OLD,
+                        request->route->hash, failed, first_ms, request->predicted_ms);
+}
+
+static bool
+wants_larger (const FrontRequest *request, const ReplyFacts *facts)
+{
+  int64_t passed_ms = clock_boot_ms () - request->arrived_ms;
+
+  return request->model != NO_MODEL && request->model + 1 < request->route->model_count
+         && !request->cascade_done && !request->head_sent && facts->confidence >= 0
+         && facts->confidence < CONFIDENCE_KEPT && request->attempts < request->route->attempts_max
+         && (double)passed_ms < (double)request->route->objective_ms * CASCADE_LATEST;
+}
+
+/* Drops the answer for the largest model's; false if the budget doesn't allow it. */
+static bool
+cascade (FrontRequest *request, const ReplyFacts *facts)
+{
+  RetryQuery query = {
+    .idempotent = true,
+    .attempts = request->attempts,
+    .server_left = true,
+    .now_ms = clock_boot_ms (),
+    .deadline_ms = request->end_ms,
+  };
+  RetryBudget *budget = front_budget_of (request->front->budget, request->service);
+  RetryAnswer answer = retry_policy_default.decide (budget, &query);
+  FrontLine *line = front_log_begin (FRONT_EVENT_CASCADE);
+
+  request->cascade_done = true;
+  front_log_span (line, "request", request->call.id);
+  front_log_text (line, "model", request->route->models[request->model]);
+  front_log_number (line, "confidence", facts->confidence);
+  front_log_text (line, "verdict", retry_verdict_name (answer.verdict));
+  front_log_end (line);
+  if (answer.verdict != RETRY_NOW)
+    return false;
+  front_counter_add (FRONT_COUNTER_CASCADES);
+  request->model = request->route->model_count - 1;
+  request->tried_count = 0; /* the same server may well run the larger model */
+  request->may_have_run = true;
+  request_drop_attempt (request);
+  request_send (request);
+  return true;
+}
+
+static void
+log_answered (const FrontRequest *request, int status)
+{
+  int64_t whole_ms = clock_boot_ms () - request->arrived_ms;
+  FrontLine *line = front_log_begin (FRONT_EVENT_ANSWERED);
+
+  front_log_span (line, "request", request->call.id);
+  front_log_number (line, "status", status);
+  front_log_text (line, "version", request->version);
+  front_log_text (line, "server", request->server ? request->server->entry.id : NULL);
+  front_log_number (line, "first_ms", request->first_ms);
+  front_log_number (line, "whole_ms", whole_ms);
+  front_log_number (line, "objective_ms", request->route->objective_ms);
+  front_log_number (line, "events", request->events.passed);
+  front_log_number (line, "attempts", request->attempts);
+  front_log_end (line);
+  front_counter_add (FRONT_COUNTER_ANSWERED);
+  front_counter_wait (FRONT_WAIT_WHOLE, whole_ms);
+}
+
+static void
+first_byte (FrontRequest *request)
+{
+  if (request->first_ms >= 0)
+    return;
+  request->first_ms = clock_boot_ms () - request->arrived_ms;
+  front_counter_wait (FRONT_WAIT_FIRST, request->first_ms);
+}
+
+static void
+answer_whole (FrontRequest *request)
+{
+  HttpReply *reply = front_attempt_reply (request->attempt);
+  FrontConn *conn = request->conn;
+  Buffer head = { 0 }, body = reply->body;
+
+  first_byte (request);
+  log_answered (request, reply->status);
+  wire_reply_encode (&head, reply);
+  reply->body = (Buffer){ 0 };
+  request_free (request);
+  front_conn_answer (conn, &head, body.data ? body.data : "", body.len);
+  buffer_free (&head);
+  buffer_free (&body);
+}
+
+static void
+stream_end (FrontRequest *request)
+{
+  FrontConn *conn = request->conn;
+
+  log_answered (request, front_attempt_reply (request->attempt)->status);
+  request_free (request);
+  front_conn_stream_end (conn);
+}
+
+static void
+stream_head (FrontRequest *request)
+{
+  Buffer head = { 0 };
+
+  wire_reply_encode (&head, front_attempt_reply (request->attempt));
+  front_conn_stream_begin (request->conn, &head);
+  buffer_free (&head);
+  request->head_sent = true;
+}
+
+/* Passes on the whole events that have come. */
+static void
+stream_progress (FrontRequest *request)
+{
+  HttpReply *reply = front_attempt_reply (request->attempt);
+  Buffer out = { 0 };
+  bool cut_off;
+
+  front_events_take (&request->events, &reply->body, &out);
+  cut_off = request->events.gap || (reply->complete && reply->body.len > 0);
+  if (out.len > 0)
+    {
+      if (!request->head_sent)
+        stream_head (request);
+      first_byte (request);
+      request->event_ms = clock_boot_ms ();
+      front_conn_stream_data (request->conn, out.data, out.len);
+    }
+  buffer_free (&out);
+  if (cut_off)
+    request_again (request, "stream_spoiled", true);
+  else if (reply->complete)
+    {
+      if (!request->head_sent)
+        stream_head (request);
+      stream_end (request);
+    }
+  else
+    {
+      if (front_conn_is_full (request->conn))
+        front_attempt_pause (request->attempt, true);
+      request_arm (request);
+    }
+}
+
+void
+front_request_caller_reads (FrontRequest *request)
+{
+  if (request->attempt && request->relaying)
+    front_attempt_pause (request->attempt, false);
+}
+
+/* A server's own failure is the caller's answer, unless another server may be asked. */
+static void
+failed (FrontRequest *request, const ReplyFacts *facts)
+{
+  HttpReply *reply = front_attempt_reply (request->attempt);
+  bool may_repeat = front_route_is_idempotent (request->route)
+                    && request->attempts < request->route->attempts_max;
+  /* These two statuses promise that nothing ran, which the server doesn't vouch for here. */
+  bool promises = reply->status == STATUS_TOO_MANY || reply->status == STATUS_UNAVAILABLE;
+
+  if (may_repeat || promises || request->head_sent || !facts->is_signed)
+    request_again (request, "server_error", true);
+  else
+    answer_whole (request);
+}
+
+/* The first look at an answer whose head is whole. */
+static void
+answer_begins (FrontRequest *request)
+{
+  HttpReply *reply = front_attempt_reply (request->attempt);
+  int64_t now_ms = clock_boot_ms ();
+  ReplyFacts facts;
+  ReplyKind kind;
+
+  wire_reply_decode (reply, request->server->entry.id, &facts);
+  kind = reply_kind (request, reply, &facts);
+  switch (kind)
+    {
+    case REPLY_OTHER_SERVER:
+      request->server->leaving = true;
+      request_again (request, "other_server", false);
+      return;
+    case REPLY_NOT_RUN:
+      front_health_full (&request->server->health, now_ms);
+      request_again (request, "server_full", false);
+      return;
+    case REPLY_GARBLED:
+      front_health_failed (&request->server->health, now_ms);
+      request_again (request, "answer_garbled", true);
+      return;
+    case REPLY_FAILED:
+      if (!reply->complete)
+        return;
+      account_first (request, true);
+      failed (request, &facts);
+      return;
+    case REPLY_STREAM:
+      account_first (request, false);
+      if (wants_larger (request, &facts) && cascade (request, &facts))
+        return;
+      request->relaying = true;
+      stream_progress (request);
+      return;
+    case REPLY_WHOLE:
+      if (!request->relaying)
+        account_first (request, false);
+      request->relaying = true;
+      if (reply->complete)
+        answer_whole (request);
+      return;
+    }
+}
+
+void
+request_progress (FrontRequest *request)
+{
+  HttpReply *reply = front_attempt_reply (request->attempt);
+
+  if (!request->relaying)
+    answer_begins (request);
+  else if (request->route->kind == ROUTE_STREAM && is_success (reply->status))
+    stream_progress (request);
+  else if (reply->complete)
+    answer_whole (request);
+}
--- /dev/null
+++ b/src/front_request_send.c
@@ -0,0 +1,358 @@
+/* Choosing a server for a request, sending it there, and what happens when that fails. */
+#include "front_counter.h"
+#include "front_deaths.h"
+#include "front_log.h"
+#include "front_request_private.h"
+#include "util_clock.h"
+#include "wire_call.h"
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Milliseconds. A server in reach opens a connection within about 5; one lost packet costs the
+ * connection a second, after which another server is the better choice. */
+#define CONNECT_MS 350
+/* A stream that may be resumed goes on elsewhere after a silence of this many allowed pauses: twice
+ * what is still on time, and far below the eight after which callers leave. */
+#define SILENCE_PAUSES 2
+/* An idempotent request is sent elsewhere when its answer has not begun in this part of its
+ * objective, or this many times the predicted time if that is more. */
+#define FIRST_BYTE_SHARE 0.6
+#define FIRST_BYTE_TIMES 4.0
+#define MS_PER_S         1000
+
+/* Prompt tokens that the middle-sized model reads in a millisecond, as the engines' sheet gives it
+ * for one prompt at a time; a smaller model is faster, a larger one slower, by about these factors.
+ */
+#define TOKENS_A_MS     140.0
+#define SMALLEST_FACTOR 0.3
+#define LARGEST_FACTOR  3.0
+#define FIRST_TOKEN_MS  60.0 /* from an empty engine's acceptance to its first event */
+
+static void on_sent (void *user);
+static void on_progress (void *user);
+static void on_cut (void *user);
+static void on_timer (evutil_socket_t fd, short what, void *user);
+
+static const AttemptOwner attempt_owner = {
+  .sent = on_sent,
+  .progress = on_progress,
+  .cut = on_cut,
+};
+
+static double
+ms_per_token (const FrontRequest *request)
+{
+  unsigned count = request->route->model_count;
+  double rank;
+
+  if (request->model == NO_MODEL || count < 2)
+    return 1 / TOKENS_A_MS;
+  rank = (double)request->model / (count - 1);
+  return SMALLEST_FACTOR * pow (LARGEST_FACTOR / SMALLEST_FACTOR, rank) / TOKENS_A_MS;
+}
+
+static Span
+model_name (const FrontRequest *request)
+{
+  if (request->model == NO_MODEL)
+    return (Span){ 0 };
+  return span_of (request->route->models[request->model]);
+}
+
+static uint64_t
+model_hash (const FrontRequest *request)
+{
+  return span_hash (request->model == NO_MODEL ? request->call.model : model_name (request));
+}
+
+static PickQuery
+pick_query (const FrontRequest *request, const char *version)
+{
+  const FrontService *service = front_config_service (request->config, request->service);
+  PickQuery query = {
+    .service = request->service,
+    .version = version,
+    .call = &request->call,
+    .model = model_hash (request),
+    .ms_per_token = ms_per_token (request),
+    .slots = service ? service->slots : 0,
+    .is_model = service && service->kv_tokens > 0,
+    .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
+    .tried_count = request->tried_count,
+  };
+
+  memcpy (query.tried, request->tried, sizeof query.tried);
+  return query;
+}
+
+/* The session runs on this version from now on. */
+static void
+version_set (FrontRequest *request, const char *version, int64_t now_ms)
+{
+  uint64_t hash = version ? span_hash (span_of (version)) : 0;
+
+  snprintf (request->version, sizeof request->version, "%s", version ? version : "");
+  if (hash == request->version_hash)
+    return;
+  if (request->version_hash)
+    front_sessions_end (request->front->sessions, request->session, now_ms);
+  if (hash)
+    front_sessions_begin (request->front->sessions, request->session, hash, now_ms);
+  request->version_hash = hash;
+}
+
+static void
+log_sent (const FrontRequest *request, const PickAnswer *pick)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_SENT);
+  Span model = model_name (request);
+
+  front_log_span (line, "request", request->call.id);
+  front_log_text (line, "route", request->route->name);
+  front_log_number (line, "config", request->config->version);
+  front_log_text (line, "service", request->service);
+  front_log_text (line, "version", request->version);
+  front_log_span (line, "model", model);
+  front_log_text (line, "server", pick->server->entry.id);
+  front_log_number (line, "running", pick->server->running);
+  front_log_number (line, "predicted_ms", (int64_t)pick->predicted_ms);
+  front_log_number (line, "prompt_ms", (int64_t)pick->prompt_ms);
+  front_log_number (line, "avoided", pick->avoided);
+  front_log_number (line, "attempt", request->attempts);
+  front_log_end (line);
+}
+
+/* Remembers the attempt for what later choices need: the load that it adds, the prompt that the
+ * server will have read. */
+static void
+account_sent (FrontRequest *request, const PickQuery *query, const PickAnswer *pick, int64_t now_ms)
+{
+  if (request->tried_count < PICK_TRIED_MAX)
+    request->tried[request->tried_count++] = pick->server->hash;
+  request->attempts++;
+  request->server = pick->server;
+  front_server_ref (pick->server);
+  request->predicted_ms = pick->predicted_ms + FIRST_TOKEN_MS;
+  request->pending_ms = pick->prompt_ms;
+  pick->server->pending_ms += pick->prompt_ms;
+  request->sent_ms = now_ms;
+  request->event_ms = now_ms;
+  request->relaying = false;
+  if (query->is_model)
+    front_prompts_sent (&pick->server->prompts, &request->call, query->model, now_ms);
+}
+
+static bool
+attempt_begin (FrontRequest *request, const PickAnswer *pick, int64_t left_ms)
+{
+  CallOrder order = {
+    .server_id = pick->server->entry.id,
+    .team = request->team ? request->team->name : NULL,
+    .model = model_name (request),
+    .deadline_ms = left_ms,
+    .priority = front_config_priority (request->route, request->team),
+    .after_event = request->head_sent ? request->events.last_id : -1,
+  };
+  HttpIntake *intake = front_conn_intake (request->conn);
+  Buffer head = { 0 };
+
+  wire_call_encode (&head, intake, &request->call, &order);
+  request->attempt = front_attempt_start (request->front, pick->server, &head, &intake->body,
+                                          &attempt_owner, request);
+  buffer_free (&head);
+  return request->attempt != NULL;
+}
+
+void
+request_send (FrontRequest *request)
+{
+  Front *front = request->front;
+  int64_t now_ms = clock_boot_ms ();
+  const char *version = front_rollouts_choose (front->rollouts, front->servers, request->service,
+                                               request->session, now_ms);
+  PickQuery query = pick_query (request, version);
+  PickAnswer pick = front_pick (front->servers, &query, now_ms);
+
+  if (!pick.server && request->tried_count > 0)
+    {
+      query.tried_count = 0; /* better one that failed this request than none */
+      pick = front_pick (front->servers, &query, now_ms);
+    }
+  if (!pick.server)
+    {
+      RetryQuery none = { .idempotent = true, .now_ms = now_ms, .attempts = 0 };
+      RetryBudget *budget = front_budget_of (front->budget, request->service);
+
+      request_give_up (request, "no_server",
+                       retry_policy_default.decide (budget, &none).retry_after_ms);
+      return;
+    }
+  version_set (request, version, now_ms);
+  account_sent (request, &query, &pick, now_ms);
+  if (!attempt_begin (request, &pick, request->end_ms - now_ms))
+    {
+      request_again (request, "no_descriptor", false);
+      return;
+    }
+  front_counter_add (FRONT_COUNTER_ATTEMPTS);
+  log_sent (request, &pick);
+  request_arm (request);
+}
+
+static void
+pending_clear (FrontRequest *request)
+{
+  request->server->pending_ms = fmax (0, request->server->pending_ms - request->pending_ms);
+  request->pending_ms = 0;
+}
+
+void
+request_drop_attempt (FrontRequest *request)
+{
+  if (request->server)
+    {
+      pending_clear (request);
+      front_server_unref (request->server);
+    }
+  if (request->attempt)
+    front_attempt_free (request->attempt);
+  request->attempt = NULL;
+  request->server = NULL;
+}
+
+/* Whether another attempt may be made, and if not, when the caller may come back. */
+static RetryAnswer
+may_go_on (FrontRequest *request, int64_t now_ms)
+{
+  RetryQuery query = {
+    .idempotent = !request->may_have_run || front_route_is_idempotent (request->route),
+    .attempts = request->attempts >= request->route->attempts_max ? UINT32_MAX : request->attempts,
+    .server_left = true,
+    .now_ms = now_ms,
+    .deadline_ms = request->end_ms,
+  };
+
+  return retry_policy_default.decide (front_budget_of (request->front->budget, request->service),
+                                      &query);
+}
+
+void
+request_again (FrontRequest *request, const char *reason, bool may_have_run)
+{
+  FrontEventId event = request->head_sent ? FRONT_EVENT_RESUME : FRONT_EVENT_RETRY;
+  RetryAnswer answer;
+  FrontLine *line;
+
+  request->may_have_run |= may_have_run;
+  answer = may_go_on (request, clock_boot_ms ());
+  line = front_log_begin (event);
+  front_log_span (line, "request", request->call.id);
+  front_log_text (line, "reason", reason);
+  front_log_text (line, "verdict", retry_verdict_name (answer.verdict));
+  front_log_text (line, "server", request->server ? request->server->entry.id : NULL);
+  front_log_number (line, "attempt", request->attempts);
+  front_log_number (line, "may_have_run", request->may_have_run);
+  front_log_number (line, "last_event", request->events.last_id);
+  front_log_end (line);
+  request_drop_attempt (request);
+  if (answer.verdict != RETRY_NOW)
+    {
+      request_give_up (request, reason, answer.retry_after_ms);
+      return;
+    }
+  front_counter_add (request->head_sent ? FRONT_COUNTER_RESUMES : FRONT_COUNTER_RETRIES);
+  request_send (request);
+}
+
+/* When the present attempt is given up for its silence. INT64_MAX: never before the end. */
+static int64_t
+silence_due_ms (const FrontRequest *request)
+{
+  const FrontRoute *route = request->route;
+  double first_ms = fmax ((double)route->objective_ms * FIRST_BYTE_SHARE,
+                          request->predicted_ms * FIRST_BYTE_TIMES);
+
+  if (!request->attempt)
+    return INT64_MAX;
+  if (!front_attempt_is_sent (request->attempt))
+    return request->sent_ms + CONNECT_MS;
+  /* What may run only once is not sent again, so there is nothing to win by giving it up. */
+  if (!front_route_is_idempotent (route) || request->attempts >= route->attempts_max)
+    return INT64_MAX;
+  if (request->relaying)
+    return route->kind == ROUTE_STREAM ? request->event_ms + SILENCE_PAUSES * route->gap_ms
+                                       : INT64_MAX;
+  return request->sent_ms + (int64_t)first_ms;
+}
+
+void
+request_arm (FrontRequest *request)
+{
+  int64_t due_ms = silence_due_ms (request);
+  int64_t wait_ms = (due_ms < request->end_ms ? due_ms : request->end_ms) - clock_boot_ms ();
+  struct timeval wait;
+
+  if (wait_ms < 1)
+    wait_ms = 1;
+  wait = (struct timeval){ .tv_sec = wait_ms / MS_PER_S, .tv_usec = wait_ms % MS_PER_S * MS_PER_S };
+  if (!request->timer)
+    request->timer = evtimer_new (request->front->base, on_timer, request);
+  evtimer_add (request->timer, &wait);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *user)
+{
+  FrontRequest *request = user;
+  int64_t now_ms = clock_boot_ms ();
+  bool sent = request->attempt && front_attempt_is_sent (request->attempt);
+
+  if (now_ms >= request->end_ms)
+    {
+      request->may_have_run |= sent;
+      request_drop_attempt (request);
+      request_give_up (request, "timeout", 0);
+    }
+  else if (now_ms < silence_due_ms (request))
+    request_arm (request);
+  else if (!sent)
+    {
+      front_health_unreachable (&request->server->health, now_ms);
+      request_again (request, "connect_timeout", false);
+    }
+  else
+    {
+      front_health_failed (&request->server->health, now_ms);
+      request_again (request, request->relaying ? "stream_silent" : "answer_late", true);
+    }
+}
+
+static void
+on_sent (void *user)
+{
+  request_arm (user);
+}
+
+static void
+on_progress (void *user)
+{
+  request_progress (user);
+}
+
+static void
+on_cut (void *user)
+{
+  FrontRequest *request = user;
+  int64_t now_ms = clock_boot_ms ();
+
+  if (!front_attempt_is_sent (request->attempt))
+    {
+      front_health_unreachable (&request->server->health, now_ms);
+      request_again (request, "not_connected", false);
+      return;
+    }
+  front_health_failed (&request->server->health, now_ms);
+  front_deaths_cut (request->front, request->server, request->fingerprint, now_ms);
+  request_again (request, request->relaying ? "stream_cut" : "answer_cut", true);
+}
--- /dev/null
+++ b/src/front_rollouts.c
@@ -0,0 +1,336 @@
+#include "front_rollouts.h"
+#include "util_memory.h"
+#include "util_span.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Share of sessions that begin on a new version until half of the time has passed. A bad version
+ * may get 15 of 100 requests; a tenth leaves room for retries and for what is in flight when it
+ * is stopped, and brings the evidence for a verdict within seconds. */
+#define FIRST_SHARE 0.08
+/* The second half: all sessions have moved after this part of the whole time, which leaves the rest
+ * for the answers in progress on the old version to end. */
+#define HALF         0.5
+#define ALL_MOVED_AT 0.72
+/* Milliseconds. Sessions may move to the new version in the second half only; nodes don't begin it
+ * at the same moment, as the order reaches them at different times. */
+#define HALF_MARGIN_MS 400
+/* The last moment to report success: the write needs to be accepted before the time is over. */
+#define LATEST_MS 2000
+/* A node that was not heard of for so long is dead or cut off, and holds nothing up. */
+#define PEER_SILENT_MS 1500
+#define ANSWERS_LEAST  20 /* of the new version, without which its success is not reported early */
+#define SHARE_STEPS    10000
+
+struct FrontRollouts
+{
+  struct cds_list_head list;
+  FrontSessions *sessions;
+};
+
+FrontRollouts *
+front_rollouts_new (FrontSessions *sessions)
+{
+  FrontRollouts *rollouts = memory_alloc (sizeof *rollouts);
+
+  CDS_INIT_LIST_HEAD (&rollouts->list);
+  rollouts->sessions = sessions;
+  return rollouts;
+}
+
+void
+front_rollouts_free (FrontRollouts *rollouts)
+{
+  FrontRollout *rollout, *next;
+
+  cds_list_for_each_entry_safe (rollout, next, &rollouts->list, node) free (rollout);
+  free (rollouts);
+}
+
+struct cds_list_head *
+front_rollouts_list (FrontRollouts *rollouts)
+{
+  return &rollouts->list;
+}
+
+FrontRollout *
+front_rollouts_get (FrontRollouts *rollouts, const char *service)
+{
+  FrontRollout *rollout;
+
+  cds_list_for_each_entry (rollout, &rollouts->list, node)
+  {
+    if (strcmp (rollout->service, service) == 0)
+      return rollout;
+  }
+  rollout = memory_alloc (sizeof *rollout);
+  snprintf (rollout->service, sizeof rollout->service, "%s", service);
+  rollout->service_hash = span_hash (span_of (service));
+  cds_list_add_tail (&rollout->node, &rollouts->list);
+  return rollout;
+}
+
+bool
+front_rollouts_order (FrontRollouts *rollouts, const RolloutOrder *order, int64_t now_ms)
+{
+  FrontRollout *rollout = front_rollouts_get (rollouts, order->service);
+
+  if (rollout->ordered && order->row_version <= rollout->order.row_version)
+    return false;
+  rollout->ordered = true;
+  rollout->order = *order;
+  rollout->state = FRONT_ROLLOUT_RUNNING;
+  rollout->started_ms = now_ms;
+  rollout->status_version = 0;
+  rollout->is_bad = false;
+  rollout->has_verdict = false;
+  rollout->old_running = 0;
+  rollout->peer_count = 0;
+  memset (&rollout->evidence, 0, sizeof rollout->evidence);
+  if (strcmp (rollout->base, order->target) == 0)
+    rollout->base[0] = '\0';
+  return true;
+}
+
+void
+front_rollouts_order_removed (FrontRollouts *rollouts, const char *service)
+{
+  FrontRollout *rollout = front_rollouts_get (rollouts, service);
+
+  rollout->ordered = false;
+}
+
+bool
+front_rollouts_status (FrontRollout *rollout,
+                       const char *target,
+                       FrontRolloutState state,
+                       int64_t row_version,
+                       int64_t started_ms)
+{
+  bool news;
+
+  if (!rollout->ordered || row_version <= rollout->order.row_version
+      || row_version <= rollout->status_version || strcmp (rollout->order.target, target) != 0)
+    return false;
+  rollout->status_version = row_version;
+  rollout->has_verdict = false;
+  if (started_ms != 0 && started_ms < rollout->started_ms)
+    rollout->started_ms = started_ms;
+  if (rollout->state != FRONT_ROLLOUT_RUNNING)
+    return false; /* an end is final; a late "running" doesn't take it back */
+  news = state != rollout->state;
+  rollout->state = state;
+  if (state == FRONT_ROLLOUT_COMPLETED)
+    snprintf (rollout->base, sizeof rollout->base, "%s", target);
+  return news;
+}
+
+bool
+front_rollout_is_running (const FrontRollout *rollout)
+{
+  return rollout->ordered && rollout->state == FRONT_ROLLOUT_RUNNING;
+}
+
+/* The version that most listed servers have, the target of a roll-out left out. */
+static void
+base_find (FrontRollout *rollout, FrontServers *servers)
+{
+  FrontServer *server, *other;
+  unsigned most = 0;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    unsigned count = 0;
+
+    if (!server->listed || strcmp (server->entry.service, rollout->service) != 0)
+      continue;
+    if (rollout->ordered && strcmp (server->entry.version, rollout->order.target) == 0)
+      continue;
+    cds_list_for_each_entry (other, front_servers_list (servers), node) count
+        += other->listed && strcmp (other->entry.service, rollout->service) == 0
+           && strcmp (other->entry.version, server->entry.version) == 0;
+    if (count > most)
+      {
+        most = count;
+        snprintf (rollout->base, sizeof rollout->base, "%s", server->entry.version);
+      }
+  }
+}
+
+void
+front_rollouts_find_base (FrontRollouts *rollouts, FrontServers *servers)
+{
+  FrontServer *server;
+  FrontRollout *rollout;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    if (server->listed)
+      front_rollouts_get (rollouts, server->entry.service);
+  }
+  cds_list_for_each_entry (rollout, &rollouts->list, node)
+  {
+    if (rollout->base[0] == '\0')
+      base_find (rollout, servers);
+  }
+}
+
+double
+front_rollout_share (const FrontRollout *rollout, int64_t now_ms)
+{
+  double duration = (double)rollout->order.duration_ms;
+  double passed = (double)(now_ms - rollout->started_ms - HALF_MARGIN_MS) / duration;
+  double moved;
+
+  if (!rollout->ordered || rollout->is_bad || rollout->state == FRONT_ROLLOUT_ROLLED_BACK)
+    return 0;
+  if (rollout->state == FRONT_ROLLOUT_COMPLETED)
+    return 1;
+  if (passed < HALF)
+    return FIRST_SHARE;
+  moved = (passed - HALF) / (ALL_MOVED_AT - HALF);
+  return moved >= 1 ? 1 : FIRST_SHARE + (1 - FIRST_SHARE) * moved;
+}
+
+static bool
+has_servers (FrontServers *servers, const char *service, const char *version)
+{
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    if (server->listed && !server->leaving && strcmp (server->entry.service, service) == 0
+        && strcmp (server->entry.version, version) == 0)
+      return true;
+  }
+  return false;
+}
+
+/* Sessions are ordered by a hash; those below the share begin on the new version, the same at each
+ * node, so that a session that comes to another node finds its version. */
+static bool
+is_in_share (const FrontRollout *rollout, uint64_t session, int64_t now_ms)
+{
+  double share = front_rollout_share (rollout, now_ms);
+
+  return (double)(session % SHARE_STEPS) < share * SHARE_STEPS;
+}
+
+static const char *
+choose_running (FrontRollouts *rollouts, FrontRollout *rollout, uint64_t session, int64_t now_ms)
+{
+  uint64_t runs_on = front_sessions_version (rollouts->sessions, session, now_ms);
+  bool first_half = now_ms - rollout->started_ms
+                    < (int64_t)(HALF * (double)rollout->order.duration_ms) + HALF_MARGIN_MS;
+
+  if (rollout->is_bad)
+    return rollout->base;
+  if (runs_on == span_hash (span_of (rollout->order.target)))
+    return rollout->order.target;
+  if (runs_on != 0 && first_half)
+    return rollout->base;
+  return is_in_share (rollout, session, now_ms) ? rollout->order.target : rollout->base;
+}
+
+const char *
+front_rollouts_choose (FrontRollouts *rollouts,
+                       FrontServers *servers,
+                       const char *service,
+                       uint64_t session,
+                       int64_t now_ms)
+{
+  FrontRollout *rollout = front_rollouts_get (rollouts, service);
+  const char *version;
+
+  if (rollout->base[0] == '\0')
+    base_find (rollout, servers);
+  if (rollout->base[0] == '\0')
+    return NULL;
+  if (!front_rollout_is_running (rollout))
+    return rollout->base;
+  version = choose_running (rollouts, rollout, session, now_ms);
+  if (has_servers (servers, service, version))
+    return version;
+  return version == rollout->base ? rollout->order.target : rollout->base;
+}
+
+void
+front_rollout_peer (FrontRollout *rollout, const RolloutPeer *news)
+{
+  RolloutPeer *peer = NULL;
+
+  for (unsigned i = 0; i < rollout->peer_count && !peer; i++)
+    {
+      if (rollout->peers[i].incarnation == news->incarnation)
+        peer = &rollout->peers[i];
+    }
+  if (!peer)
+    {
+      if (rollout->peer_count == ROLLOUT_PEERS_MAX)
+        return;
+      peer = &rollout->peers[rollout->peer_count++];
+      memset (peer, 0, sizeof *peer);
+      peer->incarnation = news->incarnation;
+    }
+  peer->heard_ms = news->heard_ms;
+  peer->old_running = news->old_running;
+  rollout->is_bad |= news->is_bad;
+  front_evidence_raise (&peer->evidence, &news->evidence);
+}
+
+static bool
+old_is_idle (const FrontRollout *rollout, int64_t now_ms)
+{
+  if (rollout->old_running > 0)
+    return false;
+  for (unsigned i = 0; i < rollout->peer_count; i++)
+    {
+      const RolloutPeer *peer = &rollout->peers[i];
+
+      if (peer->old_running > 0 && now_ms - peer->heard_ms < PEER_SILENT_MS)
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_done (const FrontRollout *rollout, uint32_t answers, int64_t now_ms)
+{
+  int64_t left_ms = rollout->order.duration_ms - (now_ms - rollout->started_ms);
+
+  if (left_ms <= LATEST_MS)
+    return answers > 0;
+  return front_rollout_share (rollout, now_ms) >= 1 && old_is_idle (rollout, now_ms)
+         && answers >= ANSWERS_LEAST;
+}
+
+static void
+verdict_set (FrontRollout *rollout, FrontRolloutState verdict, int64_t now_ms)
+{
+  if (rollout->has_verdict && rollout->verdict == verdict)
+    return;
+  rollout->has_verdict = true;
+  rollout->verdict = verdict;
+  rollout->verdict_ms = now_ms;
+}
+
+void
+front_rollout_judge (FrontRollout *rollout, int64_t now_ms)
+{
+  FrontEvidence all = rollout->evidence;
+
+  if (!front_rollout_is_running (rollout))
+    return;
+  for (unsigned i = 0; i < rollout->peer_count; i++)
+    front_evidence_sum (&all, &rollout->peers[i].evidence);
+  rollout->is_bad |= front_evidence_is_bad (&all);
+  if (rollout->is_bad)
+    verdict_set (rollout, FRONT_ROLLOUT_ROLLED_BACK, now_ms);
+  else if (is_done (rollout, front_evidence_answers (&all, EVIDENCE_NEW), now_ms))
+    verdict_set (rollout, FRONT_ROLLOUT_COMPLETED, now_ms);
+  else if (rollout->status_version == 0)
+    verdict_set (rollout, FRONT_ROLLOUT_RUNNING, now_ms);
+  else
+    rollout->has_verdict = false;
+}
--- /dev/null
+++ b/src/front_rollouts.h
@@ -0,0 +1,88 @@
+/**
+ * Which version of a service a request runs on, and when a roll-out has succeeded or failed. Each
+ * node decides by the same rule on the same news: the order with its row version, the status that
+ * was written, the answers counted by all nodes. No I/O; the status is written by front_store.
+ */
+#ifndef FRONT_ROLLOUTS_H
+#define FRONT_ROLLOUTS_H
+
+#include "front_evidence.h"
+#include "front_rollout_order.h"
+#include "front_servers.h"
+#include "front_sessions.h"
+#include <urcu/list.h>
+
+#define ROLLOUT_PEERS_MAX 128 /**< incarnations of nodes whose evidence is kept for one roll-out   \
+                               */
+
+/** What another node says of a roll-out. */
+typedef struct
+{
+  uint64_t incarnation; /**< of the node's process */
+  int64_t heard_ms;
+  uint32_t old_running; /**< its requests on the old version */
+  bool is_bad;          /**< it has found the new version bad */
+  FrontEvidence evidence;
+} RolloutPeer;
+
+/** One service's versions. */
+typedef struct
+{
+  struct cds_list_head node;
+  char service[ROLLOUT_TEXT_MAX];
+  uint64_t service_hash;
+  char base[ROLLOUT_TEXT_MAX]; /**< version outside of a roll-out; "" until it is known */
+  bool ordered;                /**< order holds one */
+  RolloutOrder order;
+  FrontRolloutState state;
+  int64_t started_ms;     /**< on our clock; may be before this process began */
+  int64_t status_version; /**< row version of the status; 0: none written for this order */
+  bool is_bad;            /**< found so here or at another node; holds though no status says so */
+  bool has_verdict;       /**< verdict is to be written */
+  FrontRolloutState verdict;
+  int64_t verdict_ms;     /**< since when */
+  uint32_t old_running;   /**< our requests on the old version */
+  FrontEvidence evidence; /**< our own */
+  unsigned peer_count;
+  RolloutPeer peers[ROLLOUT_PEERS_MAX];
+} FrontRollout;
+
+typedef struct FrontRollouts FrontRollouts;
+
+/** sessions is borrowed. */
+FrontRollouts *front_rollouts_new (FrontSessions *sessions);
+void front_rollouts_free (FrontRollouts *rollouts);
+/** The entry of a service, made if it isn't there. */
+FrontRollout *front_rollouts_get (FrontRollouts *rollouts, const char *service);
+struct cds_list_head *front_rollouts_list (FrontRollouts *rollouts);
+
+/** An order was read; false if it is no news. */
+bool front_rollouts_order (FrontRollouts *rollouts, const RolloutOrder *order, int64_t now_ms);
+/** The order's row is gone. */
+void front_rollouts_order_removed (FrontRollouts *rollouts, const char *service);
+/** A status was read or written, or another node told it. A status older than the order is of an
+ *  earlier one. started_ms 0: not known. True if it is news. */
+bool front_rollouts_status (FrontRollout *rollout,
+                            const char *target,
+                            FrontRolloutState state,
+                            int64_t row_version,
+                            int64_t started_ms);
+/** The version of the base is that of most servers; called once the whole list is known. */
+void front_rollouts_find_base (FrontRollouts *rollouts, FrontServers *servers);
+/** Version for a request of a session; NULL: any, since nothing is known yet. */
+const char *front_rollouts_choose (FrontRollouts *rollouts,
+                                   FrontServers *servers,
+                                   const char *service,
+                                   uint64_t session,
+                                   int64_t now_ms);
+/** Share of the sessions that begin on the new version now, 0 to 1. */
+double front_rollout_share (const FrontRollout *rollout, int64_t now_ms);
+/** True while a roll-out is running. */
+bool front_rollout_is_running (const FrontRollout *rollout);
+/** News of another node. */
+void front_rollout_peer (FrontRollout *rollout, const RolloutPeer *news);
+/** Judges a running roll-out by all evidence and updates is_bad and verdict. A bad version gets no
+ *  more work from here at once, whether or not the store can be told. */
+void front_rollout_judge (FrontRollout *rollout, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/front_servers.c
@@ -0,0 +1,193 @@
+#include "front_servers.h"
+#include "front_socket.h"
+#include "util_memory.h"
+#include "util_span.h"
+#include <stdlib.h>
+#include <string.h>
+
+struct FrontServers
+{
+  struct cds_list_head list;
+  char failure_domain[SERVER_TEXT_MAX];
+  unsigned count;
+};
+
+FrontServers *
+front_servers_new (const char *failure_domain)
+{
+  FrontServers *servers = memory_alloc (sizeof *servers);
+
+  CDS_INIT_LIST_HEAD (&servers->list);
+  strncpy (servers->failure_domain, failure_domain, SERVER_TEXT_MAX - 1);
+  return servers;
+}
+
+static void
+server_free (FrontServer *server)
+{
+  cds_list_del (&server->node);
+  free (server);
+}
+
+void
+front_servers_free (FrontServers *servers)
+{
+  FrontServer *server, *next;
+
+  cds_list_for_each_entry_safe (server, next, &servers->list, node) server_free (server);
+  free (servers);
+}
+
+FrontServer *
+front_servers_find (FrontServers *servers, const char *id)
+{
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, &servers->list, node)
+  {
+    if (server->listed && strcmp (server->entry.id, id) == 0)
+      return server;
+  }
+  return NULL;
+}
+
+static FrontServer *
+server_add (FrontServers *servers, const ServerEntry *entry, const struct sockaddr_in *address)
+{
+  FrontServer *server = memory_alloc (sizeof *server);
+
+  server->address = *address;
+  server->hash = span_hash (span_of (entry->id));
+  server->is_near = strcmp (entry->failure_domain, servers->failure_domain) == 0;
+  server->listed = true;
+  cds_list_add_tail (&server->node, &servers->list);
+  servers->count++;
+  return server;
+}
+
+bool
+front_servers_set (FrontServers *servers, const ServerEntry *entry, int64_t now_ms, bool *changed)
+{
+  FrontServer *server = front_servers_find (servers, entry->id);
+  struct sockaddr_in address;
+
+  *changed = false;
+  if (!front_socket_address (entry->address, &address))
+    return false;
+  if (!server)
+    {
+      server = server_add (servers, entry, &address);
+      *changed = true;
+    }
+  /* An old report of a server may follow the one that it drains; it never takes work again. */
+  if (entry->draining && !server->leaving)
+    {
+      server->leaving = true;
+      *changed = true;
+    }
+  server->entry = *entry;
+  server->cold_until_ms = now_ms + entry->cold_ms;
+  server->unconfirmed = false;
+  return true;
+}
+
+static void
+server_remove (FrontServers *servers, FrontServer *server)
+{
+  server->listed = false;
+  server->leaving = true;
+  servers->count--;
+  if (server->references == 0)
+    server_free (server);
+}
+
+static void
+remove_or_wait (FrontServers *servers, FrontServer *server, int64_t now_ms, int64_t grace_ms)
+{
+  if (grace_ms <= 0)
+    server_remove (servers, server);
+  else if (!server->unconfirmed)
+    {
+      server->unconfirmed = true;
+      server->unconfirmed_until_ms = now_ms + grace_ms;
+    }
+}
+
+void
+front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms)
+{
+  FrontServer *server = front_servers_find (servers, id);
+
+  if (server)
+    remove_or_wait (servers, server, now_ms, grace_ms);
+}
+
+void
+front_servers_sweep (FrontServers *servers, int64_t now_ms)
+{
+  FrontServer *server, *next;
+
+  cds_list_for_each_entry_safe (server, next, &servers->list, node)
+  {
+    if (server->listed && server->unconfirmed && now_ms >= server->unconfirmed_until_ms)
+      server_remove (servers, server);
+  }
+}
+
+/* A time that no entry waits until; set entries lose the mark. */
+#define MARKED_UNTIL INT64_MAX
+
+void
+front_servers_mark (FrontServers *servers)
+{
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, &servers->list, node)
+  {
+    if (!server->unconfirmed)
+      {
+        server->unconfirmed = true;
+        server->unconfirmed_until_ms = MARKED_UNTIL;
+      }
+  }
+}
+
+void
+front_servers_remove_marked (FrontServers *servers, int64_t now_ms, int64_t grace_ms)
+{
+  FrontServer *server, *next;
+
+  cds_list_for_each_entry_safe (server, next, &servers->list, node)
+  {
+    if (!server->listed || !server->unconfirmed || server->unconfirmed_until_ms != MARKED_UNTIL)
+      continue;
+    server->unconfirmed = false;
+    remove_or_wait (servers, server, now_ms, grace_ms);
+  }
+}
+
+struct cds_list_head *
+front_servers_list (FrontServers *servers)
+{
+  return &servers->list;
+}
+
+unsigned
+front_servers_count (const FrontServers *servers)
+{
+  return servers->count;
+}
+
+void
+front_server_ref (FrontServer *server)
+{
+  server->references++;
+}
+
+void
+front_server_unref (FrontServer *server)
+{
+  server->references--;
+  if (server->references == 0 && !server->listed)
+    server_free (server);
+}
--- /dev/null
+++ b/src/front_servers.h
@@ -0,0 +1,37 @@
+/**
+ * The table of backend servers, fed by the platform's list. No I/O.
+ */
+#ifndef FRONT_SERVERS_H
+#define FRONT_SERVERS_H
+
+#include "front_server.h"
+
+typedef struct FrontServers FrontServers;
+
+/** failure_domain is our own. */
+FrontServers *front_servers_new (const char *failure_domain);
+void front_servers_free (FrontServers *servers);
+/** Adds or updates an entry; false if its address can't be read. *changed tells whether anything
+ *  but a heartbeat is new. */
+bool
+front_servers_set (FrontServers *servers, const ServerEntry *entry, int64_t now_ms, bool *changed);
+/** The entry is gone from the list. If the store was away lately it may have lapsed though the
+ *  server lives: then it is kept for grace_ms, in which a living server is listed again. */
+void front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms);
+/** Removes what is still missing at the end of its grace. */
+void front_servers_sweep (FrontServers *servers, int64_t now_ms);
+/** Marks all entries, before the whole list is read again, and removes those that were not set
+ *  since. */
+void front_servers_mark (FrontServers *servers);
+void front_servers_remove_marked (FrontServers *servers, int64_t now_ms, int64_t grace_ms);
+/** NULL if there is none. */
+FrontServer *front_servers_find (FrontServers *servers, const char *id);
+/** The list of FrontServer by node; entries with listed false are on their way out. */
+struct cds_list_head *front_servers_list (FrontServers *servers);
+unsigned front_servers_count (const FrontServers *servers);
+
+/** An attempt holds the server while it uses it. */
+void front_server_ref (FrontServer *server);
+void front_server_unref (FrontServer *server);
+
+#endif
--- /dev/null
+++ b/src/front_sessions.c
@@ -0,0 +1,113 @@
+#include "front_sessions.h"
+#include "util_memory.h"
+#include <stdlib.h>
+
+#define SLOTS      4096 /* a power of two; some hundred sessions are open at a node at a time */
+#define NEIGHBOURS 8
+/* A request that never reported its end (its process would have to lose it) doesn't hold a session
+ * for longer; above any time-out of a route. */
+#define OPEN_MOST_MS 60000
+
+typedef struct
+{
+  uint64_t session; /**< 0: free */
+  uint64_t version;
+  int64_t used_ms;
+  uint32_t open; /**< requests in progress */
+} Session;
+
+struct FrontSessions
+{
+  int64_t idle_ms;
+  Session slots[SLOTS];
+};
+
+FrontSessions *
+front_sessions_new (int64_t idle_ms)
+{
+  FrontSessions *sessions = memory_alloc (sizeof *sessions);
+
+  sessions->idle_ms = idle_ms;
+  return sessions;
+}
+
+void
+front_sessions_free (FrontSessions *sessions)
+{
+  free (sessions);
+}
+
+static bool
+is_active (const FrontSessions *sessions, const Session *slot, int64_t now_ms)
+{
+  int64_t bound = slot->open ? OPEN_MOST_MS : sessions->idle_ms;
+
+  return slot->session != 0 && now_ms - slot->used_ms <= bound;
+}
+
+static unsigned
+slot_at (uint64_t session, unsigned step)
+{
+  return (unsigned)(session + step) & (SLOTS - 1);
+}
+
+static Session *
+find (FrontSessions *sessions, uint64_t session)
+{
+  for (unsigned i = 0; i < NEIGHBOURS; i++)
+    {
+      Session *slot = &sessions->slots[slot_at (session, i)];
+
+      if (slot->session == session)
+        return slot;
+    }
+  return NULL;
+}
+
+static Session *
+find_or_take (FrontSessions *sessions, uint64_t session)
+{
+  Session *slot = find (sessions, session);
+  Session *oldest = &sessions->slots[slot_at (session, 0)];
+
+  if (slot)
+    return slot;
+  for (unsigned i = 1; i < NEIGHBOURS; i++)
+    {
+      slot = &sessions->slots[slot_at (session, i)];
+      if (slot->used_ms < oldest->used_ms)
+        oldest = slot;
+    }
+  *oldest = (Session){ .session = session };
+  return oldest;
+}
+
+uint64_t
+front_sessions_version (const FrontSessions *sessions, uint64_t session, int64_t now_ms)
+{
+  const Session *slot = find ((FrontSessions *)sessions, session);
+
+  return slot && is_active (sessions, slot, now_ms) ? slot->version : 0;
+}
+
+void
+front_sessions_begin (FrontSessions *sessions, uint64_t session, uint64_t version, int64_t now_ms)
+{
+  Session *slot = find_or_take (sessions, session);
+
+  slot->version = version;
+  slot->used_ms = now_ms;
+  slot->open++;
+}
+
+void
+front_sessions_end (FrontSessions *sessions, uint64_t session, int64_t now_ms)
+{
+  Session *slot = find (sessions, session);
+
+  if (!slot)
+    return;
+  slot->used_ms = now_ms;
+  if (slot->open > 0)
+    slot->open--;
+}
--- /dev/null
+++ b/src/front_sessions.h
@@ -0,0 +1,23 @@
+/**
+ * Which version each session's requests ran on lately, so that a session stays on it during a
+ * roll-out. A fixed table; a full neighbourhood loses its oldest entry.
+ */
+#ifndef FRONT_SESSIONS_H
+#define FRONT_SESSIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct FrontSessions FrontSessions;
+
+/** idle_ms: a session ends so long after its last request has ended. */
+FrontSessions *front_sessions_new (int64_t idle_ms);
+void front_sessions_free (FrontSessions *sessions);
+/** Hash of the version on which the session runs; 0 if there is no such session. */
+uint64_t front_sessions_version (const FrontSessions *sessions, uint64_t session, int64_t now_ms);
+/** A request of the session begins on this version. */
+void
+front_sessions_begin (FrontSessions *sessions, uint64_t session, uint64_t version, int64_t now_ms);
+void front_sessions_end (FrontSessions *sessions, uint64_t session, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/front_socket.c
@@ -0,0 +1,63 @@
+#include "front_socket.h"
+#include "util_span.h"
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define MS_PER_S     1000
+#define PORT_MAX     65535
+#define KEEP_PROBES  2 /* unanswered, until the connection is given up */
+#define KEEP_EVERY_S 1
+
+bool
+front_socket_address (const char *text, struct sockaddr_in *out)
+{
+  Span port = span_of (text);
+  Span host = span_cut (&port, ':');
+  char ip[INET_ADDRSTRLEN];
+  int64_t number;
+
+  if (host.len >= sizeof ip || !span_number (port, &number) || number <= 0 || number > PORT_MAX)
+    return false;
+  memcpy (ip, host.text, host.len);
+  ip[host.len] = '\0';
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((uint16_t)number);
+  return inet_pton (AF_INET, ip, &out->sin_addr) == 1;
+}
+
+void
+front_socket_watch (evutil_socket_t fd, int timeout_ms)
+{
+  int on = 1, every = KEEP_EVERY_S, probes = KEEP_PROBES;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &every, sizeof every);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
+struct bufferevent *
+front_socket_connect (struct event_base *base, const struct sockaddr_in *address, int timeout_ms)
+{
+  evutil_socket_t fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  struct bufferevent *bev;
+
+  if (fd < 0)
+    return NULL;
+  front_socket_watch (fd, timeout_ms);
+  bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+  if (!bev)
+    {
+      evutil_closesocket (fd);
+      return NULL;
+    }
+  if (bufferevent_socket_connect (bev, (const struct sockaddr *)address, sizeof *address) == 0)
+    return bev;
+  bufferevent_free (bev);
+  return NULL;
+}
--- /dev/null
+++ b/src/front_store.h
@@ -0,0 +1,37 @@
+/**
+ * This process's link to the platform's store: it follows the tables that matter, writes the status
+ * of roll-outs, and passes on what it knows to other fronts.
+ */
+#ifndef FRONT_STORE_H
+#define FRONT_STORE_H
+
+#include "front.h"
+#include "front_row.h"
+
+typedef enum
+{
+  STORE_OPERATOR, /**< configuration and orders of roll-outs */
+  STORE_SERVERS,  /**< the backend servers' own entries */
+  STORE_STATUS,   /**< how roll-outs stand */
+  STORE_MEMBERS,  /**< the fronts' addresses */
+  STORE_TABLES
+} StoreTable;
+
+/** NULL if the store's address can't be read. */
+FrontStore *front_store_new (Front *front);
+void front_store_free (FrontStore *store);
+/** Version up to which the table is known; 0: not at all. */
+int64_t front_store_version (const FrontStore *store, StoreTable table);
+/** Another front knows the table up to this version. If the store has not told us within a moment,
+ *  its answer to our question is overdue and is asked for anew. */
+void front_store_hint (FrontStore *store, StoreTable table, int64_t version, int64_t now_ms);
+/** True while the store doesn't answer our questions about the table. */
+bool front_store_is_lost (const FrontStore *store, StoreTable table);
+/** All rows of a table as another front has them. */
+void front_store_take (FrontStore *store, StoreTable table, StoreAnswer *answer);
+/** Our rows of a table, in the same form. */
+void front_store_give (const FrontStore *store, StoreTable table, Buffer *out);
+/** Writes what the roll-outs' verdicts ask for. Called several times a second. */
+void front_store_tick (FrontStore *store, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/front_table.h
@@ -0,0 +1,37 @@
+/**
+ * Rows of one table of the store as this process has them, whether it read them there or another
+ * front passed them on. A row's version tells the newer of two; no old news undoes a newer one.
+ */
+#ifndef FRONT_TABLE_H
+#define FRONT_TABLE_H
+
+#include "front_row.h"
+#include <urcu/list.h>
+
+typedef struct
+{
+  struct cds_list_head node;
+  StoreRow row;
+} TableEntry;
+
+typedef struct
+{
+  struct cds_list_head entries;
+  int64_t version; /**< of the store, up to which all changes are known; 0: none read yet */
+  int64_t newest;  /**< version of the newest change seen: tells who knows more, where version
+                        also rises without changes */
+} FrontTable;
+
+/** Told of each row that is new, changed or gone. */
+typedef void (*TableChange) (void *user, const StoreRow *row);
+
+void front_table_init (FrontTable *table);
+void front_table_clear (FrontTable *table);
+/** Takes changes: rows and removals, up to a version. */
+void front_table_changes (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
+/** Takes all rows as of a version: what is missing in them is gone, unless it is newer. */
+void front_table_snapshot (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
+/** NULL if there is none. */
+const StoreRow *front_table_find (const FrontTable *table, const char *key);
+
+#endif
--- /dev/null
+++ b/src/http_intake.c
@@ -0,0 +1,171 @@
+#include "http_intake.h"
+#include <string.h>
+
+#define STATUS_BAD_REQUEST    400
+#define STATUS_BODY_TOO_LARGE 413
+#define STATUS_HEAD_TOO_LARGE 431
+
+static int
+on_body (http_parser *parser, const char *data, size_t len)
+{
+  HttpIntake *intake = parser->data;
+
+  if (intake->body.len + len > intake->limits.body_max)
+    {
+      intake->refuse_status = STATUS_BODY_TOO_LARGE;
+      return 1;
+    }
+  buffer_add (&intake->body, data, len);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  HttpIntake *intake = parser->data;
+
+  intake->complete = true;
+  intake->keep_alive = http_should_keep_alive (parser) != 0;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+http_intake_init (HttpIntake *intake, const HttpIntakeLimits *limits)
+{
+  memset (intake, 0, sizeof *intake);
+  intake->limits = *limits;
+  http_parser_init (&intake->parser, HTTP_REQUEST);
+  intake->parser.data = intake;
+}
+
+bool
+http_intake_started (const HttpIntake *intake)
+{
+  return intake->raw.len > 0 || intake->in_body;
+}
+
+void
+http_intake_reset (HttpIntake *intake)
+{
+  HttpIntakeLimits limits = intake->limits;
+
+  buffer_free (&intake->raw);
+  buffer_free (&intake->body);
+  http_head_clear (&intake->head);
+  http_intake_init (intake, &limits);
+}
+
+static IntakeResult
+refuse (HttpIntake *intake, int status)
+{
+  if (intake->refuse_status == 0)
+    intake->refuse_status = status;
+  return INTAKE_REFUSED;
+}
+
+/* A request smuggled inside another shows as two readings of one framing: both a length and
+ * chunks, a coding that is not understood, two hosts. None of these is passed on. */
+static bool
+head_is_safe (const HttpIntake *intake)
+{
+  const HttpHead *head = &intake->head;
+  Span coding = http_head_get (head, "Transfer-Encoding");
+  Span length = http_head_get (head, "Content-Length");
+  int64_t number;
+
+  if (http_head_count (head, "Host") != 1 || http_head_get (head, "Host").len == 0)
+    return false;
+  if (http_head_count (head, "Transfer-Encoding") > 1
+      || http_head_count (head, "Content-Length") > 1)
+    return false;
+  if (coding.text && (length.text || !span_is_nocase (coding, "chunked")))
+    return false;
+  return !length.text || span_number (length, &number);
+}
+
+static bool
+split_start_line (HttpIntake *intake)
+{
+  Span rest = intake->head.start_line;
+
+  intake->method = span_cut (&rest, ' ');
+  intake->target = span_cut (&rest, ' ');
+  return span_is (rest, "HTTP/1.1") || span_is (rest, "HTTP/1.0");
+}
+
+/* Feeds the parser; bytes behind the end of the request stay unused. */
+static IntakeResult
+parser_feed (HttpIntake *intake, const char *data, size_t len, size_t *used)
+{
+  *used = http_parser_execute (&intake->parser, &callbacks, data, len);
+  if (intake->complete)
+    return INTAKE_DONE;
+  if (HTTP_PARSER_ERRNO (&intake->parser) != HPE_OK || intake->parser.upgrade)
+    return refuse (intake, STATUS_BAD_REQUEST);
+  return INTAKE_MORE;
+}
+
+static IntakeResult
+head_take (HttpIntake *intake)
+{
+  size_t used;
+  IntakeResult result;
+  int64_t length;
+
+  if (!http_head_parse (&intake->head, intake->raw.data, intake->raw.len)
+      || !split_start_line (intake) || !head_is_safe (intake))
+    return refuse (intake, STATUS_BAD_REQUEST);
+  if (span_number (http_head_get (&intake->head, "Content-Length"), &length)
+      && (uint64_t)length > intake->limits.body_max)
+    return refuse (intake, STATUS_BODY_TOO_LARGE);
+  result = parser_feed (intake, intake->raw.data, intake->raw.len, &used);
+  buffer_free (&intake->raw);
+  intake->in_body = true;
+  intake->wants_continue
+      = result == INTAKE_MORE
+        && span_is_nocase (http_head_get (&intake->head, "Expect"), "100-continue");
+  return result;
+}
+
+static IntakeResult
+head_feed (HttpIntake *intake, const char *data, size_t len, size_t *used)
+{
+  size_t before = intake->raw.len, whole;
+
+  buffer_add (&intake->raw, data, len);
+  whole = http_head_length (intake->raw.data, intake->raw.len);
+  *used = whole ? whole - before : len;
+  if (whole > intake->limits.head_max || (!whole && intake->raw.len > intake->limits.head_max))
+    return refuse (intake, STATUS_HEAD_TOO_LARGE);
+  if (whole)
+    {
+      intake->raw.len = whole;
+      return head_take (intake);
+    }
+  if (http_head_hopeless (intake->raw.data, intake->raw.len))
+    return refuse (intake, STATUS_BAD_REQUEST);
+  return INTAKE_MORE;
+}
+
+IntakeResult
+http_intake_feed (HttpIntake *intake, const char *data, size_t len, size_t *used)
+{
+  size_t body_used;
+  IntakeResult result;
+
+  *used = 0;
+  if (intake->in_body)
+    return parser_feed (intake, data, len, used);
+  result = head_feed (intake, data, len, used);
+  if (result != INTAKE_MORE || !intake->in_body || *used == len)
+    return result;
+  result = parser_feed (intake, data + *used, len - *used, &body_used);
+  *used += body_used;
+  return result;
+}
--- /dev/null
+++ b/src/http_reply.c
@@ -0,0 +1,135 @@
+#include "http_reply.h"
+#include <string.h>
+
+#define STATUS_FIRST_FINAL 200
+
+static int
+on_body (http_parser *parser, const char *data, size_t len)
+{
+  HttpReply *reply = parser->data;
+
+  buffer_add (&reply->body, data, len);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  HttpReply *reply = parser->data;
+
+  reply->complete = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+http_reply_init (HttpReply *reply)
+{
+  memset (reply, 0, sizeof *reply);
+  http_parser_init (&reply->parser, HTTP_RESPONSE);
+  reply->parser.data = reply;
+}
+
+void
+http_reply_clear (HttpReply *reply)
+{
+  buffer_free (&reply->raw);
+  buffer_free (&reply->body);
+  http_head_clear (&reply->head);
+}
+
+/* http_parser takes the last of two lengths or of a length and chunks for some peers' sake; an
+ * answer framed so can't be told whole. */
+static bool
+framing_is_plain (const HttpHead *head)
+{
+  Span length = http_head_get (head, "Content-Length");
+  int64_t number;
+
+  if (http_head_count (head, "Content-Length") > 1
+      || http_head_count (head, "Transfer-Encoding") > 1)
+    return false;
+  return !length.text
+         || (!http_head_get (head, "Transfer-Encoding").text && span_number (length, &number));
+}
+
+static void
+parser_feed (HttpReply *reply, const char *data, size_t len)
+{
+  size_t used = http_parser_execute (&reply->parser, &callbacks, data, len);
+
+  if (reply->complete)
+    reply->surplus = used < len;
+  else if (HTTP_PARSER_ERRNO (&reply->parser) != HPE_OK)
+    reply->broken = true;
+}
+
+/* An interim answer (1xx) is skipped: the final one follows. */
+static void
+skip_interim (HttpReply *reply)
+{
+  http_head_clear (&reply->head);
+  http_parser_init (&reply->parser, HTTP_RESPONSE);
+  reply->complete = false;
+}
+
+static void
+head_take (HttpReply *reply, size_t whole)
+{
+  if (!http_head_parse (&reply->head, reply->raw.data, whole) || !framing_is_plain (&reply->head))
+    {
+      reply->broken = true;
+      return;
+    }
+  parser_feed (reply, reply->raw.data, whole);
+  if (!reply->broken && reply->parser.status_code < STATUS_FIRST_FINAL)
+    skip_interim (reply);
+  else
+    reply->status = reply->parser.status_code;
+}
+
+void
+http_reply_feed (HttpReply *reply, const char *data, size_t len)
+{
+  size_t whole;
+
+  if (reply->broken || len == 0)
+    return;
+  if (reply->complete)
+    {
+      reply->surplus = true;
+      return;
+    }
+  if (reply->status)
+    {
+      parser_feed (reply, data, len);
+      return;
+    }
+  buffer_add (&reply->raw, data, len);
+  while (!reply->broken && !reply->status
+         && (whole = http_head_length (reply->raw.data, reply->raw.len)) > 0)
+    {
+      head_take (reply, whole);
+      buffer_consume (&reply->raw, whole);
+    }
+  if (reply->raw.len > HTTP_REPLY_HEAD_MAX
+      || (!reply->status && http_head_hopeless (reply->raw.data, reply->raw.len)))
+    reply->broken = true;
+  if (!reply->status || reply->raw.len == 0)
+    return;
+  http_reply_feed (reply, reply->raw.data, reply->raw.len);
+  buffer_free (&reply->raw);
+}
+
+void
+http_reply_end (HttpReply *reply)
+{
+  if (!reply->complete && !reply->broken && reply->status)
+    http_parser_execute (&reply->parser, &callbacks, NULL, 0);
+  reply->broken = !reply->complete;
+}
--- /dev/null
+++ b/src/settings_front.c
@@ -0,0 +1,110 @@
+#include "settings_front.h"
+#include "settings_common.h"
+#include "util_memory.h"
+#include <stdlib.h>
+
+#define HEARTBEAT_DEFAULT_MS 1200.0
+#define STOP_DEFAULT_S       8.0
+#define RETRY_SHARE_DEFAULT  0.5
+#define RETRY_BURST_DEFAULT  20.0
+#define REUSE_WINDOW_DEFAULT 6.0
+#define SESSION_DEFAULT_S    5.0
+#define MEMORY_DEFAULT_MB    88.0
+#define SECONDS_MAX          86400.0
+#define MEMORY_MAX_MB        1048576.0
+
+typedef struct
+{
+  SettingsFront settings;
+  struct json_object *seeds;
+} FrontDraft;
+
+#define FRONT_TEXT(label, member)                                                                  \
+  SETTINGS_TEXT (label, offsetof (FrontDraft, settings.member), SETTINGS_NAME_MAX)
+#define FRONT_NUMBER(label, member, most)                                                          \
+  {                                                                                                \
+    .name = (label), .type = FIELD_NUMBER, .offset = offsetof (FrontDraft, settings.member),       \
+    .min = 0, .max = (most)                                                                        \
+  }
+
+static const FieldSpec specs[] = {
+  FRONT_TEXT ("vm", vm),
+  FRONT_TEXT ("failure_domain", failure_domain),
+  FRONT_TEXT ("ip", ip),
+  FRONT_TEXT ("callers", callers),
+  FRONT_TEXT ("ready", ready),
+  FRONT_TEXT ("control", control),
+  FRONT_TEXT ("store", store),
+  SETTINGS_INT ("peer_port", offsetof (FrontDraft, settings.peer_port), 1, SETTINGS_PORT_MAX),
+  { .name = "seeds", .type = FIELD_ARRAY, .offset = offsetof (FrontDraft, seeds) },
+  FRONT_NUMBER ("heartbeat_ms", heartbeat_ms, SETTINGS_TIME_MAX_MS),
+  FRONT_NUMBER ("stop_s", stop_s, SECONDS_MAX),
+  FRONT_NUMBER ("retry_share", retry_share, 1),
+  FRONT_NUMBER ("retry_burst", retry_burst, SECONDS_MAX),
+  FRONT_NUMBER ("reuse_window_s", reuse_window_s, SECONDS_MAX),
+  FRONT_NUMBER ("session_s", session_s, SECONDS_MAX),
+  FRONT_NUMBER ("memory_mb", memory_mb, MEMORY_MAX_MB),
+};
+
+static const SettingsFront defaults = {
+  .heartbeat_ms = HEARTBEAT_DEFAULT_MS,
+  .stop_s = STOP_DEFAULT_S,
+  .retry_share = RETRY_SHARE_DEFAULT,
+  .retry_burst = RETRY_BURST_DEFAULT,
+  .reuse_window_s = REUSE_WINDOW_DEFAULT,
+  .session_s = SESSION_DEFAULT_S,
+  .memory_mb = MEMORY_DEFAULT_MB,
+};
+
+static void
+seeds_read (SettingsFront *settings, struct json_object *array, CheckList *list)
+{
+  size_t count = array ? json_object_array_length (array) : 0;
+
+  for (size_t i = 0; i < count && settings->seed_count < SEEDS_MAX; i++)
+    {
+      struct json_object *seed = json_object_array_get_idx (array, i);
+
+      if (json_object_is_type (seed, json_type_string))
+        settings->seeds[settings->seed_count++] = memory_strdup (json_object_get_string (seed));
+      else
+        check_add (list, "seeds", "element %zu is no text", i);
+    }
+}
+
+bool
+settings_front_read (const char *path, SettingsFront *out, CheckList *list)
+{
+  unsigned before = list->count;
+  struct json_object *obj = field_parse_file (path, list);
+  FrontDraft draft = { .settings = defaults };
+
+  *out = (SettingsFront){ 0 };
+  if (!obj)
+    return false;
+  field_read (specs, sizeof specs / sizeof specs[0], obj, &draft, "", list);
+  seeds_read (&draft.settings, draft.seeds, list);
+  json_object_put (obj);
+  if (list->count == before)
+    {
+      *out = draft.settings;
+      return true;
+    }
+  settings_front_clear (&draft.settings);
+  return false;
+}
+
+void
+settings_front_clear (SettingsFront *settings)
+{
+  free (settings->vm);
+  free (settings->failure_domain);
+  free (settings->ip);
+  free (settings->callers);
+  free (settings->ready);
+  free (settings->control);
+  free (settings->store);
+  for (unsigned i = 0; i < settings->seed_count; i++)
+    free (settings->seeds[i]);
+  *settings = (SettingsFront){ 0 };
+}
--- /dev/null
+++ b/src/util_span.c
@@ -0,0 +1,103 @@
+#include "util_span.h"
+#include "util_memory.h"
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+#define DECIMAL    10
+#define DIGITS_MAX 18 /* any number of so many digits fits an int64_t */
+
+Span
+span_of (const char *text)
+{
+  return (Span){ .text = text, .len = text ? strlen (text) : 0 };
+}
+
+bool
+span_is (Span span, const char *text)
+{
+  return span.text && strlen (text) == span.len && memcmp (span.text, text, span.len) == 0;
+}
+
+bool
+span_is_nocase (Span span, const char *text)
+{
+  return span.text && strlen (text) == span.len && strncasecmp (span.text, text, span.len) == 0;
+}
+
+bool
+span_equal (Span a, Span b)
+{
+  return a.len == b.len && (a.len == 0 || memcmp (a.text, b.text, a.len) == 0);
+}
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
+Span
+span_trim (Span span)
+{
+  while (span.len > 0 && is_blank (span.text[0]))
+    {
+      span.text++;
+      span.len--;
+    }
+  while (span.len > 0 && is_blank (span.text[span.len - 1]))
+    span.len--;
+  return span;
+}
+
+Span
+span_cut (Span *rest, char separator)
+{
+  const char *at = rest->len ? memchr (rest->text, separator, rest->len) : NULL;
+  Span first = *rest;
+
+  if (!at)
+    {
+      *rest = (Span){ 0 };
+      return first;
+    }
+  first.len = (size_t)(at - rest->text);
+  rest->text = at + 1;
+  rest->len -= first.len + 1;
+  return first;
+}
+
+bool
+span_number (Span span, int64_t *out)
+{
+  int64_t value = 0;
+
+  if (span.len == 0 || span.len > DIGITS_MAX)
+    return false;
+  for (size_t i = 0; i < span.len; i++)
+    {
+      if (span.text[i] < '0' || span.text[i] > '9')
+        return false;
+      value = value * DECIMAL + (span.text[i] - '0');
+    }
+  *out = value;
+  return true;
+}
+
+char *
+span_dup (Span span)
+{
+  char *copy;
+
+  if (!span.text)
+    return NULL;
+  copy = memory_alloc (span.len + 1);
+  memcpy (copy, span.text, span.len);
+  return copy;
+}
+
+uint64_t
+span_hash (Span span)
+{
+  return XXH3_64bits (span.text ? span.text : "", span.len);
+}
