--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -89,7 +89,7 @@
 
     if (!is_usable (query, server) || was_tried (query, server))
       continue;
-    avoided = front_health_avoided (&server->health, now_ms);
+    avoided = server->unconfirmed || front_health_avoided (&server->health, now_ms);
     if (best.server && avoided && !best.avoided)
       continue;
     cost = cost_ms (query, server, now_ms);
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -15,9 +15,16 @@
 #define STATUS_TIMEOUT      504
 
 /* Milliseconds that a caller is told to stay away. */
-#define COME_BACK_STARTING_MS    400  /* a process learns the configuration within this time */
-#define COME_BACK_QUARANTINED_MS 3000 /* the request crashes servers; it will not do better soon   \
-                                       */
+#define COME_BACK_STARTING_MS 400 /* a process learns the configuration within this time */
+#define COME_BACK_QUARANTINED_MS                                                                   \
+  3000 /* the request crashes servers; it will not do better soon                                  \
+        */
+
+/* Milliseconds after the stop was asked for from which requests are no longer taken: by then the
+ * balancer sends callers elsewhere, and those who come all the same are told so at once, since an
+ * answer that takes longer than the process lives would be cut off. */
+#define STOP_TAKES_MS     2600
+#define COME_BACK_STOP_MS 50 /* another front takes the request right away */
 
 FrontRequest *
 front_request_new (Front *front, FrontConn *conn)
@@ -158,6 +165,11 @@
   Front *front = request->front;
   FrontConfig *config = front->config;
 
+  if (front->stop_ms != 0 && request->arrived_ms - front->stop_ms > STOP_TAKES_MS)
+    {
+      request_refuse (request, STATUS_UNAVAILABLE, "stopping", COME_BACK_STOP_MS);
+      return false;
+    }
   if (!config || !front->servers_known)
     {
       request_refuse (request, STATUS_UNAVAILABLE, "no_configuration", COME_BACK_STARTING_MS);
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -15,14 +15,14 @@
 #include <string.h>
 
 /* Milliseconds. */
-#define FEED_WAIT_MS    20000 /* the store holds a question for news so long; one call a node */
-#define ANSWER_MS       3000  /* an answer beyond this is lost */
-#define AGAIN_FIRST_MS  120   /* until the next try after an error, doubling */
-#define AGAIN_MOST_MS   1000
-#define TROUBLE_MS      6000 /* for so long after an error the list may lack living servers */
-#define GRACE_MS        2200 /* living servers are listed again within two seconds */
-#define HINT_MS         700  /* a question is asked anew no more often than this */
-#define TURN_MS         300  /* between two fronts' attempts at the same write */
+#define FEED_WAIT_MS   20000 /* the store holds a question for news so long; one call a node */
+#define ANSWER_MS      3000  /* an answer beyond this is lost */
+#define AGAIN_FIRST_MS 120   /* until the next try after an error, doubling */
+#define AGAIN_MOST_MS  1000
+/* After the store's return living servers are listed again within two seconds. */
+#define RELIST_MS       2200
+#define HINT_MS         700 /* a question is asked anew no more often than this */
+#define TURN_MS         300 /* between two fronts' attempts at the same write */
 #define STATUS_GOOD     200
 #define STATUS_CONFLICT 412
 #define STATUS_GONE     410
@@ -37,10 +37,11 @@
   struct event *again;
   StoreAnswer pages; /* rows of the pages read so far */
   int64_t pages_version;
-  char *after;    /* last key of these */
-  bool loaded;    /* all rows were read from the store; changes are asked for */
-  bool lost;      /* the last question had no good answer */
-  unsigned tries; /* in a row that failed */
+  char *after;     /* last key of these */
+  bool loaded;     /* all rows were read from the store; changes are asked for */
+  bool lost;       /* the last question had no good answer */
+  unsigned tries;  /* in a row that failed */
+  int64_t back_ms; /* when the store answered again after an error */
   int64_t asked_ms;
 } Watch;
 
@@ -54,8 +55,7 @@
   int64_t writing_started_ms;
   bool joined; /* our address was written */
   bool joining;
-  int64_t trouble_ms; /* last error */
-  int64_t clock_ms;   /* the store's clock less ours */
+  int64_t clock_ms; /* the store's clock less ours */
   int64_t write_again_ms;
 };
 
@@ -166,13 +166,13 @@
   FrontStore *store = user;
   Front *front = store->front;
   int64_t now_ms = clock_boot_ms ();
-  int64_t grace_ms = now_ms - store->trouble_ms < TROUBLE_MS ? GRACE_MS : 0;
+  int64_t grace_ms = store->watches[STORE_SERVERS].back_ms + RELIST_MS - now_ms;
   ServerEntry entry;
   bool changed;
 
   if (row->removed)
     {
-      log_server (row->key, grace_ms ? "unconfirmed" : "gone", NULL, row->version);
+      log_server (row->key, grace_ms > 0 ? "unconfirmed" : "gone", NULL, row->version);
       front_servers_remove (front->servers, row->key, now_ms, grace_ms);
     }
   else if (!wire_server_decode (row->key, (Span){ .text = row->value, .len = row->value_len },
@@ -253,6 +253,8 @@
   if (watch->lost == lost)
     return;
   watch->lost = lost;
+  if (!lost)
+    watch->back_ms = clock_boot_ms ();
   line = front_log_begin (lost ? FRONT_EVENT_STORE_LOST : FRONT_EVENT_STORE_BACK);
   front_log_text (line, "table", kinds[watch->id].name);
   front_log_number (line, "status", status);
@@ -275,7 +277,6 @@
   int64_t most_ms = AGAIN_FIRST_MS << (watch->tries < 4 ? watch->tries : 4);
 
   watch->tries++;
-  watch->store->trouble_ms = clock_boot_ms ();
   front_counter_add (FRONT_COUNTER_STORE_ERRORS);
   lost_set (watch, true, status);
   if (most_ms > AGAIN_MOST_MS)
@@ -496,8 +497,7 @@
     }
   else
     {
-      store->trouble_ms = clock_boot_ms ();
-      store->write_again_ms = store->trouble_ms + TURN_MS;
+      store->write_again_ms = clock_boot_ms () + TURN_MS;
       front_counter_add (FRONT_COUNTER_STORE_ERRORS);
     }
   store->joining = false;
@@ -548,7 +548,6 @@
     return NULL;
   store = memory_alloc (sizeof *store);
   store->front = front;
-  store->trouble_ms = -TROUBLE_MS;
   store->writer = front_channel_new (front->base, &address, on_written, store);
   for (unsigned i = 0; i < STORE_TABLES; i++)
     {
@@ -556,6 +555,7 @@
 
       watch->store = store;
       watch->id = (StoreTable)i;
+      watch->back_ms = -RELIST_MS;
       front_table_init (&watch->table);
       watch->channel = front_channel_new (front->base, &address, on_answer, watch);
       watch->again = evtimer_new (front->base, on_again, watch);
