Retry budget by a sliding window, with a reserve for requests that would fail

Ruled out: the stop itself; the cut streams' servers were silent for 2 s, their machine was not. A silent attempt is now left only for another one.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 FRONT_PKGS = libevent json-c libsodium libxxhash libtirpc
 FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
 FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
-  src/http_head.c src/http_intake.c src/http_reply.c src/choose_retry.c src/choose_quarantine.c)
+  src/http_head.c src/http_intake.c src/http_reply.c src/choose_quarantine.c)
 FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front_*.c)) src/settings_front.c \
   $(wildcard platform/*.c)
 STANDINS = standin-platform standin-engine standin-service
--- a/src/front_budget.c
+++ b/src/front_budget.c
@@ -4,40 +4,50 @@
 #include <string.h>
 #include <urcu/list.h>
 
-/* Milliseconds. What a caller is told when its request is given up: long enough for a crashed
- * server's work to have found its way elsewhere, and well within the time that callers wait. */
+#define SLICES 40 /* of a window; the bound is off by one slice's requests at most */
+
+/* Parts of the share that each use may take. The rest of what a cascade leaves is for requests that
+ * would end without an answer: taken by cascades alone, the budget was empty when a server fell
+ * silent, and whole streams were cut off. */
+static const double use_parts[] = {
+  [BUDGET_RETRY] = 1.0,
+  [BUDGET_CASCADE] = 0.8,
+};
+
+/* Milliseconds that a refused caller is told to stay away. A crashed server's work has found its
+ * way elsewhere after the first; callers wait about the second for a third of their time. */
 #define COME_BACK_MS      250
 #define COME_BACK_MOST_MS 1500
-#define HALF_LIFE_MS      3000
-#define ATTEMPTS_MAX      16 /* the route's own bound is lower and checked by the request */
+#define FIRSTS_LEAST      10 /* a few refusals at first are no overload */
+
+typedef struct
+{
+  int64_t slice; /* number of the slice since the clock began */
+  unsigned firsts;
+  unsigned again;
+  unsigned refused;
+} Slice;
 
 typedef struct
 {
   struct cds_list_head node;
   char *service;
-  RetryBudget *budget;
+  Slice slices[SLICES];
 } Entry;
 
 struct FrontBudget
 {
   struct cds_list_head list;
-  RetrySettings settings;
+  BudgetSettings settings;
 };
 
 FrontBudget *
-front_budget_new (double share, double burst)
+front_budget_new (const BudgetSettings *settings)
 {
   FrontBudget *budget = memory_alloc (sizeof *budget);
 
   CDS_INIT_LIST_HEAD (&budget->list);
-  budget->settings = (RetrySettings){
-    .fraction = share,
-    .burst = burst,
-    .attempts_max = ATTEMPTS_MAX,
-    .come_back_ms = COME_BACK_MS,
-    .come_back_most_ms = COME_BACK_MOST_MS,
-    .half_life_ms = HALF_LIFE_MS,
-  };
+  budget->settings = *settings;
   return budget;
 }
 
@@ -48,26 +58,93 @@
 
   cds_list_for_each_entry_safe (entry, next, &budget->list, node)
   {
-    retry_budget_free (entry->budget);
     free (entry->service);
     free (entry);
   }
   free (budget);
 }
 
-RetryBudget *
-front_budget_of (FrontBudget *budget, const char *service)
+static Entry *
+entry_of (FrontBudget *budget, const char *service)
 {
   Entry *entry;
 
   cds_list_for_each_entry (entry, &budget->list, node)
   {
     if (strcmp (entry->service, service) == 0)
-      return entry->budget;
+      return entry;
   }
   entry = memory_alloc (sizeof *entry);
   entry->service = memory_strdup (service);
-  entry->budget = retry_budget_new (&budget->settings);
   cds_list_add_tail (&entry->node, &budget->list);
-  return entry->budget;
+  return entry;
+}
+
+static int64_t
+slice_number (const FrontBudget *budget, int64_t now_ms)
+{
+  return now_ms * SLICES / budget->settings.window_ms;
+}
+
+/* The present slice, emptied if it was used a window ago. */
+static Slice *
+slice_now (const FrontBudget *budget, Entry *entry, int64_t now_ms)
+{
+  int64_t number = slice_number (budget, now_ms);
+  Slice *slice = &entry->slices[number % SLICES];
+
+  if (slice->slice != number)
+    *slice = (Slice){ .slice = number };
+  return slice;
+}
+
+static Slice
+window_sum (const FrontBudget *budget, const Entry *entry, int64_t now_ms)
+{
+  int64_t number = slice_number (budget, now_ms);
+  Slice sum = { 0 };
+
+  for (unsigned i = 0; i < SLICES; i++)
+    {
+      const Slice *slice = &entry->slices[i];
+
+      if (slice->slice <= number - SLICES)
+        continue;
+      sum.firsts += slice->firsts;
+      sum.again += slice->again;
+      sum.refused += slice->refused;
+    }
+  return sum;
+}
+
+void
+front_budget_first (FrontBudget *budget, const char *service, int64_t now_ms)
+{
+  slice_now (budget, entry_of (budget, service), now_ms)->firsts++;
+}
+
+bool
+front_budget_take (FrontBudget *budget, const char *service, BudgetUse use, int64_t now_ms)
+{
+  Entry *entry = entry_of (budget, service);
+  Slice sum = window_sum (budget, entry, now_ms);
+  double allowed = sum.firsts * budget->settings.share + budget->settings.extra;
+
+  if (sum.again + 1 > allowed * use_parts[use])
+    return false;
+  slice_now (budget, entry, now_ms)->again++;
+  return true;
+}
+
+int64_t
+front_budget_refused (FrontBudget *budget, const char *service, int64_t now_ms)
+{
+  Entry *entry = entry_of (budget, service);
+  Slice sum;
+  double all;
+
+  slice_now (budget, entry, now_ms)->refused++;
+  sum = window_sum (budget, entry, now_ms);
+  all = sum.firsts > sum.refused + FIRSTS_LEAST ? sum.firsts : sum.refused + FIRSTS_LEAST;
+  return COME_BACK_MS + (int64_t)(sum.refused / all * (COME_BACK_MOST_MS - COME_BACK_MS));
 }
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -21,10 +21,10 @@
 #define BACKLOG       1024 /* callers of a whole failure domain may come at once */
 #define STOP_LEAST_MS 2500 /* the balancer needs two questions to send callers elsewhere */
 #define STOP_SPARE_MS 400  /* before the process would be killed */
-/* Of the retries allowed beyond their share, what this node may save up: it does not know how many
- * others there are when it starts, and a restarted one must not bring a new allowance. */
-#define RETRY_BURST_SHARE 0.06
-#define RETRY_SHARE_USED  0.85 /* the rest is for sends that the servers count and we don't */
+/* Of the sends allowed beyond the share, this front's part: it does not know how many others there
+ * are when it starts, and a restarted one brings its part once more. */
+#define RETRY_EXTRA_PART 0.06
+#define RETRY_SHARE_USED 0.93 /* the rest is for sends that the servers count and we don't */
 
 typedef struct
 {
@@ -170,8 +170,11 @@
   front->servers = front_servers_new (settings->failure_domain);
   front->sessions = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S));
   front->rollouts = front_rollouts_new (front->sessions);
-  front->budget = front_budget_new (settings->retry_share * RETRY_SHARE_USED,
-                                    settings->retry_burst * RETRY_BURST_SHARE);
+  front->budget = front_budget_new (&(BudgetSettings){
+      .share = settings->retry_share * RETRY_SHARE_USED,
+      .extra = settings->retry_extra * RETRY_EXTRA_PART,
+      .window_ms = (int64_t)(settings->retry_window_s * MS_PER_S),
+  });
   front->quarantine = quarantine_new (&quarantine_settings);
   front->peers = front_peers_new (front);
   if (!front->peers)
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -91,9 +91,10 @@
 }
 
 void
-request_give_up (FrontRequest *request, const char *reason, int64_t retry_after_ms)
+request_give_up (FrontRequest *request, const char *reason)
 {
-  bool late = clock_boot_ms () >= request->end_ms;
+  int64_t now_ms = clock_boot_ms ();
+  bool late = now_ms >= request->end_ms;
 
   if (request->head_sent)
     {
@@ -107,7 +108,8 @@
   else if (request->may_have_run)
     request_refuse (request, late ? STATUS_TIMEOUT : STATUS_BAD_GATEWAY, reason, 0);
   else
-    request_refuse (request, STATUS_UNAVAILABLE, reason, retry_after_ms);
+    request_refuse (request, STATUS_UNAVAILABLE, reason,
+                    front_budget_refused (request->front->budget, request->service, now_ms));
 }
 
 void
@@ -212,8 +214,7 @@
   if (route->model_count > 0 && span_is (request->call.model, "*"))
     request->model = 0;
   request->events.last_id = request->call.after_event;
-  retry_budget_first (front_budget_of (request->front->budget, request->service),
-                      request->arrived_ms);
+  front_budget_first (request->front->budget, request->service, request->arrived_ms);
   request_send (request);
 }
 
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -63,7 +63,7 @@
 /* front_request.c */
 void request_refuse (FrontRequest *request, int status, const char *reason, int64_t retry_after_ms);
 /* The last answer of a request that has been given up, by what may have happened to it. */
-void request_give_up (FrontRequest *request, const char *reason, int64_t retry_after_ms);
+void request_give_up (FrontRequest *request, const char *reason);
 void request_free (FrontRequest *request);
 
 #endif
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -92,24 +92,17 @@
 static bool
 cascade (FrontRequest *request, const ReplyFacts *facts)
 {
-  RetryQuery query = {
-    .idempotent = true,
-    .attempts = request->attempts,
-    .server_left = true,
-    .now_ms = clock_boot_ms (),
-    .deadline_ms = request->end_ms,
-  };
-  RetryBudget *budget = front_budget_of (request->front->budget, request->service);
-  RetryAnswer answer = retry_policy_default.decide (budget, &query);
+  bool allowed = front_budget_take (request->front->budget, request->service, BUDGET_CASCADE,
+                                    clock_boot_ms ());
   FrontLine *line = front_log_begin (FRONT_EVENT_CASCADE);
 
   request->cascade_done = true;
   front_log_span (line, "request", request->call.id);
   front_log_text (line, "model", request->route->models[request->model]);
   front_log_number (line, "confidence", facts->confidence);
-  front_log_text (line, "verdict", retry_verdict_name (answer.verdict));
+  front_log_text (line, "verdict", allowed ? "larger" : "no_budget");
   front_log_end (line);
-  if (answer.verdict != RETRY_NOW)
+  if (!allowed)
     return false;
   front_counter_add (FRONT_COUNTER_CASCADES);
   request->model = request->route->model_count - 1;
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -181,11 +181,7 @@
     }
   if (!pick.server)
     {
-      RetryQuery none = { .idempotent = true, .now_ms = now_ms, .attempts = 0 };
-      RetryBudget *budget = front_budget_of (front->budget, request->service);
-
-      request_give_up (request, "no_server",
-                       retry_policy_default.decide (budget, &none).retry_after_ms);
+      request_give_up (request, "no_server");
       return;
     }
   version_set (request, version, now_ms);
@@ -221,48 +217,100 @@
   request->server = NULL;
 }
 
-/* Whether another attempt may be made, and if not, when the caller may come back. */
-static RetryAnswer
-may_go_on (FrontRequest *request, int64_t now_ms)
+typedef enum
 {
-  RetryQuery query = {
-    .idempotent = !request->may_have_run || front_route_is_idempotent (request->route),
-    .attempts = request->attempts >= request->route->attempts_max ? UINT32_MAX : request->attempts,
-    .server_left = true,
-    .now_ms = now_ms,
-    .deadline_ms = request->end_ms,
-  };
+  AGAIN_NOW,
+  AGAIN_MAY_HAVE_RUN, /* and may run only once */
+  AGAIN_ATTEMPTS,
+  AGAIN_DEADLINE,
+  AGAIN_NO_BUDGET,
+} AgainVerdict;
+
+static const char *const again_names[] = {
+  [AGAIN_NOW] = "now",
+  [AGAIN_MAY_HAVE_RUN] = "may_have_run",
+  [AGAIN_ATTEMPTS] = "attempts",
+  [AGAIN_DEADLINE] = "deadline",
+  [AGAIN_NO_BUDGET] = "no_budget",
+};
+
+/* Whether another attempt may be made; if so, it is taken from the budget. */
+static AgainVerdict
+may_go_on (FrontRequest *request, bool may_have_run)
+{
+  int64_t now_ms = clock_boot_ms ();
 
-  return retry_policy_default.decide (front_budget_of (request->front->budget, request->service),
-                                      &query);
+  if (may_have_run && !front_route_is_idempotent (request->route))
+    return AGAIN_MAY_HAVE_RUN;
+  if (request->attempts >= request->route->attempts_max)
+    return AGAIN_ATTEMPTS;
+  if (now_ms >= request->end_ms)
+    return AGAIN_DEADLINE;
+  if (!front_budget_take (request->front->budget, request->service, BUDGET_RETRY, now_ms))
+    return AGAIN_NO_BUDGET;
+  return AGAIN_NOW;
 }
 
-void
-request_again (FrontRequest *request, const char *reason, bool may_have_run)
+static void
+log_again (const FrontRequest *request, const char *reason, AgainVerdict verdict)
 {
-  FrontEventId event = request->head_sent ? FRONT_EVENT_RESUME : FRONT_EVENT_RETRY;
-  RetryAnswer answer;
-  FrontLine *line;
+  FrontLine *line = front_log_begin (request->head_sent ? FRONT_EVENT_RESUME : FRONT_EVENT_RETRY);
 
-  request->may_have_run |= may_have_run;
-  answer = may_go_on (request, clock_boot_ms ());
-  line = front_log_begin (event);
   front_log_span (line, "request", request->call.id);
   front_log_text (line, "reason", reason);
-  front_log_text (line, "verdict", retry_verdict_name (answer.verdict));
+  front_log_text (line, "verdict", again_names[verdict]);
   front_log_text (line, "server", request->server ? request->server->entry.id : NULL);
   front_log_number (line, "attempt", request->attempts);
   front_log_number (line, "may_have_run", request->may_have_run);
   front_log_number (line, "last_event", request->events.last_id);
   front_log_end (line);
+}
+
+static void
+go_on (FrontRequest *request)
+{
+  front_counter_add (request->head_sent ? FRONT_COUNTER_RESUMES : FRONT_COUNTER_RETRIES);
   request_drop_attempt (request);
-  if (answer.verdict != RETRY_NOW)
+  request_send (request);
+}
+
+void
+request_again (FrontRequest *request, const char *reason, bool may_have_run)
+{
+  AgainVerdict verdict;
+
+  request->may_have_run |= may_have_run;
+  verdict = may_go_on (request, request->may_have_run);
+  log_again (request, reason, verdict);
+  if (verdict == AGAIN_NOW)
+    go_on (request);
+  else
     {
-      request_give_up (request, reason, answer.retry_after_ms);
+      request_drop_attempt (request);
+      request_give_up (request, reason);
+    }
+}
+
+/* The server is silent. Unlike a cut connection that is no reason to end the answer: the attempt is
+ * left only for another one, and otherwise kept, since the server may go on. */
+static void
+again_if_silent (FrontRequest *request)
+{
+  const char *reason = request->relaying ? "stream_silent" : "answer_late";
+  AgainVerdict verdict = may_go_on (request, true);
+  int64_t now_ms = clock_boot_ms ();
+
+  log_again (request, reason, verdict);
+  if (verdict != AGAIN_NOW)
+    {
+      request->event_ms = now_ms;
+      request->sent_ms = now_ms;
+      request_arm (request);
       return;
     }
-  front_counter_add (request->head_sent ? FRONT_COUNTER_RESUMES : FRONT_COUNTER_RETRIES);
-  request_send (request);
+  front_health_failed (&request->server->health, now_ms);
+  request->may_have_run = true;
+  go_on (request);
 }
 
 /* When the present attempt is given up for its silence. INT64_MAX: never before the end. */
@@ -312,7 +360,7 @@
     {
       request->may_have_run |= sent;
       request_drop_attempt (request);
-      request_give_up (request, "timeout", 0);
+      request_give_up (request, "timeout");
     }
   else if (now_ms < silence_due_ms (request))
     request_arm (request);
@@ -322,10 +370,7 @@
       request_again (request, "connect_timeout", false);
     }
   else
-    {
-      front_health_failed (&request->server->health, now_ms);
-      request_again (request, request->relaying ? "stream_silent" : "answer_late", true);
-    }
+    again_if_silent (request);
 }
 
 static void
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -12,8 +12,9 @@
 #include "front_sessions.h"
 #include <urcu/list.h>
 
-#define ROLLOUT_PEERS_MAX 128 /**< incarnations of nodes whose evidence is kept for one roll-out   \
-                               */
+#define ROLLOUT_PEERS_MAX                                                                          \
+  128 /**< incarnations of nodes whose evidence is kept for one roll-out                           \
+       */
 
 /** What another node says of a roll-out. */
 typedef struct
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -25,7 +25,8 @@
   double heartbeat_ms;    /**< between two reports of a backend server to the store */
   double stop_s;          /**< from the signal until the process is killed */
   double retry_share;     /**< retries allowed for each request, over all fronts */
-  double retry_burst;     /**< and this many more in a window, over all fronts */
+  double retry_extra;     /**< and this many more in a window, over all fronts */
+  double retry_window_s;  /**< any span of this length counts */
   double reuse_window_s;  /**< how long a prompt's parts are relied on in a server's cache */
   double session_s;       /**< a session ends so long after its last request */
   double memory_mb;       /**< that this process may use */
