A stop waits until the last answer has left the process

Cause: the loop ended when no request was open, though the last answer's end still lay in a buffer (the server's run had ended well, the caller's stream was cut 4 ms later). Ruled out: the server, the grace period (3 to 5 s were left).

--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -340,3 +340,16 @@
 
   cds_list_for_each_entry_safe (conn, next, &front->conns, node) sweep_one (conn, now_ms);
 }
+
+bool
+front_conn_all_written (const Front *front)
+{
+  const FrontConn *conn;
+
+  cds_list_for_each_entry (conn, &front->conns, node)
+  {
+    if (evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+      return false;
+  }
+  return true;
+}
--- a/src/front_conn.h
+++ b/src/front_conn.h
@@ -25,5 +25,7 @@
 bool front_conn_is_full (const FrontConn *conn);
 /** Time-outs of all connections, and the idle ones' end in a stop. */
 void front_conn_sweep (Front *front, int64_t now_ms);
+/** True if no answer waits to be sent; one whose request has ended may still be in a buffer. */
+bool front_conn_all_written (const Front *front);
 
 #endif
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -73,7 +73,9 @@
 
   if (front->stop_ms == 0)
     return;
-  if (passed_ms >= most_ms || (passed_ms >= STOP_LEAST_MS && front->request_count == 0))
+  if (passed_ms >= most_ms
+      || (passed_ms >= STOP_LEAST_MS && front->request_count == 0
+          && front_conn_all_written (front)))
     event_base_loopbreak (front->base);
 }
 
