--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -314,6 +314,9 @@
   int64_t passed_ms = now_ms - conn->since_ms;
   int64_t header_ms = config ? config->limits.header_timeout_ms : HEADER_WAIT_MS;
 
+  /* What is still being written belongs to an answer that the caller waits for. */
+  bool written = evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0;
+
   if (conn->request)
     return;
   if (conn->closing)
@@ -328,6 +331,8 @@
       else if (passed_ms > 2 * conn->idle_wait_ms)
         conn_free (conn);
     }
+  else if (!written)
+    return;
   else if (passed_ms > conn->idle_wait_ms
            || (conn->front->stop_ms != 0 && now_ms - conn->front->stop_ms > STOP_IDLE_MS))
     conn_free (conn);
