Sessions on the old version are told to all nodes during a roll-out's first half

Cause: a session's next request came to another node, which knew nothing of it and began it on the new version (PINNED). Ruled out: the table of the node that had it; moves within one node.

--- a/src/front_main.c
+++ b/src/front_main.c
@@ -21,6 +21,8 @@
 #define BACKLOG       1024 /* callers of a whole failure domain may come at once */
 #define STOP_LEAST_MS 2500 /* the balancer needs two questions to send callers elsewhere */
 #define STOP_SPARE_MS 400  /* before the process would be killed */
+/* A session is held for longer than it lasts, as clocks and ways differ. */
+#define SESSION_MORE_MS 1000
 /* Of the sends allowed beyond the share, this front's part: it does not know how many others there
  * are when it starts, and a restarted one brings its part once more. */
 #define RETRY_EXTRA_PART 0.06
@@ -170,7 +172,8 @@
   CDS_INIT_LIST_HEAD (&front->conns);
   CDS_INIT_LIST_HEAD (&front->requests);
   front->servers = front_servers_new (settings->failure_domain);
-  front->sessions = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S));
+  front->sessions
+      = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S) + SESSION_MORE_MS);
   front->rollouts = front_rollouts_new (front->sessions);
   front->budget = front_budget_new (&(BudgetSettings){
       .share = settings->retry_share * RETRY_SHARE_USED,
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -10,7 +10,6 @@
   return xdr_uint64_t (xdr, value);
 }
 
-/* Counts are small for most of a roll-out; one word holds answers and one the two kinds of bad. */
 static bool_t
 xdr_count (XDR *xdr, EvidenceCount *count)
 {
@@ -18,6 +17,26 @@
          && xdr_uint32_t (xdr, &count->slow);
 }
 
+static bool_t
+xdr_counted (XDR *xdr, uint32_t *count, uint32_t most)
+{
+  return xdr_uint32_t (xdr, count) && *count <= most;
+}
+
+static bool_t
+xdr_sessions (XDR *xdr, PeerRollout *rollout)
+{
+  if (!xdr_counted (xdr, &rollout->session_count, PEER_SESSIONS_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < rollout->session_count; i++)
+    {
+      if (!xdr_hash (xdr, &rollout->sessions[i].session)
+          || !xdr_uint32_t (xdr, &rollout->sessions[i].age_ms))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static bool_t
 xdr_rollout (XDR *xdr, PeerRollout *rollout)
 {
@@ -32,7 +51,7 @@
             return FALSE;
         }
     }
-  return TRUE;
+  return xdr_sessions (xdr, rollout);
 }
 
 static bool_t
@@ -49,12 +68,6 @@
   return TRUE;
 }
 
-static bool_t
-xdr_counted (XDR *xdr, uint32_t *count, uint32_t most)
-{
-  return xdr_uint32_t (xdr, count) && *count <= most;
-}
-
 static bool_t
 xdr_lists (XDR *xdr, PeerMessage *message)
 {
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -6,15 +6,17 @@
 
 #include "choose_quarantine.h"
 #include "front_evidence.h"
+#include "front_sessions.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #define PEER_MESSAGE_MAX   1400 /**< bytes; fits one packet of any network */
 #define PEER_TABLES        3
-#define PEER_ROLLOUTS_MAX  3
+#define PEER_ROLLOUTS_MAX  2
 #define PEER_DEATHS_MAX    2
 #define PEER_ADDRESSES_MAX 16
+#define PEER_SESSIONS_MAX  24 /**< of one roll-out */
 
 /** How a roll-out stands at the sender. */
 typedef struct
@@ -24,6 +26,8 @@
   uint32_t old_running;
   uint32_t is_bad;
   FrontEvidence evidence;
+  uint32_t session_count;
+  SessionNews sessions[PEER_SESSIONS_MAX]; /**< that stay on the old version */
 } PeerRollout;
 
 typedef struct
--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -125,7 +125,11 @@
 
   /* News of another order than ours says nothing of this one. */
   if (rollout && rollout->ordered && rollout->order.row_version == news->order)
-    front_rollout_peer (rollout, &peer);
+    {
+      front_rollout_peer (rollout, &peer);
+      for (uint32_t i = 0; i < news->session_count; i++)
+        front_rollouts_hold_session (front->rollouts, rollout, &news->sessions[i], now_ms);
+    }
 }
 
 static void
@@ -200,6 +204,8 @@
     out->old_running = front_request_running (front, rollout->service, rollout->base);
     rollout->old_running = out->old_running;
     out->evidence = rollout->evidence;
+    out->session_count = front_rollouts_held_sessions (front->rollouts, rollout, out->sessions,
+                                                       PEER_SESSIONS_MAX, now_ms);
     message->rollout_count++;
   }
   message->death_count
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -113,6 +113,7 @@
   front_log_number (line, "config", request->config->version);
   front_log_text (line, "service", request->service);
   front_log_text (line, "version", request->version);
+  front_log_number (line, "session", (int64_t)request->session);
   front_log_span (line, "model", model);
   front_log_text (line, "server", pick->server->entry.id);
   front_log_number (line, "running", pick->server->running);
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -16,6 +16,10 @@
 /* Milliseconds. Sessions may move to the new version in the second half only; nodes don't begin it
  * at the same moment, as the order reaches them at different times. */
 #define HALF_MARGIN_MS 400
+/* After the order no session begins on the new version for so long, in which nodes tell each other
+ * of the sessions that run on the old one: a session that came to another node moved to the new
+ * version in the first half otherwise. */
+#define HOLD_MS 800
 /* The last moment to report success: the write needs to be accepted before the time is over. */
 #define LATEST_MS 2000
 /* A node that was not heard of for so long is dead or cut off, and holds nothing up. */
@@ -82,6 +86,7 @@
   rollout->order = *order;
   rollout->state = FRONT_ROLLOUT_RUNNING;
   rollout->started_ms = now_ms;
+  rollout->learned_ms = now_ms;
   rollout->status_version = 0;
   rollout->is_bad = false;
   rollout->has_verdict = false;
@@ -228,7 +233,7 @@
     return rollout->base;
   if (runs_on == span_hash (span_of (rollout->order.target)))
     return rollout->order.target;
-  if (runs_on != 0 && first_half)
+  if (first_half && (runs_on != 0 || now_ms - rollout->learned_ms < HOLD_MS))
     return rollout->base;
   return is_in_share (rollout, session, now_ms) ? rollout->order.target : rollout->base;
 }
@@ -255,6 +260,34 @@
   return version == rollout->base ? rollout->order.target : rollout->base;
 }
 
+/* Sessions that would begin on the new version in the first half. */
+static bool
+is_in_first_share (const void *context, uint64_t session)
+{
+  return (double)(session % SHARE_STEPS) < FIRST_SHARE * SHARE_STEPS;
+}
+
+unsigned
+front_rollouts_held_sessions (const FrontRollouts *rollouts,
+                              const FrontRollout *rollout,
+                              SessionNews *out,
+                              unsigned max,
+                              int64_t now_ms)
+{
+  return front_sessions_list (rollouts->sessions, span_hash (span_of (rollout->base)),
+                              is_in_first_share, NULL, out, max, now_ms);
+}
+
+void
+front_rollouts_hold_session (FrontRollouts *rollouts,
+                             const FrontRollout *rollout,
+                             const SessionNews *news,
+                             int64_t now_ms)
+{
+  front_sessions_heard (rollouts->sessions, news->session, span_hash (span_of (rollout->base)),
+                        news->age_ms, now_ms);
+}
+
 void
 front_rollout_peer (FrontRollout *rollout, const RolloutPeer *news)
 {
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -36,6 +36,7 @@
   bool ordered;                /**< order holds one */
   RolloutOrder order;
   FrontRolloutState state;
+  int64_t learned_ms;     /**< when the order was read here */
   int64_t started_ms;     /**< on our clock; may be before this process began */
   int64_t status_version; /**< row version of the status; 0: none written for this order */
   bool is_bad;            /**< found so here or at another node; holds though no status says so */
@@ -80,6 +81,18 @@
 double front_rollout_share (const FrontRollout *rollout, int64_t now_ms);
 /** True while a roll-out is running. */
 bool front_rollout_is_running (const FrontRollout *rollout);
+/** Sessions that run on the old version though new ones like them would begin on the new one: other
+ *  nodes must know of them, as a session may come to any node. */
+unsigned front_rollouts_held_sessions (const FrontRollouts *rollouts,
+                                       const FrontRollout *rollout,
+                                       SessionNews *out,
+                                       unsigned max,
+                                       int64_t now_ms);
+/** Another node holds this session on the old version. */
+void front_rollouts_hold_session (FrontRollouts *rollouts,
+                                  const FrontRollout *rollout,
+                                  const SessionNews *news,
+                                  int64_t now_ms);
 /** News of another node. */
 void front_rollout_peer (FrontRollout *rollout, const RolloutPeer *news);
 /** Judges a running roll-out by all evidence and updates is_bad and verdict. A bad version gets no
--- a/src/front_sessions.c
+++ b/src/front_sessions.c
@@ -111,3 +111,45 @@
   if (slot->open > 0)
     slot->open--;
 }
+
+/* What we know ourselves goes before news that may be older. */
+void
+front_sessions_heard (FrontSessions *sessions,
+                      uint64_t session,
+                      uint64_t version,
+                      int64_t age_ms,
+                      int64_t now_ms)
+{
+  Session *slot;
+
+  if (front_sessions_version (sessions, session, now_ms) != 0 || age_ms > sessions->idle_ms)
+    return;
+  slot = find_or_take (sessions, session);
+  slot->version = version;
+  slot->used_ms = now_ms - age_ms;
+}
+
+unsigned
+front_sessions_list (const FrontSessions *sessions,
+                     uint64_t version,
+                     bool (*filter) (const void *context, uint64_t session),
+                     const void *context,
+                     SessionNews *out,
+                     unsigned max,
+                     int64_t now_ms)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < SLOTS && count < max; i++)
+    {
+      const Session *slot = &sessions->slots[i];
+
+      if (slot->session == 0 || slot->version != version || !is_active (sessions, slot, now_ms)
+          || !filter (context, slot->session))
+        continue;
+      out[count].session = slot->session;
+      out[count].age_ms = slot->open ? 0 : (uint32_t)(now_ms - slot->used_ms);
+      count++;
+    }
+  return count;
+}
--- a/src/front_sessions.h
+++ b/src/front_sessions.h
@@ -18,6 +18,27 @@
 /** A request of the session begins on this version. */
 void
 front_sessions_begin (FrontSessions *sessions, uint64_t session, uint64_t version, int64_t now_ms);
+/** Another node had a request of the session on this version, age_ms ago. */
+void front_sessions_heard (FrontSessions *sessions,
+                           uint64_t session,
+                           uint64_t version,
+                           int64_t age_ms,
+                           int64_t now_ms);
+/** Sessions that run on a version, as told to other nodes. */
+typedef struct
+{
+  uint64_t session;
+  uint32_t age_ms; /**< since its last request; 0: one is in progress */
+} SessionNews;
+
+/** Lists the active sessions on the version that the filter takes; returns their number. */
+unsigned front_sessions_list (const FrontSessions *sessions,
+                              uint64_t version,
+                              bool (*filter) (const void *context, uint64_t session),
+                              const void *context,
+                              SessionNews *out,
+                              unsigned max,
+                              int64_t now_ms);
 void front_sessions_end (FrontSessions *sessions, uint64_t session, int64_t now_ms);
 
 #endif
