--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
 FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
   src/http_head.c src/http_intake.c src/http_reply.c src/choose_quarantine.c)
-FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front_*.c)) src/settings_front.c \
+FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front*.c)) src/settings_front.c \
   $(wildcard platform/*.c)
 STANDINS = standin-platform standin-engine standin-service
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
@@ -71,6 +71,9 @@
 $(BUILD)/test_ctl%: $(BUILD)/obj/tests/test_ctl%.o \
   $(call obj,$(filter-out src/ctl_main.c,$(wildcard src/ctl_*.c)) $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
+$(BUILD)/test_front_%: $(BUILD)/obj/tests/test_front_%.o \
+  $(call obj,$(FRONT_PARTS) $(TEST_HELPERS)) $(LIB)
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 $(BUILD)/bench_%: $(BUILD)/obj/bench/bench_%.o $(call obj,$(BENCH_HELPERS)) $(LIB)
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -48,12 +48,6 @@
   .hold_ms = 60000,
 };
 
-bool
-front_is_ready (const Front *front)
-{
-  return front->stop_ms == 0 && front->config && front->servers_known;
-}
-
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
--- /dev/null
+++ b/tests/test_front_events.c
@@ -0,0 +1,87 @@
+/** Cutting event streams at their events: src/front_events.c. */
+#include "front_events.h"
+#include "suite.h"
+#include <string.h>
+
+static FrontEvents events;
+static Buffer input, output;
+
+static void
+begin (void)
+{
+  buffer_clear (&input);
+  buffer_clear (&output);
+  front_events_init (&events);
+}
+
+/* Takes more bytes and checks all that has been passed on so far. */
+static void
+check (const char *more, const char *passed_on)
+{
+  buffer_add_string (&input, more);
+  front_events_take (&events, &input, &output);
+  CU_ASSERT_STRING_EQUAL (output.data ? output.data : "", passed_on);
+}
+
+/* Story: an engine stops in the middle of an event. The half event was passed on, the stream goes
+   on at another engine, and the caller joins two halves to one event. */
+static void
+test_whole_events_only (void)
+{
+  begin ();
+  check ("id: 0\ndata: a\n\nid: 1\nda", "id: 0\ndata: a\n\n");
+  CU_ASSERT_EQUAL (events.last_id, 0);
+  check ("ta: b\n", "id: 0\ndata: a\n\n");
+  check ("\n", "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+  CU_ASSERT_EQUAL (events.last_id, 1);
+  CU_ASSERT_EQUAL (events.passed, 2);
+  CU_ASSERT_EQUAL (input.len, 0);
+}
+
+/* Story: a resumed stream repeats an event that the caller has. */
+static void
+test_repeated_events (void)
+{
+  begin ();
+  check ("id:4\ndata: a\n\nid:5\ndata: b\n\n", "id:4\ndata: a\n\nid:5\ndata: b\n\n");
+  buffer_clear (&output);
+  check ("id:4\ndata: a\n\nid:5\ndata: b\n\nid:6\ndata: c\n\n", "id:6\ndata: c\n\n");
+  CU_ASSERT (!events.gap);
+}
+
+/* Story: a resumed stream begins behind an event that never came; passed on, the caller's answer
+   lacks a piece and looks whole. */
+static void
+test_missing_event (void)
+{
+  begin ();
+  check ("id:0\ndata: a\n\nid:2\ndata: c\n\nid:3\ndata: d\n\n", "id:0\ndata: a\n\n");
+  CU_ASSERT (events.gap);
+  CU_ASSERT_EQUAL (events.last_id, 0);
+}
+
+static void
+test_forms (void)
+{
+  begin ();
+  check (": comment\n\n", ": comment\n\n");
+  check ("data: x\r\nid: 7\r\n\r\n", ": comment\n\ndata: x\r\nid: 7\r\n\r\n");
+  CU_ASSERT_EQUAL (events.last_id, 7);
+  check ("id: word\ndata: y\n\n", ": comment\n\ndata: x\r\nid: 7\r\n\r\nid: word\ndata: y\n\n");
+  CU_ASSERT_EQUAL (events.last_id, 7);
+  buffer_free (&input);
+  buffer_free (&output);
+}
+
+static const SuiteCase cases[] = {
+  { "whole_events_only", test_whole_events_only },
+  { "repeated_events", test_repeated_events },
+  { "missing_event", test_missing_event },
+  { "forms", test_forms },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_events", cases, SUITE_COUNT (cases));
+}
--- /dev/null
+++ b/tests/test_front_http.c
@@ -0,0 +1,250 @@
+/** Reading callers' requests and servers' answers: src/http_head.c, http_intake.c, http_reply.c. */
+#include "http_intake.h"
+#include "http_reply.h"
+#include "suite.h"
+#include <string.h>
+
+static const HttpIntakeLimits limits = { .head_max = 1000, .body_max = 100 };
+
+/* Feeds the text byte by byte, as a slow caller would, and returns the last result. */
+static IntakeResult
+feed (HttpIntake *intake, const char *text, size_t len, size_t *taken)
+{
+  IntakeResult result = INTAKE_MORE;
+  size_t used;
+
+  http_intake_init (intake, &limits);
+  *taken = 0;
+  while (*taken < len && result == INTAKE_MORE)
+    {
+      result = http_intake_feed (intake, text + *taken, 1, &used);
+      *taken += used;
+      if (used == 0 && result == INTAKE_MORE)
+        break;
+    }
+  return result;
+}
+
+/* The status with which a text is refused; 0: it was taken, or more is awaited. */
+static int
+refused (const char *text, size_t len)
+{
+  HttpIntake intake;
+  size_t taken, used;
+  int slow, fast;
+
+  feed (&intake, text, len, &taken);
+  slow = intake.refuse_status;
+  http_intake_reset (&intake);
+  http_intake_feed (&intake, text, len, &used);
+  fast = intake.refuse_status;
+  http_intake_reset (&intake);
+  CU_ASSERT_EQUAL (slow, fast);
+  return slow;
+}
+
+#define REFUSED(text) refused (text, sizeof (text) - 1)
+
+static void
+test_whole_request (void)
+{
+  static const char text[]
+      = "POST /a/b?c=%20 HTTP/1.1\r\nHost: x.example:80\r\nContent-Length: 3\r\n"
+        "X-Own:  two words \r\n\r\nabcGET";
+  HttpIntake intake;
+  size_t taken;
+
+  CU_ASSERT_EQUAL (feed (&intake, text, sizeof text - 1, &taken), INTAKE_DONE);
+  CU_ASSERT_EQUAL (taken, sizeof text - 1 - 3);
+  CU_ASSERT (span_is (intake.method, "POST"));
+  CU_ASSERT (span_is (intake.target, "/a/b?c=%20"));
+  CU_ASSERT (span_is (http_head_get (&intake.head, "x-own"), "two words"));
+  CU_ASSERT (intake.keep_alive);
+  CU_ASSERT_EQUAL (intake.body.len, 3);
+  CU_ASSERT (memcmp (intake.body.data, "abc", 3) == 0);
+  http_intake_reset (&intake);
+}
+
+static void
+test_chunked_request (void)
+{
+  static const char text[] = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+                             "Connection: close\r\n\r\n2;e=1\r\nab\r\n1\r\nc\r\n0\r\nT: x\r\n\r\n";
+  HttpIntake intake;
+  size_t taken;
+
+  CU_ASSERT_EQUAL (feed (&intake, text, sizeof text - 1, &taken), INTAKE_DONE);
+  CU_ASSERT_EQUAL (taken, sizeof text - 1);
+  CU_ASSERT (!intake.keep_alive);
+  CU_ASSERT_EQUAL (intake.body.len, 3);
+  http_intake_reset (&intake);
+}
+
+/* Story: a caller's request holds a second one that only some parsers see, by a length and chunks,
+   two lengths, a folded line, a bare line feed. Passed on, an engine runs a request that nobody
+   sent. Each is refused before any byte is passed on. */
+static void
+test_smuggled_requests (void)
+{
+  CU_ASSERT_EQUAL (REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+                   400);
+  CU_ASSERT_EQUAL (
+      REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+      400);
+  CU_ASSERT_EQUAL (REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\na"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 1\r\n\r\na"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (
+      REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, chunked\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c: d\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost: x\nA: b\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost: x\r\nA : b\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost: x\r\nA: b\0c\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n"), 400);
+}
+
+static void
+test_malformed_requests (void)
+{
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/1.1\r\nHost:\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET /\r\nHost: x\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("GET / HTTP/2.0\r\nHost: x\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (REFUSED ("\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n"), 400);
+  CU_ASSERT_EQUAL (
+      REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n"), 400);
+}
+
+static void
+test_too_large (void)
+{
+  char text[2000];
+  int len = snprintf (text, sizeof text, "GET / HTTP/1.1\r\nHost: x\r\nA: %01100d\r\n\r\n", 0);
+
+  CU_ASSERT_EQUAL (refused (text, (size_t)len), 431);
+  CU_ASSERT_EQUAL (REFUSED ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n"), 413);
+  len = snprintf (
+      text, sizeof text,
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n70\r\n%0112d\r\n", 0);
+  CU_ASSERT_EQUAL (refused (text, (size_t)len), 413);
+}
+
+static void
+test_next_request (void)
+{
+  static const char text[] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+  HttpIntake intake;
+  size_t used, first;
+
+  http_intake_init (&intake, &limits);
+  CU_ASSERT_EQUAL (http_intake_feed (&intake, text, sizeof text - 1, &first), INTAKE_DONE);
+  CU_ASSERT (span_is (intake.target, "/a"));
+  http_intake_reset (&intake);
+  CU_ASSERT (!http_intake_started (&intake));
+  CU_ASSERT_EQUAL (http_intake_feed (&intake, text + first, sizeof text - 1 - first, &used),
+                   INTAKE_DONE);
+  CU_ASSERT (span_is (intake.target, "/b"));
+  http_intake_reset (&intake);
+}
+
+static HttpReply
+reply_of (const char *text, bool ended)
+{
+  HttpReply reply;
+
+  http_reply_init (&reply);
+  for (size_t i = 0; i < strlen (text); i++)
+    http_reply_feed (&reply, text + i, 1);
+  if (ended)
+    http_reply_end (&reply);
+  return reply;
+}
+
+static void
+check_reply (const char *text, bool ended, bool complete, bool broken, size_t len)
+{
+  HttpReply reply = reply_of (text, ended);
+
+  CU_ASSERT_EQUAL (reply.complete, complete);
+  CU_ASSERT_EQUAL (reply.broken, broken);
+  CU_ASSERT_EQUAL (reply.body.len, len);
+  http_reply_clear (&reply);
+}
+
+/* Story: an engine dies in the middle of its answer. Whether the bytes so far are the whole answer
+   shows only by its framing; a cut one that passes for whole reaches the caller as a success. */
+static void
+test_whole_or_cut (void)
+{
+  check_reply ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, true, false, 3);
+  check_reply ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", false, false, false, 2);
+  check_reply ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", true, false, true, 2);
+  check_reply ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true, false,
+               true, 2);
+  check_reply ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false,
+               true, false, 2);
+  check_reply ("HTTP/1.1 200 OK\r\nA: b\r\n\r\nabcd", false, false, false, 4);
+  check_reply ("HTTP/1.1 200 OK\r\nA: b\r\n\r\nabcd", true, true, false, 4);
+  check_reply ("HTTP/1.1 200 OK\r\nA: b", true, false, true, 0);
+}
+
+static void
+test_spoiled_answers (void)
+{
+  check_reply ("SSH-2.0-x\r\n\r\n", false, false, true, 0);
+  check_reply ("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", false, false,
+               true, 0);
+  check_reply ("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", false,
+               false, true, 0);
+}
+
+static void
+test_surplus_and_interim (void)
+{
+  HttpReply reply = reply_of ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Made\r\n"
+                              "Content-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n",
+                              false);
+
+  CU_ASSERT_EQUAL (reply.status, 201);
+  CU_ASSERT (reply.complete);
+  CU_ASSERT (reply.surplus);
+  CU_ASSERT_EQUAL (reply.body.len, 1);
+  http_reply_clear (&reply);
+}
+
+static void
+test_hop_fields (void)
+{
+  static const char text[]
+      = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nX-Own: 2\r\n"
+        "Keep-Alive: 3\r\n\r\n";
+  HttpHead head;
+
+  CU_ASSERT (http_head_parse (&head, text, sizeof text - 1));
+  CU_ASSERT (http_head_is_hop (&head, span_of ("x-mine")));
+  CU_ASSERT (http_head_is_hop (&head, span_of ("keep-alive")));
+  CU_ASSERT (!http_head_is_hop (&head, span_of ("X-Own")));
+  http_head_clear (&head);
+}
+
+static const SuiteCase cases[] = {
+  { "whole_request", test_whole_request },
+  { "chunked_request", test_chunked_request },
+  { "smuggled_requests", test_smuggled_requests },
+  { "malformed_requests", test_malformed_requests },
+  { "too_large", test_too_large },
+  { "next_request", test_next_request },
+  { "whole_or_cut", test_whole_or_cut },
+  { "spoiled_answers", test_spoiled_answers },
+  { "surplus_and_interim", test_surplus_and_interim },
+  { "hop_fields", test_hop_fields },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_http", cases, SUITE_COUNT (cases));
+}
--- /dev/null
+++ b/tests/test_front_peer_message.c
@@ -0,0 +1,85 @@
+/** The datagram between fronts: src/front_peer_message.c. */
+#include "front_peer_message.h"
+#include "suite.h"
+#include "util_id.h"
+#include <string.h>
+
+static PeerMessage
+full_message (void)
+{
+  PeerMessage message = { .incarnation = 7, .is_ready = 1, .newest = { 1, 2, 3 } };
+
+  message.rollout_count = 1;
+  message.rollouts[0].service = 99;
+  message.rollouts[0].order = 12;
+  message.rollouts[0].old_running = 4;
+  message.rollouts[0].evidence.counts[EVIDENCE_OLD][3].failed = 17;
+  message.rollouts[0].session_count = 2;
+  message.rollouts[0].sessions[1] = (SessionNews){ .session = 5, .age_ms = 6 };
+  message.death_count = 1;
+  message.deaths[0].count = 3;
+  message.deaths[0].flights[2] = 8;
+  message.address_count = 2;
+  message.addresses[1] = 0x0a000001;
+  return message;
+}
+
+static void
+test_round_trip (void)
+{
+  PeerMessage in = full_message (), out;
+  unsigned char data[PEER_MESSAGE_MAX];
+  size_t len = peer_message_encode (&in, data, sizeof data);
+
+  CU_ASSERT (len > 0);
+  CU_ASSERT (peer_message_decode (&out, data, len));
+  CU_ASSERT_EQUAL (memcmp (&in, &out, sizeof in), 0);
+}
+
+static void
+test_too_small (void)
+{
+  PeerMessage in = full_message ();
+  unsigned char data[64];
+
+  CU_ASSERT_EQUAL (peer_message_encode (&in, data, sizeof data), 0);
+}
+
+/* Story: a stray datagram, a cut one or one of another release arrives; nothing of it is used and
+   nothing beyond the arrays is written. */
+static void
+test_bad_bytes (void)
+{
+  PeerMessage in = full_message (), out;
+  unsigned char data[PEER_MESSAGE_MAX], copy[PEER_MESSAGE_MAX];
+  size_t len = peer_message_encode (&in, data, sizeof data);
+  uint64_t state = 1;
+
+  for (size_t cut = 0; cut < len; cut++)
+    CU_ASSERT (!peer_message_decode (&out, data, cut));
+  for (unsigned i = 0; i < 20000; i++)
+    {
+      memcpy (copy, data, len);
+      state = id_hash (&i, sizeof i, state);
+      copy[state % len] = (unsigned char)(state >> 32);
+      if (!peer_message_decode (&out, copy, len))
+        continue;
+      CU_ASSERT (out.rollout_count <= PEER_ROLLOUTS_MAX);
+      CU_ASSERT (out.death_count <= PEER_DEATHS_MAX);
+      CU_ASSERT (out.address_count <= PEER_ADDRESSES_MAX);
+    }
+  data[0] ^= 1;
+  CU_ASSERT (!peer_message_decode (&out, data, len));
+}
+
+static const SuiteCase cases[] = {
+  { "round_trip", test_round_trip },
+  { "too_small", test_too_small },
+  { "bad_bytes", test_bad_bytes },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_peer_message", cases, SUITE_COUNT (cases));
+}
--- /dev/null
+++ b/tests/test_front_pick.c
@@ -0,0 +1,265 @@
+/** Choosing a server: src/front_pick.c, front_servers.c, front_health.c, front_prompts.c. */
+#include "front_pick.h"
+#include "suite.h"
+#include <string.h>
+
+#define NOW 100000
+
+static FrontServers *servers;
+static FrontCall call;
+
+static ServerEntry
+entry_of (const char *id, const char *domain, const char *version)
+{
+  ServerEntry entry = { .slots = 48 };
+
+  snprintf (entry.id, sizeof entry.id, "%s", id);
+  snprintf (entry.service, sizeof entry.service, "drafts");
+  snprintf (entry.address, sizeof entry.address, "10.0.0.%zu:80", strlen (id));
+  snprintf (entry.failure_domain, sizeof entry.failure_domain, "%s", domain);
+  snprintf (entry.version, sizeof entry.version, "%s", version);
+  return entry;
+}
+
+static void
+add (const char *id, const char *domain, const char *version)
+{
+  ServerEntry entry = entry_of (id, domain, version);
+  bool changed;
+
+  CU_ASSERT (front_servers_set (servers, &entry, NOW, &changed));
+}
+
+static void
+begin (void)
+{
+  if (servers)
+    front_servers_free (servers);
+  servers = front_servers_new ("here");
+  call = (FrontCall){ .prompt_tokens = 7000, .part_count = 2 };
+  call.parts[0] = (PromptPart){ .id = 11, .tokens = 5000 };
+  call.parts[1] = (PromptPart){ .id = 12, .tokens = 2000 };
+}
+
+static PickQuery
+query_of (const char *version)
+{
+  return (PickQuery){
+    .service = "drafts",
+    .version = version,
+    .call = &call,
+    .model = 1,
+    .ms_per_token = 0.01,
+    .is_model = true,
+    .reuse_window_ms = 6000,
+  };
+}
+
+static const char *
+picked (const PickQuery *query, int64_t now_ms)
+{
+  PickAnswer answer = front_pick (servers, query, now_ms);
+
+  return answer.server ? answer.server->entry.id : "none";
+}
+
+static void
+test_near_first (void)
+{
+  PickQuery query = query_of ("v1");
+
+  begin ();
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "none");
+  add ("far", "there", "v1");
+  add ("near", "here", "v1");
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "near");
+  front_servers_find (servers, "near")->pending_ms = 5;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "near");
+  front_servers_find (servers, "near")->pending_ms = 50;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "far");
+}
+
+/* Pattern: a morning of long prompts (7,000 tokens, 70 ms each on the middle model) on a few
+   engines. Counting requests sends two long ones after each other to the engine that has the
+   fewest; predicted work spreads them. Grounds: 0.01 ms a token, of the engines' sheet. */
+static void
+test_spreads_long_prompts (void)
+{
+  PickQuery query = query_of ("v1");
+  unsigned most = 0;
+
+  begin ();
+  for (unsigned i = 0; i < 4; i++)
+    add (&"aaaa"[i], "here", "v1");
+  for (unsigned i = 0; i < 16; i++)
+    {
+      PickAnswer answer;
+
+      call.parts[0].id = 100 + i;
+      call.parts[1].id = 200 + i;
+      call.prompt_tokens = i % 4 == 0 ? 7000 : 400;
+      answer = front_pick (servers, &query, NOW);
+      answer.server->pending_ms += answer.prompt_ms;
+      answer.server->running++;
+    }
+  for (unsigned i = 0; i < 4; i++)
+    {
+      const FrontServer *server = front_servers_find (servers, &"aaaa"[i]);
+
+      if (server->pending_ms > most)
+        most = (unsigned)server->pending_ms;
+    }
+  CU_ASSERT (most < 100);
+}
+
+static void
+test_cached_prompt (void)
+{
+  PickQuery query = query_of ("v1");
+
+  begin ();
+  add ("near", "here", "v1");
+  add ("far", "there", "v1");
+  front_prompts_sent (&front_servers_find (servers, "far")->prompts, &call, 1, NOW);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "far");
+  /* Another model's cache is of no use, nor an old one, nor a part without those before it. */
+  query.model = 2;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "near");
+  query.model = 1;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 7000), "near");
+  call.parts[0].id = 99;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "near");
+}
+
+/* Story: an engine's health page is good while it fails two of five requests. Its fast failures
+   make it look idle, so it draws ever more of the work. */
+static void
+test_failing_server (void)
+{
+  PickQuery query = query_of ("v1");
+  FrontHealth *health;
+
+  begin ();
+  add ("a", "here", "v1");
+  add ("bb", "here", "v1");
+  health = &front_servers_find (servers, "a")->health;
+  for (unsigned i = 0; i < 10; i++)
+    {
+      front_health_answered (health, NOW, 50, 60);
+      if (i % 5 < 2)
+        front_health_failed (health, NOW);
+    }
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "bb");
+  CU_ASSERT (front_health_penalty_ms (health, NOW) > 300);
+  CU_ASSERT (front_health_penalty_ms (health, NOW + 20000) < 100);
+}
+
+static void
+test_unreachable_server (void)
+{
+  PickQuery query = query_of ("v1");
+  FrontHealth *health;
+
+  begin ();
+  add ("a", "here", "v1");
+  health = &front_servers_find (servers, "a")->health;
+  front_health_unreachable (health, NOW);
+  CU_ASSERT (front_health_avoided (health, NOW + 700));
+  CU_ASSERT (!front_health_avoided (health, NOW + 900));
+  front_health_unreachable (health, NOW + 900);
+  CU_ASSERT (front_health_avoided (health, NOW + 900 + 1500));
+  /* Avoided is not forbidden: with no other server it is tried. */
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "a");
+  add ("bb", "there", "v1");
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "bb");
+  CU_ASSERT_EQUAL (front_pick_usable (servers, &query, NOW + 1000), 1);
+}
+
+static void
+test_versions_and_tried (void)
+{
+  PickQuery query = query_of ("v2");
+
+  begin ();
+  add ("a", "here", "v1");
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "none");
+  add ("bb", "there", "v2");
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "bb");
+  query.tried[query.tried_count++] = front_servers_find (servers, "bb")->hash;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "none");
+}
+
+/* Story: an engine says that it drains; an older heartbeat of it arrives later and it gets new
+   work, which its end cuts off. */
+static void
+test_draining_is_final (void)
+{
+  PickQuery query = query_of ("v1");
+  ServerEntry entry = entry_of ("a", "here", "v1");
+  bool changed;
+
+  begin ();
+  add ("a", "here", "v1");
+  entry.draining = true;
+  front_servers_set (servers, &entry, NOW, &changed);
+  CU_ASSERT (changed);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "none");
+  add ("a", "here", "v1");
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "none");
+}
+
+/* Story: the store is away for seconds, entries of living engines lapse and are back within two
+   seconds of its return. Taken as gone at once, a whole service has no engine left. */
+static void
+test_lapsed_entries (void)
+{
+  PickQuery query = query_of ("v1");
+
+  begin ();
+  add ("a", "here", "v1");
+  front_servers_remove (servers, "a", NOW, 2200);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "a");
+  add ("bb", "there", "v1");
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "bb");
+  front_servers_sweep (servers, NOW + 2199);
+  CU_ASSERT_PTR_NOT_NULL (front_servers_find (servers, "a"));
+  front_servers_sweep (servers, NOW + 2200);
+  CU_ASSERT_PTR_NULL (front_servers_find (servers, "a"));
+  front_servers_remove (servers, "bb", NOW, 0);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "none");
+}
+
+static void
+test_removed_while_used (void)
+{
+  FrontServer *server;
+
+  begin ();
+  add ("a", "here", "v1");
+  server = front_servers_find (servers, "a");
+  front_server_ref (server);
+  front_servers_remove (servers, "a", NOW, 0);
+  CU_ASSERT_PTR_NULL (front_servers_find (servers, "a"));
+  CU_ASSERT_EQUAL (front_servers_count (servers), 0);
+  front_server_unref (server);
+  front_servers_free (servers);
+  servers = NULL;
+}
+
+static const SuiteCase cases[] = {
+  { "near_first", test_near_first },
+  { "spreads_long_prompts", test_spreads_long_prompts },
+  { "cached_prompt", test_cached_prompt },
+  { "failing_server", test_failing_server },
+  { "unreachable_server", test_unreachable_server },
+  { "versions_and_tried", test_versions_and_tried },
+  { "draining_is_final", test_draining_is_final },
+  { "lapsed_entries", test_lapsed_entries },
+  { "removed_while_used", test_removed_while_used },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_pick", cases, SUITE_COUNT (cases));
+}
--- /dev/null
+++ b/tests/test_front_rollouts.c
@@ -0,0 +1,318 @@
+/** Versions during roll-outs: src/front_rollouts.c, front_evidence.c, front_sessions.c. */
+#include "front_rollouts.h"
+#include "suite.h"
+#include "util_span.h"
+#include <string.h>
+
+#define NOW          100000
+#define DURATION     24000
+#define SESSION_MS   6000
+#define FAR_IN_SHARE 5 /* a session hash below the first share */
+
+static FrontServers *servers;
+static FrontSessions *sessions;
+static FrontRollouts *rollouts;
+static FrontRollout *rollout;
+
+static void
+add (const char *id, const char *version)
+{
+  ServerEntry entry = { .slots = 48 };
+  bool changed;
+
+  snprintf (entry.id, sizeof entry.id, "%s", id);
+  snprintf (entry.service, sizeof entry.service, "drafts");
+  snprintf (entry.address, sizeof entry.address, "10.0.0.1:80");
+  snprintf (entry.version, sizeof entry.version, "%s", version);
+  front_servers_set (servers, &entry, NOW, &changed);
+}
+
+static void
+begin (void)
+{
+  if (servers)
+    {
+      front_rollouts_free (rollouts);
+      front_sessions_free (sessions);
+      front_servers_free (servers);
+    }
+  servers = front_servers_new ("here");
+  sessions = front_sessions_new (SESSION_MS);
+  rollouts = front_rollouts_new (sessions);
+  add ("a", "v1");
+  add ("b", "v1");
+  front_rollouts_find_base (rollouts, servers);
+  rollout = front_rollouts_get (rollouts, "drafts");
+}
+
+static void
+order (int64_t row_version, int64_t now_ms)
+{
+  RolloutOrder text = {
+    .service = "drafts", .target = "v2", .duration_ms = DURATION, .row_version = row_version
+  };
+
+  CU_ASSERT (front_rollouts_order (rollouts, &text, now_ms));
+}
+
+static const char *
+chosen (uint64_t session, int64_t now_ms)
+{
+  const char *version = front_rollouts_choose (rollouts, servers, "drafts", session, now_ms);
+
+  return version ? version : "any";
+}
+
+static void
+uses (uint64_t session, const char *version, int64_t now_ms)
+{
+  front_sessions_begin (sessions, session, span_hash (span_of (version)), now_ms);
+  front_sessions_end (sessions, session, now_ms);
+}
+
+/* Story: engines of a new version register before the operator has asked for it. */
+static void
+test_no_order_no_new_version (void)
+{
+  begin ();
+  add ("c", "v2");
+  add ("d", "v2");
+  add ("e", "v2");
+  for (uint64_t session = 1; session < 1000; session++)
+    CU_ASSERT_STRING_EQUAL (chosen (session, NOW), "v1");
+}
+
+static void
+test_share_grows (void)
+{
+  unsigned count[3] = { 0 };
+  static const int64_t at_ms[3] = { 2000, 11000, 20000 };
+
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      for (uint64_t session = 1; session <= 10000; session++)
+        count[i] += strcmp (chosen (session, NOW + at_ms[i]), "v2") == 0;
+    }
+  CU_ASSERT (count[0] > 500 && count[0] < 1000);
+  CU_ASSERT_EQUAL (count[1], count[0]);
+  CU_ASSERT_EQUAL (count[2], 10000);
+}
+
+/* Story: a clinic's conversation runs on the old version when the roll-out begins, and its next
+   request comes to another front. It must stay where it is for the first half, at each front. */
+static void
+test_sessions_stay (void)
+{
+  SessionNews news[4];
+  unsigned count;
+
+  begin ();
+  add ("c", "v2");
+  uses (FAR_IN_SHARE, "v1", NOW - 1000);
+  uses (9999, "v1", NOW - 1000); /* begins on the old version anyway: no news */
+  order (10, NOW);
+  CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 2000), "v1");
+  count = front_rollouts_held_sessions (rollouts, rollout, news, 4, NOW + 100);
+  CU_ASSERT_EQUAL (count, 1);
+  CU_ASSERT_EQUAL (news[0].session, FAR_IN_SHARE);
+  CU_ASSERT_EQUAL (news[0].age_ms, 1100);
+
+  begin (); /* another front, which has not seen the session */
+  add ("c", "v2");
+  order (10, NOW);
+  CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 100), "v1");
+  front_rollouts_hold_session (rollouts, rollout, &news[0], NOW + 150);
+  CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 2000), "v1");
+  CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 7000), "v2");
+}
+
+static void
+test_sessions_never_go_back (void)
+{
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  uses (9999, "v2", NOW + 17000);
+  CU_ASSERT_STRING_EQUAL (chosen (9999, NOW + 17500), "v2");
+}
+
+static void
+fail_some (FrontEvidence *evidence, unsigned route, unsigned bad, unsigned good, bool slow)
+{
+  for (unsigned i = 0; i < bad; i++)
+    front_evidence_add (evidence, EVIDENCE_NEW, route, !slow, slow ? 900 : 50, 60);
+  for (unsigned i = 0; i < good; i++)
+    front_evidence_add (evidence, EVIDENCE_NEW, route, false, 70, 60);
+  for (unsigned i = 0; i < 200; i++)
+    front_evidence_add (evidence, EVIDENCE_OLD, route, i % 50 == 0, 70, 60);
+}
+
+/* Story: a version fails a third of the requests of one route only; over all routes its failures
+   drown. And one that is slow but never fails. */
+static void
+test_bad_versions (void)
+{
+  FrontEvidence evidence = { 0 };
+
+  fail_some (&evidence, 1, 2, 30, false);
+  CU_ASSERT (!front_evidence_is_bad (&evidence));
+  fail_some (&evidence, 0, 0, 400, false);
+  fail_some (&evidence, 1, 10, 10, false);
+  CU_ASSERT (front_evidence_is_bad (&evidence));
+  memset (&evidence, 0, sizeof evidence);
+  fail_some (&evidence, 2, 10, 10, true);
+  CU_ASSERT (front_evidence_is_bad (&evidence));
+}
+
+/* Story: engines crash during a good roll-out, and requests of both versions fail alike. */
+static void
+test_good_version_in_trouble (void)
+{
+  FrontEvidence evidence = { 0 };
+
+  for (unsigned i = 0; i < 300; i++)
+    {
+      front_evidence_add (&evidence, EVIDENCE_NEW, 0, i % 8 == 0, 60, 60);
+      front_evidence_add (&evidence, EVIDENCE_OLD, 0, i % 9 == 0, 60, 60);
+    }
+  CU_ASSERT (!front_evidence_is_bad (&evidence));
+}
+
+/* Story: each of six fronts sees two failures of a bad version; none can tell it from chance alone.
+   Together they stop it, everywhere and at once, though the store can't be told. */
+static void
+test_evidence_of_all (void)
+{
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      RolloutPeer peer = { .incarnation = i + 1, .heard_ms = NOW + 2000 };
+
+      fail_some (&peer.evidence, 0, 2, 3, false);
+      front_rollout_peer (rollout, &peer);
+      front_rollout_peer (rollout, &peer); /* the same news twice counts once */
+    }
+  CU_ASSERT_EQUAL (rollout->peer_count, 6);
+  front_rollout_judge (rollout, NOW + 2000);
+  CU_ASSERT (rollout->is_bad);
+  CU_ASSERT (rollout->has_verdict);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_ROLLED_BACK);
+  CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 2000), "v1");
+}
+
+static void
+test_done_when_old_is_idle (void)
+{
+  RolloutPeer peer = { .incarnation = 7, .heard_ms = NOW + 18000, .old_running = 1 };
+
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  fail_some (&rollout->evidence, 0, 0, 100, false);
+  front_rollout_judge (rollout, NOW + 1000);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_RUNNING);
+  CU_ASSERT (front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 11, 0) == false);
+  front_rollout_judge (rollout, NOW + 17000);
+  CU_ASSERT (!rollout->has_verdict);
+  front_rollout_peer (rollout, &peer);
+  front_rollout_judge (rollout, NOW + 18100);
+  CU_ASSERT (!rollout->has_verdict);
+  peer.old_running = 0;
+  front_rollout_peer (rollout, &peer);
+  front_rollout_judge (rollout, NOW + 18100);
+  CU_ASSERT (rollout->has_verdict);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
+  CU_ASSERT (front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, 12, 0));
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW + 18200), "v2");
+}
+
+/* Story: a peer was killed with requests on the old version; its last word must not hold up the
+   roll-out beyond its time. */
+static void
+test_silent_peer (void)
+{
+  RolloutPeer peer = { .incarnation = 7, .heard_ms = NOW + 17000, .old_running = 3 };
+
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  fail_some (&rollout->evidence, 0, 0, 100, false);
+  front_rollout_peer (rollout, &peer);
+  front_rollout_judge (rollout, NOW + 19000);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
+}
+
+/* Story: an order for a version that was rolled back earlier is given again; the old status, which
+   names the same version, must not end it. */
+static void
+test_status_of_earlier_order (void)
+{
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  CU_ASSERT (front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12, 0));
+  order (20, NOW + 30000);
+  CU_ASSERT (!front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12, 0));
+  CU_ASSERT (front_rollout_is_running (rollout));
+  CU_ASSERT (!front_rollouts_status (rollout, "v3", FRONT_ROLLOUT_ROLLED_BACK, 22, 0));
+  CU_ASSERT (front_rollout_is_running (rollout));
+}
+
+static void
+test_end_is_final (void)
+{
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  CU_ASSERT (front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12, 0));
+  front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 13, 0);
+  CU_ASSERT_EQUAL (rollout->state, FRONT_ROLLOUT_ROLLED_BACK);
+}
+
+/* Story: all processes are killed in the second half; the new ones know from the status when the
+   roll-out began, and don't begin it anew. */
+static void
+test_restart_knows_the_start (void)
+{
+  begin ();
+  add ("c", "v2");
+  order (10, NOW + 15000);
+  front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 11, NOW);
+  CU_ASSERT (front_rollout_share (rollout, NOW + 18500) >= 1);
+}
+
+/* Story: all engines of the new version crash; requests go on with the old one. */
+static void
+test_no_server_of_new_version (void)
+{
+  begin ();
+  order (10, NOW);
+  CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 20000), "v1");
+}
+
+static const SuiteCase cases[] = {
+  { "no_order_no_new_version", test_no_order_no_new_version },
+  { "share_grows", test_share_grows },
+  { "sessions_stay", test_sessions_stay },
+  { "sessions_never_go_back", test_sessions_never_go_back },
+  { "bad_versions", test_bad_versions },
+  { "good_version_in_trouble", test_good_version_in_trouble },
+  { "evidence_of_all", test_evidence_of_all },
+  { "done_when_old_is_idle", test_done_when_old_is_idle },
+  { "silent_peer", test_silent_peer },
+  { "status_of_earlier_order", test_status_of_earlier_order },
+  { "end_is_final", test_end_is_final },
+  { "restart_knows_the_start", test_restart_knows_the_start },
+  { "no_server_of_new_version", test_no_server_of_new_version },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_rollouts", cases, SUITE_COUNT (cases));
+}
--- /dev/null
+++ b/tests/test_front_wire.c
@@ -0,0 +1,336 @@
+/** The platform's formats: platform/ wire_call.c, wire_config.c, wire_rollout.c, wire_server.c,
+ *  wire_store.c; and rows as a table: src/front_table.c. */
+#include "suite.h"
+#include "wire_call.h"
+#include "wire_config.h"
+#include "wire_rollout.h"
+#include "wire_server.h"
+#include "wire_store.h"
+#include <stdlib.h>
+#include <string.h>
+
+static const char config_text[]
+    = "{\"Version\":7,\"Routes\":[{\"Name\":\"r1\",\"Host\":\"a.example\",\"Prefix\":\"/x/\","
+      "\"Kind\":\"streaming\",\"TimeoutMs\":12000,\"SloMs\":1500,\"Priority\":2,"
+      "\"Sizes\":[\"small\",\"large\"],\"Service\":\"s1\",\"MaxAttempts\":3,\"Resumable\":true,"
+      "\"GapAimMs\":900,\"Later\":{\"a\":1}},{\"Name\":\"r2\",\"Host\":\"a.example\","
+      "\"Prefix\":\"/x/y/\",\"Kind\":\"non_idempotent\",\"TimeoutMs\":1500,\"TrafficSplit\":["
+      "{\"Service\":\"s1\",\"Weight\":90},{\"Service\":\"s2\",\"Weight\":10}]}],"
+      "\"Services\":[{\"Name\":\"s1\",\"Engine\":{\"Slots\":48,\"KvCapacity\":444000,\"Stride\":9,"
+      "\"Models\":[{\"Name\":\"small\",\"Cost\":0.02}]}},{\"Name\":\"s2\"}],"
+      "\"Limits\":{\"MaxHeaderBytes\":100,\"MaxBodyBytes\":200,\"HeaderTimeoutMs\":300,"
+      "\"IdleTimeoutMs\":400},\"Tenants\":[{\"Name\":\"t1\",\"ApiKeys\":[\"k1\",\"k2\"],"
+      "\"Priority\":0},{\"Name\":\"t2\",\"ApiKeys\":[\"k3\"]}]}";
+
+static void
+test_config (void)
+{
+  Status status;
+  FrontConfig *config = wire_config_decode (config_text, strlen (config_text), &status);
+  const FrontRoute *route;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  CU_ASSERT_EQUAL (config->version, 7);
+  CU_ASSERT_EQUAL (config->limits.idle_timeout_ms, 400);
+  route = front_config_route (config, span_of ("A.Example"), span_of ("/x/abc"));
+  CU_ASSERT_STRING_EQUAL (route->name, "r1");
+  CU_ASSERT_EQUAL (route->kind, ROUTE_STREAM);
+  CU_ASSERT_EQUAL (route->model_count, 2);
+  CU_ASSERT (front_route_is_idempotent (route));
+  route = front_config_route (config, span_of ("a.example"), span_of ("/x/y/z"));
+  CU_ASSERT_STRING_EQUAL (route->name, "r2");
+  CU_ASSERT_EQUAL (route->target_count, 2);
+  CU_ASSERT (!front_route_is_idempotent (route));
+  CU_ASSERT_PTR_NULL (front_config_route (config, span_of ("a.example"), span_of ("/x")));
+  CU_ASSERT_PTR_NULL (front_config_route (config, span_of ("b.example"), span_of ("/x/")));
+  CU_ASSERT_STRING_EQUAL (front_config_team (config, span_of ("k2"))->name, "t1");
+  CU_ASSERT_PTR_NULL (front_config_team (config, span_of ("k")));
+  CU_ASSERT_EQUAL (front_config_priority (route, front_config_team (config, span_of ("k1"))), 0);
+  CU_ASSERT_EQUAL (front_config_service (config, "s1")->kv_tokens, 444000);
+  CU_ASSERT_EQUAL (front_config_service (config, "s2")->kv_tokens, 0);
+  front_config_unref (config);
+}
+
+static void
+refused_config (const char *text, const char *message)
+{
+  Status status = { 0 };
+
+  CU_ASSERT_PTR_NULL (wire_config_decode (text, strlen (text), &status));
+  CU_ASSERT_EQUAL (status.code, STATUS_INVALID);
+  CU_ASSERT_PTR_NOT_NULL (strstr (status.message, message));
+}
+
+static void
+test_bad_config (void)
+{
+  refused_config ("", "no JSON");
+  refused_config ("[1]", "no JSON");
+  refused_config ("{\"Version\":1,\"Rou", "no JSON");
+  refused_config ("{\"Routes\":[{\"Name\":\"r\",\"Prefix\":\"/\",\"Kind\":\"new\"}]}",
+                  "r: unknown");
+  refused_config ("{\"Routes\":[{\"Name\":\"r\",\"Kind\":\"streaming\"}]}", "r: prefix");
+}
+
+static void
+read_request (HttpIntake *intake, const char *text)
+{
+  const HttpIntakeLimits limits = { .head_max = 4000, .body_max = 4000 };
+  size_t used;
+
+  http_intake_init (intake, &limits);
+  CU_ASSERT_EQUAL (http_intake_feed (intake, text, strlen (text), &used), INTAKE_DONE);
+}
+
+static const char request_text[]
+    = "POST /x/q?a=1 HTTP/1.1\r\nHost: a.example:80\r\nLovagehub-Request-Id: r17\r\n"
+      "Lovagehub-Model: *\r\nLovagehub-Token-Counts: 1460,80\r\n"
+      "Lovagehub-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\nLovagehub-Deadline-Ms: 15000\r\n"
+      "Lovagehub-Hold: h1\r\nKv-From: 1.2.3.4:5/6\r\nLovagehub-Tenant: forged\r\n"
+      "Authorization: Token k1\r\nSession: s9\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Own: 2\r\n"
+      "Last-Event-Id: 12\r\nContent-Length: 2\r\n\r\nhi";
+
+static void
+test_call_decode (void)
+{
+  HttpIntake intake;
+  FrontCall call;
+
+  read_request (&intake, request_text);
+  wire_call_decode (&intake, &call);
+  CU_ASSERT (span_is (call.host, "a.example"));
+  CU_ASSERT (span_is (call.path, "/x/q"));
+  CU_ASSERT (span_is (call.id, "r17"));
+  CU_ASSERT (span_is (call.key, "k1"));
+  CU_ASSERT (span_is (call.session, "s9"));
+  CU_ASSERT (span_is (call.model, "*"));
+  CU_ASSERT_EQUAL (call.deadline_ms, 15000);
+  CU_ASSERT_EQUAL (call.prompt_tokens, 1460);
+  CU_ASSERT_EQUAL (call.output_max, 80);
+  CU_ASSERT_EQUAL (call.after_event, 12);
+  CU_ASSERT_EQUAL (call.part_count, 2);
+  CU_ASSERT_EQUAL (call.parts[1].tokens, 410);
+  http_intake_reset (&intake);
+}
+
+/* Story: a caller sends fields that are the router's to set, its key among them; passed on, an
+   engine reserves memory for it or books the work to another team. */
+static void
+test_call_encode (void)
+{
+  HttpIntake intake;
+  FrontCall call;
+  Buffer out = { 0 };
+  CallOrder order = {
+    .server_id = "i-1",
+    .team = "t1",
+    .model = span_of ("small"),
+    .deadline_ms = 900,
+    .priority = 2,
+    .after_event = -1,
+  };
+
+  read_request (&intake, request_text);
+  wire_call_decode (&intake, &call);
+  wire_call_encode (&out, &intake, &call, &order);
+  CU_ASSERT_EQUAL (strncmp (out.data, "POST /x/q?a=1 HTTP/1.1\r\n", 24), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nHost: a.example:80\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLovagehub-Request-Id: r17\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLovagehub-Model: small\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLovagehub-Tenant: t1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLovagehub-Target-Instance: i-1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLovagehub-Deadline-Ms: 900\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLast-Event-Id: 12\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nX-Own: 2\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nContent-Length: 2\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "forged"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "Token k1"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "Model: *"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "X-Hop"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "Hold"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "Kv-From"));
+  order.after_event = 30;
+  buffer_clear (&out);
+  wire_call_encode (&out, &intake, &call, &order);
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\r\nLast-Event-Id: 30\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "Last-Event-Id: 12"));
+  buffer_free (&out);
+  http_intake_reset (&intake);
+}
+
+static void
+test_reply (void)
+{
+  static const char text[] = "HTTP/1.1 200 Fine\r\nLovagehub-Request-Id: r17\r\n"
+                             "Lovagehub-Server-Signature: x.y\r\nLovagehub-Confidence: 41\r\n"
+                             "Connection: close\r\nContent-Length: 2\r\nX-Own: 1\r\n\r\nab";
+  HttpReply reply;
+  ReplyFacts facts;
+  Buffer out = { 0 };
+
+  http_reply_init (&reply);
+  http_reply_feed (&reply, text, strlen (text));
+  wire_reply_decode (&reply, "i-1", &facts);
+  CU_ASSERT (facts.is_signed);
+  CU_ASSERT (!facts.not_executed);
+  CU_ASSERT (!facts.other_server);
+  CU_ASSERT_EQUAL (facts.confidence, 41);
+  CU_ASSERT (span_is (facts.request_id, "r17"));
+  wire_reply_encode (&out, &reply);
+  CU_ASSERT_STRING_EQUAL (out.data, "HTTP/1.1 200 Fine\r\nLovagehub-Request-Id: r17\r\n"
+                                    "Lovagehub-Server-Signature: x.y\r\n"
+                                    "Lovagehub-Confidence: 41\r\nX-Own: 1\r\n");
+  buffer_free (&out);
+  http_reply_clear (&reply);
+  http_reply_init (&reply);
+  http_reply_feed (&reply, "HTTP/1.1 421 x\r\nLovagehub-Instance-Id: i-2\r\n\r\n", 47);
+  wire_reply_decode (&reply, "i-1", &facts);
+  CU_ASSERT (facts.other_server);
+  http_reply_clear (&reply);
+  wire_refusal_encode (&out, 503, span_of ("r17"), 250);
+  CU_ASSERT_STRING_EQUAL (out.data, "HTTP/1.1 503 Service Unavailable\r\n"
+                                    "Lovagehub-Request-Id: r17\r\nRetry-After: 0.25\r\n");
+  buffer_free (&out);
+}
+
+static void
+test_rollout (void)
+{
+  static const char text[] = "{\"Service\":\"s1\",\"Target\":\"v2\",\"RampS\":12.5}";
+  RolloutOrder order;
+  char target[ROLLOUT_TEXT_MAX];
+  FrontRolloutState state;
+  int64_t started_ms;
+  Buffer out = { 0 };
+
+  CU_ASSERT (wire_rollout_decode (span_of (text), 9, &order));
+  CU_ASSERT_EQUAL (order.duration_ms, 12500);
+  CU_ASSERT (!wire_rollout_decode (span_of ("{\"Service\":\"s1\"}"), 9, &order));
+  CU_ASSERT (!wire_rollout_decode (span_of ("nonsense"), 9, &order));
+  CU_ASSERT (wire_rollout_decode (span_of (text), 9, &order));
+  wire_rollout_status_encode (&out, &order, FRONT_ROLLOUT_ROLLED_BACK, 77);
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\"State\":\"rolled_back\""));
+  CU_ASSERT (wire_rollout_status_decode (span_of (out.data), target, &state, &started_ms));
+  CU_ASSERT_STRING_EQUAL (target, "v2");
+  CU_ASSERT_EQUAL (state, FRONT_ROLLOUT_ROLLED_BACK);
+  CU_ASSERT_EQUAL (started_ms, 77);
+  CU_ASSERT (
+      !wire_rollout_status_decode (span_of ("{\"State\":\"odd\"}"), target, &state, &started_ms));
+  buffer_free (&out);
+}
+
+static void
+test_server (void)
+{
+  ServerEntry entry;
+
+  CU_ASSERT (wire_server_decode ("i-1",
+                                 span_of ("{\"Service\":\"s1\",\"Address\":\"1.2.3.4:80\",\"Zone\":"
+                                          "\"z\",\"Version\":\"v1\",\"Slots\":48,\"State\":"
+                                          "\"draining\",\"ColdLeftMs\":5}"),
+                                 &entry));
+  CU_ASSERT (entry.draining);
+  CU_ASSERT_EQUAL (entry.slots, 48);
+  CU_ASSERT_STRING_EQUAL (entry.failure_domain, "z");
+  CU_ASSERT (!wire_server_decode ("i-1", span_of ("{\"Service\":\"s1\"}"), &entry));
+  CU_ASSERT (!wire_server_decode ("i-1", span_of ("{"), &entry));
+}
+
+static char changes[400];
+
+static void
+note (void *user, const StoreRow *row)
+{
+  size_t len = strlen (changes);
+
+  snprintf (changes + len, sizeof changes - len, "%s%s=%s ", row->removed ? "-" : "", row->key,
+            row->value ? row->value : "");
+}
+
+static void
+take (FrontTable *table, bool snapshot, const char *text, const char *expected)
+{
+  StoreAnswer answer;
+
+  changes[0] = '\0';
+  CU_ASSERT (wire_store_decode (text, strlen (text), &answer));
+  if (snapshot)
+    front_table_snapshot (table, &answer, note, NULL);
+  else
+    front_table_changes (table, &answer, note, NULL);
+  store_answer_clear (&answer);
+  CU_ASSERT_STRING_EQUAL (changes, expected);
+}
+
+/* Story: a front that the store turns away learns from another one; an older copy of a row comes
+   after a newer one and must not undo it. */
+static void
+test_table (void)
+{
+  FrontTable table, other;
+  Buffer out = { 0 };
+
+  front_table_init (&table);
+  front_table_init (&other);
+  take (&table, true,
+        "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"MQ==\",\"Ver\":5},{\"Key\":\"b\",\"Value\":\"Mg==\","
+        "\"Ver\":6}],\"Ver\":9}",
+        "a=1 b=2 ");
+  CU_ASSERT_EQUAL (table.version, 9);
+  CU_ASSERT_EQUAL (table.newest, 6);
+  take (&table, false, "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"Mw==\",\"Ver\":12}],\"Ver\":12}",
+        "a=3 ");
+  take (&table, false, "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"MQ==\",\"Ver\":5}],\"Ver\":12}", "");
+  CU_ASSERT_STRING_EQUAL (front_table_find (&table, "a")->value, "3");
+  wire_store_encode (&out, &table);
+  take (&other, true, out.data, "a=3 b=2 ");
+  CU_ASSERT_EQUAL (other.version, 12);
+  /* All rows as of a version: what is missing is gone, but not what is newer than that. */
+  take (&table, true, "{\"Rows\":[{\"Key\":\"c\",\"Value\":\"MQ==\",\"Ver\":8}],\"Ver\":11}",
+        "-b= c=1 ");
+  take (&table, false, "{\"Rows\":[{\"Key\":\"a\",\"Tombstone\":true,\"Ver\":15}],\"Ver\":15}",
+        "-a= ");
+  CU_ASSERT_PTR_NULL (front_table_find (&table, "a"));
+  CU_ASSERT_EQUAL (table.newest, 15);
+  buffer_free (&out);
+  front_table_clear (&table);
+  front_table_clear (&other);
+}
+
+static void
+test_write (void)
+{
+  StoreWrite write
+      = { .table = "status", .key = "k", .value = span_of ("node-1"), .expected_version = 0 };
+  Buffer out = { 0 };
+  StoreAnswer answer;
+
+  wire_write_body (&out, &write);
+  CU_ASSERT_STRING_EQUAL (out.data, "{\"ExpectedRev\":[{\"Table\":\"status\",\"part\":\"\",\"Key\":"
+                                    "\"k\",\"Ver\":0}],\"Writes\":[{\"Table\":\"status\",\"part\":"
+                                    "\"\",\"Key\":\"k\",\"Value\":\"bm9kZS0x\"}],\"Remove\":[]}");
+  buffer_clear (&out);
+  write.expected_version = -1;
+  wire_write_body (&out, &write);
+  CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\"ExpectedRev\":[]"));
+  buffer_free (&out);
+  CU_ASSERT (!wire_store_decode ("busy", 4, &answer));
+}
+
+static const SuiteCase cases[] = {
+  { "config", test_config },
+  { "bad_config", test_bad_config },
+  { "call_decode", test_call_decode },
+  { "call_encode", test_call_encode },
+  { "reply", test_reply },
+  { "rollout", test_rollout },
+  { "server", test_server },
+  { "table", test_table },
+  { "write", test_write },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_wire", cases, SUITE_COUNT (cases));
+}
