--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -167,6 +167,17 @@
     evbuffer_add (output, body->data, body->len);
 }
 
+void
+front_channel_aim (FrontChannel *channel, const struct sockaddr_in *address)
+{
+  if (channel->address.sin_addr.s_addr == address->sin_addr.s_addr
+      && channel->address.sin_port == address->sin_port)
+    return;
+  disconnect (channel);
+  channel->address = *address;
+  inet_ntop (AF_INET, &address->sin_addr, channel->host, sizeof channel->host);
+}
+
 void
 front_channel_drop (FrontChannel *channel)
 {
--- a/src/front_channel.h
+++ b/src/front_channel.h
@@ -22,6 +22,8 @@
 /** Asks; no other question may be open. body NULL: a GET without one. */
 void
 front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms);
+/** The next question goes to this address. No question may be open. */
+void front_channel_aim (FrontChannel *channel, const struct sockaddr_in *address);
 /** Forgets an open question; its answer will not come. */
 void front_channel_drop (FrontChannel *channel);
 bool front_channel_is_open (const FrontChannel *channel);
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -12,11 +12,23 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A question of another front that is held until there is news. */
+typedef struct
+{
+  struct cds_list_head node;
+  FrontControl *control;
+  struct evhttp_request *http;
+  StoreTable table;
+  int64_t since;
+  int64_t asked_ms;
+} Question;
+
 struct FrontControl
 {
   Front *front;
   struct evhttp *ready;
   struct evhttp *control;
+  struct cds_list_head questions;
 };
 
 static void
@@ -63,25 +75,86 @@
 }
 
 static void
-on_news (struct evhttp_request *http, void *user)
+give (FrontControl *control, struct evhttp_request *http, StoreTable table, int64_t since)
 {
-  static const char prefix[] = "/news/";
-  FrontControl *control = user;
-  const char *path = evhttp_request_get_uri (http);
   Buffer text = { 0 };
-  int64_t table;
 
-  if (strncmp (path, prefix, strlen (prefix)) != 0
-      || !span_number (span_of (path + strlen (prefix)), &table) || table >= STORE_TABLES)
-    {
-      reply (http, HTTP_NOTFOUND, NULL);
-      return;
-    }
-  front_store_give (control->front->store, (StoreTable)table, &text);
-  reply (http, HTTP_OK, &text);
+  if (front_store_give (control->front->store, table, since, &text))
+    reply (http, HTTP_OK, &text);
+  else
+    reply (http, HTTP_SERVUNAVAIL, NULL);
   buffer_free (&text);
 }
 
+static void
+question_free (Question *question)
+{
+  cds_list_del (&question->node);
+  free (question);
+}
+
+/* The other front has gone; evhttp frees the request with its connection. */
+static void
+on_asker_gone (struct evhttp_connection *connection, void *user)
+{
+  question_free (user);
+}
+
+static void
+question_hold (FrontControl *control, struct evhttp_request *http, StoreTable table, int64_t since)
+{
+  Question *question = memory_alloc (sizeof *question);
+
+  *question = (Question){
+    .control = control,
+    .http = http,
+    .table = table,
+    .since = since,
+    .asked_ms = clock_boot_ms (),
+  };
+  cds_list_add_tail (&question->node, &control->questions);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (http), on_asker_gone, question);
+}
+
+static void
+question_answer (Question *question)
+{
+  struct evhttp_request *http = question->http;
+
+  evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL, NULL);
+  give (question->control, http, question->table, question->since);
+  question_free (question);
+}
+
+void
+front_control_tick (FrontControl *control, int64_t now_ms)
+{
+  Question *question, *next;
+
+  cds_list_for_each_entry_safe (question, next, &control->questions, node)
+  {
+    if (front_store_has_news (control->front->store, question->table, question->since)
+        || now_ms - question->asked_ms >= FRONT_NEWS_WAIT_MS)
+      question_answer (question);
+  }
+}
+
+static void
+on_news (struct evhttp_request *http, void *user)
+{
+  FrontControl *control = user;
+  StoreTable table;
+  int64_t since;
+  bool wait;
+
+  if (!front_store_news_parse (evhttp_request_get_uri (http), &table, &since, &wait))
+    reply (http, HTTP_NOTFOUND, NULL);
+  else if (wait && !front_store_has_news (control->front->store, table, since))
+    question_hold (control, http, table, since);
+  else
+    give (control, http, table, since);
+}
+
 /* "IP:PORT" of the settings to a server of its own. */
 static struct evhttp *
 serve (Front *front, const char *text)
@@ -107,6 +180,7 @@
   FrontControl *control = memory_alloc (sizeof *control);
 
   control->front = front;
+  CDS_INIT_LIST_HEAD (&control->questions);
   control->ready = serve (front, front->settings.ready);
   control->control = serve (front, front->settings.control);
   if (!control->ready || !control->control)
--- a/src/front_control.h
+++ b/src/front_control.h
@@ -11,5 +11,8 @@
 /** NULL if an address can't be bound. */
 FrontControl *front_control_new (Front *front);
 void front_control_free (FrontControl *control);
+/** Answers the questions of other fronts that news has come for, or that have waited long enough.
+ */
+void front_control_tick (FrontControl *control, int64_t now_ms);
 
 #endif
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -85,6 +85,7 @@
   front_conn_sweep (&self->front, now_ms);
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
+  front_control_tick (self->control, now_ms);
   stop_check (self, now_ms);
 }
 
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -85,11 +85,14 @@
       if (!xdr_death (xdr, &message->deaths[i]))
         return FALSE;
     }
-  if (!xdr_counted (xdr, &message->address_count, PEER_ADDRESSES_MAX))
+  if (!xdr_counted (xdr, &message->member_count, PEER_MEMBERS_MAX))
     return FALSE;
-  for (unsigned i = 0; i < message->address_count; i++)
+  for (unsigned i = 0; i < message->member_count; i++)
     {
-      if (!xdr_uint32_t (xdr, &message->addresses[i]))
+      PeerMember *member = &message->members[i];
+
+      if (!xdr_uint32_t (xdr, &member->ip) || !xdr_uint32_t (xdr, &member->domain)
+          || !xdr_uint32_t (xdr, &member->age_ms))
         return FALSE;
     }
   return TRUE;
@@ -102,7 +105,8 @@
 
   if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC)
     return FALSE;
-  if (!xdr_hash (xdr, &message->incarnation) || !xdr_uint32_t (xdr, &message->is_ready))
+  if (!xdr_hash (xdr, &message->incarnation) || !xdr_uint32_t (xdr, &message->domain)
+      || !xdr_uint32_t (xdr, &message->is_ready))
     return FALSE;
   for (unsigned i = 0; i < PEER_TABLES; i++)
     {
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -11,12 +11,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define PEER_MESSAGE_MAX   1400 /**< bytes; fits one packet of any network */
-#define PEER_TABLES        3
-#define PEER_ROLLOUTS_MAX  2
-#define PEER_DEATHS_MAX    2
-#define PEER_ADDRESSES_MAX 16
-#define PEER_SESSIONS_MAX  24 /**< of one roll-out */
+#define PEER_MESSAGE_MAX  1400 /**< bytes; fits one packet of any network */
+#define PEER_TABLES       3
+#define PEER_ROLLOUTS_MAX 2
+#define PEER_DEATHS_MAX   2
+#define PEER_MEMBERS_MAX  40 /**< of the known fronts, told in turn */
+#define PEER_SESSIONS_MAX 24 /**< of one roll-out */
 
 /** How a roll-out stands at the sender. */
 typedef struct
@@ -30,17 +30,26 @@
   SessionNews sessions[PEER_SESSIONS_MAX]; /**< that stay on the old version */
 } PeerRollout;
 
+/** Another front, as the sender knows it. */
+typedef struct
+{
+  uint32_t ip;     /**< IPv4, host order */
+  uint32_t domain; /**< hash of its failure domain */
+  uint32_t age_ms; /**< since it was last heard of, by whomever */
+} PeerMember;
+
 typedef struct
 {
   uint64_t incarnation;
+  uint32_t domain; /**< hash of the sender's failure domain */
   uint32_t is_ready;
   int64_t newest[PEER_TABLES]; /**< newest change known of each table */
   uint32_t rollout_count;
   PeerRollout rollouts[PEER_ROLLOUTS_MAX];
   uint32_t death_count;
   QuarantineDeath deaths[PEER_DEATHS_MAX];
-  uint32_t address_count;
-  uint32_t addresses[PEER_ADDRESSES_MAX]; /**< IPv4, host order, of fronts that it heard lately */
+  uint32_t member_count;
+  PeerMember members[PEER_MEMBERS_MAX];
 } PeerMessage;
 
 /** Bytes written; 0 if they don't fit. */
--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -20,19 +20,25 @@
 /* Milliseconds. */
 #define BEAT_MS      500  /* between messages while nothing happens */
 #define BEAT_BUSY_MS 200  /* during a roll-out: its verdict needs the evidence of all */
-#define ALIVE_MS     2200 /* a peer that was not heard of for so long is not counted on */
+#define ALIVE_MS     2600 /* a peer that nobody heard for so long is not counted on */
 #define PROBE_MS     2500 /* between messages to an address that doesn't answer */
 #define AHEAD_MS     350  /* a peer may know more for so long, as the store tells us apart */
 #define FETCH_MS     1500 /* for an answer of a peer */
-#define FANOUT       6    /* peers told at a time */
+#define NEAR_FANOUT  4    /* peers of the own failure domain told at a time */
+#define FAR_FANOUT   3    /* others: bytes between domains have a price */
+#define BOOT_FANOUT  6    /* while hardly anybody is known */
+/* Fronts of each failure domain that follow a table at the store; the others ask one of these. Two
+ * may be lost at once; at 60 fronts a domain one passes changes on to 20. */
+#define FOLLOWERS 3
 
 _Static_assert(PEER_TABLES == STORE_STATUS + 1, "a message tells of the first tables");
 
 typedef struct
 {
   struct sockaddr_in address;
-  uint64_t incarnation; /* 0: never heard of */
-  int64_t heard_ms;
+  uint64_t incarnation; /* 0: it never told us anything itself */
+  uint32_t domain;      /* hash; 0: not known */
+  int64_t heard_ms;     /* by us or another front */
   int64_t sent_ms;
   int64_t newest[PEER_TABLES];
 } Peer;
@@ -43,10 +49,12 @@
   int fd;
   struct event *event;
   struct sockaddr_in own;
+  uint32_t own_domain;
   uint16_t control_port; /* the same at all fronts; network order */
   unsigned count;
   Peer list[PEERS_MAX];
-  unsigned next; /* where the next round of messages begins */
+  unsigned next;        /* where the next round of messages begins */
+  unsigned next_member; /* where the next list of members begins */
   int64_t beat_ms;
   int64_t ahead_since_ms[PEER_TABLES]; /* since when some peer knows more; 0: none does */
   FrontChannel *fetch;                 /* NULL: nothing is being fetched */
@@ -82,7 +90,7 @@
 static bool
 is_alive (const Peer *peer, int64_t now_ms)
 {
-  return peer->incarnation != 0 && now_ms - peer->heard_ms < ALIVE_MS;
+  return peer->heard_ms != 0 && now_ms - peer->heard_ms < ALIVE_MS;
 }
 
 void
@@ -132,6 +140,21 @@
     }
 }
 
+/* A front that another one heard lives, though it may never tell us anything itself. */
+static void
+take_member (FrontPeers *peers, const PeerMember *member, int64_t now_ms)
+{
+  Peer *peer = peer_add (peers, htonl (member->ip));
+  int64_t heard_ms = now_ms - member->age_ms;
+
+  if (!peer)
+    return;
+  if (heard_ms > peer->heard_ms)
+    peer->heard_ms = heard_ms;
+  if (peer->domain == 0)
+    peer->domain = member->domain;
+}
+
 static void
 take_message (FrontPeers *peers, Peer *peer, const PeerMessage *message, int64_t now_ms)
 {
@@ -149,13 +172,14 @@
     }
   peer->incarnation = message->incarnation;
   peer->heard_ms = now_ms;
+  peer->domain = message->domain;
   memcpy (peer->newest, message->newest, sizeof peer->newest);
   for (uint32_t i = 0; i < message->rollout_count; i++)
     take_rollout (front, message, &message->rollouts[i], now_ms);
   for (uint32_t i = 0; i < message->death_count; i++)
     quarantine_add (front->quarantine, &message->deaths[i], now_ms);
-  for (uint32_t i = 0; i < message->address_count; i++)
-    peer_add (peers, htonl (message->addresses[i]));
+  for (uint32_t i = 0; i < message->member_count; i++)
+    take_member (peers, &message->members[i], now_ms);
 }
 
 static void
@@ -181,6 +205,28 @@
     }
 }
 
+/* Tells of some living fronts, others the next time. */
+static void
+members_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
+{
+  unsigned start = peers->count ? peers->next_member % peers->count : 0;
+  unsigned i;
+
+  for (i = 0; i < peers->count && message->member_count < PEER_MEMBERS_MAX; i++)
+    {
+      const Peer *peer = &peers->list[(start + i) % peers->count];
+
+      if (!is_alive (peer, now_ms))
+        continue;
+      message->members[message->member_count++] = (PeerMember){
+        .ip = ntohl (peer->address.sin_addr.s_addr),
+        .domain = peer->domain,
+        .age_ms = (uint32_t)(now_ms - peer->heard_ms),
+      };
+    }
+  peers->next_member = start + i;
+}
+
 static void
 message_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
 {
@@ -189,6 +235,7 @@
 
   memset (message, 0, sizeof *message);
   message->incarnation = front->incarnation;
+  message->domain = peers->own_domain;
   message->is_ready = front_is_ready (front);
   for (unsigned i = 0; i < PEER_TABLES; i++)
     message->newest[i] = front_store_version (front->store, (StoreTable)i);
@@ -210,13 +257,7 @@
   }
   message->death_count
       = (uint32_t)quarantine_news (front->quarantine, message->deaths, PEER_DEATHS_MAX, now_ms);
-  for (unsigned i = 0; i < peers->count && message->address_count < PEER_ADDRESSES_MAX; i++)
-    {
-      const Peer *peer = &peers->list[(peers->next + i) % peers->count];
-
-      if (is_alive (peer, now_ms))
-        message->addresses[message->address_count++] = ntohl (peer->address.sin_addr.s_addr);
-    }
+  members_fill (peers, message, now_ms);
 }
 
 static bool
@@ -232,13 +273,43 @@
   return false;
 }
 
-/* Tells some living peers, in turn, and now and then those that don't answer. */
+/* Whether a message goes to the peer in this round; counts it if so. */
+static bool
+is_told (const FrontPeers *peers, const Peer *peer, unsigned told[3], int64_t now_ms)
+{
+  if (!is_alive (peer, now_ms))
+    return now_ms - peer->sent_ms >= PROBE_MS && told[2]++ < BOOT_FANOUT;
+  if (peer->domain == peers->own_domain)
+    return told[0]++ < NEAR_FANOUT;
+  return told[1]++ < FAR_FANOUT;
+}
+
+/* Tells living peers in turn, most of them in the own failure domain, and now and then those that
+ * don't answer. */
+static void
+tell_some (FrontPeers *peers, const unsigned char *data, size_t len, int64_t now_ms)
+{
+  unsigned told[3] = { 0 };
+
+  for (unsigned i = 0; i < peers->count; i++)
+    {
+      Peer *peer = &peers->list[(peers->next + i) % peers->count];
+
+      if (!is_told (peers, peer, told, now_ms))
+        continue;
+      peer->sent_ms = now_ms;
+      sendto (peers->fd, data, len, 0, (struct sockaddr *)&peer->address, sizeof peer->address);
+      front_counter_add (FRONT_COUNTER_PEER_MESSAGES);
+    }
+  if (peers->count > 0)
+    peers->next = (peers->next + NEAR_FANOUT) % peers->count;
+}
+
 static void
 send_round (FrontPeers *peers, int64_t now_ms)
 {
   unsigned char data[PEER_MESSAGE_MAX];
   PeerMessage message;
-  unsigned told = 0;
   size_t len;
 
   message_fill (peers, &message, now_ms);
@@ -251,19 +322,7 @@
       else
         return;
     }
-  for (unsigned i = 0; i < peers->count && told < FANOUT; i++)
-    {
-      Peer *peer = &peers->list[(peers->next + i) % peers->count];
-
-      if (!is_alive (peer, now_ms) && now_ms - peer->sent_ms < PROBE_MS)
-        continue;
-      peer->sent_ms = now_ms;
-      sendto (peers->fd, data, len, 0, (struct sockaddr *)&peer->address, sizeof peer->address);
-      front_counter_add (FRONT_COUNTER_PEER_MESSAGES);
-      told++;
-    }
-  if (peers->count > 0)
-    peers->next = (peers->next + FANOUT) % peers->count;
+  tell_some (peers, data, len, now_ms);
 }
 
 static void
@@ -296,7 +355,7 @@
   peers->fetch_table = table;
   peers->fetch_since_ms = now_ms;
   peers->fetch_done = false;
-  buffer_printf (&path, "/news/%d", (int)table);
+  front_store_news_path (&path, table, 0, false);
   front_channel_ask (peers->fetch, path.data, NULL, FETCH_MS);
   buffer_free (&path);
 }
@@ -357,18 +416,77 @@
   return count;
 }
 
+static uint64_t
+rank_hash (const struct sockaddr_in *address, uint64_t subject)
+{
+  return id_hash (&address->sin_addr.s_addr, sizeof address->sin_addr.s_addr, subject);
+}
+
+static bool
+is_neighbour (const FrontPeers *peers, const Peer *peer, int64_t now_ms)
+{
+  return peer->domain == peers->own_domain && is_alive (peer, now_ms);
+}
+
+/* How many fronts of our failure domain, ourselves included, come before this hash. */
+static unsigned
+neighbours_before (const FrontPeers *peers, uint64_t hash, uint64_t table, int64_t now_ms)
+{
+  unsigned before = rank_hash (&peers->own, table) > hash;
+
+  for (unsigned i = 0; i < peers->count; i++)
+    {
+      const Peer *peer = &peers->list[i];
+
+      before += is_neighbour (peers, peer, now_ms) && rank_hash (&peer->address, table) > hash;
+    }
+  return before;
+}
+
+bool
+front_peers_source (const FrontPeers *peers,
+                    uint64_t table,
+                    int64_t now_ms,
+                    struct sockaddr_in *address)
+{
+  const Peer *best = NULL;
+  uint64_t best_hash = 0;
+
+  if (neighbours_before (peers, rank_hash (&peers->own, table), table, now_ms) < FOLLOWERS)
+    return false;
+  for (unsigned i = 0; i < peers->count; i++)
+    {
+      const Peer *peer = &peers->list[i];
+      uint64_t hash = rank_hash (&peer->address, table);
+
+      if (!is_neighbour (peers, peer, now_ms)
+          || neighbours_before (peers, hash, table, now_ms) >= FOLLOWERS)
+        continue;
+      /* Each front asks the follower that its own address picks, so that they share the load. */
+      hash = rank_hash (&peer->address, rank_hash (&peers->own, table));
+      if (best && hash <= best_hash)
+        continue;
+      best = peer;
+      best_hash = hash;
+    }
+  if (!best)
+    return false;
+  *address = best->address;
+  address->sin_port = peers->control_port;
+  return true;
+}
+
 unsigned
 front_peers_rank (const FrontPeers *peers, uint64_t subject, int64_t now_ms)
 {
-  uint64_t own = id_hash (&peers->front->incarnation, sizeof peers->front->incarnation, subject);
+  uint64_t own = rank_hash (&peers->own, subject);
   unsigned rank = 0;
 
   for (unsigned i = 0; i < peers->count; i++)
     {
       const Peer *peer = &peers->list[i];
 
-      rank += is_alive (peer, now_ms)
-              && id_hash (&peer->incarnation, sizeof peer->incarnation, subject) > own;
+      rank += is_alive (peer, now_ms) && rank_hash (&peer->address, subject) > own;
     }
   return rank;
 }
@@ -391,6 +509,7 @@
       return NULL;
     }
   peers->own.sin_addr = ip;
+  peers->own_domain = (uint32_t)span_hash (span_of (front->settings.failure_domain)) | 1;
   peers->control_port = control.sin_port;
   if (bind (peers->fd, (struct sockaddr *)&peers->own, sizeof peers->own) != 0)
     {
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -15,6 +15,13 @@
 void front_peers_add (FrontPeers *peers, const char *address);
 /** Sends and fetches what is due. */
 void front_peers_tick (FrontPeers *peers, int64_t now_ms);
+/** Where changes of a table are asked for: true and *address if another front of our failure domain
+ *  follows it at the store and passes its changes on; false: we follow it at the store ourselves.
+ */
+bool front_peers_source (const FrontPeers *peers,
+                         uint64_t table,
+                         int64_t now_ms,
+                         struct sockaddr_in *address);
 /** Number of fronts known to live, this one included. */
 unsigned front_peers_alive (const FrontPeers *peers, int64_t now_ms);
 /** Place of this front, from 0, in an order of the living ones that differs from subject to
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -15,17 +15,21 @@
 #include <string.h>
 
 /* Milliseconds. */
-#define FEED_WAIT_MS   20000 /* the store holds a question for news so long; one call a node */
-#define ANSWER_MS      3000  /* an answer beyond this is lost */
-#define AGAIN_FIRST_MS 120   /* until the next try after an error, doubling */
+#define ANSWER_MS      3000 /* an answer beyond this is lost */
+#define AGAIN_FIRST_MS 120  /* until the next try after an error, doubling */
 #define AGAIN_MOST_MS  1000
 /* After the store's return living servers are listed again within two seconds. */
-#define RELIST_MS       2200
-#define HINT_MS         700 /* a question is asked anew no more often than this */
-#define TURN_MS         300 /* between two fronts' attempts at the same write */
-#define STATUS_GOOD     200
-#define STATUS_CONFLICT 412
-#define STATUS_GONE     410
+#define RELIST_MS 2200
+#define HINT_MS   700 /* a question is asked anew no more often than this */
+/* Between an answer and the next question for changes of the servers: a roll-out or a release
+ * changes them several times a second, each front's call has a price, and a server that leaves
+ * goes on serving for two seconds. */
+#define SERVERS_PAUSE_MS 300
+#define PEER_AGAIN_MS    3000 /* after a failed answer of another front, the store is asked itself */
+#define TURN_MS          300  /* between two fronts' attempts at the same write */
+#define STATUS_GOOD      200
+#define STATUS_CONFLICT  412
+#define STATUS_GONE      410
 
 /* Follows one table: reads all rows, then asks for changes again and again. */
 typedef struct
@@ -43,11 +47,14 @@
   unsigned tries;  /* in a row that failed */
   int64_t back_ms; /* when the store answered again after an error */
   int64_t asked_ms;
+  bool asked_peer;        /* the open question went to another front */
+  int64_t peer_failed_ms; /* when one gave no good answer */
 } Watch;
 
 struct FrontStore
 {
   Front *front;
+  struct sockaddr_in address;
   Watch watches[STORE_TABLES];
   FrontChannel *writer;
   FrontRollout *writing; /* the roll-out whose status is being written; NULL: none */
@@ -329,6 +336,12 @@
   Watch *watch = user;
   StoreAnswer answer;
 
+  if (watch->asked_peer && status != STATUS_GOOD)
+    {
+      watch->peer_failed_ms = clock_boot_ms ();
+      watch_ask (watch);
+      return;
+    }
   if (status == STATUS_GONE)
     {
       watch->loaded = false; /* the changes since our version are forgotten: read all rows */
@@ -352,23 +365,43 @@
       after_news (watch->store, watch->id);
     }
   store_answer_clear (&answer);
-  if (kinds[watch->id].followed || !watch->loaded)
+  if (watch->loaded && watch->id == STORE_SERVERS)
+    again_in (watch, SERVERS_PAUSE_MS);
+  else if (kinds[watch->id].followed || !watch->loaded)
     watch_ask (watch);
 }
 
+/* Changes come from another front of our failure domain if one follows the store for us. */
+static bool
+watch_aim (Watch *watch)
+{
+  FrontStore *store = watch->store;
+  int64_t now_ms = clock_boot_ms ();
+  struct sockaddr_in address = store->address;
+  bool peer = watch->loaded && now_ms - watch->peer_failed_ms > PEER_AGAIN_MS
+              && front_peers_source (store->front->peers, (uint64_t)watch->id, now_ms, &address);
+
+  front_channel_aim (watch->channel, &address);
+  return peer;
+}
+
 static void
 watch_ask (Watch *watch)
 {
   Buffer path = { 0 };
 
   watch->asked_ms = clock_boot_ms ();
-  front_counter_add (FRONT_COUNTER_STORE_CALLS);
-  if (watch->loaded)
-    wire_feed_path (&path, kinds[watch->id].name, watch->table.version, FEED_WAIT_MS);
+  watch->asked_peer = watch_aim (watch);
+  if (!watch->asked_peer)
+    front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  if (watch->asked_peer)
+    front_store_news_path (&path, watch->id, watch->table.version, true);
+  else if (watch->loaded)
+    wire_feed_path (&path, kinds[watch->id].name, watch->table.version, FRONT_NEWS_WAIT_MS);
   else
     wire_rows_path (&path, kinds[watch->id].name, watch->after);
   front_channel_ask (watch->channel, path.data, NULL,
-                     ANSWER_MS + (watch->loaded ? FEED_WAIT_MS : 0));
+                     ANSWER_MS + (watch->loaded ? FRONT_NEWS_WAIT_MS : 0));
   buffer_free (&path);
 }
 
@@ -418,10 +451,49 @@
   after_news (store, table);
 }
 
+bool
+front_store_give (const FrontStore *store, StoreTable table, int64_t since, Buffer *out)
+{
+  const Watch *watch = &store->watches[table];
+
+  if (watch->table.version == 0 || (since != 0 && !front_table_remembers (&watch->table, since)))
+    return false;
+  wire_store_encode (out, &watch->table, since);
+  return true;
+}
+
+bool
+front_store_has_news (const FrontStore *store, StoreTable table, int64_t since)
+{
+  return store->watches[table].table.newest > since;
+}
+
+static const char news_prefix[] = "/news/";
+static const char news_wait[] = "/wait";
+
 void
-front_store_give (const FrontStore *store, StoreTable table, Buffer *out)
+front_store_news_path (Buffer *out, StoreTable table, int64_t since, bool wait)
 {
-  wire_store_encode (out, &store->watches[table].table);
+  buffer_printf (out, "%s%d/%lld%s", news_prefix, (int)table, (long long)since,
+                 wait ? news_wait : "");
+}
+
+bool
+front_store_news_parse (const char *path, StoreTable *table, int64_t *since, bool *wait)
+{
+  Span rest, part;
+  int64_t number;
+
+  if (strncmp (path, news_prefix, strlen (news_prefix)) != 0)
+    return false;
+  rest = span_of (path + strlen (news_prefix));
+  part = span_cut (&rest, '/');
+  if (!span_number (part, &number) || number >= STORE_TABLES)
+    return false;
+  *table = (StoreTable)number;
+  part = span_cut (&rest, '/');
+  *wait = span_is (rest, news_wait + 1);
+  return span_number (part, since) && (rest.text == NULL || *wait);
 }
 
 static void
@@ -548,6 +620,7 @@
     return NULL;
   store = memory_alloc (sizeof *store);
   store->front = front;
+  store->address = address;
   store->writer = front_channel_new (front->base, &address, on_written, store);
   for (unsigned i = 0; i < STORE_TABLES; i++)
     {
@@ -556,6 +629,7 @@
       watch->store = store;
       watch->id = (StoreTable)i;
       watch->back_ms = -RELIST_MS;
+      watch->peer_failed_ms = -PEER_AGAIN_MS;
       front_table_init (&watch->table);
       watch->channel = front_channel_new (front->base, &address, on_answer, watch);
       watch->again = evtimer_new (front->base, on_again, watch);
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -29,8 +29,18 @@
 bool front_store_is_lost (const FrontStore *store, StoreTable table);
 /** All rows of a table as another front has them. */
 void front_store_take (FrontStore *store, StoreTable table, StoreAnswer *answer);
-/** Our rows of a table, in the same form. */
-void front_store_give (const FrontStore *store, StoreTable table, Buffer *out);
+/** Our rows of a table that changed since a version, in the store's own form; all rows if since is
+ *  0. False if we don't know them. */
+bool front_store_give (const FrontStore *store, StoreTable table, int64_t since, Buffer *out);
+/** True if there is a change since the version that front_store_give would tell. */
+bool front_store_has_news (const FrontStore *store, StoreTable table, int64_t since);
+/** Path under which another front gives a table's changes; wait: not before there are some. */
+void front_store_news_path (Buffer *out, StoreTable table, int64_t since, bool wait);
+/** Reads such a path; false if it is none. */
+bool front_store_news_parse (const char *path, StoreTable *table, int64_t *since, bool *wait);
+/** How long a question for changes may be held until there are some. */
+#define FRONT_NEWS_WAIT_MS 20000
+
 /** Writes what the roll-outs' verdicts ask for. Called several times a second. */
 void front_store_tick (FrontStore *store, int64_t now_ms);
 
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define REMOVED_MOST 512 /* removals kept; a roll-out of a large site removes some hundred */
+
 void
 front_table_init (FrontTable *table)
 {
@@ -45,25 +47,42 @@
 {
   TableEntry *entry = find (table, key);
 
-  return entry ? &entry->row : NULL;
+  return entry && !entry->row.removed ? &entry->row : NULL;
 }
 
-/* Moves the row's value into the table. */
 static void
-row_put (FrontTable *table, StoreRow *row)
+forget_oldest_removal (FrontTable *table)
 {
-  TableEntry *entry = find (table, row->key);
+  TableEntry *entry, *oldest = NULL;
+
+  cds_list_for_each_entry (entry, &table->entries, node)
+  {
+    if (entry->row.removed && (!oldest || entry->row.version < oldest->row.version))
+      oldest = entry;
+  }
+  table->forgotten = oldest->row.version;
+  table->removed_count--;
+  entry_free (oldest);
+}
 
+/* Moves the row's key and value into the table. */
+static void
+row_put (FrontTable *table, TableEntry *entry, StoreRow *row)
+{
   if (!entry)
     {
       entry = memory_alloc (sizeof *entry);
       cds_list_add_tail (&entry->node, &table->entries);
     }
+  table->removed_count += row->removed;
+  table->removed_count -= entry->row.removed;
   free (entry->row.key);
   free (entry->row.value);
   entry->row = *row;
   row->key = NULL;
   row->value = NULL;
+  if (table->removed_count > REMOVED_MOST)
+    forget_oldest_removal (table);
 }
 
 static void
@@ -75,11 +94,15 @@
     table->newest = row->version;
   if (entry && row->version <= entry->row.version)
     return;
-  change (user, row);
-  if (!row->removed)
-    row_put (table, row);
-  else if (entry)
-    entry_free (entry);
+  if (!row->removed || (entry && !entry->row.removed))
+    change (user, row);
+  row_put (table, entry, row);
+}
+
+bool
+front_table_remembers (const FrontTable *table, int64_t since)
+{
+  return since >= table->forgotten;
 }
 
 static void
@@ -108,6 +131,15 @@
   return false;
 }
 
+/* The row is not among all rows of a later version. That doesn't tell when it was removed, so it is
+ * no newest change. */
+static void
+row_gone (FrontTable *table, TableEntry *entry, StoreRow *gone, TableChange change, void *user)
+{
+  change (user, gone);
+  row_put (table, entry, gone);
+}
+
 void
 front_table_snapshot (FrontTable *table, StoreAnswer *answer, TableChange change, void *user)
 {
@@ -115,12 +147,13 @@
 
   cds_list_for_each_entry_safe (entry, next, &table->entries, node)
   {
-    StoreRow gone = { .key = entry->row.key, .version = answer->version, .removed = true };
+    StoreRow gone
+        = { .key = memory_strdup (entry->row.key), .version = answer->version, .removed = true };
 
-    if (entry->row.version > answer->version || has_key (answer, entry->row.key))
-      continue;
-    change (user, &gone);
-    entry_free (entry);
+    if (!entry->row.removed && entry->row.version <= answer->version
+        && !has_key (answer, entry->row.key))
+      row_gone (table, entry, &gone, change, user);
+    free (gone.key);
   }
   front_table_changes (table, answer, change, user);
 }
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -11,7 +11,7 @@
 typedef struct
 {
   struct cds_list_head node;
-  StoreRow row;
+  StoreRow row; /**< removed rows are kept for a while, to be told to others */
 } TableEntry;
 
 typedef struct
@@ -20,6 +20,8 @@
   int64_t version; /**< of the store, up to which all changes are known; 0: none read yet */
   int64_t newest;  /**< version of the newest change seen: tells who knows more, where version
                         also rises without changes */
+  unsigned removed_count;
+  int64_t forgotten; /**< removals up to this version are no longer kept */
 } FrontTable;
 
 /** Told of each row that is new, changed or gone. */
@@ -31,6 +33,8 @@
 void front_table_changes (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
 /** Takes all rows as of a version: what is missing in them is gone, unless it is newer. */
 void front_table_snapshot (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
+/** True if all changes since a version can still be told. */
+bool front_table_remembers (const FrontTable *table, int64_t since);
 /** NULL if there is none. */
 const StoreRow *front_table_find (const FrontTable *table, const char *key);
 
--- a/tests/test_front_peer_message.c
+++ b/tests/test_front_peer_message.c
@@ -19,8 +19,8 @@
   message.death_count = 1;
   message.deaths[0].count = 3;
   message.deaths[0].flights[2] = 8;
-  message.address_count = 2;
-  message.addresses[1] = 0x0a000001;
+  message.member_count = 2;
+  message.members[1] = (PeerMember){ .ip = 0x0a000001, .domain = 3, .age_ms = 40 };
   return message;
 }
 
@@ -66,7 +66,7 @@
         continue;
       CU_ASSERT (out.rollout_count <= PEER_ROLLOUTS_MAX);
       CU_ASSERT (out.death_count <= PEER_DEATHS_MAX);
-      CU_ASSERT (out.address_count <= PEER_ADDRESSES_MAX);
+      CU_ASSERT (out.member_count <= PEER_MEMBERS_MAX);
     }
   data[0] ^= 1;
   CU_ASSERT (!peer_message_decode (&out, data, len));
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -282,7 +282,7 @@
         "a=3 ");
   take (&table, false, "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"MQ==\",\"Ver\":5}],\"Ver\":12}", "");
   CU_ASSERT_STRING_EQUAL (front_table_find (&table, "a")->value, "3");
-  wire_store_encode (&out, &table);
+  wire_store_encode (&out, &table, 0);
   take (&other, true, out.data, "a=3 b=2 ");
   CU_ASSERT_EQUAL (other.version, 12);
   /* All rows as of a version: what is missing is gone, but not what is newer than that. */
@@ -292,6 +292,12 @@
         "-a= ");
   CU_ASSERT_PTR_NULL (front_table_find (&table, "a"));
   CU_ASSERT_EQUAL (table.newest, 15);
+  /* Another front hears of the changes since what it knows, the removal among them. */
+  buffer_clear (&out);
+  wire_store_encode (&out, &table, 12);
+  take (&other, false, out.data, "-a= ");
+  CU_ASSERT_PTR_NULL (front_table_find (&other, "a"));
+  CU_ASSERT (front_table_remembers (&table, 1));
   buffer_free (&out);
   front_table_clear (&table);
   front_table_clear (&other);
