--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -305,6 +305,28 @@
     peers->next = (peers->next + NEAR_FANOUT) % peers->count;
 }
 
+/* Leaves out what will be told in later messages anyway; false if nothing is left. */
+static bool
+message_shorten (PeerMessage *message)
+{
+  if (message->member_count > 0)
+    {
+      message->member_count /= 2;
+      return true;
+    }
+  for (uint32_t i = 0; i < message->rollout_count; i++)
+    {
+      if (message->rollouts[i].session_count == 0)
+        continue;
+      message->rollouts[i].session_count /= 2;
+      return true;
+    }
+  if (message->death_count == 0)
+    return false;
+  message->death_count--;
+  return true;
+}
+
 static void
 send_round (FrontPeers *peers, int64_t now_ms)
 {
@@ -315,11 +337,7 @@
   message_fill (peers, &message, now_ms);
   while ((len = peer_message_encode (&message, data, sizeof data)) == 0)
     {
-      if (message.death_count > 0)
-        message.death_count--;
-      else if (message.rollout_count > 0)
-        message.rollout_count--;
-      else
+      if (!message_shorten (&message))
         return;
     }
   tell_some (peers, data, len, now_ms);
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -9,6 +9,10 @@
  * may get 15 of 100 requests; a tenth leaves room for retries and for what is in flight when it
  * is stopped, and brings the evidence for a verdict within seconds. */
 #define FIRST_SHARE 0.08
+/* With many servers there are many requests, and so many sessions that go on over the order; a
+ * smaller share brings the same number of answers and leaves fewer sessions to be told of. */
+#define LARGE_SERVERS     40
+#define FIRST_SHARE_LARGE 0.04
 /* The second half: all sessions have moved after this part of the whole time, which leaves the rest
  * for the answers in progress on the old version to end. */
 #define HALF         0.5
@@ -19,7 +23,8 @@
 /* After the order no session begins on the new version for so long, in which nodes tell each other
  * of the sessions that run on the old one: a session that came to another node moved to the new
  * version in the first half otherwise. */
-#define HOLD_MS 800
+#define HOLD_MS       800
+#define HOLD_LARGE_MS 2500 /* a message reaches each of 70 fronts in about ten rounds */
 /* The last moment to report success: the write needs to be accepted before the time is over. */
 #define LATEST_MS 2000
 /* A node that was not heard of for so long is dead or cut off, and holds nothing up. */
@@ -75,8 +80,25 @@
   return rollout;
 }
 
+static unsigned
+servers_of (FrontServers *servers, const char *service, const char *but_version)
+{
+  FrontServer *server;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    count += server->listed && strcmp (server->entry.service, service) == 0
+             && strcmp (server->entry.version, but_version) != 0;
+  }
+  return count;
+}
+
 bool
-front_rollouts_order (FrontRollouts *rollouts, const RolloutOrder *order, int64_t now_ms)
+front_rollouts_order (FrontRollouts *rollouts,
+                      FrontServers *servers,
+                      const RolloutOrder *order,
+                      int64_t now_ms)
 {
   FrontRollout *rollout = front_rollouts_get (rollouts, order->service);
 
@@ -88,6 +110,7 @@
   rollout->started_ms = now_ms;
   rollout->learned_ms = now_ms;
   rollout->status_version = 0;
+  rollout->is_large = servers_of (servers, order->service, order->target) >= LARGE_SERVERS;
   rollout->is_bad = false;
   rollout->has_verdict = false;
   rollout->old_running = 0;
@@ -181,6 +204,12 @@
   }
 }
 
+static double
+first_share (const FrontRollout *rollout)
+{
+  return rollout->is_large ? FIRST_SHARE_LARGE : FIRST_SHARE;
+}
+
 double
 front_rollout_share (const FrontRollout *rollout, int64_t now_ms)
 {
@@ -193,9 +222,9 @@
   if (rollout->state == FRONT_ROLLOUT_COMPLETED)
     return 1;
   if (passed < HALF)
-    return FIRST_SHARE;
+    return first_share (rollout);
   moved = (passed - HALF) / (ALL_MOVED_AT - HALF);
-  return moved >= 1 ? 1 : FIRST_SHARE + (1 - FIRST_SHARE) * moved;
+  return moved >= 1 ? 1 : first_share (rollout) + (1 - first_share (rollout)) * moved;
 }
 
 static bool
@@ -228,12 +257,13 @@
   uint64_t runs_on = front_sessions_version (rollouts->sessions, session, now_ms);
   bool first_half = now_ms - rollout->started_ms
                     < (int64_t)(HALF * (double)rollout->order.duration_ms) + HALF_MARGIN_MS;
+  int64_t hold_ms = rollout->is_large ? HOLD_LARGE_MS : HOLD_MS;
 
   if (rollout->is_bad)
     return rollout->base;
   if (runs_on == span_hash (span_of (rollout->order.target)))
     return rollout->order.target;
-  if (first_half && (runs_on != 0 || now_ms - rollout->learned_ms < HOLD_MS))
+  if (first_half && (runs_on != 0 || now_ms - rollout->learned_ms < hold_ms))
     return rollout->base;
   return is_in_share (rollout, session, now_ms) ? rollout->order.target : rollout->base;
 }
@@ -264,18 +294,18 @@
 static bool
 is_in_first_share (const void *context, uint64_t session)
 {
-  return (double)(session % SHARE_STEPS) < FIRST_SHARE * SHARE_STEPS;
+  return (double)(session % SHARE_STEPS) < first_share (context) * SHARE_STEPS;
 }
 
 unsigned
 front_rollouts_held_sessions (const FrontRollouts *rollouts,
-                              const FrontRollout *rollout,
+                              FrontRollout *rollout,
                               SessionNews *out,
                               unsigned max,
                               int64_t now_ms)
 {
   return front_sessions_list (rollouts->sessions, span_hash (span_of (rollout->base)),
-                              is_in_first_share, NULL, out, max, now_ms);
+                              is_in_first_share, rollout, &rollout->held_cursor, out, max, now_ms);
 }
 
 void
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -43,6 +43,8 @@
   bool has_verdict;       /**< verdict is to be written */
   FrontRolloutState verdict;
   int64_t verdict_ms;     /**< since when */
+  bool is_large;          /**< many servers: a smaller share brings as much evidence */
+  unsigned held_cursor;   /**< where the next list of held sessions begins */
   uint32_t old_running;   /**< our requests on the old version */
   FrontEvidence evidence; /**< our own */
   unsigned peer_count;
@@ -58,8 +60,11 @@
 FrontRollout *front_rollouts_get (FrontRollouts *rollouts, const char *service);
 struct cds_list_head *front_rollouts_list (FrontRollouts *rollouts);
 
-/** An order was read; false if it is no news. */
-bool front_rollouts_order (FrontRollouts *rollouts, const RolloutOrder *order, int64_t now_ms);
+/** An order was read; false if it is no news. servers tells how large the service is. */
+bool front_rollouts_order (FrontRollouts *rollouts,
+                           FrontServers *servers,
+                           const RolloutOrder *order,
+                           int64_t now_ms);
 /** The order's row is gone. */
 void front_rollouts_order_removed (FrontRollouts *rollouts, const char *service);
 /** A status was read or written, or another node told it. A status older than the order is of an
@@ -84,7 +89,7 @@
 /** Sessions that run on the old version though new ones like them would begin on the new one: other
  *  nodes must know of them, as a session may come to any node. */
 unsigned front_rollouts_held_sessions (const FrontRollouts *rollouts,
-                                       const FrontRollout *rollout,
+                                       FrontRollout *rollout,
                                        SessionNews *out,
                                        unsigned max,
                                        int64_t now_ms);
--- a/src/front_sessions.c
+++ b/src/front_sessions.c
@@ -134,15 +134,16 @@
                      uint64_t version,
                      bool (*filter) (const void *context, uint64_t session),
                      const void *context,
+                     unsigned *cursor,
                      SessionNews *out,
                      unsigned max,
                      int64_t now_ms)
 {
-  unsigned count = 0;
+  unsigned count = 0, steps = 0;
 
-  for (unsigned i = 0; i < SLOTS && count < max; i++)
+  for (; steps < SLOTS && count < max; steps++)
     {
-      const Session *slot = &sessions->slots[i];
+      const Session *slot = &sessions->slots[(*cursor + steps) & (SLOTS - 1)];
 
       if (slot->session == 0 || slot->version != version || !is_active (sessions, slot, now_ms)
           || !filter (context, slot->session))
@@ -151,5 +152,6 @@
       out[count].age_ms = slot->open ? 0 : (uint32_t)(now_ms - slot->used_ms);
       count++;
     }
+  *cursor += steps;
   return count;
 }
--- a/src/front_sessions.h
+++ b/src/front_sessions.h
@@ -31,11 +31,13 @@
   uint32_t age_ms; /**< since its last request; 0: one is in progress */
 } SessionNews;
 
-/** Lists the active sessions on the version that the filter takes; returns their number. */
+/** Lists the active sessions on the version that the filter takes, from where the cursor was left;
+ *  returns their number. */
 unsigned front_sessions_list (const FrontSessions *sessions,
                               uint64_t version,
                               bool (*filter) (const void *context, uint64_t session),
                               const void *context,
+                              unsigned *cursor,
                               SessionNews *out,
                               unsigned max,
                               int64_t now_ms);
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -129,7 +129,7 @@
     }
   if (!wire_rollout_decode ((Span){ .text = row->value, .len = row->value_len }, row->version,
                             &order)
-      || !front_rollouts_order (front->rollouts, &order, clock_boot_ms ()))
+      || !front_rollouts_order (front->rollouts, front->servers, &order, clock_boot_ms ()))
     return;
   line = front_log_begin (FRONT_EVENT_ORDER);
   front_log_text (line, "service", order.service);
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -52,7 +52,7 @@
     .service = "drafts", .target = "v2", .duration_ms = DURATION, .row_version = row_version
   };
 
-  CU_ASSERT (front_rollouts_order (rollouts, &text, now_ms));
+  CU_ASSERT (front_rollouts_order (rollouts, servers, &text, now_ms));
 }
 
 static const char *
