--- /dev/null
+++ b/regress/front/cases.py
@@ -0,0 +1,382 @@
+"""Whole-path cases of lovage-front against the stand-ins: cases.py PROGRAM [CASE...].
+
+Each case has a site of its own. Bounds of time are those that users are promised, widened for a busy
+machine where a case would otherwise fail for the machine's sake.
+"""
+
+import asyncio
+import json
+import shutil
+import signal
+import sys
+import time
+import traceback
+
+from check import attempt_faults, site_faults
+from engines import digest, whole_stream
+from site_front import CALLERS, CONTROL, KEY, MODELS, Site, exchange
+
+BUSY_S = 10  # for what takes a moment on an idle machine
+
+
+def equal(found, expected, what):
+    if found != expected:
+        raise AssertionError(f"{what}: expected {expected!r}, found {found!r}")
+
+
+def check(site, *answers):
+    faults = [fault for answer in answers for fault in attempt_faults(site, answer)]
+    if faults:
+        raise AssertionError("; ".join(faults))
+
+
+def log_events(site, name):
+    found = []
+    for front in site.fronts:
+        with open(front.log, encoding="utf-8") as lines:
+            found += [line for line in map(json.loads, lines) if line["event"] == name]
+    return found
+
+
+async def calm(site):
+    """Streams, orders and look-ups are answered whole, on kept connections too, at each front."""
+    for front in site.fronts:
+        keep = await asyncio.open_connection(front.ip, CALLERS)
+        for number in range(5):
+            for path in ("/text/a", "/once/b", "/again/c"):
+                answer = await site.call(front, f"{path}{number}", b"body%d" % number, keep=keep)
+                equal((answer.status, answer.whole), (200, True), path)
+                check(site, answer)
+        keep[1].close()
+    equal(len(site.runs), len(site.fronts) * 15, "arrivals at engines")
+
+
+async def refusals(site):
+    """A caller learns at once what is wrong: no such route, an unknown key, an unreadable request."""
+    front = site.fronts[0]
+    equal((await site.call(front, "/none/")).status, 404, "no route")
+    equal((await site.call(front, "/once/a", key="other")).status, 401, "unknown key")
+    equal((await site.call(front, "/once/a", b"x" * 70000)).status, 413, "long body")
+    bad = [
+        b"POST /once/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET /once/a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"\x16\x03\x01 nonsense\r\n\r\n",
+    ]
+    for data in bad:
+        answer = await exchange((front.ip, CALLERS), data, timeout=BUSY_S)
+        equal((answer.status, answer.fields.get("connection")), (400, "close"), repr(data[:30]))
+    equal(len(site.runs), 0, "arrivals at engines")
+
+
+async def cascade(site):
+    """The smallest model answers; what it doesn't trust is asked of the largest, and the caller gets
+    one whole answer of one model."""
+    texts = [engine for engine in site.engines if engine.service == "texts"]
+    first = await site.call(site.fronts[0], "/text/a", b"easy")
+    equal(first.body, whole_stream(MODELS[0], b"easy"), "the smallest model's answer")
+    for engine in texts:
+        engine.confidence = 20
+    second = await site.call(site.fronts[0], "/text/a", b"hard")
+    equal(second.body, whole_stream(MODELS[1], b"hard"), "the largest model's answer")
+    check(site, first, second)
+
+
+async def resume(site):
+    """An engine stops within an event or resets. The caller's stream goes on at another engine, with
+    no event missing or twice."""
+    for mode in ("half", "cut"):
+        for engine in site.engines:
+            engine.mode = mode if engine.service == "texts" and engine is site.engines[0] else "ok"
+        for number in range(6):
+            answer = await site.call(site.fronts[number % 2], "/text/a", b"%s%d" % (mode.encode(), number))
+            equal((answer.status, answer.whole), (200, True), mode)
+            check(site, answer)
+    if not any(line["verdict"] == "now" for line in log_events(site, "request_resume")):
+        raise AssertionError("no stream was resumed")
+
+
+async def run_once(site):
+    """An order's engine runs it and its answer is lost. Nothing runs it again, and the caller isn't
+    told that it did not run."""
+    for mode in ("lost", "half", "foreign", "unsigned", "error"):
+        for engine in site.engines:
+            engine.mode = mode
+        answer = await site.call(site.fronts[0], f"/once/{mode}", b"order")
+        equal(answer.status, 500 if mode == "error" else 502, mode)
+        equal(len(site.runs_of(answer)), 1, f"runs of the order, {mode}")
+        check(site, answer)
+        idempotent = await site.call(site.fronts[0], f"/again/{mode}", b"look")
+        check(site, idempotent)
+
+
+async def not_run(site):
+    """All engines are full. An order is refused at once with a time to come back, and the promise
+    that it did not run is kept."""
+    for engine in site.engines:
+        engine.mode = "full"
+    answer = await site.call(site.fronts[0], "/once/a", b"order")
+    equal(answer.status, 503, "refusal")
+    if float(answer.fields["retry-after"]) <= 0:
+        raise AssertionError("no time to come back")
+    equal([run.executed for run in site.runs_of(answer)].count(True), 0, "runs")
+    if answer.ended_at - answer.sent_at > 1:
+        raise AssertionError("the refusal was held back")
+
+
+async def caller_leaves(site):
+    """A caller gives up in the middle of a stream; the engine's work ends with it."""
+    for engine in site.engines:
+        engine.delay = 3.0
+    answer = await site.call(site.fronts[0], "/text/a", b"long", timeout=0.5)
+    await asyncio.sleep(0.5)
+    runs = site.runs_of(answer)
+    if not runs or any(run.ended == 0 for run in runs):
+        raise AssertionError("an engine still works for a caller that left")
+
+
+async def timeouts(site):
+    """An engine takes a request and is silent. At the route's time-out the caller has an answer."""
+    for engine in site.engines:
+        engine.mode = "mute"
+    answer = await site.call(site.fronts[0], "/once/a", b"order")
+    equal(answer.status, 504, "answer")
+    if not 2.4 < answer.ended_at - answer.sent_at < 2.5 + BUSY_S:
+        raise AssertionError("not at the route's time-out")
+
+
+async def planned_stop(site):
+    """A front is stopped while it streams. The stream is finished, the balancer is told, idle
+    connections are closed, and the process ends well before it would be killed."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.delay = 1.0
+    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
+    await asyncio.sleep(0.3)
+    began = time.monotonic()
+    front.signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    equal(await front.is_ready(), False, "ready while stopping")
+    answer = await stream
+    equal((answer.status, answer.whole), (200, True), "the stream")
+    equal(await front.stop(), 0, "exit status")
+    if time.monotonic() - began > 8:
+        raise AssertionError("the stop took too long")
+
+
+async def new_configuration(site):
+    """A version removes a key and a route and adds others; each front goes by it within two seconds,
+    and never back."""
+    site.keys = ["key-two"]
+    site.routes[1] = {**site.routes[1], "Prefix": "/moved/"}
+    await site.configure()
+    await asyncio.sleep(2.0)
+    for front in site.fronts:
+        equal((await site.call(front, "/again/a")).status, 401, "the old key")
+        equal((await site.call(front, "/once/a", key="key-two")).status, 404, "the old route")
+        equal((await site.call(front, "/moved/a", key="key-two")).status, 200, "the new route")
+    await site.store.put("op", "config", json.dumps({"Version": 9999, "Routes": [{"Kind": "odd"}]}))
+    await asyncio.sleep(0.5)
+    equal((await site.call(site.fronts[0], "/moved/a", key="key-two")).status, 200, "after an unreadable one")
+
+
+async def turned_away(site):
+    """The store turns one front away while a key is revoked and an engine leaves. It learns both
+    from the others."""
+    front = site.fronts[0]
+    for mode in ("busy", "reset", "silent"):
+        front.door.set(mode)
+        site.keys = [f"key-{mode}"]
+        await site.configure()
+
+        async def knows(key=site.keys[0]):
+            return (await site.call(front, "/again/a", key=key)).status == 200
+
+        await site.wait(knows, f"the new key while the store is {mode}", BUSY_S)
+        equal((await site.call(front, "/again/a", key=KEY)).status, 401, "the revoked key")
+        front.door.set("ok")
+    front.door.set("busy")
+    leaving = site.engines[-1]
+    await leaving.drain()
+    await asyncio.sleep(2.0)
+    site.runs.clear()
+    for number in range(20):
+        await site.call(front, f"/again/{number}", key=site.keys[0])
+    if any(run.engine is leaving for run in site.runs):
+        raise AssertionError("a leaving engine got new work")
+
+
+async def start_without_store(site):
+    """All that a restarted front can ask are the other fronts: the store is away for it."""
+    front = site.fronts[1]
+    front.door.set("busy")
+    await front.kill()
+    await front.start()
+    await site.wait(front.is_ready, "ready with what the others know")
+    answer = await site.call(front, "/once/a", b"x")
+    equal(answer.status, 200, "an order")
+
+
+async def forgotten_history(site):
+    """The store drops its history while an engine leaves and a version is written."""
+    site.store.forget()
+    await site.engines[-1].leave()
+    site.store.forget()
+    site.keys = ["key-new"]
+    await site.configure()
+    site.store.forget()
+
+    async def known():
+        return (await site.call(site.fronts[0], "/again/a", key="key-new")).status == 200
+
+    await site.wait(known, "the new key", BUSY_S)
+
+
+async def lost_write(site):
+    """A roll-out's status is written and the answer lost. It is written once, not twice, and the
+    roll-out goes on."""
+    for front in site.fronts:
+        front.door.set("lost")
+    for _ in range(2):
+        await site.add_engine("texts", "v2").start()
+    await site.store.put("op", "rollout/texts", json.dumps({"Service": "texts", "Target": "v2", "RampS": 60}))
+    await asyncio.sleep(1)
+    for front in site.fronts:
+        front.door.set("ok")
+
+    async def running():
+        return (site.store.get("status", "rollout/texts") or {}).get("State") == "running"
+
+    await site.wait(running, "the status", BUSY_S)
+
+
+async def traffic(site, until, prefix="/text/", keep_failed=None):
+    """Calls in turn at all fronts until a moment; returns the answers."""
+    answers = []
+    number = 0
+    while time.monotonic() < until:
+        batch = [
+            site.call(front, f"{prefix}{number}", b"%d.%d" % (number, front.number)) for front in site.fronts
+        ]
+        answers += await asyncio.gather(*batch)
+        number += 1
+    return answers
+
+
+async def good_rollout(site):
+    """A good version: sessions begin on it by and by, it is reported completed within its time, and
+    from then on nothing runs on the old one."""
+    for _ in range(2):
+        await site.add_engine("texts", "v2").start()
+    await site.store.put("op", "rollout/texts", json.dumps({"Service": "texts", "Target": "v2", "RampS": 10}))
+    began = time.monotonic()
+    answers = await traffic(site, began + 9.5)
+    check(site, *answers)
+    equal([answer.status for answer in answers if answer.status != 200], [], "other answers")
+    equal(site.store.get("status", "rollout/texts")["State"], "completed", "status")
+    early = [run for run in site.runs if run.at < began + 4 and run.engine.service == "texts"]
+    moved = sum(run.engine.version == "v2" for run in early) / len(early)
+    if moved > 0.15:
+        raise AssertionError(f"{moved:.2f} of the work went to the new version early on")
+    site.runs.clear()
+    check(site, *await traffic(site, time.monotonic() + 1))
+    if any(run.engine.version == "v1" for run in site.runs if run.engine.service == "texts"):
+        raise AssertionError("the old version still gets work")
+
+
+async def bad_rollout(site):
+    """A version that fails all requests is stopped everywhere after few of them."""
+    for _ in range(2):
+        engine = site.add_engine("texts", "v2")
+        engine.mode = "error"
+        await engine.start()
+    await site.store.put("op", "rollout/texts", json.dumps({"Service": "texts", "Target": "v2", "RampS": 20}))
+    answers = await traffic(site, time.monotonic() + 6)
+    equal(site.store.get("status", "rollout/texts")["State"], "rolled_back", "status")
+    bad = [run for run in site.runs if run.engine.version == "v2"]
+    if not 1 <= len(bad) <= 50:
+        raise AssertionError(f"{len(bad)} requests reached the bad version")
+    check(site, *answers)
+
+
+async def crash_request(site):
+    """One request kills each engine that runs it, and its caller sends it again and again. After
+    three engines it is refused everywhere."""
+    for _ in range(4):
+        await site.add_engine("orders").start()
+    killer = digest(b"killer").encode()
+    refused = 0
+    for number in range(8):
+        for engine in site.engines:
+            engine.mode = "lost" if engine.service == "orders" else "ok"
+        answer = await site.call(site.fronts[number % len(site.fronts)], "/again/kill", killer)
+        refused += answer.status == 503
+        await asyncio.sleep(1.2)
+    if refused < 4:
+        raise AssertionError(f"refused only {refused} of 8 times")
+    for engine in site.engines:
+        engine.mode = "ok"
+    equal((await site.call(site.fronts[0], "/again/other", b"innocent")).status, 200, "another request")
+
+
+async def leaving_engine(site):
+    """Engines drain or vanish from the list while requests come; none gets new work after two
+    seconds."""
+    await site.engines[0].drain()
+    await site.engines[-1].leave()
+    await traffic(site, time.monotonic() + 4, "/again/")
+    faults = site_faults(site, lambda at: 0)
+    equal(faults, [], "faults")
+
+
+async def metrics_and_logs(site):
+    """On-call engineers see each decision on a request by its id, and counters on the control
+    address."""
+    answer = await site.call(site.fronts[0], "/once/a", b"x")
+    refused = await site.call(site.fronts[0], "/none/")
+    text = (await site.fronts[0].get(CONTROL, "/metrics")).body.decode()
+    for line in ("lovage_front_requests_total 2", "lovage_front_answered_total 1", "lovage_front_refused_total 1"):
+        if line not in text:
+            raise AssertionError(f"no \"{line}\" among the metrics")
+    story = [e["event"] for name in ("request_sent", "request_answered") for e in log_events(site, name) if e["request"] == answer.request]
+    equal(story, ["request_sent", "request_answered"], "the request's lines")
+    reasons = [e["reason"] for e in log_events(site, "request_refused") if e["request"] == refused.request]
+    equal(reasons, ["no_route"], "the refusal's reason")
+
+
+CASES = [
+    calm, refusals, cascade, resume, run_once, not_run, caller_leaves, timeouts, planned_stop, new_configuration,
+    turned_away, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, crash_request,
+    leaving_engine, metrics_and_logs,
+]  # fmt: skip
+
+
+async def play(program, case):
+    site = Site(program)
+    passed = False
+    try:
+        await site.start()
+        await case(site)
+        for front in site.fronts:
+            if front.process.returncode not in (None, 0) and front.process.returncode > 0:
+                raise AssertionError(f"front {front.number} ended with {front.process.returncode}")
+        passed = True
+    except Exception:  # any failure of a case is reported and the next one played
+        traceback.print_exc()
+    finally:
+        await site.stop()
+    print(f"{case.__name__}: {'passed' if passed else 'FAILED, logs in ' + site.folder}", flush=True)
+    if passed:
+        shutil.rmtree(site.folder)
+    return passed
+
+
+def main():
+    program, names = sys.argv[1], sys.argv[2:]
+    chosen = [case for case in CASES if not names or case.__name__ in names]
+    results = [asyncio.run(play(program, case)) for case in chosen]
+    print(f"{results.count(True)} of {len(results)} cases passed")
+    return 0 if all(results) and results else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/regress/front/engines.py
@@ -0,0 +1,174 @@
+"""Stand-in of the users' model engines and plain services.
+
+What an engine answers follows from the request alone, so that a caller can tell its own whole
+answer from any other. Every arrival is recorded, for the checks.
+"""
+
+import asyncio
+import hashlib
+import json
+import time
+from dataclasses import dataclass
+
+from wire import abort, answer, read_request
+
+EVENTS = 12
+EVENT_S = 0.004
+NOT_RUN = {"Lovagehub_Not_Executed": 1}
+
+
+def digest(*parts):
+    return hashlib.sha256(b"\0".join(p if isinstance(p, bytes) else p.encode() for p in parts)).hexdigest()[:16]
+
+
+def event(model, body, number):
+    return f"id: {number}\ndata: {digest(model, body, str(number))}\n\n".encode()
+
+
+def whole_stream(model, body, after=-1):
+    return b"".join(event(model, body, number) for number in range(after + 1, EVENTS))
+
+
+def plain_answer(method, target, body):
+    return digest(method, target, body).encode() * 20
+
+
+@dataclass
+class Run:
+    """One arrival of a request at an engine."""
+
+    request: str
+    engine: "Engine"
+    fields: dict
+    at: float
+    executed: bool = False
+    ended: float = 0.0
+
+
+class Engine:
+    """modes: ok; mute (takes the request and answers nothing), half (stops within an event), cut
+    (resets within the answer), full (runs nothing), error (fails what it runs), unsigned, foreign
+    (answers another request), unframed (no length), lost (runs it and resets)."""
+
+    def __init__(self, world, name, service, address, version="v1", domain="a", models=()):
+        self.world, self.name, self.service = world, name, service
+        self.address, self.version, self.domain, self.models = address, version, domain, models
+        self.mode, self.state, self.delay = "ok", "ready", 0.0
+        self.confidence = 90
+        self.writers = set()
+        self.left_at = None  # when the store acknowledged that it leaves
+
+    @property
+    def streams(self):
+        return bool(self.models)
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, *self.address)
+        await self.report()
+
+    async def report(self):
+        entry = {
+            "Service": self.service, "Address": f"{self.address[0]}:{self.address[1]}", "Zone": self.domain,
+            "Version": self.version, "Slots": 8, "State": self.state, "ColdLeftMs": 0, "Seq": 1,
+        }  # fmt: skip
+        await self.world.store.put("servers", self.name, json.dumps(entry))
+
+    async def drain(self):
+        self.state = "draining"
+        await self.report()
+        self.left_at = time.monotonic()
+
+    async def leave(self):
+        await self.world.store.put("servers", self.name, None)
+        self.left_at = self.left_at or time.monotonic()
+
+    async def crash(self):
+        """Ends all connections and takes no new ones; the entry stays until leave."""
+        self.server.close()
+        for writer in list(self.writers):
+            abort(writer)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            if request := await read_request(reader):
+                await self.handle(request, reader, writer)
+        except (OSError, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def handle(self, request, reader, writer):
+        run = Run(request.fields.get("lovagehub-request-id", ""), self, request.fields, time.monotonic())
+        self.world.runs.append(run)
+        if request.fields.get("lovagehub-target-instance") != self.name:
+            writer.write(answer(421, Lovagehub_Instance_Id=self.name))
+            return
+        if self.mode == "full":
+            writer.write(answer(503, **NOT_RUN))
+            return
+        run.executed = True
+        run.body = request.body
+        run.line = (request.method, request.target)
+        gone = asyncio.ensure_future(reader.read(1))  # ends when the caller's side closes
+        work = asyncio.ensure_future(self.work(request, writer))
+        await asyncio.wait([gone, work], return_when=asyncio.FIRST_COMPLETED)
+        for task in (gone, work):
+            task.cancel()
+        run.ended = time.monotonic()
+
+    def head(self, request, **more):
+        asked = request.fields.get("lovagehub-request-id", "")
+        fields = {"Lovagehub_Request_Id": "other" if self.mode == "foreign" else asked, **more}
+        if self.mode != "unsigned":
+            fields["Lovagehub_Server_Signature"] = f"sig.{self.name}"
+        return fields
+
+    async def work(self, request, writer):
+        await asyncio.sleep(self.delay)
+        if self.mode == "mute":
+            await asyncio.sleep(3600)
+        if self.mode == "lost":
+            abort(writer)
+        elif self.mode == "error":
+            writer.write(answer(500, b"failed", **self.head(request)))
+        elif self.streams:
+            await self.stream(request, writer)
+        else:
+            await self.plain(request, writer)
+        await writer.drain()
+
+    async def plain(self, request, writer):
+        body = plain_answer(request.method, request.target, request.body)
+        text = answer(200, body, **self.head(request))
+        if self.mode in ("half", "cut"):
+            writer.write(text[:-10])
+            await writer.drain()
+            if self.mode == "cut":
+                abort(writer)
+        elif self.mode == "unframed":
+            writer.write(text.replace(b"Content-Length", b"X-Length"))
+        else:
+            writer.write(text)
+
+    async def stream(self, request, writer):
+        model = request.fields.get("lovagehub-model", "")
+        after = int(request.fields.get("last-event-id", -1))
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+        confidence = self.confidence if model == self.models[0] else 100
+        for name, value in self.head(request, Lovagehub_Confidence=confidence).items():
+            head += f"{name.replace('_', '-')}: {value}\r\n"
+        writer.write(head.encode() + b"\r\n")
+        for number in range(after + 1, EVENTS):
+            data = event(model, request.body, number)
+            if self.mode in ("half", "cut") and number >= after + 4:
+                writer.write(b"%x\r\n%s" % (len(data), data[:9]))
+                await writer.drain()
+                if self.mode == "cut":
+                    abort(writer)
+                return
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/regress/front/site_front.py
@@ -0,0 +1,223 @@
+"""A site on loopback: the store, engines, real lovage-front processes, the operator and callers."""
+
+import asyncio
+import itertools
+import json
+import os
+import random
+import signal
+import tempfile
+import time
+
+from engines import Engine, digest, plain_answer, whole_stream
+from store import Door, Store
+from wire import Cut, Message, read_body, read_head
+
+CALLERS, READY, CONTROL, PEERS = 8001, 8002, 8003, 8004
+DOOR, ENGINE = 8100, 9000
+MODELS = ["small", "large"]
+KEY = "key-one"
+WAIT_S = 30
+
+ROUTES = [
+    {"Name": "r-text", "Prefix": "/text/", "Kind": "streaming", "Service": "texts", "Sizes": MODELS,
+     "Resumable": True, "GapAimMs": 300, "TimeoutMs": 6000, "SloMs": 800, "MaxAttempts": 3},
+    {"Name": "r-once", "Prefix": "/once/", "Kind": "non_idempotent", "Service": "orders",
+     "TimeoutMs": 2500, "SloMs": 300, "MaxAttempts": 3},
+    {"Name": "r-again", "Prefix": "/again/", "Kind": "idempotent", "Service": "orders",
+     "TimeoutMs": 2500, "SloMs": 300, "MaxAttempts": 3},
+]  # fmt: skip
+
+
+class Answer:
+    """What a caller saw of one attempt."""
+
+    def __init__(self, request):
+        self.request = request  # the attempt's id
+        self.status = 0  # 0: no head came
+        self.fields = {}
+        self.body = b""
+        self.whole = False
+        self.sent_at = self.ended_at = 0.0
+        self.read_by_front = False
+
+    def __repr__(self):
+        return f"{self.request}: {self.status} whole={self.whole} {len(self.body)} B"
+
+
+class Front:
+    """One process, and the way it is treated."""
+
+    def __init__(self, site, number):
+        self.site, self.number = site, number
+        self.ip = f"{site.subnet}.{number + 1}"
+        self.domain = "ab"[number % 2]
+        self.process = None
+        self.door = Door(site.store, (self.ip, DOOR))
+        self.log = os.path.join(site.folder, f"front-{number}.log")
+
+    def settings(self):
+        return {
+            "vm": f"front-{self.number}", "failure_domain": self.domain, "ip": self.ip,
+            "callers": f"{self.ip}:{CALLERS}", "ready": f"{self.ip}:{READY}", "control": f"{self.ip}:{CONTROL}",
+            "store": f"{self.ip}:{DOOR}", "peer_port": PEERS, "stop_s": 8, "retry_share": 0.9,
+            "retry_extra": 50, "session_s": 3, "seeds": [f"{front.ip}:{CONTROL}" for front in self.site.fronts[:3]],
+        }  # fmt: skip
+
+    async def start(self):
+        path = os.path.join(self.site.folder, f"front-{self.number}.json")
+        with open(path, "w", encoding="utf-8") as out:
+            json.dump(self.settings(), out)
+        log = open(self.log, "ab")
+        self.process = await asyncio.create_subprocess_exec(self.site.program, path, stdout=log, stderr=log)
+        log.close()
+
+    def signal(self, number):
+        if self.alive:
+            self.process.send_signal(number)
+
+    @property
+    def alive(self):
+        return self.process is not None and self.process.returncode is None
+
+    async def stop(self):
+        """Planned stop; returns the exit status."""
+        self.signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), WAIT_S)
+
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def get(self, port, path):
+        answer = await exchange((self.ip, port), f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        return answer
+
+    async def is_ready(self):
+        return (await self.get(READY, "/ready")).status == 200
+
+
+async def exchange(address, data, answer=None, keep=None, timeout=WAIT_S):
+    """Sends the bytes and reads one answer. keep: (reader, writer) of an open connection."""
+    answer = answer or Answer("")
+    answer.sent_at = time.monotonic()
+    writer = None
+    try:
+        reader, writer = keep or await asyncio.open_connection(*address)
+        writer.write(data)
+        await writer.drain()
+
+        async def read():
+            head = await read_head(reader)
+            if head:
+                answer.status, answer.fields = head.status, head.fields
+                await read_body(reader, head)
+                answer.body, answer.whole = head.body, True
+
+        await asyncio.wait_for(read(), timeout)
+    except Cut as cut:
+        answer.body = cut.so_far
+    except (OSError, asyncio.TimeoutError):
+        pass
+    finally:
+        answer.ended_at = time.monotonic()
+        if writer and not keep:
+            writer.close()
+    return answer
+
+
+class Site:
+    def __init__(self, program, fronts=3, engines=4, seed=1):
+        self.program = os.path.abspath(program)
+        self.folder = tempfile.mkdtemp(prefix="lovage-front-")
+        self.random = random.Random(seed)
+        self.subnet = f"127.{os.getpid() // 250 % 200 + 20}.{os.getpid() % 250}"
+        self.store = Store()
+        self.runs = []  # every arrival at every engine
+        self.version = 0
+        self.config_acked = {}  # version -> when
+        self.routes = [dict(route) for route in ROUTES]
+        self.keys = [KEY]
+        self.ids = itertools.count(1)
+        self.fronts = []
+        for number in range(fronts):
+            self.fronts.append(Front(self, number))
+        self.engines = []
+        self.engine_numbers = itertools.count()
+        self.wanted_engines = engines
+
+    def add_engine(self, service, version="v1"):
+        number = next(self.engine_numbers)
+        engine = Engine(
+            self, f"i-{number}", service, (f"{self.subnet}.{200 + number % 50}", ENGINE + number), version,
+            "ab"[number % 2], MODELS if service == "texts" else (),
+        )  # fmt: skip
+        self.engines.append(engine)
+        return engine
+
+    async def start(self):
+        for service in ("texts", "orders"):
+            for _ in range(self.wanted_engines // 2):
+                await self.add_engine(service).start()
+        await self.configure()
+        for front in self.fronts:
+            await front.door.start()
+            await front.start()
+        for front in self.fronts:
+            await self.wait(front.is_ready, f"front {front.number} ready")
+
+    async def wait(self, condition, what, limit=WAIT_S):
+        until = time.monotonic() + limit
+        while not await condition():
+            if time.monotonic() > until:
+                raise AssertionError(f"waited {limit} s for: {what}")
+            await asyncio.sleep(0.05)
+
+    async def configure(self):
+        self.version += self.random.randint(1, 4)
+        services = [{"Name": "texts", "Engine": {"Slots": 8, "KvCapacity": 100000, "Models": [{"Name": m, "Cost": 1} for m in MODELS]}}, {"Name": "orders"}]
+        config = {
+            "Version": self.version, "Services": services, "Tenants": [{"Name": "team", "ApiKeys": self.keys}],
+            "Routes": [{"Host": "a.example", "Priority": 1, "Public": False, **route} for route in self.routes],
+            "Limits": {"MaxHeaderBytes": 8192, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 2000, "IdleTimeoutMs": 8000},
+        }  # fmt: skip
+        await self.store.put("op", "config", json.dumps(config))
+        self.config_acked[self.version] = time.monotonic()
+        return self.version
+
+    def request(self, path, body=b"", deadline=None, key=KEY, method="POST", after=None):
+        """The bytes of a new attempt, and the answer to fill in."""
+        answer = Answer(f"q{next(self.ids)}")
+        answer.method, answer.path, answer.sent_body, answer.after = method, path, body, after
+        head = f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nLovagehub-Request-Id: {answer.request}\r\n"
+        head += f"Authorization: Token {key}\r\nLovagehub-Model: *\r\nLovagehub-Token-Counts: 400,50\r\n"
+        head += f"Lovagehub-Prompt-Prefix: aa:300,{digest(body)}:100\r\n"
+        head += f"Session: {digest(body)}\r\n"
+        if deadline:
+            head += f"Lovagehub-Deadline-Ms: {deadline}\r\n"
+        if after is not None:
+            head += f"Last-Event-Id: {after}\r\n"
+        return head.encode() + b"Content-Length: %d\r\n\r\n" % len(body) + body, answer
+
+    async def call(self, front, path, body=b"", keep=None, timeout=WAIT_S, **more):
+        data, answer = self.request(path, body, **more)
+        return await exchange((front.ip, CALLERS), data, answer, keep, timeout)
+
+    def runs_of(self, answer):
+        return [run for run in self.runs if run.request == answer.request]
+
+    def expected(self, answer):
+        """Bodies that are the whole and right answer."""
+        if answer.path.startswith("/text/"):
+            after = -1 if answer.after is None else answer.after
+            return [whole_stream(model, answer.sent_body, after) for model in MODELS]
+        return [plain_answer(answer.method, answer.path, answer.sent_body)]
+
+    async def stop(self):
+        for front in self.fronts:
+            if front.alive:
+                front.signal(signal.SIGCONT)
+                await front.kill()
+            front.door.close()
+        for engine in self.engines:
+            await engine.crash()
--- /dev/null
+++ b/regress/front/store.py
@@ -0,0 +1,170 @@
+"""Stand-in of the platform's store: rows with versions, transactions under conditions, feeds.
+
+Each front reaches it by a door of its own, so that faults can be given to one front alone.
+"""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+from wire import abort, answer, read_request
+
+HISTORY = 2000  # changes kept
+
+
+class Door:
+    """One listening address of the store, and how it treats who comes there.
+
+    modes: ok; busy (503), many (429), reset, silent (no answer), slow (answers after a second),
+    lost (does what is asked and drops the answer).
+    """
+
+    def __init__(self, store, address):
+        self.store, self.address = store, address
+        self.mode = "ok"
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, *self.address)
+
+    def set(self, mode):
+        self.mode = mode
+        if mode in ("reset", "silent"):
+            for writer in list(self.writers):
+                abort(writer)
+
+    def close(self):
+        self.server.close()
+        for writer in list(self.writers):
+            abort(writer)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while request := await read_request(reader):
+                if not await self.answer(request, writer):
+                    break
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            abort(writer)
+
+    async def answer(self, request, writer):
+        if self.mode == "reset":
+            return False
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        if self.mode in ("busy", "many"):
+            writer.write(answer(503 if self.mode == "busy" else 429))
+            return True
+        if self.mode == "slow":
+            await asyncio.sleep(1)
+        status, body = await self.store.call(request)
+        if self.mode in ("lost", "reset"):
+            return False
+        writer.write(answer(status, body))
+        await writer.drain()
+        return True
+
+
+class Store:
+    def __init__(self):
+        self.rows = {}  # (table, key) -> (value, version)
+        self.changes = []  # (version, table, key, value or None)
+        self.version = 1
+        self.forgotten = 0
+        self.changed = asyncio.Condition()
+        self.calls = 0
+
+    async def put(self, table, key, value):
+        """Value None removes the row. Returns the version; the change is acknowledged."""
+        async with self.changed:
+            self.version += 1
+            if value is None:
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[table, key] = (value, self.version)
+            self.changes.append((self.version, table, key, value))
+            del self.changes[:-HISTORY]
+            self.changed.notify_all()
+            return self.version
+
+    def forget(self):
+        """Drops the history: feeds from before get 410."""
+        self.changes.clear()
+        self.forgotten = self.version
+
+    def get(self, table, key):
+        found = self.rows.get((table, key))
+        return json.loads(found[0]) if found else None
+
+    def reply(self, rows, **more):
+        return 200, {"Rows": rows, "Ver": self.version, "NowMs": int(time.monotonic() * 1000), **more}
+
+    @staticmethod
+    def row(table, key, value, version):
+        named = {"Table": table, "part": "", "Key": key, "Ver": version}
+        if value is None:
+            return {**named, "Tombstone": True}
+        return {**named, "Value": base64.b64encode(value.encode()).decode()}
+
+    async def call(self, request):
+        self.calls += 1
+        path, _, query = request.target.partition("?")
+        args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        if path == "/v1/rows-get":
+            return self.rows_get(args)
+        if path == "/v1/rows-feed":
+            return await self.rows_feed(args)
+        if path == "/v1/rows-tx":
+            return await self.rows_tx(json.loads(request.body))
+        return 404, {}
+
+    def rows_get(self, args):
+        limit = int(args.get("Limit", 500))
+        found = sorted(
+            (key, value, version)
+            for (table, key), (value, version) in self.rows.items()
+            if table == args["Table"] and key >= args.get("From", "")
+        )
+        rows = [self.row(args["Table"], *entry) for entry in found[:limit]]
+        return self.reply(rows, MorePages=len(found) > limit)
+
+    def rows_since(self, table, since):
+        newest = {}
+        for version, changed, key, value in self.changes:
+            if changed == table and version > since:
+                newest[key] = (version, value)
+        return sorted((version, key, value) for key, (version, value) in newest.items())
+
+    async def rows_feed(self, args):
+        table, since = args["Table"], int(args["SinceRev"])
+        until = time.monotonic() + int(args.get("WaitMs", 0)) / 1000
+        async with self.changed:
+            while since >= self.forgotten and not self.rows_since(table, since):
+                left = until - time.monotonic()
+                if left <= 0:
+                    break
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    break
+            if since < self.forgotten:
+                return 410, {}
+            found = self.rows_since(table, since)
+            return self.reply([self.row(table, key, value, version) for version, key, value in found])
+
+    async def rows_tx(self, body):
+        for want in body["ExpectedRev"]:
+            _, version = self.rows.get((want["Table"], want["Key"]), (None, 0))
+            if version != want["Ver"]:
+                value, version = self.rows.get((want["Table"], want["Key"]), (None, 0))
+                return 412, {"Rows": [self.row(want["Table"], want["Key"], value, version)], "Ver": self.version}
+        for write in body["Writes"]:
+            if write["Table"] in ("op", "servers"):
+                return 403, {}
+            await self.put(write["Table"], write["Key"], base64.b64decode(write["Value"]).decode())
+        return self.reply([])
