--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -52,6 +52,7 @@
 
     def __init__(self, world, name, service, address, version="v1", domain="a", models=()):
         self.world, self.name, self.service = world, name, service
+        self.public = None  # where others reach it, if not at its address
         self.address, self.version, self.domain, self.models = address, version, domain, models
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90
@@ -67,8 +68,9 @@
         await self.report()
 
     async def report(self):
+        public = self.public or self.address
         entry = {
-            "Service": self.service, "Address": f"{self.address[0]}:{self.address[1]}", "Zone": self.domain,
+            "Service": self.service, "Address": f"{public[0]}:{public[1]}", "Zone": self.domain,
             "Version": self.version, "Slots": 8, "State": self.state, "ColdLeftMs": 0, "Seq": 1,
         }  # fmt: skip
         await self.world.store.put("servers", self.name, json.dumps(entry))
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -74,8 +74,8 @@
 
 # --- ports
 
-# Sites that start at the same time agree on ports by folders here, each with its owner's process id.
-PORT_LOCKS=${TMPDIR:-/tmp}/lovage-ports
+# Sites that start at the same time agree on ports by locked files here.
+PORT_LOCKS=${TMPDIR:-/tmp}/lovage-port-locks
 
 # True if the port is bound: UDP, or TCP in the state LISTEN (0A). The local address is column 2.
 port_in_use() {
@@ -85,22 +85,24 @@
     END { exit !found }' /proc/net/tcp /proc/net/tcp6 /proc/net/udp /proc/net/udp6 2>/dev/null
 }
 
+# The lock is on an open file, so that it ends with its last owner: this script or a process that it
+# started. Two sites that found the same port's lock left behind by a dead run both took it when the
+# lock was a folder.
 reserve_port() {
-  local lock=$PORT_LOCKS/$1 owner
-  if ! mkdir "$lock" 2>/dev/null; then
-    owner=$(cat "$lock/owner" 2>/dev/null)
-    [ -n "$owner" ] && ! kill -0 "$owner" 2>/dev/null || return 1
-    rm -rf "$lock"
-    mkdir "$lock" 2>/dev/null || return 1
+  local fd
+  exec {fd}>"$PORT_LOCKS/$1"
+  if flock -n "$fd"; then
+    ports_taken+=("$fd")
+    return 0
   fi
-  echo $$ >"$lock/owner"
-  ports_taken+=("$1")
+  exec {fd}>&-
+  return 1
 }
 
 release_ports() {
   local taken
   for taken in "${ports_taken[@]}"; do
-    rm -rf "${PORT_LOCKS:?}/$taken"
+    exec {taken}>&-
   done
   ports_taken=()
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -15,6 +15,8 @@
 UNIT_TIMEOUT_S=300
 CASE_TIMEOUT_S=300
 KNOWN_RED_MAX=3
+# Tests that run side by side; half of the processors, as a case starts a dozen processes.
+CHECK_JOBS=${CHECK_JOBS:-$((($(nproc) + 1) / 2))}
 
 build=$1
 shift
@@ -111,18 +113,57 @@
   fi
 }
 
+# Runs one test in a process of its own; what it prints and counts is shown in order afterwards.
+run_apart() {
+  local runner=$1 item=$2 mark
+  mark=$logs/$(basename "$item").result
+  (
+    passed=0
+    failed=0
+    "$runner" "$item" >"$mark" 2>&1
+    echo "$passed $failed" >"$mark.counts"
+  ) &
+}
+
+collect() {
+  local item=$1 mark p f
+  mark=$logs/$(basename "$item").result
+  cat "$mark"
+  if read -r p f <"$mark.counts"; then
+    passed=$((passed + p))
+    failed=$((failed + f))
+  else
+    echo "$item: its runner ended before its verdict"
+    failed=$((failed + 1))
+  fi
+}
+
+run_all() {
+  local runner=$1 item
+  shift
+  for item in "$@"; do
+    rm -f "$logs/$(basename "$item").result.counts"
+    while [ "$(jobs -rp | wc -l)" -ge "$CHECK_JOBS" ]; do
+      wait -n
+    done
+    run_apart "$runner" "$item"
+  done
+  wait
+  for item in "$@"; do
+    collect "$item"
+  done
+}
+
 read_known_red
 for kind in "$@"; do
   case $kind in
     unit)
-      for source in tests/test_*.c; do
-        run_unit "$(basename "$source" .c)"
-      done
+      sources=(tests/test_*.c)
+      programs=("${sources[@]##*/}")
+      run_all run_unit "${programs[@]%.c}"
       ;;
     regress)
-      for script in regress/case_*.sh; do
-        run_case "$script"
-      done
+      run_all run_case regress/case_*.sh
       ;;
     *)
       echo "unknown kind of test: $kind" >&2
