--- a/Makefile
+++ b/Makefile
@@ -85,8 +85,8 @@
 , := ,
 # Sanitizers make gcc warn of what it only sees in the added code; the plain build holds -Werror.
 SANITIZED = BUILD=build-$(1) SANITIZE="-fsanitize=$(2) -fno-omit-frame-pointer -fno-sanitize-recover=all -Wno-error"
-TIDY_SOURCES = $(wildcard src/*.c standin/*.c tests/*.c bench/*.c regress/*.c regress/*/*.c)
-FORMAT_SOURCES = $(TIDY_SOURCES) $(wildcard src/*.h standin/*.h tests/*.h bench/*.h regress/*/*.h)
+TIDY_SOURCES = $(wildcard src/*.c platform/*.c standin/*.c tests/*.c bench/*.c regress/*.c regress/*/*.c)
+FORMAT_SOURCES = $(TIDY_SOURCES) $(wildcard src/*.h platform/*.h standin/*.h tests/*.h bench/*.h regress/*/*.h)
 LINT_FLAGS = $(CPPFLAGS) -std=gnu11
 
 check:
@@ -126,7 +126,7 @@
 cppcheck:
 	cppcheck --quiet -j$(JOBS) --std=c11 --enable=warning,performance,portability \
 	  --error-exitcode=1 --suppressions-list=tools/cppcheck.supp -D_GNU_SOURCE $(LIST_WALKS) \
-	  -Isrc -Irpc $(TIDY_SOURCES)
+	  -Isrc -Irpc -Iplatform $(TIDY_SOURCES)
 man-lint:
 	mandoc -Tlint -Wwarning $(wildcard man/*.[158]) </dev/null
 demo:
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -1,6 +1,7 @@
 #include "front_attempt.h"
 #include "front_socket.h"
 #include "util_memory.h"
+#include "util_unused.h"
 #include <event2/buffer.h>
 #include <stdlib.h>
 
@@ -50,7 +51,7 @@
 }
 
 static void
-on_event (struct bufferevent *bev, short what, void *user)
+on_event (struct bufferevent *bev UNUSED, short what, void *user)
 {
   FrontAttempt *attempt = user;
 
--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -1,11 +1,13 @@
 #include "front_channel.h"
 #include "front_socket.h"
 #include "util_memory.h"
+#include "util_unused.h"
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <stdlib.h>
 
-#define MS_PER_S 1000
+#define MS_PER_S  1000
+#define US_PER_MS 1000L
 /* Milliseconds without an acknowledgement or an answer to a probe after which the connection is
  * dead: news has to arrive within two seconds, so a silent connection must show earlier. */
 #define SILENT_MS 1200
@@ -48,7 +50,7 @@
 }
 
 static void
-on_timer (evutil_socket_t fd, short what, void *user)
+on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   fail (user);
 }
@@ -86,7 +88,7 @@
 }
 
 static void
-on_event (struct bufferevent *bev, short what, void *user)
+on_event (struct bufferevent *bev UNUSED, short what, void *user)
 {
   FrontChannel *channel = user;
 
@@ -145,14 +147,14 @@
 front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms)
 {
   struct timeval wait
-      = { .tv_sec = timeout_ms / MS_PER_S, .tv_usec = timeout_ms % MS_PER_S * MS_PER_S };
+      = { .tv_sec = timeout_ms / MS_PER_S, .tv_usec = timeout_ms % MS_PER_S * US_PER_MS };
   struct evbuffer *output;
 
   channel->waiting = true;
   http_reply_clear (&channel->reply);
   http_reply_init (&channel->reply);
   if (!connect_now (channel))
-    wait = (struct timeval){ .tv_usec = MS_PER_S };
+    wait = (struct timeval){ .tv_usec = US_PER_MS };
   evtimer_add (channel->timer, &wait);
   if (!channel->bev)
     return;
--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -5,6 +5,7 @@
 #include "front_socket.h"
 #include "util_clock.h"
 #include "util_memory.h"
+#include "util_unused.h"
 #include "wire_call.h"
 #include <event2/buffer.h>
 #include <stdlib.h>
@@ -68,20 +69,26 @@
   conn->idle_wait_ms = (int64_t)((double)wait_ms * IDLE_MORE);
 }
 
-/* An answer given at once may free the connection that is still being read; conn_read does it
- * then. */
+/* Ends the connection at once. The callers of this function may still look at conn, so its memory
+ * is given back by the next sweep. */
 static void
 conn_free (FrontConn *conn)
 {
+  if (conn->freed)
+    return;
+  conn->freed = true;
   if (conn->request)
     front_request_cancel (conn->request);
   conn->request = NULL;
-  conn->freed = true;
-  if (conn->reading)
-    return;
-  cds_list_del (&conn->node);
   conn->front->conn_count--;
   bufferevent_free (conn->bev);
+  conn->bev = NULL;
+}
+
+static void
+conn_destroy (FrontConn *conn)
+{
+  cds_list_del (&conn->node);
   http_intake_reset (&conn->intake);
   free (conn);
 }
@@ -224,10 +231,10 @@
 static bool
 read_some (FrontConn *conn)
 {
-  struct evbuffer *input = bufferevent_get_input (conn->bev);
-  size_t len = evbuffer_get_contiguous_space (input), used;
+  struct evbuffer *input = conn->freed ? NULL : bufferevent_get_input (conn->bev);
+  size_t len = input ? evbuffer_get_contiguous_space (input) : 0, used;
 
-  if (conn->freed || len == 0 || conn->request || conn->closing)
+  if (len == 0 || conn->request || conn->closing)
     return false;
   if (!http_intake_started (&conn->intake))
     {
@@ -259,21 +266,19 @@
 conn_read (FrontConn *conn)
 {
   conn->reading = true;
-  while (!conn->freed && read_some (conn))
+  while (read_some (conn))
     continue;
   conn->reading = false;
-  if (conn->freed)
-    conn_free (conn);
 }
 
 static void
-on_read (struct bufferevent *bev, void *user)
+on_read (struct bufferevent *bev UNUSED, void *user)
 {
   conn_read (user);
 }
 
 static void
-on_written (struct bufferevent *bev, void *user)
+on_written (struct bufferevent *bev UNUSED, void *user)
 {
   FrontConn *conn = user;
 
@@ -284,7 +289,7 @@
 }
 
 static void
-on_event (struct bufferevent *bev, short what, void *user)
+on_event (struct bufferevent *bev UNUSED, short what UNUSED, void *user)
 {
   conn_free (user);
 }
@@ -343,7 +348,13 @@
 {
   FrontConn *conn, *next;
 
-  cds_list_for_each_entry_safe (conn, next, &front->conns, node) sweep_one (conn, now_ms);
+  cds_list_for_each_entry_safe (conn, next, &front->conns, node)
+  {
+    if (conn->freed)
+      conn_destroy (conn);
+    else
+      sweep_one (conn, now_ms);
+  }
 }
 
 bool
@@ -353,7 +364,7 @@
 
   cds_list_for_each_entry (conn, &front->conns, node)
   {
-    if (evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    if (!conn->freed && evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
       return false;
   }
   return true;
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -6,6 +6,7 @@
 #include "front_store.h"
 #include "util_clock.h"
 #include "util_memory.h"
+#include "util_unused.h"
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -95,7 +96,7 @@
 
 /* The other front has gone; evhttp frees the request with its connection. */
 static void
-on_asker_gone (struct evhttp_connection *connection, void *user)
+on_asker_gone (struct evhttp_connection *connection UNUSED, void *user)
 {
   question_free (user);
 }
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -10,17 +10,22 @@
 #include "util_clock.h"
 #include "util_id.h"
 #include "util_log.h"
+#include "util_unused.h"
 #include <event2/listener.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <syslog.h>
 
-#define TICK_MS       100 /* of time-outs, roll-outs and news; far below any bound that they keep */
-#define MS_PER_S      1000
-#define BACKLOG       1024 /* callers of a whole failure domain may come at once */
-#define STOP_LEAST_MS 2500 /* the balancer needs two questions to send callers elsewhere */
-#define STOP_SPARE_MS 400  /* before the process would be killed */
+#define TICK_MS          100 /* of time-outs, roll-outs and news; far below any bound that they keep */
+#define MS_PER_S         1000
+#define NS_PER_MS        1000000
+#define US_PER_MS        1000L
+#define SETTINGS_LOOK_MS 2000
+#define BACKLOG          1024 /* callers of a whole failure domain may come at once */
+#define STOP_LEAST_MS    2500 /* the balancer needs two questions to send callers elsewhere */
+#define STOP_SPARE_MS    400  /* before the process would be killed */
 /* A session is held for longer than it lasts, as clocks and ways differ. */
 #define SESSION_MORE_MS 1000
 /* Of the sends allowed beyond the share, this front's part: it does not know how many others there
@@ -32,6 +37,8 @@
 {
   Front front;
   const char *settings_file;
+  int64_t settings_looked_ms;
+  int64_t settings_changed_ms; /* time of the file's last change, as the system tells it */
   struct evconnlistener *listener;
   FrontControl *control;
   struct event *tick;
@@ -49,10 +56,10 @@
 };
 
 static void
-on_accept (struct evconnlistener *listener,
+on_accept (struct evconnlistener *listener UNUSED,
            evutil_socket_t fd,
-           struct sockaddr *from,
-           int len,
+           struct sockaddr *from UNUSED,
+           int len UNUSED,
            void *user)
 {
   Main *self = user;
@@ -75,8 +82,10 @@
     event_base_loopbreak (front->base);
 }
 
+static void settings_watch (Main *self, int64_t now_ms);
+
 static void
-on_tick (evutil_socket_t fd, short what, void *user)
+on_tick (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   Main *self = user;
   int64_t now_ms = clock_boot_ms ();
@@ -86,11 +95,12 @@
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
   front_control_tick (self->control, now_ms);
+  settings_watch (self, now_ms);
   stop_check (self, now_ms);
 }
 
 static void
-on_stop (evutil_socket_t fd, short what, void *user)
+on_stop (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   Main *self = user;
   FrontLine *line;
@@ -105,9 +115,8 @@
 }
 
 static void
-on_reload (evutil_socket_t fd, short what, void *user)
+reload (Main *self)
 {
-  Main *self = user;
   SettingsFront settings;
   CheckList list = { .file = self->settings_file };
   FrontLine *line = front_log_begin (FRONT_EVENT_RELOAD);
@@ -129,6 +138,30 @@
   check_free (&list);
 }
 
+static void
+on_reload (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
+{
+  reload (user);
+}
+
+/* The file may change without a signal. */
+static void
+settings_watch (Main *self, int64_t now_ms)
+{
+  struct stat found;
+  int64_t changed_ms;
+
+  if (now_ms - self->settings_looked_ms < SETTINGS_LOOK_MS)
+    return;
+  self->settings_looked_ms = now_ms;
+  if (stat (self->settings_file, &found) != 0)
+    return;
+  changed_ms = (int64_t)found.st_mtim.tv_sec * MS_PER_S + found.st_mtim.tv_nsec / NS_PER_MS;
+  if (self->settings_changed_ms != 0 && self->settings_changed_ms != changed_ms)
+    reload (self);
+  self->settings_changed_ms = changed_ms;
+}
+
 static bool
 listen_for_callers (Main *self)
 {
@@ -145,7 +178,7 @@
 static void
 timers_start (Main *self)
 {
-  struct timeval every = { .tv_usec = TICK_MS * MS_PER_S };
+  struct timeval every = { .tv_usec = TICK_MS * US_PER_MS };
 
   self->tick = event_new (self->front.base, -1, EV_PERSIST, on_tick, self);
   event_add (self->tick, &every);
--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -9,6 +9,7 @@
 #include "util_clock.h"
 #include "util_id.h"
 #include "util_memory.h"
+#include "util_unused.h"
 #include "wire_store.h"
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -20,10 +21,10 @@
 /* Milliseconds. */
 #define BEAT_MS      500  /* between messages while nothing happens */
 #define BEAT_BUSY_MS 200  /* during a roll-out: its verdict needs the evidence of all */
-#define ALIVE_MS     2600 /* a peer that nobody heard for so long is not counted on */
+#define ALIVE_MS     3500 /* a peer that nobody heard for so long is not counted on */
 #define PROBE_MS     2500 /* between messages to an address that doesn't answer */
 #define AHEAD_MS     350  /* a peer may know more for so long, as the store tells us apart */
-#define FETCH_MS     1500 /* for an answer of a peer */
+#define FETCH_MS     800  /* for an answer of a peer; another one is asked after that */
 #define NEAR_FANOUT  4    /* peers of the own failure domain told at a time */
 #define FAR_FANOUT   3    /* others: bytes between domains have a price */
 #define BOOT_FANOUT  6    /* while hardly anybody is known */
@@ -43,6 +44,15 @@
   int64_t newest[PEER_TABLES];
 } Peer;
 
+/* What is being fetched of one table; a peer that doesn't answer for one holds up no other. */
+typedef struct
+{
+  FrontPeers *peers;
+  StoreTable table;
+  FrontChannel *channel; /* NULL: nothing */
+  bool done;             /* the channel is to be freed outside of its own call */
+} Fetch;
+
 struct FrontPeers
 {
   Front *front;
@@ -57,10 +67,7 @@
   unsigned next_member; /* where the next list of members begins */
   int64_t beat_ms;
   int64_t ahead_since_ms[PEER_TABLES]; /* since when some peer knows more; 0: none does */
-  FrontChannel *fetch;                 /* NULL: nothing is being fetched */
-  StoreTable fetch_table;
-  int64_t fetch_since_ms;
-  bool fetch_done; /* the channel is to be freed outside of its own call */
+  Fetch fetches[PEER_TABLES];
 };
 
 static Peer *
@@ -183,11 +190,11 @@
 }
 
 static void
-on_datagram (evutil_socket_t fd, short what, void *user)
+on_datagram (evutil_socket_t fd, short what UNUSED, void *user)
 {
   FrontPeers *peers = user;
   unsigned char data[PEER_MESSAGE_MAX];
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t from_len = sizeof from;
   ssize_t len;
 
@@ -346,20 +353,21 @@
 static void
 on_fetched (void *user, int status, const char *text, size_t len)
 {
-  FrontPeers *peers = user;
+  Fetch *fetch = user;
   StoreAnswer answer;
 
-  peers->fetch_done = true;
+  fetch->done = true;
   if (status == 200 && wire_store_decode (text, len, &answer))
     {
-      front_store_take (peers->front->store, peers->fetch_table, &answer);
+      front_store_take (fetch->peers->front->store, fetch->table, &answer);
       store_answer_clear (&answer);
     }
 }
 
 static void
-fetch_begin (FrontPeers *peers, const Peer *peer, StoreTable table, int64_t now_ms)
+fetch_begin (FrontPeers *peers, const Peer *peer, StoreTable table)
 {
+  Fetch *fetch = &peers->fetches[table];
   struct sockaddr_in address = peer->address;
   FrontLine *line = front_log_begin (FRONT_EVENT_NEWS);
   Buffer path = { 0 };
@@ -369,30 +377,49 @@
   front_log_number (line, "peer_knows", peer->newest[table]);
   front_log_end (line);
   address.sin_port = peers->control_port;
-  peers->fetch = front_channel_new (peers->front->base, &address, on_fetched, peers);
-  peers->fetch_table = table;
-  peers->fetch_since_ms = now_ms;
-  peers->fetch_done = false;
+  *fetch = (Fetch){ .peers = peers, .table = table };
+  fetch->channel = front_channel_new (peers->front->base, &address, on_fetched, fetch);
   front_store_news_path (&path, table, 0, false);
-  front_channel_ask (peers->fetch, path.data, NULL, FETCH_MS);
+  front_channel_ask (fetch->channel, path.data, NULL, FETCH_MS);
   buffer_free (&path);
 }
 
-/* A peer that knows more for longer than the store takes to tell us: we are cut off from the store,
- * or our connection to it is silent. */
 static void
-catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms)
+fetch_clear (Fetch *fetch)
 {
-  int64_t known = front_store_version (peers->front->store, table);
-  const Peer *best = NULL;
+  if (fetch->channel && fetch->done)
+    {
+      front_channel_free (fetch->channel);
+      fetch->channel = NULL;
+    }
+}
+
+/* One of the peers that know more than we do, another one each time: the one that knows most may be
+ * the one that has just died. */
+static const Peer *
+informed_peer (const FrontPeers *peers, StoreTable table, int64_t known, int64_t now_ms)
+{
+  unsigned start = peers->count ? (unsigned)(id_random_u64 () % peers->count) : 0;
 
   for (unsigned i = 0; i < peers->count; i++)
     {
-      const Peer *peer = &peers->list[i];
+      const Peer *peer = &peers->list[(start + i) % peers->count];
 
-      if (is_alive (peer, now_ms) && peer->newest[table] > (best ? best->newest[table] : known))
-        best = peer;
+      if (is_alive (peer, now_ms) && peer->newest[table] > known)
+        return peer;
     }
+  return NULL;
+}
+
+/* A peer that knows more for longer than the store takes to tell us: we are cut off from the store,
+ * or our connection to it is silent. */
+static void
+catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms)
+{
+  int64_t known = front_store_version (peers->front->store, table);
+  const Peer *best = informed_peer (peers, table, known, now_ms);
+
+  fetch_clear (&peers->fetches[table]);
   if (!best)
     peers->ahead_since_ms[table] = 0;
   else if (peers->ahead_since_ms[table] == 0)
@@ -400,8 +427,8 @@
   else if (now_ms - peers->ahead_since_ms[table] >= AHEAD_MS)
     {
       front_store_hint (peers->front->store, table, best->newest[table], now_ms);
-      if (!peers->fetch)
-        fetch_begin (peers, best, table, now_ms);
+      if (!peers->fetches[table].channel)
+        fetch_begin (peers, best, table);
     }
 }
 
@@ -410,11 +437,6 @@
 {
   int64_t beat_ms = is_rollout_running (peers->front) ? BEAT_BUSY_MS : BEAT_MS;
 
-  if (peers->fetch && peers->fetch_done)
-    {
-      front_channel_free (peers->fetch);
-      peers->fetch = NULL;
-    }
   if (now_ms - peers->beat_ms >= beat_ms)
     {
       peers->beat_ms = now_ms;
@@ -545,8 +567,11 @@
 void
 front_peers_free (FrontPeers *peers)
 {
-  if (peers->fetch)
-    front_channel_free (peers->fetch);
+  for (unsigned i = 0; i < PEER_TABLES; i++)
+    {
+      if (peers->fetches[i].channel)
+        front_channel_free (peers->fetches[i].channel);
+    }
   event_free (peers->event);
   close (peers->fd);
   free (peers);
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -1,4 +1,5 @@
 #include "front_pick.h"
+#include "util_id.h"
 #include <string.h>
 
 /* Milliseconds. What a server in another failure domain has to be faster by: twice the way there
@@ -12,6 +13,8 @@
 #define SERVICE_QUEUED_MS  60.0
 #define COLD_MS            40.0
 #define SLOTS_DEFAULT      8
+/* Tokens of shared prompt from which fronts agree on a server for it: 500 are 4 ms of reading. */
+#define HOME_LEAST_TOKENS 500
 
 static bool
 was_tried (const PickQuery *query, const FrontServer *server)
@@ -39,8 +42,49 @@
   return slots ? slots : SLOTS_DEFAULT;
 }
 
+/* Tokens of the parts that other requests share: all but the last part. */
+static int64_t
+shared_tokens (const FrontCall *call)
+{
+  int64_t tokens = 0;
+
+  for (unsigned i = 0; i + 1 < call->part_count; i++)
+    tokens += call->parts[i].tokens;
+  return tokens;
+}
+
+/* The near server that all fronts of the failure domain agree on for a shared prompt, by rendezvous
+ * hash: each sees only its own requests, so without this a prompt that all of them get is read by
+ * every server. NULL: the prompt is too short to matter. */
+static const FrontServer *
+home_of (FrontServers *servers, const PickQuery *query, int64_t now_ms)
+{
+  const FrontCall *call = query->call;
+  const FrontServer *home = NULL;
+  FrontServer *server;
+  uint64_t best = 0, prompt;
+
+  if (!query->is_model || call->part_count < 2 || shared_tokens (call) < HOME_LEAST_TOKENS)
+    return NULL;
+  prompt = call->parts[call->part_count - 2].id ^ query->model;
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    uint64_t hash = id_hash (&server->hash, sizeof server->hash, prompt);
+
+    if (!server->is_near || !is_usable (query, server) || server->unconfirmed
+        || front_health_avoided (&server->health, now_ms) || (home && hash <= best))
+      continue;
+    home = server;
+    best = hash;
+  }
+  return home;
+}
+
 static double
-prompt_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+prompt_ms (const PickQuery *query,
+           const FrontServer *server,
+           const FrontServer *home,
+           int64_t now_ms)
 {
   int64_t cached;
 
@@ -48,6 +92,8 @@
     return 0;
   cached = front_prompts_cached (&server->prompts, query->call, query->model, now_ms,
                                  query->reuse_window_ms);
+  if (server == home && cached < shared_tokens (query->call))
+    cached = shared_tokens (query->call);
   return (double)(query->call->prompt_tokens - cached) * query->ms_per_token;
 }
 
@@ -63,9 +109,9 @@
 }
 
 static double
-cost_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+cost_ms (const PickQuery *query, const FrontServer *server, const FrontServer *home, int64_t now_ms)
 {
-  double cost = queue_ms (query, server) + prompt_ms (query, server, now_ms)
+  double cost = queue_ms (query, server) + prompt_ms (query, server, home, now_ms)
                 + front_health_penalty_ms (&server->health, now_ms);
 
   if (!server->is_near)
@@ -78,6 +124,7 @@
 PickAnswer
 front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms)
 {
+  const FrontServer *home = home_of (servers, query, now_ms);
   PickAnswer best = { 0 };
   double best_cost = 0;
   FrontServer *server;
@@ -92,7 +139,7 @@
     avoided = server->unconfirmed || front_health_avoided (&server->health, now_ms);
     if (best.server && avoided && !best.avoided)
       continue;
-    cost = cost_ms (query, server, now_ms);
+    cost = cost_ms (query, server, home, now_ms);
     if (best.server && avoided == best.avoided && cost >= best_cost)
       continue;
     best = (PickAnswer){ .server = server, .avoided = avoided };
@@ -100,7 +147,7 @@
   }
   if (best.server)
     {
-      best.prompt_ms = prompt_ms (query, best.server, now_ms);
+      best.prompt_ms = prompt_ms (query, best.server, home, now_ms);
       best.predicted_ms = best.prompt_ms + queue_ms (query, best.server);
     }
   return best;
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -4,6 +4,7 @@
 #include "front_log.h"
 #include "front_request_private.h"
 #include "util_clock.h"
+#include "util_unused.h"
 #include "wire_call.h"
 #include <math.h>
 #include <stdio.h>
@@ -351,7 +352,7 @@
 }
 
 static void
-on_timer (evutil_socket_t fd, short what, void *user)
+on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   FrontRequest *request = user;
   int64_t now_ms = clock_boot_ms ();
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -7,6 +7,7 @@
 #include "util_clock.h"
 #include "util_id.h"
 #include "util_memory.h"
+#include "util_unused.h"
 #include "wire_config.h"
 #include "wire_rollout.h"
 #include "wire_server.h"
@@ -26,10 +27,14 @@
  * goes on serving for two seconds. */
 #define SERVERS_PAUSE_MS 300
 #define PEER_AGAIN_MS    3000 /* after a failed answer of another front, the store is asked itself */
-#define TURN_MS          300  /* between two fronts' attempts at the same write */
-#define STATUS_GOOD      200
-#define STATUS_CONFLICT  412
-#define STATUS_GONE      410
+/* Bytes of a table from which each front asks the store itself: its link is wide, while a front's
+ * carries 10 Mbit/s, and a configuration of 85 KB that changes four times a second would fill
+ * the link of one that passes it on to five others. */
+#define LARGE_BYTES     16384
+#define TURN_MS         300 /* between two fronts' attempts at the same write */
+#define STATUS_GOOD     200
+#define STATUS_CONFLICT 412
+#define STATUS_GONE     410
 
 /* Follows one table: reads all rows, then asks for changes again and again. */
 typedef struct
@@ -371,6 +376,13 @@
     watch_ask (watch);
 }
 
+/* Servers change one by one and only their changes are told; the configuration comes whole. */
+static bool
+is_large (const Watch *watch)
+{
+  return watch->id == STORE_OPERATOR && front_table_bytes (&watch->table) >= LARGE_BYTES;
+}
+
 /* Changes come from another front of our failure domain if one follows the store for us. */
 static bool
 watch_aim (Watch *watch)
@@ -378,7 +390,7 @@
   FrontStore *store = watch->store;
   int64_t now_ms = clock_boot_ms ();
   struct sockaddr_in address = store->address;
-  bool peer = watch->loaded && now_ms - watch->peer_failed_ms > PEER_AGAIN_MS
+  bool peer = watch->loaded && !is_large (watch) && now_ms - watch->peer_failed_ms > PEER_AGAIN_MS
               && front_peers_source (store->front->peers, (uint64_t)watch->id, now_ms, &address);
 
   front_channel_aim (watch->channel, &address);
@@ -406,7 +418,7 @@
 }
 
 static void
-on_again (evutil_socket_t fd, short what, void *user)
+on_again (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   Watch *watch = user;
 
@@ -434,6 +446,8 @@
   if (watch->table.newest >= version || now_ms - watch->asked_ms < HINT_MS
       || !front_channel_is_open (watch->channel))
     return;
+  /* Whom we asked is behind, too: the store itself is asked next. */
+  watch->peer_failed_ms = now_ms;
   front_channel_drop (watch->channel);
   pages_drop (watch);
   watch_ask (watch);
@@ -524,7 +538,7 @@
 }
 
 static void
-write_status (FrontStore *store, FrontRollout *rollout, int64_t now_ms)
+write_status (FrontStore *store, FrontRollout *rollout, int64_t now_ms UNUSED)
 {
   const FrontTable *table = &store->watches[STORE_STATUS].table;
   FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
@@ -601,7 +615,7 @@
   {
     unsigned rank = front_peers_rank (front->peers, rollout->service_hash, now_ms);
 
-    if (!rollout->has_verdict || now_ms - rollout->verdict_ms < rank * TURN_MS)
+    if (!rollout->has_verdict || now_ms - rollout->verdict_ms < (int64_t)rank * TURN_MS)
       continue;
     write_status (store, rollout, now_ms);
     return;
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -60,6 +60,8 @@
     if (entry->row.removed && (!oldest || entry->row.version < oldest->row.version))
       oldest = entry;
   }
+  if (!oldest)
+    return;
   table->forgotten = oldest->row.version;
   table->removed_count--;
   entry_free (oldest);
@@ -81,8 +83,6 @@
   entry->row = *row;
   row->key = NULL;
   row->value = NULL;
-  if (table->removed_count > REMOVED_MOST)
-    forget_oldest_removal (table);
 }
 
 static void
@@ -99,6 +99,16 @@
   row_put (table, entry, row);
 }
 
+size_t
+front_table_bytes (const FrontTable *table)
+{
+  TableEntry *entry;
+  size_t bytes = 0;
+
+  cds_list_for_each_entry (entry, &table->entries, node) bytes += entry->row.value_len;
+  return bytes;
+}
+
 bool
 front_table_remembers (const FrontTable *table, int64_t since)
 {
@@ -117,6 +127,8 @@
 {
   for (unsigned i = 0; i < answer->count; i++)
     row_take (table, &answer->rows[i], change, user);
+  while (table->removed_count > REMOVED_MOST)
+    forget_oldest_removal (table);
   version_raise (table, answer->version);
 }
 
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -33,6 +33,8 @@
 void front_table_changes (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
 /** Takes all rows as of a version: what is missing in them is gone, unless it is newer. */
 void front_table_snapshot (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
+/** Bytes of all values. */
+size_t front_table_bytes (const FrontTable *table);
 /** True if all changes since a version can still be told. */
 bool front_table_remembers (const FrontTable *table, int64_t since);
 /** NULL if there is none. */
--- a/src/settings_front.c
+++ b/src/settings_front.c
@@ -3,16 +3,13 @@
 #include "util_memory.h"
 #include <stdlib.h>
 
-#define HEARTBEAT_DEFAULT_MS 1200.0
 #define STOP_DEFAULT_S       8.0
 #define RETRY_SHARE_DEFAULT  0.5
 #define RETRY_EXTRA_DEFAULT  20.0
 #define RETRY_WINDOW_DEFAULT 10.0
 #define REUSE_WINDOW_DEFAULT 6.0
 #define SESSION_DEFAULT_S    5.0
-#define MEMORY_DEFAULT_MB    88.0
 #define SECONDS_MAX          86400.0
-#define MEMORY_MAX_MB        1048576.0
 
 typedef struct
 {
@@ -38,25 +35,21 @@
   FRONT_TEXT ("store", store),
   SETTINGS_INT ("peer_port", offsetof (FrontDraft, settings.peer_port), 1, SETTINGS_PORT_MAX),
   { .name = "seeds", .type = FIELD_ARRAY, .offset = offsetof (FrontDraft, seeds) },
-  FRONT_NUMBER ("heartbeat_ms", heartbeat_ms, SETTINGS_TIME_MAX_MS),
   FRONT_NUMBER ("stop_s", stop_s, SECONDS_MAX),
   FRONT_NUMBER ("retry_share", retry_share, 1),
   FRONT_NUMBER ("retry_extra", retry_extra, SECONDS_MAX),
   FRONT_NUMBER ("retry_window_s", retry_window_s, SECONDS_MAX),
   FRONT_NUMBER ("reuse_window_s", reuse_window_s, SECONDS_MAX),
   FRONT_NUMBER ("session_s", session_s, SECONDS_MAX),
-  FRONT_NUMBER ("memory_mb", memory_mb, MEMORY_MAX_MB),
 };
 
 static const SettingsFront defaults = {
-  .heartbeat_ms = HEARTBEAT_DEFAULT_MS,
   .stop_s = STOP_DEFAULT_S,
   .retry_share = RETRY_SHARE_DEFAULT,
   .retry_extra = RETRY_EXTRA_DEFAULT,
   .retry_window_s = RETRY_WINDOW_DEFAULT,
   .reuse_window_s = REUSE_WINDOW_DEFAULT,
   .session_s = SESSION_DEFAULT_S,
-  .memory_mb = MEMORY_DEFAULT_MB,
 };
 
 static void
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -22,14 +22,12 @@
   int64_t peer_port; /**< UDP, the same at each front */
   unsigned seed_count;
   char *seeds[SEEDS_MAX]; /**< IP:PORT, control addresses of some fronts */
-  double heartbeat_ms;    /**< between two reports of a backend server to the store */
   double stop_s;          /**< from the signal until the process is killed */
   double retry_share;     /**< retries allowed for each request, over all fronts */
   double retry_extra;     /**< and this many more in a window, over all fronts */
   double retry_window_s;  /**< any span of this length counts */
   double reuse_window_s;  /**< how long a prompt's parts are relied on in a server's cache */
   double session_s;       /**< a session ends so long after its last request */
-  double memory_mb;       /**< that this process may use */
 } SettingsFront;
 
 /** False if there are errors, all of them in list. */
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -69,6 +69,7 @@
   PickQuery query = query_of ("v1");
 
   begin ();
+  call.part_count = 0; /* no shared prompt that would draw the request anywhere */
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "none");
   add ("far", "there", "v1");
   add ("near", "here", "v1");
@@ -131,6 +132,41 @@
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "near");
 }
 
+/* Pattern: 17 fronts of a failure domain get requests about the same 131 contracts, each prompt
+   with 4,870 tokens of the contract. Each front knows only its own requests; if each picks by these
+   alone, every engine reads every contract. Grounds: the sheet of the grown site. */
+static void
+test_fronts_agree_on_shared_prompts (void)
+{
+  PickQuery query = query_of ("v1");
+  const char *ids[] = { "a", "bb", "ccc", "dddd", "eeeee" };
+  unsigned agreed = 0, most = 0, load[6] = { 0 };
+
+  for (unsigned contract = 0; contract < 100; contract++)
+    {
+      char first[SERVER_TEXT_MAX] = "";
+
+      for (unsigned front = 0; front < 3; front++)
+        {
+          begin ();
+          for (unsigned i = 0; i < 5; i++)
+            add (ids[(i + front) % 5], "here", "v1");
+          call.parts[0].id = 1000 + contract;
+          call.parts[1].id = 5000 + contract * 10 + front;
+          if (front == 0)
+            snprintf (first, sizeof first, "%s", picked (&query, NOW));
+          agreed += strcmp (first, picked (&query, NOW)) == 0;
+        }
+      if (++load[strlen (first)] > most)
+        most = load[strlen (first)];
+    }
+  CU_ASSERT_EQUAL (agreed, 300);
+  CU_ASSERT (most < 35);
+  /* A home that is busier than the reading costs is left for another. */
+  front_servers_find (servers, picked (&query, NOW))->pending_ms = 100;
+  CU_ASSERT (front_pick (servers, &query, NOW).server->pending_ms < 1);
+}
+
 /* Story: an engine's health page is good while it fails two of five requests. Its fast failures
    make it look idle, so it draws ever more of the work. */
 static void
@@ -250,6 +286,7 @@
   { "near_first", test_near_first },
   { "spreads_long_prompts", test_spreads_long_prompts },
   { "cached_prompt", test_cached_prompt },
+  { "fronts_agree_on_shared_prompts", test_fronts_agree_on_shared_prompts },
   { "failing_server", test_failing_server },
   { "unreachable_server", test_unreachable_server },
   { "versions_and_tried", test_versions_and_tried },
