--- /dev/null
+++ b/src/front_peers_fetch.c
@@ -0,0 +1,92 @@
+/* Rows that other fronts know before the store has told them here. */
+#include "front_log.h"
+#include "front_peers_private.h"
+#include "util_id.h"
+#include "wire_store.h"
+
+/* Milliseconds. */
+#define AHEAD_MS    350 /* a peer may know more for so long, as the store tells us apart */
+#define FETCH_MS    800 /* for an answer of a peer; another one is asked after that */
+#define STATUS_GOOD 200
+
+static void
+on_fetched (void *user, int status, const char *text, size_t len)
+{
+  Fetch *fetch = user;
+  StoreAnswer answer;
+
+  fetch->done = true;
+  if (status == STATUS_GOOD && wire_store_decode (text, len, &answer))
+    {
+      front_store_take (fetch->peers->front->store, fetch->table, &answer);
+      store_answer_clear (&answer);
+    }
+}
+
+static void
+fetch_begin (FrontPeers *peers, const Peer *peer, StoreTable table)
+{
+  Fetch *fetch = &peers->fetches[table];
+  struct sockaddr_in address = peer->address;
+  FrontLine *line = front_log_begin (FRONT_EVENT_NEWS);
+  Buffer path = { 0 };
+
+  front_log_number (line, "table", table);
+  front_log_number (line, "known", front_store_version (peers->front->store, table));
+  front_log_number (line, "peer_knows", peer->newest[table]);
+  front_log_end (line);
+  address.sin_port = peers->control_port;
+  *fetch = (Fetch){ .peers = peers, .table = table };
+  fetch->channel = front_channel_new (peers->front->base, &address, on_fetched, fetch);
+  front_store_news_path (&path, table, 0, false);
+  front_channel_ask (fetch->channel, path.data, NULL, FETCH_MS);
+  buffer_free (&path);
+}
+
+static void
+fetch_clear (Fetch *fetch)
+{
+  if (fetch->channel && fetch->done)
+    {
+      front_channel_free (fetch->channel);
+      fetch->channel = NULL;
+    }
+}
+
+/* One of the peers that know more than we do, another one each time: the one that knows most may be
+ * the one that has just died. */
+static const Peer *
+informed_peer (const FrontPeers *peers, StoreTable table, int64_t known, int64_t now_ms)
+{
+  unsigned start = peers->count ? (unsigned)(id_random_u64 () % peers->count) : 0;
+
+  for (unsigned i = 0; i < peers->count; i++)
+    {
+      const Peer *peer = &peers->list[(start + i) % peers->count];
+
+      if (peer_is_alive (peer, now_ms) && peer->newest[table] > known)
+        return peer;
+    }
+  return NULL;
+}
+
+/* A peer that knows more for longer than the store takes to tell us: we are cut off from the store,
+ * or our connection to it is silent. */
+void
+peers_catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms)
+{
+  int64_t known = front_store_version (peers->front->store, table);
+  const Peer *best = informed_peer (peers, table, known, now_ms);
+
+  fetch_clear (&peers->fetches[table]);
+  if (!best)
+    peers->ahead_since_ms[table] = 0;
+  else if (peers->ahead_since_ms[table] == 0)
+    peers->ahead_since_ms[table] = now_ms;
+  else if (now_ms - peers->ahead_since_ms[table] >= AHEAD_MS)
+    {
+      front_store_hint (peers->front->store, table, best->newest[table], now_ms);
+      if (!peers->fetches[table].channel)
+        fetch_begin (peers, best, table);
+    }
+}
--- /dev/null
+++ b/src/front_peers_private.h
@@ -0,0 +1,66 @@
+/**
+ * What the files of front_peers*.c share.
+ */
+#ifndef FRONT_PEERS_PRIVATE_H
+#define FRONT_PEERS_PRIVATE_H
+
+#include "front_channel.h"
+#include "front_peer_message.h"
+#include "front_peers.h"
+#include "front_store.h"
+
+#define PEERS_MAX 512
+
+_Static_assert(PEER_TABLES == STORE_STATUS + 1, "a message tells of the first tables");
+
+typedef struct
+{
+  struct sockaddr_in address;
+  uint64_t incarnation; /* 0: it never told us anything itself */
+  uint32_t domain;      /* hash; 0: not known */
+  int64_t heard_ms;     /* by us or another front */
+  int64_t sent_ms;
+  int64_t newest[PEER_TABLES];
+} Peer;
+
+/* What is being fetched of one table; a peer that doesn't answer for one holds up no other. */
+typedef struct
+{
+  FrontPeers *peers;
+  StoreTable table;
+  FrontChannel *channel; /* NULL: nothing */
+  bool done;             /* the channel is to be freed outside of its own call */
+} Fetch;
+
+struct FrontPeers
+{
+  Front *front;
+  int fd;
+  struct event *event;
+  struct sockaddr_in own;
+  uint32_t own_domain;
+  uint16_t control_port; /* the same at all fronts; network order */
+  unsigned count;
+  Peer list[PEERS_MAX];
+  unsigned next;        /* where the next round of messages begins */
+  unsigned next_member; /* where the next list of members begins */
+  int64_t beat_ms;
+  int64_t ahead_since_ms[PEER_TABLES]; /* since when some peer knows more; 0: none does */
+  Fetch fetches[PEER_TABLES];
+};
+
+/* front_peers.c */
+bool peer_is_alive (const Peer *peer, int64_t now_ms);
+/* The entry of this address, made if there is none; NULL: it is our own, or there is no room. */
+Peer *peer_add (FrontPeers *peers, uint32_t ip);
+
+/* front_peers_take.c: what another front has told. */
+void peers_take_message (FrontPeers *peers, Peer *peer, const PeerMessage *message, int64_t now_ms);
+
+/* front_peers_tell.c: tells some of the others how things stand here. */
+void peers_tell (FrontPeers *peers, int64_t now_ms);
+
+/* front_peers_fetch.c: gets rows that others know and we don't. */
+void peers_catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/front_peers_take.c
@@ -0,0 +1,81 @@
+/* What other fronts tell. */
+#include "front_log.h"
+#include "front_peers_private.h"
+#include <arpa/inet.h>
+#include <string.h>
+
+static FrontRollout *
+rollout_find (Front *front, uint64_t service)
+{
+  FrontRollout *rollout;
+
+  cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
+  {
+    if (rollout->service_hash == service)
+      return rollout;
+  }
+  return NULL;
+}
+
+static void
+take_rollout (Front *front, const PeerMessage *message, const PeerRollout *news, int64_t now_ms)
+{
+  FrontRollout *rollout = rollout_find (front, news->service);
+  RolloutPeer peer = {
+    .incarnation = message->incarnation,
+    .heard_ms = now_ms,
+    .old_running = news->old_running,
+    .is_bad = news->is_bad != 0,
+    .evidence = news->evidence,
+  };
+
+  /* News of another order than ours says nothing of this one. */
+  if (rollout && rollout->ordered && rollout->order.row_version == news->order)
+    {
+      front_rollout_peer (rollout, &peer);
+      for (uint32_t i = 0; i < news->session_count; i++)
+        front_rollouts_hold_session (front->rollouts, rollout, &news->sessions[i], now_ms);
+    }
+}
+
+/* A front that another one heard lives, though it may never tell us anything itself. */
+static void
+take_member (FrontPeers *peers, const PeerMember *member, int64_t now_ms)
+{
+  Peer *peer = peer_add (peers, htonl (member->ip));
+  int64_t heard_ms = now_ms - member->age_ms;
+
+  if (!peer)
+    return;
+  if (heard_ms > peer->heard_ms)
+    peer->heard_ms = heard_ms;
+  if (peer->domain == 0)
+    peer->domain = member->domain;
+}
+
+void
+peers_take_message (FrontPeers *peers, Peer *peer, const PeerMessage *message, int64_t now_ms)
+{
+  Front *front = peers->front;
+
+  if (peer->incarnation != message->incarnation)
+    {
+      FrontLine *line = front_log_begin (FRONT_EVENT_PEER);
+      char ip[INET_ADDRSTRLEN];
+
+      inet_ntop (AF_INET, &peer->address.sin_addr, ip, sizeof ip);
+      front_log_text (line, "peer", ip);
+      front_log_text (line, "state", peer->incarnation ? "restarted" : "heard");
+      front_log_end (line);
+    }
+  peer->incarnation = message->incarnation;
+  peer->heard_ms = now_ms;
+  peer->domain = message->domain;
+  memcpy (peer->newest, message->newest, sizeof peer->newest);
+  for (uint32_t i = 0; i < message->rollout_count; i++)
+    take_rollout (front, message, &message->rollouts[i], now_ms);
+  for (uint32_t i = 0; i < message->death_count; i++)
+    quarantine_add (front->quarantine, &message->deaths[i], now_ms);
+  for (uint32_t i = 0; i < message->member_count; i++)
+    take_member (peers, &message->members[i], now_ms);
+}
--- /dev/null
+++ b/src/front_store_apply.c
@@ -0,0 +1,176 @@
+/* What rows of the store change in this process. */
+#include "front_log.h"
+#include "front_peers.h"
+#include "front_store_private.h"
+#include "util_clock.h"
+#include "wire_config.h"
+#include "wire_rollout.h"
+#include "wire_server.h"
+#include "wire_store.h"
+#include <string.h>
+
+static void
+apply_config (Front *front, const StoreRow *row)
+{
+  Status status;
+  FrontConfig *config = wire_config_decode (row->value, row->value_len, &status);
+  FrontLine *line;
+
+  if (!config)
+    {
+      line = front_log_begin (FRONT_EVENT_CONFIG_REFUSED);
+      front_log_text (line, "error", status.message);
+      front_log_number (line, "kept", front->config ? front->config->version : 0);
+      front_log_end (line);
+      return;
+    }
+  /* Versions only rise while a process lives, whichever way they come. */
+  if (front->config && config->version <= front->config->version)
+    {
+      front_config_unref (config);
+      return;
+    }
+  front_config_unref (front->config);
+  front->config = config;
+  line = front_log_begin (FRONT_EVENT_CONFIG_APPLIED);
+  front_log_number (line, "config", config->version);
+  front_log_number (line, "row_version", row->version);
+  front_log_number (line, "routes", config->route_count);
+  front_log_end (line);
+}
+
+static void
+apply_order (Front *front, const StoreRow *row)
+{
+  RolloutOrder order;
+  FrontLine *line;
+
+  if (row->removed)
+    {
+      front_rollouts_order_removed (front->rollouts, row->key + strlen (wire_key_rollout));
+      return;
+    }
+  if (!wire_rollout_decode ((Span){ .text = row->value, .len = row->value_len }, row->version,
+                            &order)
+      || !front_rollouts_order (front->rollouts, front->servers, &order, clock_boot_ms ()))
+    return;
+  line = front_log_begin (FRONT_EVENT_ORDER);
+  front_log_text (line, "service", order.service);
+  front_log_text (line, "target", order.target);
+  front_log_number (line, "duration_ms", order.duration_ms);
+  front_log_number (line, "row_version", order.row_version);
+  front_log_end (line);
+}
+
+void
+store_apply_operator (void *user, const StoreRow *row)
+{
+  FrontStore *store = user;
+
+  if (strcmp (row->key, wire_key_config) == 0 && !row->removed)
+    apply_config (store->front, row);
+  else if (strncmp (row->key, wire_key_rollout, strlen (wire_key_rollout)) == 0)
+    apply_order (store->front, row);
+}
+
+static void
+log_server (const char *id, const char *state, const ServerEntry *entry, int64_t row_version)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_SERVER);
+
+  front_log_text (line, "server", id);
+  front_log_text (line, "state", state);
+  front_log_number (line, "row_version", row_version);
+  if (entry)
+    {
+      front_log_text (line, "service", entry->service);
+      front_log_text (line, "version", entry->version);
+      front_log_text (line, "failure_domain", entry->failure_domain);
+    }
+  front_log_end (line);
+}
+
+void
+store_apply_server (void *user, const StoreRow *row)
+{
+  FrontStore *store = user;
+  Front *front = store->front;
+  int64_t now_ms = clock_boot_ms ();
+  int64_t grace_ms = store->watches[STORE_SERVERS].back_ms + STORE_RELIST_MS - now_ms;
+  ServerEntry entry;
+  bool changed;
+
+  if (row->removed)
+    {
+      log_server (row->key, grace_ms > 0 ? "unconfirmed" : "gone", NULL, row->version);
+      front_servers_remove (front->servers, row->key, now_ms, grace_ms);
+    }
+  else if (!wire_server_decode (row->key, (Span){ .text = row->value, .len = row->value_len },
+                                &entry)
+           || !front_servers_set (front->servers, &entry, now_ms, &changed))
+    log_server (row->key, "unreadable", NULL, row->version);
+  else if (changed)
+    log_server (row->key, entry.draining ? "draining" : "ready", &entry, row->version);
+}
+
+void
+store_apply_status (void *user, const StoreRow *row)
+{
+  FrontStore *store = user;
+  char target[ROLLOUT_TEXT_MAX];
+  FrontRolloutState state;
+  FrontRollout *rollout;
+  int64_t started_ms;
+
+  if (row->removed || strncmp (row->key, wire_key_rollout, strlen (wire_key_rollout)) != 0
+      || !wire_rollout_status_decode ((Span){ .text = row->value, .len = row->value_len }, target,
+                                      &state, &started_ms))
+    return;
+  rollout = front_rollouts_get (store->front->rollouts, row->key + strlen (wire_key_rollout));
+  if (started_ms != 0 && store->clock_ms != 0)
+    started_ms -= store->clock_ms;
+  else
+    started_ms = 0;
+  if (front_rollouts_status (rollout, target, state, row->version, started_ms))
+    {
+      FrontLine *line = front_log_begin (FRONT_EVENT_ROLLOUT);
+
+      front_log_text (line, "service", rollout->service);
+      front_log_text (line, "target", target);
+      front_log_number (line, "state", state);
+      front_log_number (line, "row_version", row->version);
+      front_log_end (line);
+    }
+}
+
+void
+store_apply_member (void *user, const StoreRow *row)
+{
+  FrontStore *store = user;
+
+  if (!row->removed)
+    front_peers_add (store->front->peers, row->key);
+}
+
+/* Statuses may have been read before the orders that they belong to. */
+static void
+statuses_again (FrontStore *store)
+{
+  TableEntry *entry;
+
+  cds_list_for_each_entry (entry, &store->watches[STORE_STATUS].table.entries, node)
+      store_apply_status (store, &entry->row);
+}
+
+void
+store_apply_end (FrontStore *store, StoreTable id)
+{
+  Front *front = store->front;
+
+  if (id == STORE_SERVERS || id == STORE_OPERATOR)
+    front_rollouts_find_base (front->rollouts, front->servers);
+  if (id == STORE_SERVERS)
+    front->servers_known = true;
+  if (id == STORE_OPERATOR)
+    statuses_again (store);
+}
--- /dev/null
+++ b/src/front_store_news.c
@@ -0,0 +1,32 @@
+/* The paths under which fronts ask each other for rows. */
+#include "front_store.h"
+#include "util_span.h"
+#include <string.h>
+
+static const char news_prefix[] = "/news/";
+static const char news_wait[] = "/wait";
+
+void
+front_store_news_path (Buffer *out, StoreTable table, int64_t since, bool wait)
+{
+  buffer_printf (out, "%s%d/%lld%s", news_prefix, (int)table, (long long)since,
+                 wait ? news_wait : "");
+}
+
+bool
+front_store_news_parse (const char *path, StoreTable *table, int64_t *since, bool *wait)
+{
+  Span rest, part;
+  int64_t number;
+
+  if (strncmp (path, news_prefix, strlen (news_prefix)) != 0)
+    return false;
+  rest = span_of (path + strlen (news_prefix));
+  part = span_cut (&rest, '/');
+  if (!span_number (part, &number) || number >= STORE_TABLES)
+    return false;
+  *table = (StoreTable)number;
+  part = span_cut (&rest, '/');
+  *wait = span_is (rest, news_wait + 1);
+  return span_number (part, since) && (rest.text == NULL || *wait);
+}
--- /dev/null
+++ b/src/front_store_write.c
@@ -0,0 +1,123 @@
+/* What this process writes to the store: its address, and how roll-outs stand. */
+#include "front_counter.h"
+#include "front_log.h"
+#include "front_peers.h"
+#include "front_store_private.h"
+#include "util_clock.h"
+#include "wire_rollout.h"
+#include "wire_store.h"
+
+#define TURN_MS 300 /* between two fronts' attempts at the same write */
+
+static void
+write_row (FrontStore *store,
+           const char *table,
+           const char *key,
+           const Buffer *value,
+           int64_t expected)
+{
+  StoreWrite write = {
+    .table = table,
+    .key = key,
+    .value = { .text = value->data, .len = value->len },
+    .expected_version = expected,
+  };
+  Buffer body = { 0 };
+
+  wire_write_body (&body, &write);
+  front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  front_channel_ask (store->writer, wire_write_path, &body, STORE_ANSWER_MS);
+  buffer_free (&body);
+}
+
+static void
+rollout_key (const FrontRollout *rollout, Buffer *out)
+{
+  buffer_printf (out, "%s%s", wire_key_rollout, rollout->service);
+}
+
+static void
+write_status (FrontStore *store, FrontRollout *rollout)
+{
+  const FrontTable *table = &store->watches[STORE_STATUS].table;
+  FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
+  Buffer key = { 0 }, value = { 0 };
+  const StoreRow *row;
+
+  rollout_key (rollout, &key);
+  row = front_table_find (table, key.data);
+  store->writing = rollout;
+  store->writing_state = rollout->verdict;
+  store->writing_started_ms = rollout->started_ms;
+  wire_rollout_status_encode (&value, &rollout->order, rollout->verdict,
+                              rollout->started_ms + store->clock_ms);
+  front_log_text (line, "key", key.data);
+  front_log_text (line, "value", value.data);
+  front_log_number (line, "expected", row ? row->version : 0);
+  front_log_end (line);
+  write_row (store, wire_table_status, key.data, &value, row ? row->version : 0);
+  buffer_free (&key);
+  buffer_free (&value);
+}
+
+void
+store_written (void *user, int status, const char *text, size_t len)
+{
+  FrontStore *store = user;
+  StoreAnswer answer;
+
+  if ((status == STORE_GOOD || status == STORE_CONFLICT) && wire_store_decode (text, len, &answer))
+    {
+      if (store->joining)
+        store->joined = status == STORE_GOOD;
+      else if (status == STORE_GOOD && store->writing)
+        front_rollouts_status (store->writing, store->writing->order.target, store->writing_state,
+                               answer.version, 0);
+      else if (store->writing) /* another front was first; its row comes with the answer */
+        front_table_changes (&store->watches[STORE_STATUS].table,
+                             &(StoreAnswer){ .count = answer.count, .rows = answer.rows },
+                             store_apply_status, store);
+      store_answer_clear (&answer);
+    }
+  else
+    {
+      store->write_again_ms = clock_boot_ms () + TURN_MS;
+      front_counter_add (FRONT_COUNTER_STORE_ERRORS);
+    }
+  store->joining = false;
+  store->writing = NULL;
+}
+
+static void
+join (FrontStore *store)
+{
+  Buffer value = { 0 };
+
+  store->joining = true;
+  buffer_add_string (&value, store->front->settings.vm);
+  write_row (store, wire_table_members, store->front->settings.ip, &value, -1);
+  buffer_free (&value);
+}
+
+void
+front_store_tick (FrontStore *store, int64_t now_ms)
+{
+  Front *front = store->front;
+  FrontRollout *rollout;
+
+  cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
+      front_rollout_judge (rollout, now_ms);
+  if (front_channel_is_open (store->writer) || now_ms < store->write_again_ms)
+    return;
+  cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
+  {
+    unsigned rank = front_peers_rank (front->peers, rollout->service_hash, now_ms);
+
+    if (!rollout->has_verdict || now_ms - rollout->verdict_ms < (int64_t)rank * TURN_MS)
+      continue;
+    write_status (store, rollout);
+    return;
+  }
+  if (!store->joined && front->config)
+    join (store);
+}
