A front that read all rows is not behind one that saw their removals

Cause: fronts compared newest changes; one that read a whole table after the store dropped its history never sees removals, took itself for behind, fetched the table ten times a second from others and dropped its feed every 0.7 s.

--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -32,7 +32,7 @@
   Buffer path = { 0 };
 
   front_log_number (line, "table", table);
-  front_log_number (line, "known", front_store_version (peers->front->store, table));
+  front_log_number (line, "known", front_store_newest (peers->front->store, table));
   front_log_number (line, "peer_knows", peer->newest[table]);
   front_log_end (line);
   address.sin_port = peers->control_port;
@@ -56,7 +56,7 @@
 /* One of the peers that know more than we do, another one each time: the one that knows most may be
  * the one that has just died. */
 static const Peer *
-informed_peer (const FrontPeers *peers, StoreTable table, int64_t known, int64_t now_ms)
+informed_peer (const FrontPeers *peers, StoreTable table, int64_t now_ms)
 {
   unsigned start = peers->count ? (unsigned)(id_random_u64 () % peers->count) : 0;
 
@@ -64,7 +64,8 @@
     {
       const Peer *peer = &peers->list[(start + i) % peers->count];
 
-      if (peer_is_alive (peer, now_ms) && peer->newest[table] > known)
+      if (peer_is_alive (peer, now_ms)
+          && front_store_is_behind (peers->front->store, table, peer->newest[table]))
         return peer;
     }
   return NULL;
@@ -75,8 +76,7 @@
 void
 peers_catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms)
 {
-  int64_t known = front_store_version (peers->front->store, table);
-  const Peer *best = informed_peer (peers, table, known, now_ms);
+  const Peer *best = informed_peer (peers, table, now_ms);
 
   fetch_clear (&peers->fetches[table]);
   if (!best)
--- a/src/front_peers_tell.c
+++ b/src/front_peers_tell.c
@@ -44,7 +44,7 @@
   message->domain = peers->own_domain;
   message->is_ready = front_is_ready (front);
   for (unsigned i = 0; i < PEER_TABLES; i++)
-    message->newest[i] = front_store_version (front->store, (StoreTable)i);
+    message->newest[i] = front_store_newest (front->store, (StoreTable)i);
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
   {
     PeerRollout *out = &message->rollouts[message->rollout_count];
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -211,8 +211,14 @@
     watch_ask (watch);
 }
 
+bool
+front_store_is_behind (const FrontStore *store, StoreTable table, int64_t newest_elsewhere)
+{
+  return front_table_is_behind (&store->watches[table].table, newest_elsewhere);
+}
+
 int64_t
-front_store_version (const FrontStore *store, StoreTable table)
+front_store_newest (const FrontStore *store, StoreTable table)
 {
   return store->watches[table].table.newest;
 }
@@ -228,7 +234,7 @@
 {
   Watch *watch = &store->watches[table];
 
-  if (watch->table.newest >= version || now_ms - watch->asked_ms < HINT_MS
+  if (!front_table_is_behind (&watch->table, version) || now_ms - watch->asked_ms < HINT_MS
       || !front_channel_is_open (watch->channel))
     return;
   /* Whom we asked is behind, too: the store itself is asked next. */
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -20,8 +20,10 @@
 /** NULL if the store's address can't be read. */
 FrontStore *front_store_new (Front *front);
 void front_store_free (FrontStore *store);
-/** Version up to which the table is known; 0: not at all. */
-int64_t front_store_version (const FrontStore *store, StoreTable table);
+/** Version of the newest change known. */
+int64_t front_store_newest (const FrontStore *store, StoreTable table);
+/** True if we lack a change that another front knows. */
+bool front_store_is_behind (const FrontStore *store, StoreTable table, int64_t newest_elsewhere);
 /** Another front knows the table up to this version. If the store has not told us within a moment,
  *  its answer to our question is overdue and is asked for anew. */
 void front_store_hint (FrontStore *store, StoreTable table, int64_t version, int64_t now_ms);
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -99,6 +99,12 @@
   row_put (table, entry, row);
 }
 
+bool
+front_table_is_behind (const FrontTable *table, int64_t newest_elsewhere)
+{
+  return newest_elsewhere > table->version;
+}
+
 size_t
 front_table_bytes (const FrontTable *table)
 {
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -33,6 +33,9 @@
 void front_table_changes (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
 /** Takes all rows as of a version: what is missing in them is gone, unless it is newer. */
 void front_table_snapshot (FrontTable *table, StoreAnswer *answer, TableChange change, void *user);
+/** True if a change with this version, known elsewhere, is not known here. A table that was read as
+ * a whole knows all changes up to its version, though it saw none of the removals among them. */
+bool front_table_is_behind (const FrontTable *table, int64_t newest_elsewhere);
 /** Bytes of all values. */
 size_t front_table_bytes (const FrontTable *table);
 /** True if all changes since a version can still be told. */
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -303,6 +303,24 @@
   front_table_clear (&other);
 }
 
+/* Story: the store forgets its history while a server leaves. A front reads all rows anew and never
+   sees the removal, whose version others tell of. It took itself for behind, fetched the same rows
+   ten times a second and dropped its connection to the store each time. */
+static void
+test_whole_table_is_not_behind (void)
+{
+  FrontTable table;
+
+  front_table_init (&table);
+  CU_ASSERT (front_table_is_behind (&table, 1));
+  take (&table, true, "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"MQ==\",\"Ver\":5}],\"Ver\":20}",
+        "a=1 ");
+  CU_ASSERT_EQUAL (table.newest, 5);
+  CU_ASSERT (!front_table_is_behind (&table, 15));
+  CU_ASSERT (front_table_is_behind (&table, 21));
+  front_table_clear (&table);
+}
+
 static void
 test_write (void)
 {
@@ -332,6 +350,7 @@
   { "rollout", test_rollout },
   { "server", test_server },
   { "table", test_table },
+  { "whole_table_is_not_behind", test_whole_table_is_not_behind },
   { "write", test_write },
 };
 
