--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -304,18 +304,31 @@
     for _ in range(4):
         await site.add_engine("orders").start()
     killer = digest(b"killer").encode()
+    for engine in site.engines:
+        engine.poison = killer
     refused = 0
     for number in range(8):
-        for engine in site.engines:
-            engine.mode = "lost" if engine.service == "orders" else "ok"
         answer = await site.call(site.fronts[number % len(site.fronts)], "/again/kill", killer)
-        refused += answer.status == 503
+        refused += answer.status == 503 and not site.runs_of(answer)
         await asyncio.sleep(1.2)
     if refused < 4:
         raise AssertionError(f"refused only {refused} of 8 times")
+    equal((await site.call(site.fronts[0], "/again/other", b"innocent")).status, 200, "another request")
+
+
+async def lost_answers(site):
+    """Engines lose the answers of a request four times over but live. It is no killer, and is served
+    once they are well."""
+    for _ in range(4):
+        await site.add_engine("orders").start()
+    for number in range(4):
+        for engine in site.engines:
+            engine.mode = "lost"
+        await site.call(site.fronts[number % len(site.fronts)], "/again/a", b"unlucky")
+        await asyncio.sleep(0.6)
     for engine in site.engines:
         engine.mode = "ok"
-    equal((await site.call(site.fronts[0], "/again/other", b"innocent")).status, 200, "another request")
+    equal((await site.call(site.fronts[0], "/again/a", b"unlucky")).status, 200, "the same request")
 
 
 async def leaving_engine(site):
@@ -345,7 +358,7 @@
 
 CASES = [
     calm, refusals, cascade, resume, run_once, not_run, caller_leaves, timeouts, planned_stop, new_configuration,
-    turned_away, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, crash_request,
+    turned_away, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, crash_request, lost_answers,
     leaving_engine, metrics_and_logs,
 ]  # fmt: skip
 
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -48,7 +48,8 @@
 class Engine:
     """modes: ok; mute (takes the request and answers nothing), half (stops within an event), cut
     (resets within the answer), full (runs nothing), error (fails what it runs), unsigned, foreign
-    (answers another request), unframed (no length), lost (runs it and resets)."""
+    (answers another request), unframed (no length), lost (runs it and resets). An engine dies for a
+    second of a request whose body is its poison."""
 
     def __init__(self, world, name, service, address, version="v1", domain="a", models=()):
         self.world, self.name, self.service = world, name, service
@@ -56,6 +57,7 @@
         self.address, self.version, self.domain, self.models = address, version, domain, models
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90
+        self.poison = None
         self.writers = set()
         self.left_at = None  # when the store acknowledged that it leaves
 
@@ -90,6 +92,11 @@
         for writer in list(self.writers):
             abort(writer)
 
+    async def die(self):
+        await self.crash()
+        await asyncio.sleep(1)
+        self.server = await asyncio.start_server(self.serve, *self.address)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -129,6 +136,9 @@
 
     async def work(self, request, writer):
         await asyncio.sleep(self.delay)
+        if self.poison is not None and request.body == self.poison:
+            asyncio.ensure_future(self.die())
+            await asyncio.sleep(3600)
         if self.mode == "mute":
             await asyncio.sleep(3600)
         if self.mode == "lost":
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -1,30 +1,120 @@
 #include "front_deaths.h"
 #include "front_log.h"
+#include "front_socket.h"
+#include "util_clock.h"
+#include "util_memory.h"
+#include "util_unused.h"
+#include <stdlib.h>
 
-/* Milliseconds within which all connections of a dying server are cut. */
-#define TOGETHER_MS 150
+/* Milliseconds for a connection to a server that lives. A dead one refuses it at once or, with its
+ * whole machine gone, never answers. */
+#define PROBE_MS  400
+#define US_PER_MS 1000L
 
-/* The death that is being put together; cuts of another server or later ones begin the next. */
-static QuarantineDeath current;
-static int64_t current_ms;
+/* A connection was cut. That is the server's death only if it takes no new connection: engines also
+ * lose single answers, and a caller's request that met three of these in a row was refused as if
+ * it killed servers. */
+typedef struct
+{
+  struct cds_list_head node;
+  Front *front;
+  FrontServer *server;
+  struct bufferevent *bev;
+  struct event *timer;
+  QuarantineDeath death;
+} Probe;
 
-void
-front_deaths_cut (Front *front, FrontServer *server, uint64_t fingerprint, int64_t now_ms)
+static CDS_LIST_HEAD (probes);
+
+static void
+probe_free (Probe *probe)
 {
-  if (current.server != server->hash || now_ms - current_ms > TOGETHER_MS)
-    {
-      current = (QuarantineDeath){ .server = server->hash };
-      current_ms = now_ms;
-    }
-  if (current.count < QUARANTINE_FLIGHT_MAX)
-    current.flights[current.count++] = fingerprint;
-  quarantine_add (front->quarantine, &current, now_ms);
-  if (quarantine_holds (front->quarantine, fingerprint, now_ms))
+  cds_list_del (&probe->node);
+  event_free (probe->timer);
+  if (probe->bev)
+    bufferevent_free (probe->bev);
+  front_server_unref (probe->server);
+  free (probe);
+}
+
+static void
+server_is_dead (Probe *probe)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  front_health_unreachable (&probe->server->health, now_ms);
+  quarantine_add (probe->front->quarantine, &probe->death, now_ms);
+  for (uint32_t i = 0; i < probe->death.count; i++)
     {
-      FrontLine *line = front_log_begin (FRONT_EVENT_QUARANTINE);
+      FrontLine *line;
 
-      front_log_number (line, "fingerprint", (int64_t)fingerprint);
-      front_log_text (line, "server", server->entry.id);
+      if (!quarantine_holds (probe->front->quarantine, probe->death.flights[i], now_ms))
+        continue;
+      line = front_log_begin (FRONT_EVENT_QUARANTINE);
+      front_log_number (line, "fingerprint", (int64_t)probe->death.flights[i]);
+      front_log_text (line, "server", probe->server->entry.id);
       front_log_end (line);
     }
 }
+
+static void
+on_event (struct bufferevent *bev UNUSED, short what, void *user)
+{
+  Probe *probe = user;
+
+  if (!(what & BEV_EVENT_CONNECTED))
+    server_is_dead (probe);
+  probe_free (probe);
+}
+
+static void
+on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
+{
+  Probe *probe = user;
+
+  server_is_dead (probe);
+  probe_free (probe);
+}
+
+static Probe *
+probe_find (const FrontServer *server)
+{
+  Probe *probe;
+
+  cds_list_for_each_entry (probe, &probes, node)
+  {
+    if (probe->server == server)
+      return probe;
+  }
+  return NULL;
+}
+
+static Probe *
+probe_begin (Front *front, FrontServer *server)
+{
+  struct timeval wait = { .tv_usec = PROBE_MS * US_PER_MS };
+  Probe *probe = memory_alloc (sizeof *probe);
+
+  probe->front = front;
+  probe->server = server;
+  probe->death.server = server->hash;
+  probe->timer = evtimer_new (front->base, on_timer, probe);
+  front_server_ref (server);
+  cds_list_add_tail (&probe->node, &probes);
+  evtimer_add (probe->timer, &wait);
+  probe->bev = front_socket_connect (front->base, &server->address, PROBE_MS);
+  if (probe->bev)
+    bufferevent_setcb (probe->bev, NULL, NULL, on_event, probe);
+  return probe;
+}
+
+void
+front_deaths_cut (Front *front, FrontServer *server, uint64_t fingerprint)
+{
+  Probe *probe = probe_find (server);
+
+  if (!probe)
+    probe = probe_begin (front, server);
+  if (probe->death.count < QUARANTINE_FLIGHT_MAX)
+    probe->death.flights[probe->death.count++] = fingerprint;
+}
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -410,6 +410,6 @@
       return;
     }
   front_health_failed (&request->server->health, now_ms);
-  front_deaths_cut (request->front, request->server, request->fingerprint, now_ms);
+  front_deaths_cut (request->front, request->server, request->fingerprint);
   request_again (request, request->relaying ? "stream_cut" : "answer_cut", true);
 }
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -50,21 +50,33 @@
   return entry && !entry->row.removed ? &entry->row : NULL;
 }
 
-static void
-forget_oldest_removal (FrontTable *table)
+static int64_t
+oldest_removal (const FrontTable *table)
 {
-  TableEntry *entry, *oldest = NULL;
+  TableEntry *entry;
+  int64_t oldest = INT64_MAX;
 
   cds_list_for_each_entry (entry, &table->entries, node)
   {
-    if (entry->row.removed && (!oldest || entry->row.version < oldest->row.version))
-      oldest = entry;
+    if (entry->row.removed && entry->row.version < oldest)
+      oldest = entry->row.version;
   }
-  if (!oldest)
-    return;
-  table->forgotten = oldest->row.version;
-  table->removed_count--;
-  entry_free (oldest);
+  return oldest;
+}
+
+static void
+forget_removals (FrontTable *table, int64_t up_to)
+{
+  TableEntry *entry, *next;
+
+  cds_list_for_each_entry_safe (entry, next, &table->entries, node)
+  {
+    if (!entry->row.removed || entry->row.version > up_to)
+      continue;
+    table->removed_count--;
+    entry_free (entry);
+  }
+  table->forgotten = up_to;
 }
 
 /* Moves the row's key and value into the table. */
@@ -133,8 +145,8 @@
 {
   for (unsigned i = 0; i < answer->count; i++)
     row_take (table, &answer->rows[i], change, user);
-  while (table->removed_count > REMOVED_MOST)
-    forget_oldest_removal (table);
+  if (table->removed_count > REMOVED_MOST)
+    forget_removals (table, (oldest_removal (table) + table->newest) / 2);
   version_raise (table, answer->version);
 }
 
