--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -117,6 +117,8 @@
 
     async def spoil_engine(self):
         engine = self.random.choice(self.site.engines)
+        if engine.mode != "ok":
+            return  # its version is bad, or it is being spoiled
         self.disturb("engines")
         engine.mode = self.random.choice(ENGINE_MODES)
         await self.pause()
@@ -181,6 +183,8 @@
             if (engine.version == version) == (done == "rolled_back"):
                 await engine.drain()
                 asyncio.ensure_future(self.leave_later(engine))
+        if bad and done == "completed":
+            self.faults.append(f"a version that fails all requests was completed: {version}")
         self.disturb("engines")
         self.rolling = False
 
