--- a/src/front_call.h
+++ b/src/front_call.h
@@ -25,8 +25,6 @@
   Span model;            /**< "*": any of the route's models */
   int64_t deadline_ms;   /**< that the caller will wait; -1: not said */
   int64_t prompt_tokens; /**< 0: not said */
-  int64_t output_max;    /**< tokens; 0: not said */
-  int64_t output_hint;   /**< the caller's estimate, often far off; 0: not said */
   int64_t after_event;   /**< a stream goes on behind this event; -1: from its start */
   unsigned part_count;
   PromptPart parts[PROMPT_PARTS_MAX];
--- a/src/front_config.c
+++ b/src/front_config.c
@@ -39,15 +39,6 @@
   free (route->targets);
 }
 
-static void
-service_clear (FrontService *service)
-{
-  free (service->name);
-  for (unsigned i = 0; i < service->model_count; i++)
-    free (service->models[i].name);
-  free (service->models);
-}
-
 void
 front_config_unref (FrontConfig *config)
 {
@@ -61,7 +52,7 @@
       strings_free (config->teams[i].keys, config->teams[i].key_count);
     }
   for (unsigned i = 0; i < config->service_count; i++)
-    service_clear (&config->services[i]);
+    free (config->services[i].name);
   free (config->routes);
   free (config->teams);
   free (config->services);
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -49,21 +49,12 @@
   int64_t priority; /**< goes before the route's; -1: none */
 } FrontTeam;
 
-typedef struct
-{
-  char *name;
-  double cost; /**< per 1,000 tokens generated */
-} FrontModel;
-
 /** What the configuration says of a backend service. */
 typedef struct
 {
   char *name;
-  unsigned slots;        /**< requests that one server runs at once; 0: not said */
-  int64_t kv_tokens;     /**< memory of one model engine; 0: a plain service */
-  unsigned event_tokens; /**< tokens in one event of a stream */
-  unsigned model_count;
-  FrontModel *models;
+  unsigned slots;    /**< requests that one server runs at once; 0: not said */
+  int64_t kv_tokens; /**< memory of one model engine; 0: a plain service */
 } FrontService;
 
 /** What a caller may send. */
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -105,8 +105,7 @@
 
   if (!xdr_uint32_t (xdr, &magic) || magic != MAGIC)
     return FALSE;
-  if (!xdr_hash (xdr, &message->incarnation) || !xdr_uint32_t (xdr, &message->domain)
-      || !xdr_uint32_t (xdr, &message->is_ready))
+  if (!xdr_hash (xdr, &message->incarnation) || !xdr_uint32_t (xdr, &message->domain))
     return FALSE;
   for (unsigned i = 0; i < PEER_TABLES; i++)
     {
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -41,8 +41,7 @@
 typedef struct
 {
   uint64_t incarnation;
-  uint32_t domain; /**< hash of the sender's failure domain */
-  uint32_t is_ready;
+  uint32_t domain;             /**< hash of the sender's failure domain */
   int64_t newest[PEER_TABLES]; /**< newest change known of each table */
   uint32_t rollout_count;
   PeerRollout rollouts[PEER_ROLLOUTS_MAX];
--- a/src/front_peers_tell.c
+++ b/src/front_peers_tell.c
@@ -42,7 +42,6 @@
   memset (message, 0, sizeof *message);
   message->incarnation = front->incarnation;
   message->domain = peers->own_domain;
-  message->is_ready = front_is_ready (front);
   for (unsigned i = 0; i < PEER_TABLES; i++)
     message->newest[i] = front_store_newest (front->store, (StoreTable)i);
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -152,17 +152,3 @@
     }
   return best;
 }
-
-unsigned
-front_pick_usable (FrontServers *servers, const PickQuery *query, int64_t now_ms)
-{
-  unsigned count = 0;
-  FrontServer *server;
-
-  cds_list_for_each_entry (server, front_servers_list (servers), node)
-  {
-    if (is_usable (query, server) && !front_health_avoided (&server->health, now_ms))
-      count++;
-  }
-  return count;
-}
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -34,7 +34,4 @@
 
 PickAnswer front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms);
 
-/** Number of servers that could take the request, tried or not, and need not be avoided. */
-unsigned front_pick_usable (FrontServers *servers, const PickQuery *query, int64_t now_ms);
-
 #endif
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -26,12 +26,11 @@
   FrontChannel *channel;
   struct event *again;
   StoreAnswer pages; /* rows of the pages read so far */
-  int64_t pages_version;
-  char *after;     /* last key of these */
-  bool loaded;     /* all rows were read from the store; changes are asked for */
-  bool lost;       /* the last question had no good answer */
-  unsigned tries;  /* in a row that failed */
-  int64_t back_ms; /* when the store answered again after an error */
+  char *after;       /* last key of these */
+  bool loaded;       /* all rows were read from the store; changes are asked for */
+  bool lost;         /* the last question had no good answer */
+  unsigned tries;    /* in a row that failed */
+  int64_t back_ms;   /* when the store answered again after an error */
   int64_t asked_ms;
   bool asked_peer;        /* the open question went to another front */
   int64_t peer_failed_ms; /* when one gave no good answer */
--- a/tests/test_front_peer_message.c
+++ b/tests/test_front_peer_message.c
@@ -7,7 +7,7 @@
 static PeerMessage
 full_message (void)
 {
-  PeerMessage message = { .incarnation = 7, .is_ready = 1, .newest = { 1, 2, 3 } };
+  PeerMessage message = { .incarnation = 7, .newest = { 1, 2, 3 } };
 
   message.rollout_count = 1;
   message.rollouts[0].service = 99;
@@ -34,7 +34,6 @@
   CU_ASSERT (len > 0);
   CU_ASSERT (peer_message_decode (&out, data, len));
   CU_ASSERT_EQUAL (out.incarnation, 7);
-  CU_ASSERT_EQUAL (out.is_ready, 1);
   CU_ASSERT_EQUAL (out.newest[2], 3);
   CU_ASSERT_EQUAL (out.rollout_count, 1);
   CU_ASSERT_EQUAL (out.rollouts[0].service, 99);
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -208,7 +208,6 @@
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "a");
   add ("bb", "there", "v1");
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "bb");
-  CU_ASSERT_EQUAL (front_pick_usable (servers, &query, NOW + 1000), 1);
 }
 
 static void
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -109,7 +109,6 @@
   CU_ASSERT (span_is (call.model, "*"));
   CU_ASSERT_EQUAL (call.deadline_ms, 15000);
   CU_ASSERT_EQUAL (call.prompt_tokens, 1460);
-  CU_ASSERT_EQUAL (call.output_max, 80);
   CU_ASSERT_EQUAL (call.after_event, 12);
   CU_ASSERT_EQUAL (call.part_count, 2);
   CU_ASSERT_EQUAL (call.parts[1].tokens, 410);
