A front that starts among draining servers finds the version in use

Cause, by the front's own log (server_state, rollout_order): it restarted while the servers of the version before last drained and were the majority; when they were gone it refused all requests with no_server.

--- a/regress/case_front_soak.sh
+++ b/regress/case_front_soak.sh
@@ -7,7 +7,7 @@
 failed=0
 
 play() {
-  python3 "$here/front/soak.py" "$build/lovage-front" --seed "$1" --seconds 12 --slack 10 || failed=1
+  python3 "$here/front/soak.py" "$build/lovage-front" --seed "$1" --seconds 14 --slack 10 || failed=1
 }
 
 play 4
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -181,27 +181,41 @@
   counts[i].count++;
 }
 
-/* The version that most listed servers have, the target of a roll-out left out. */
+/* A version that is being tried or was found bad is no version in use. */
+static bool
+is_candidate (const FrontRollout *rollout, const FrontServer *server)
+{
+  if (!server->listed || strcmp (server->entry.service, rollout->service) != 0)
+    return false;
+  return !rollout->ordered || rollout->state == FRONT_ROLLOUT_COMPLETED
+         || strcmp (server->entry.version, rollout->order.target) != 0;
+}
+
+/* The version that most listed servers have. Servers that leave count only if there are no others:
+ * those of the version before may drain for many seconds after the last roll-out, and a front that
+ * starts among them would send its requests to a version that is about to be gone. */
 static void
 base_find (FrontRollout *rollout, FrontServers *servers)
 {
-  VersionCount counts[VERSIONS_MOST] = { 0 };
+  VersionCount counts[2][VERSIONS_MOST] = { 0 };
   FrontServer *server;
   unsigned most = 0;
 
   cds_list_for_each_entry (server, front_servers_list (servers), node)
   {
-    if (!server->listed || strcmp (server->entry.service, rollout->service) != 0)
-      continue;
-    if (!rollout->ordered || strcmp (server->entry.version, rollout->order.target) != 0)
-      version_count (counts, server->entry.version);
+    if (is_candidate (rollout, server))
+      version_count (counts[server->leaving], server->entry.version);
   }
-  for (unsigned i = 0; i < VERSIONS_MOST; i++)
+  for (unsigned i = 0; i < 2 * VERSIONS_MOST; i++)
     {
-      if (counts[i].count <= most)
+      const VersionCount *count = &counts[i / VERSIONS_MOST][i % VERSIONS_MOST];
+
+      if (i == VERSIONS_MOST && most > 0)
+        return;
+      if (count->count <= most)
         continue;
-      most = counts[i].count;
-      snprintf (rollout->base, sizeof rollout->base, "%s", counts[i].version);
+      most = count->count;
+      snprintf (rollout->base, sizeof rollout->base, "%s", count->version);
     }
 }
 
@@ -295,18 +309,20 @@
                        int64_t now_ms)
 {
   FrontRollout *rollout = front_rollouts_get (rollouts, service);
+  bool base_serves = has_servers (servers, service, rollout->base);
   const char *version;
 
-  if (rollout->base[0] == '\0')
-    base_find (rollout, servers);
-  if (rollout->base[0] == '\0')
-    return NULL;
+  if (!base_serves && (rollout->base[0] == '\0' || !front_rollout_is_running (rollout)))
+    {
+      base_find (rollout, servers);
+      base_serves = has_servers (servers, service, rollout->base);
+    }
   if (!front_rollout_is_running (rollout))
     return rollout->base;
   version = choose_running (rollouts, rollout, session, now_ms);
-  if (has_servers (servers, service, version))
-    return version;
-  return version == rollout->base ? rollout->order.target : rollout->base;
+  if (version == rollout->base)
+    return base_serves || rollout->is_bad ? rollout->base : rollout->order.target;
+  return has_servers (servers, service, version) ? version : rollout->base;
 }
 
 /* Sessions that would begin on the new version in the first half. */
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -76,7 +76,7 @@
                             int64_t started_ms);
 /** The version of the base is that of most servers; called once the whole list is known. */
 void front_rollouts_find_base (FrontRollouts *rollouts, FrontServers *servers);
-/** Version for a request of a session; NULL: any, since nothing is known yet. */
+/** Version for a request of a session; one that no server has if none may be used. */
 const char *front_rollouts_choose (FrontRollouts *rollouts,
                                    FrontServers *servers,
                                    const char *service,
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -58,9 +58,7 @@
 static const char *
 chosen (uint64_t session, int64_t now_ms)
 {
-  const char *version = front_rollouts_choose (rollouts, servers, "drafts", session, now_ms);
-
-  return version ? version : "any";
+  return front_rollouts_choose (rollouts, servers, "drafts", session, now_ms);
 }
 
 static void
@@ -295,6 +293,54 @@
   CU_ASSERT_STRING_EQUAL (chosen (FAR_IN_SHARE, NOW + 20000), "v1");
 }
 
+static void
+drain (const char *id, const char *version)
+{
+  ServerEntry entry = front_servers_find (servers, id)->entry;
+  bool changed;
+
+  CU_ASSERT_STRING_EQUAL (entry.version, version);
+  entry.draining = true;
+  front_servers_set (servers, &entry, NOW, &changed);
+}
+
+/* Story: a front restarts while the servers of the version before last drain, and there are more of
+   them than of the one in use. It took theirs for the version in use, and when they were gone it
+   refused all requests for lack of a server (soak, seeds 2 and 1002). */
+static void
+test_restart_among_draining_servers (void)
+{
+  begin ();
+  add ("e", "v1");
+  add ("c", "v2");
+  add ("d", "v2");
+  drain ("a", "v1");
+  drain ("b", "v1");
+  drain ("e", "v1");
+  rollout->base[0] = '\0';
+  order (10, NOW);
+  rollout->order.target[1] = '3';
+  rollout->state = FRONT_ROLLOUT_ROLLED_BACK;
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
+}
+
+/* Story: the same front, where the old servers had not yet said that they drain. */
+static void
+test_version_in_use_is_gone (void)
+{
+  begin ();
+  add ("c", "v2");
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v1");
+  front_servers_remove (servers, "a", NOW, 0);
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v1");
+  front_servers_remove (servers, "b", NOW, 0);
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
+  /* But never a version that was rolled back. */
+  order (10, NOW);
+  CU_ASSERT (front_rollouts_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 11, 0));
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "");
+}
+
 static const SuiteCase cases[] = {
   { "no_order_no_new_version", test_no_order_no_new_version },
   { "share_grows", test_share_grows },
@@ -308,6 +354,8 @@
   { "status_of_earlier_order", test_status_of_earlier_order },
   { "end_is_final", test_end_is_final },
   { "restart_knows_the_start", test_restart_knows_the_start },
+  { "restart_among_draining_servers", test_restart_among_draining_servers },
+  { "version_in_use_is_gone", test_version_in_use_is_gone },
   { "no_server_of_new_version", test_no_server_of_new_version },
 };
 
