A version whose answers are all left for their silence is counted as slow

Cause: an idempotent request that a slow server kept waiting is sent elsewhere before any answer begins, and only answers were counted. The case slow_rollout fails before (status running after 9 s) and passes after.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -298,6 +298,19 @@
     check(site, *answers)
 
 
+async def slow_rollout(site):
+    """A version that begins its answers a second late, so that each is asked for elsewhere, never
+    fails a request. It is stopped all the same."""
+    for _ in range(2):
+        engine = site.add_engine("texts", "v2")
+        engine.delay = 1.0
+        await engine.start()
+    await site.store.put("op", "rollout/texts", json.dumps({"Service": "texts", "Target": "v2", "RampS": 20}))
+    answers = await traffic(site, time.monotonic() + 9)
+    check(site, *answers)
+    equal(site.store.get("status", "rollout/texts")["State"], "rolled_back", "status")
+
+
 async def crash_request(site):
     """One request kills each engine that runs it, and its caller sends it again and again. After
     three engines it is refused everywhere."""
@@ -358,7 +371,7 @@
 
 CASES = [
     calm, refusals, cascade, resume, run_once, not_run, caller_leaves, timeouts, planned_stop, new_configuration,
-    turned_away, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, crash_request, lost_answers,
+    turned_away, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
     leaving_engine, metrics_and_logs,
 ]  # fmt: skip
 
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -61,6 +61,9 @@
 
 /* front_request_relay.c */
 void request_progress (FrontRequest *request);
+/* During a roll-out, counts for or against the version how the present attempt has begun, or that
+ * it has not until now. */
+void request_add_evidence (FrontRequest *request, bool failed, int64_t now_ms);
 
 /* front_request.c */
 void request_refuse (FrontRequest *request, int status, const char *reason, int64_t retry_after_ms);
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -63,11 +63,22 @@
   return REPLY_WHOLE;
 }
 
+void
+request_add_evidence (FrontRequest *request, bool failed, int64_t now_ms)
+{
+  FrontRollout *rollout = front_rollouts_get (request->front->rollouts, request->service);
+  bool fresh = strcmp (request->version, rollout->order.target) == 0;
+
+  if (front_rollout_is_running (rollout))
+    front_evidence_add (&rollout->evidence, fresh ? EVIDENCE_NEW : EVIDENCE_OLD,
+                        request->route->hash, failed, (double)(now_ms - request->sent_ms),
+                        request->predicted_ms);
+}
+
 /* Counts the answer for its server and, during a roll-out, for its version. */
 static void
 account_first (FrontRequest *request, bool failed)
 {
-  FrontRollout *rollout = front_rollouts_get (request->front->rollouts, request->service);
   int64_t now_ms = clock_boot_ms ();
   double first_ms = (double)(now_ms - request->sent_ms);
 
@@ -77,11 +88,7 @@
     front_health_failed (&request->server->health, now_ms);
   else
     front_health_answered (&request->server->health, now_ms, first_ms, request->predicted_ms);
-  if (front_rollout_is_running (rollout))
-    front_evidence_add (&rollout->evidence,
-                        strcmp (request->version, rollout->order.target) == 0 ? EVIDENCE_NEW
-                                                                              : EVIDENCE_OLD,
-                        request->route->hash, failed, first_ms, request->predicted_ms);
+  request_add_evidence (request, failed, now_ms);
 }
 
 static double
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -313,6 +313,10 @@
   int64_t now_ms = clock_boot_ms ();
 
   log_again (request, reason, verdict);
+  /* Counted before the attempt is left: a version that is slow throughout would otherwise have no
+   * answers at all to be judged by. */
+  if (!request->relaying)
+    request_add_evidence (request, false, now_ms);
   if (verdict != AGAIN_NOW)
     {
       request->event_ms = now_ms;
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 /* Share of sessions that begin on a new version until half of the time has passed. A bad version
- * may get 15 of 100 requests; a tenth leaves room for retries and for what is in flight when it
- * is stopped, and brings the evidence for a verdict within seconds. */
+ * may get 15 of 100 requests; eight leave room for retries and for what is in flight when it is
+ * stopped, and bring the evidence for a verdict within seconds. */
 #define FIRST_SHARE 0.08
 /* With many servers there are many requests, and so many sessions that go on over the order; a
  * smaller share brings the same number of answers and leaves fewer sessions to be told of. */
@@ -20,9 +20,9 @@
 /* Milliseconds. Sessions may move to the new version in the second half only; nodes don't begin it
  * at the same moment, as the order reaches them at different times. */
 #define HALF_MARGIN_MS 400
-/* After the order no session begins on the new version for so long, in which nodes tell each other
- * of the sessions that run on the old one: a session that came to another node moved to the new
- * version in the first half otherwise. */
+/* After the order no session begins on the new version for so long. In that time nodes tell each
+ * other of the sessions that run on the old one; without it, such a session moves when its next
+ * request comes to a node that has not seen it. */
 #define HOLD_MS       800
 #define HOLD_LARGE_MS 2500 /* a message reaches each of 70 fronts in about ten rounds */
 /* The last moment to report success: the write needs to be accepted before the time is over. */
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -11,6 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define MS_PER_S  1000
+#define US_PER_MS 1000
+
 /* Milliseconds. */
 #define AGAIN_FIRST_MS 120 /* until the next try after an error, doubling */
 #define AGAIN_MOST_MS  1000
@@ -62,7 +65,7 @@
 static void
 again_in (Watch *watch, int64_t ms)
 {
-  struct timeval wait = { .tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000 };
+  struct timeval wait = { .tv_sec = ms / MS_PER_S, .tv_usec = ms % MS_PER_S * US_PER_MS };
 
   evtimer_add (watch->again, &wait);
 }
