--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -2,7 +2,6 @@
 #include "front_socket.h"
 #include "util_memory.h"
 #include "util_unused.h"
-#include <event2/buffer.h>
 #include <stdlib.h>
 
 /* Milliseconds without an acknowledgement after which a connection is taken for dead. A cut path
@@ -35,15 +34,8 @@
 on_read (struct bufferevent *bev, void *user)
 {
   FrontAttempt *attempt = user;
-  struct evbuffer *input = bufferevent_get_input (bev);
-  size_t len;
 
-  while ((len = evbuffer_get_contiguous_space (input)) > 0)
-    {
-      http_reply_feed (&attempt->reply, (const char *)evbuffer_pullup (input, (ev_ssize_t)len),
-                       len);
-      evbuffer_drain (input, len);
-    }
+  front_socket_read (bev, &attempt->reply);
   if (attempt->reply.broken)
     attempt->owner->cut (attempt->user);
   else if (attempt->reply.status)
--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -72,15 +72,8 @@
 on_read (struct bufferevent *bev, void *user)
 {
   FrontChannel *channel = user;
-  struct evbuffer *input = bufferevent_get_input (bev);
-  size_t len;
-
-  while ((len = evbuffer_get_contiguous_space (input)) > 0)
-    {
-      http_reply_feed (&channel->reply, (const char *)evbuffer_pullup (input, (ev_ssize_t)len),
-                       len);
-      evbuffer_drain (input, len);
-    }
+
+  front_socket_read (bev, &channel->reply);
   if (channel->reply.broken || !channel->waiting)
     fail (channel);
   else if (channel->reply.complete)
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -9,7 +9,7 @@
 #include "front_peers.h"
 #include "front_store.h"
 
-#define PEERS_MAX 512
+#define PEERS_MAX 512 /**< fronts remembered; the target is 360 */
 
 _Static_assert(PEER_TABLES == STORE_STATUS + 1, "a message tells of the first tables");
 
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -114,9 +114,13 @@
     server_free (server);
 }
 
-static void
-remove_or_wait (FrontServers *servers, FrontServer *server, int64_t now_ms, int64_t grace_ms)
+void
+front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms)
 {
+  FrontServer *server = front_servers_find (servers, id);
+
+  if (!server)
+    return;
   if (grace_ms <= 0)
     server_remove (servers, server);
   else if (!server->unconfirmed)
@@ -126,15 +130,6 @@
     }
 }
 
-void
-front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms)
-{
-  FrontServer *server = front_servers_find (servers, id);
-
-  if (server)
-    remove_or_wait (servers, server, now_ms, grace_ms);
-}
-
 void
 front_servers_sweep (FrontServers *servers, int64_t now_ms)
 {
@@ -147,38 +142,6 @@
   }
 }
 
-/* A time that no entry waits until; set entries lose the mark. */
-#define MARKED_UNTIL INT64_MAX
-
-void
-front_servers_mark (FrontServers *servers)
-{
-  FrontServer *server;
-
-  cds_list_for_each_entry (server, &servers->list, node)
-  {
-    if (!server->unconfirmed)
-      {
-        server->unconfirmed = true;
-        server->unconfirmed_until_ms = MARKED_UNTIL;
-      }
-  }
-}
-
-void
-front_servers_remove_marked (FrontServers *servers, int64_t now_ms, int64_t grace_ms)
-{
-  FrontServer *server, *next;
-
-  cds_list_for_each_entry_safe (server, next, &servers->list, node)
-  {
-    if (!server->listed || !server->unconfirmed || server->unconfirmed_until_ms != MARKED_UNTIL)
-      continue;
-    server->unconfirmed = false;
-    remove_or_wait (servers, server, now_ms, grace_ms);
-  }
-}
-
 struct cds_list_head *
 front_servers_list (FrontServers *servers)
 {
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -20,10 +20,6 @@
 void front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms);
 /** Removes what is still missing at the end of its grace. */
 void front_servers_sweep (FrontServers *servers, int64_t now_ms);
-/** Marks all entries, before the whole list is read again, and removes those that were not set
- *  since. */
-void front_servers_mark (FrontServers *servers);
-void front_servers_remove_marked (FrontServers *servers, int64_t now_ms, int64_t grace_ms);
 /** NULL if there is none. */
 FrontServer *front_servers_find (FrontServers *servers, const char *id);
 /** The list of FrontServer by node; entries with listed false are on their way out. */
--- a/src/front_socket.c
+++ b/src/front_socket.c
@@ -1,6 +1,7 @@
 #include "front_socket.h"
 #include "util_span.h"
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -61,3 +62,16 @@
   bufferevent_free (bev);
   return NULL;
 }
+
+void
+front_socket_read (struct bufferevent *bev, HttpReply *reply)
+{
+  struct evbuffer *input = bufferevent_get_input (bev);
+  size_t len;
+
+  while ((len = evbuffer_get_contiguous_space (input)) > 0)
+    {
+      http_reply_feed (reply, (const char *)evbuffer_pullup (input, (ev_ssize_t)len), len);
+      evbuffer_drain (input, len);
+    }
+}
--- a/src/front_socket.h
+++ b/src/front_socket.h
@@ -4,6 +4,7 @@
 #ifndef FRONT_SOCKET_H
 #define FRONT_SOCKET_H
 
+#include "http_reply.h"
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -15,5 +16,7 @@
 /** Starts to connect; NULL if no descriptor is to be had. The connection is watched. */
 struct bufferevent *
 front_socket_connect (struct event_base *base, const struct sockaddr_in *address, int timeout_ms);
+/** Feeds an answer with all bytes that have come. */
+void front_socket_read (struct bufferevent *bev, HttpReply *reply);
 
 #endif
