Two bad answers are enough to not complete a roll-out

Ruled out: lost evidence (each front's counts had arrived). The unit test few_answers_at_the_end fails before and passes after.

--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -10,6 +10,7 @@
  * stopped; six at a tenth of the traffic come within two seconds of its turning bad. */
 #define FAILED_LEAST 6
 #define SLOW_LEAST   8
+#define DOUBT_LEAST  2 /* of either kind, if in doubt */
 /* How much worse than the old version: its share, this many times, and this much on top. Servers
  * that fail for other reasons (crashed, overloaded) do so under both versions. */
 #define WORSE_TIMES 3.0
@@ -77,18 +78,20 @@
 }
 
 static bool
-count_is_bad (const EvidenceCount *fresh, const EvidenceCount *old)
+count_is_bad (const EvidenceCount *fresh, const EvidenceCount *old, EvidenceBar bar)
 {
+  uint32_t failed_least = bar == EVIDENCE_DOUBT ? DOUBT_LEAST : FAILED_LEAST;
+  uint32_t slow_least = bar == EVIDENCE_DOUBT ? DOUBT_LEAST : SLOW_LEAST;
   double failed_bound = share (old->failed, old->answers) * WORSE_TIMES + FAILED_MORE;
   double slow_bound = share (old->slow, old->answers) * WORSE_TIMES + SLOW_MORE;
 
-  if (fresh->failed >= FAILED_LEAST && share (fresh->failed, fresh->answers) > failed_bound)
+  if (fresh->failed >= failed_least && share (fresh->failed, fresh->answers) > failed_bound)
     return true;
-  return fresh->slow >= SLOW_LEAST && share (fresh->slow, fresh->answers) > slow_bound;
+  return fresh->slow >= slow_least && share (fresh->slow, fresh->answers) > slow_bound;
 }
 
 bool
-front_evidence_is_bad (const FrontEvidence *evidence)
+front_evidence_is_bad (const FrontEvidence *evidence, EvidenceBar bar)
 {
   EvidenceCount all[EVIDENCE_SIDES] = { 0 };
 
@@ -97,12 +100,12 @@
       const EvidenceCount *fresh = &evidence->counts[EVIDENCE_NEW][i];
       const EvidenceCount *old = &evidence->counts[EVIDENCE_OLD][i];
 
-      if (count_is_bad (fresh, old))
+      if (count_is_bad (fresh, old, bar))
         return true;
       count_sum (&all[EVIDENCE_NEW], fresh);
       count_sum (&all[EVIDENCE_OLD], old);
     }
-  return count_is_bad (&all[EVIDENCE_NEW], &all[EVIDENCE_OLD]);
+  return count_is_bad (&all[EVIDENCE_NEW], &all[EVIDENCE_OLD], bar);
 }
 
 uint32_t
--- a/src/front_evidence.h
+++ b/src/front_evidence.h
@@ -40,8 +40,15 @@
 void front_evidence_raise (FrontEvidence *into, const FrontEvidence *news);
 /** Adds the counts of another node. */
 void front_evidence_sum (FrontEvidence *into, const FrontEvidence *other);
-/** True if the new version is worse than the old one beyond chance, on all routes or on one. */
-bool front_evidence_is_bad (const FrontEvidence *evidence);
+/** How sure a verdict has to be. */
+typedef enum
+{
+  EVIDENCE_CERTAIN, /**< beyond chance: while the roll-out can still bring more answers */
+  EVIDENCE_DOUBT,   /**< two bad answers are enough: before the old version is given up for good */
+} EvidenceBar;
+
+/** True if the new version is worse than the old one, on all routes or on one. */
+bool front_evidence_is_bad (const FrontEvidence *evidence, EvidenceBar bar);
 uint32_t front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side);
 
 #endif
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -417,15 +417,19 @@
 front_rollout_judge (FrontRollout *rollout, int64_t now_ms)
 {
   FrontEvidence all = rollout->evidence;
+  bool done;
 
   if (!front_rollout_is_running (rollout))
     return;
   for (unsigned i = 0; i < rollout->peer_count; i++)
     front_evidence_sum (&all, &rollout->peers[i].evidence);
-  rollout->is_bad |= front_evidence_is_bad (&all);
+  done = is_done (rollout, front_evidence_answers (&all, EVIDENCE_NEW), now_ms);
+  /* Completing stops the old version's servers: with few answers, what is not clearly good is not
+   * completed. */
+  rollout->is_bad |= front_evidence_is_bad (&all, done ? EVIDENCE_DOUBT : EVIDENCE_CERTAIN);
   if (rollout->is_bad)
     verdict_set (rollout, FRONT_ROLLOUT_ROLLED_BACK, now_ms);
-  else if (is_done (rollout, front_evidence_answers (&all, EVIDENCE_NEW), now_ms))
+  else if (done)
     verdict_set (rollout, FRONT_ROLLOUT_COMPLETED, now_ms);
   else if (rollout->status_version == 0)
     verdict_set (rollout, FRONT_ROLLOUT_RUNNING, now_ms);
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -156,13 +156,13 @@
   FrontEvidence evidence = { 0 };
 
   fail_some (&evidence, 1, 2, 30, false);
-  CU_ASSERT (!front_evidence_is_bad (&evidence));
+  CU_ASSERT (!front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN));
   fail_some (&evidence, 0, 0, 400, false);
   fail_some (&evidence, 1, 10, 10, false);
-  CU_ASSERT (front_evidence_is_bad (&evidence));
+  CU_ASSERT (front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN));
   memset (&evidence, 0, sizeof evidence);
   fail_some (&evidence, 2, 10, 10, true);
-  CU_ASSERT (front_evidence_is_bad (&evidence));
+  CU_ASSERT (front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN));
 }
 
 /* Story: engines crash during a good roll-out, and requests of both versions fail alike. */
@@ -176,7 +176,7 @@
       front_evidence_add (&evidence, EVIDENCE_NEW, 0, i % 8 == 0, 60, 60);
       front_evidence_add (&evidence, EVIDENCE_OLD, 0, i % 9 == 0, 60, 60);
     }
-  CU_ASSERT (!front_evidence_is_bad (&evidence));
+  CU_ASSERT (!front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN));
 }
 
 /* Story: each of six fronts sees two failures of a bad version; none can tell it from chance alone.
@@ -229,6 +229,32 @@
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW + 18200), "v2");
 }
 
+/* Story: a version that fails all its requests gets hardly any, as fronts are stopped and cut off
+   while it is rolled out. Two failures are too few for a verdict early on, and at the end of its
+   time the version was reported completed, which stops the servers of the old one (soak, seed
+   2007). */
+static void
+test_few_answers_at_the_end (void)
+{
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  fail_some (&rollout->evidence, 0, 2, 1, false);
+  front_rollout_judge (rollout, NOW + 10000);
+  CU_ASSERT (!rollout->is_bad);
+  front_rollout_judge (rollout, NOW + DURATION - 1000);
+  CU_ASSERT (rollout->is_bad);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_ROLLED_BACK);
+
+  begin ();
+  add ("c", "v2");
+  order (10, NOW);
+  fail_some (&rollout->evidence, 0, 1, 30, false);
+  front_rollout_judge (rollout, NOW + DURATION - 1000);
+  CU_ASSERT (!rollout->is_bad);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
+}
+
 /* Story: a peer was killed with requests on the old version; its last word must not hold up the
    roll-out beyond its time. */
 static void
@@ -350,6 +376,7 @@
   { "good_version_in_trouble", test_good_version_in_trouble },
   { "evidence_of_all", test_evidence_of_all },
   { "done_when_old_is_idle", test_done_when_old_is_idle },
+  { "few_answers_at_the_end", test_few_answers_at_the_end },
   { "silent_peer", test_silent_peer },
   { "status_of_earlier_order", test_status_of_earlier_order },
   { "end_is_final", test_end_is_final },
