lovage-gate: malformed heads are refused before libmicrohttpd sees them

Ruled out: checks in its callbacks (the bytes are gone by then), leaving out STRICT_FOR_CLIENT (mends the missing host only), a look with MSG_PEEK before the hand-over (sees only a connection's first request).

One event loop owns the callers' sockets and TLS and passes through a socket pair what http_intake finds well framed. 400 comes behind the answers of the requests before it. TLS callers now get 408 and the late 413, too, which were only closed before. A request that offers HTTP/2 (Upgrade: h2c, as Java's client does) was refused by lovage-front when head and body came in two packets: test_upgrade_offer failed first.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
   src/cluster*.c src/choose*.c src/bill*.c src/claim*.c src/http_*.c src/session*.c)
 RPC = rpc/lovage_xdr.c rpc/lovage_clnt.c
 PROGRAMS = lovage-gate lovage-steward lovagectl lovage-front
+# The callers' side of lovage-gate, before libmicrohttpd.
+GATE_PKGS = libevent libevent_pthreads libevent_openssl libssl libcrypto
+GATE_LIBS = $(shell pkg-config --libs $(GATE_PKGS)) -lhttp_parser
 # What lovage-front is made of beside src/front_*.c; small, as its memory has a price.
 FRONT_PKGS = libevent json-c libsodium libxxhash libtirpc
 FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
@@ -48,7 +51,7 @@
 	@ar rcs $@ $^
 
 $(BUILD)/lovage-gate: $(call obj,$(wildcard src/gate_*.c)) $(LIB)
-	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(GATE_LIBS) -o $@
 $(BUILD)/lovage-steward: $(call obj,$(wildcard src/steward_*.c)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/lovage-front: $(call obj,src/front_main.c $(FRONT_PARTS) $(FRONT_SHARED))
@@ -64,7 +67,7 @@
 # Tests of a program's own modules link all of them but its main.
 $(BUILD)/test_gate_%: $(BUILD)/obj/tests/test_gate_%.o \
   $(call obj,$(filter-out src/gate_main.c,$(wildcard src/gate_*.c)) $(TEST_HELPERS)) $(LIB)
-	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(GATE_LIBS) -lcunit -o $@
 $(BUILD)/test_steward_%: $(BUILD)/obj/tests/test_steward_%.o \
   $(call obj,$(filter-out src/steward_main.c,$(wildcard src/steward_*.c)) $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- /dev/null
+++ b/src/gate_callers.c
@@ -0,0 +1,320 @@
+#include "gate_callers.h"
+#include "gate_filter.h"
+#include "gate_thread.h"
+#include "util_clock.h"
+#include "util_log.h"
+#include "util_memory.h"
+#include "util_unused.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/bufferevent_ssl.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/thread.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/ssl.h>
+#include <semaphore.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define STEP    "http.start"
+#define BACKLOG 1024
+/* Deferred, as enabling one end over TLS would otherwise call back at once, and may end the
+ * connection under its caller. */
+#define END_OPTIONS (BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)
+/* At a stop, until callers have taken the last bytes of their answers. */
+#define FLUSH_MOST_MS 1000
+#define FLUSH_STEP_US 5000
+
+/** A connection on its way from this thread to libmicrohttpd. */
+typedef struct
+{
+  struct cds_list_head node;
+  int fd; /* libmicrohttpd's end */
+  GateLink *link;
+} HandOver;
+
+struct GateCallers
+{
+  const SettingsGate *settings;
+  GateFilterLimits limits;
+  struct MHD_Daemon *daemon;
+  SSL_CTX *tls; /* NULL: plain HTTP */
+  struct event_base *base;
+  struct evconnlistener *listener;
+  struct event *refuse_more; /* made active by other threads */
+  struct event *end;         /* the same */
+  int64_t end_ms;            /* when the loop ends at the latest; 0: no end yet */
+  sem_t refused_more;
+  pthread_t thread;
+  bool running;
+  struct cds_list_head filters; /* the loop's thread only */
+  pthread_mutex_t lock;         /* of hand_overs */
+  struct cds_list_head hand_overs;
+};
+
+static void
+forget (HandOver *over)
+{
+  cds_list_del (&over->node);
+  free (over);
+}
+
+/* Takes the link out of the list; call it with the lock held. NULL: there is none. */
+static GateLink *
+take_link (GateCallers *callers, int fd)
+{
+  HandOver *over;
+  GateLink *link;
+
+  cds_list_for_each_entry (over, &callers->hand_overs, node)
+  {
+    if (over->fd != fd)
+      continue;
+    link = over->link;
+    forget (over);
+    return link;
+  }
+  return NULL;
+}
+
+GateLink *
+gate_callers_link (GateCallers *callers, int fd)
+{
+  GateLink *link;
+
+  pthread_mutex_lock (&callers->lock);
+  link = take_link (callers, fd);
+  pthread_mutex_unlock (&callers->lock);
+  return link;
+}
+
+/* A link that is in the list for this number belongs to a connection that libmicrohttpd closed
+ * without a word, having no room for it. */
+static void
+add_hand_over (GateCallers *callers, int fd, GateLink *link)
+{
+  HandOver *over = memory_alloc (sizeof (*over));
+
+  over->fd = fd;
+  over->link = gate_link_hold (link);
+  pthread_mutex_lock (&callers->lock);
+  gate_link_release (take_link (callers, fd));
+  cds_list_add_tail (&over->node, &callers->hand_overs);
+  pthread_mutex_unlock (&callers->lock);
+}
+
+/* libmicrohttpd owns fd from here on, also when it doesn't take it. It asks for the link in a
+ * thread of its own. */
+static void
+hand_over (GateCallers *callers, int fd, GateLink *link, const struct sockaddr *from, int from_len)
+{
+  add_hand_over (callers, fd, link);
+  if (MHD_add_connection (callers->daemon, fd, from, (socklen_t)from_len) != MHD_YES)
+    log_msg (MSG_GATE_CONNECTION_REFUSED, "fd=\"%d\"", fd);
+}
+
+static struct bufferevent *
+caller_end (GateCallers *callers, evutil_socket_t fd)
+{
+  struct bufferevent *bev;
+
+  if (!callers->tls)
+    return bufferevent_socket_new (callers->base, fd, END_OPTIONS);
+  bev = bufferevent_openssl_socket_new (callers->base, fd, SSL_new (callers->tls),
+                                        BUFFEREVENT_SSL_ACCEPTING, END_OPTIONS);
+  if (bev)
+    bufferevent_openssl_set_allow_dirty_shutdown (bev, 1);
+  return bev;
+}
+
+static void
+on_accept (struct evconnlistener *listener UNUSED,
+           evutil_socket_t fd,
+           struct sockaddr *from,
+           int from_len,
+           void *context)
+{
+  GateCallers *callers = context;
+  struct bufferevent *caller, *server;
+  GateLink *link;
+  int on = 1, pair[2];
+
+  if (socketpair (AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, pair) != 0)
+    {
+      log_msg (MSG_GATE_CONNECTION_REFUSED, "message=\"%s\"", strerror (errno));
+      close (fd);
+      return;
+    }
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
+  caller = caller_end (callers, fd);
+  server = bufferevent_socket_new (callers->base, pair[0], END_OPTIONS);
+  link = gate_link_new ();
+  gate_filter_new (caller, server, link, &callers->limits, &callers->filters);
+  hand_over (callers, pair[1], link, from, from_len);
+  gate_link_release (link);
+}
+
+static void
+on_refuse_more (evutil_socket_t fd UNUSED, short what UNUSED, void *context)
+{
+  GateCallers *callers = context;
+
+  if (callers->listener)
+    evconnlistener_free (callers->listener);
+  callers->listener = NULL;
+  sem_post (&callers->refused_more);
+}
+
+static void
+on_end (evutil_socket_t fd UNUSED, short what UNUSED, void *context)
+{
+  GateCallers *callers = context;
+  struct timeval step = { .tv_usec = FLUSH_STEP_US };
+  int64_t now_ms = clock_boot_ms ();
+
+  if (callers->end_ms == 0)
+    callers->end_ms = now_ms + FLUSH_MOST_MS;
+  gate_filters_hurry (&callers->filters);
+  if (cds_list_empty (&callers->filters) || now_ms >= callers->end_ms)
+    event_base_loopbreak (callers->base);
+  else
+    evtimer_add (callers->end, &step);
+}
+
+static void *
+callers_run (void *context)
+{
+  GateCallers *callers = context;
+
+  event_base_loop (callers->base, EVLOOP_NO_EXIT_ON_EMPTY);
+  return NULL;
+}
+
+static bool
+use_certificate (GateCallers *callers, Status *st)
+{
+  const SettingsGate *settings = callers->settings;
+
+  callers->tls = SSL_CTX_new (TLS_server_method ());
+  SSL_CTX_set_min_proto_version (callers->tls, TLS1_2_VERSION);
+  if (SSL_CTX_use_certificate_chain_file (callers->tls, settings->tls_certificate_file) != 1)
+    {
+      status_set (st, STATUS_INVALID, STEP, NULL, "%s: no certificate in PEM can be read from it",
+                  settings->tls_certificate_file);
+      return false;
+    }
+  if (SSL_CTX_use_PrivateKey_file (callers->tls, settings->tls_key_file, SSL_FILETYPE_PEM) == 1)
+    return true;
+  status_set (st, STATUS_INVALID, STEP, NULL, "%s: no key of %s can be read from it",
+              settings->tls_key_file, settings->tls_certificate_file);
+  return false;
+}
+
+GateCallers *
+gate_callers_new (const SettingsGate *settings, const GateFilterLimits *limits, Status *st)
+{
+  GateCallers *callers = memory_alloc (sizeof (*callers));
+
+  callers->settings = settings;
+  callers->limits = *limits;
+  CDS_INIT_LIST_HEAD (&callers->filters);
+  CDS_INIT_LIST_HEAD (&callers->hand_overs);
+  pthread_mutex_init (&callers->lock, NULL);
+  sem_init (&callers->refused_more, 0, 0);
+  evthread_use_pthreads ();
+  callers->base = event_base_new ();
+  callers->refuse_more = event_new (callers->base, -1, 0, on_refuse_more, callers);
+  callers->end = event_new (callers->base, -1, 0, on_end, callers);
+  if (settings->tls_certificate_file == NULL || use_certificate (callers, st))
+    return callers;
+  gate_callers_free (callers);
+  return NULL;
+}
+
+static bool
+read_address (const SettingsAddress *address, struct sockaddr_storage *out, Status *st)
+{
+  struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+  memset (out, 0, sizeof (*out));
+  if (inet_pton (AF_INET, address->address, &v4->sin_addr) == 1)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons ((uint16_t)address->port);
+      return true;
+    }
+  if (inet_pton (AF_INET6, address->address, &v6->sin6_addr) == 1)
+    {
+      v6->sin6_family = AF_INET6;
+      v6->sin6_port = htons ((uint16_t)address->port);
+      return true;
+    }
+  status_set (st, STATUS_INVALID, STEP, address->address, "expected an IP number");
+  return false;
+}
+
+bool
+gate_callers_start (GateCallers *callers, struct MHD_Daemon *daemon, Status *st)
+{
+  const SettingsAddress *at = &callers->settings->callers;
+  struct sockaddr_storage address;
+  unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+  int len;
+
+  if (!read_address (at, &address, st))
+    return false;
+  len = address.ss_family == AF_INET ? sizeof (struct sockaddr_in) : sizeof (struct sockaddr_in6);
+  callers->daemon = daemon;
+  callers->listener = evconnlistener_new_bind (callers->base, on_accept, callers, flags, BACKLOG,
+                                               (struct sockaddr *)&address, len);
+  if (!callers->listener)
+    {
+      status_set (st, STATUS_INTERNAL, STEP, at->address, "can't listen on port %lld",
+                  (long long)at->port);
+      return false;
+    }
+  gate_thread_start (&callers->thread, callers_run, callers);
+  callers->running = true;
+  return true;
+}
+
+void
+gate_callers_refuse_more (GateCallers *callers)
+{
+  if (!callers->running)
+    return;
+  event_active (callers->refuse_more, 0, 0);
+  sem_wait (&callers->refused_more);
+}
+
+void
+gate_callers_free (GateCallers *callers)
+{
+  HandOver *over, *next_over;
+
+  if (callers->running)
+    {
+      event_active (callers->end, 0, 0);
+      pthread_join (callers->thread, NULL);
+    }
+  gate_filters_free (&callers->filters);
+  cds_list_for_each_entry_safe (over, next_over, &callers->hand_overs, node)
+  {
+    gate_link_release (over->link);
+    forget (over);
+  }
+  if (callers->listener)
+    evconnlistener_free (callers->listener);
+  event_free (callers->refuse_more);
+  event_free (callers->end);
+  event_base_free (callers->base);
+  SSL_CTX_free (callers->tls);
+  pthread_mutex_destroy (&callers->lock);
+  sem_destroy (&callers->refused_more);
+  free (callers);
+}
--- /dev/null
+++ b/src/gate_filter.c
@@ -0,0 +1,292 @@
+#include "gate_filter.h"
+#include "gate_framing.h"
+#include "gate_raw.h"
+#include "util_memory.h"
+#include "util_unused.h"
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#define STEP "request.head"
+/* Bytes that one side hasn't taken yet from which the other is no longer read: two reads' worth. */
+#define OUTPUT_MOST 32768
+/* Bytes of later requests that are kept while one is being answered. */
+#define AHEAD_MOST 32768
+/* A request that follows its predecessor's last byte at once may overtake the word that this one
+ * was answered, by some microseconds. */
+#define ANSWERED_CHECK_US 1000
+#define READ_BLOCK        4096
+/* Closing a socket with unread bytes resets the connection, and the last answer would be lost on
+ * its way: what the caller still sends is read for so long. */
+#define LINGER_S 1
+
+struct GateFilter
+{
+  struct cds_list_head node;
+  struct bufferevent *caller;
+  struct bufferevent *server; /* libmicrohttpd's side; NULL: closed */
+  struct event *timer;
+  GateLink *link;
+  GateFraming framing;
+  int64_t requests;  /* passed on whole */
+  bool mid_request;  /* some of the next one's bytes were passed on */
+  bool answer_begun; /* the server has written since the request in progress began */
+  bool lingering;    /* all is written; what the caller sends is dropped */
+  bool hurried;
+};
+
+static void caller_read (GateFilter *filter);
+
+static size_t
+waiting_to_leave (struct bufferevent *bev)
+{
+  return evbuffer_get_length (bufferevent_get_output (bev));
+}
+
+static void
+filter_free (GateFilter *filter)
+{
+  cds_list_del (&filter->node);
+  event_free (filter->timer);
+  bufferevent_free (filter->caller);
+  if (filter->server)
+    bufferevent_free (filter->server);
+  gate_framing_clear (&filter->framing);
+  gate_link_release (filter->link);
+  free (filter);
+}
+
+/* Call it last: it may free the filter. */
+static void
+linger (GateFilter *filter)
+{
+  struct timeval wait = { .tv_sec = LINGER_S };
+
+  if (filter->lingering || waiting_to_leave (filter->caller) > 0)
+    return;
+  if (filter->hurried)
+    {
+      filter_free (filter);
+      return;
+    }
+  filter->lingering = true;
+  shutdown (bufferevent_getfd (filter->caller), SHUT_WR);
+  bufferevent_enable (filter->caller, EV_READ);
+  evtimer_add (filter->timer, &wait);
+}
+
+/* Call it last. */
+static void
+close_server (GateFilter *filter)
+{
+  bufferevent_free (filter->server);
+  filter->server = NULL;
+  linger (filter);
+}
+
+/* Call it last. */
+static void
+refuse (GateFilter *filter)
+{
+  Refusal refusal = { 0 };
+  Buffer answer = { 0 };
+
+  if (!filter->answer_begun)
+    {
+      refusal_set (&refusal, gate_framing_fault (&filter->framing), REQUEST_NOT_RUN, STEP, NULL);
+      gate_raw_answer (&refusal, &answer);
+      bufferevent_write (filter->caller, answer.data, answer.len);
+      buffer_free (&answer);
+    }
+  close_server (filter);
+}
+
+static void
+await_answer (GateFilter *filter)
+{
+  struct timeval wait = { .tv_usec = ANSWERED_CHECK_US };
+
+  evtimer_add (filter->timer, &wait);
+}
+
+/* The answers that are complete are in the server's socket at the latest by now. Bytes that come
+ * from it after this call belong to the next request. */
+static void
+take_answers (GateFilter *filter)
+{
+  char block[READ_BLOCK];
+  ssize_t len;
+
+  bufferevent_write_buffer (filter->caller, bufferevent_get_input (filter->server));
+  while ((len = recv (bufferevent_getfd (filter->server), block, sizeof (block), MSG_DONTWAIT)) > 0)
+    bufferevent_write (filter->caller, block, (size_t)len);
+  filter->answer_begun = false;
+}
+
+/* One run of bytes that lie together; false at a fault. */
+static bool
+pass_on (GateFilter *filter)
+{
+  struct evbuffer *input = bufferevent_get_input (filter->caller);
+  struct evbuffer_iovec run;
+  Buffer pass = { 0 };
+  FramingResult result;
+  size_t used = 0;
+
+  evbuffer_peek (input, -1, NULL, &run, 1);
+  if (!filter->mid_request)
+    take_answers (filter);
+  result = gate_framing_feed (&filter->framing, run.iov_base, run.iov_len, &used, &pass);
+  if (pass.len > 0)
+    bufferevent_write (filter->server, pass.data, pass.len);
+  buffer_free (&pass);
+  evbuffer_drain (input, used);
+  filter->mid_request = result != FRAMING_DONE;
+  if (result == FRAMING_DONE)
+    filter->requests++;
+  return result != FRAMING_FAULT;
+}
+
+/* Requests go on one at a time: with one answer outstanding at most, it is known which request a
+ * refusal is for. */
+static void
+caller_read (GateFilter *filter)
+{
+  struct evbuffer *input = bufferevent_get_input (filter->caller);
+
+  while (filter->server && evbuffer_get_length (input) > 0)
+    {
+      if (gate_link_answers (filter->link) < filter->requests)
+        {
+          await_answer (filter);
+          return;
+        }
+      if (!pass_on (filter))
+        {
+          refuse (filter);
+          return;
+        }
+      if (waiting_to_leave (filter->server) > OUTPUT_MOST)
+        {
+          bufferevent_disable (filter->caller, EV_READ);
+          return;
+        }
+    }
+  if (!filter->server)
+    evbuffer_drain (input, evbuffer_get_length (input));
+}
+
+static void
+on_caller_read (struct bufferevent *bev UNUSED, void *context)
+{
+  caller_read (context);
+}
+
+static void
+on_caller_written (struct bufferevent *bev UNUSED, void *context)
+{
+  GateFilter *filter = context;
+
+  if (filter->server)
+    bufferevent_enable (filter->server, EV_READ);
+  else
+    linger (filter);
+}
+
+/* A caller that has left, has sent its last byte, or takes no bytes any more: libmicrohttpd's side
+ * sees its end in turn, and what runs for it is cancelled. */
+static void
+on_caller_event (struct bufferevent *bev UNUSED, short what, void *context)
+{
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+    filter_free (context);
+}
+
+static void
+on_server_read (struct bufferevent *bev, void *context)
+{
+  GateFilter *filter = context;
+
+  filter->answer_begun = true;
+  bufferevent_write_buffer (filter->caller, bufferevent_get_input (bev));
+  if (waiting_to_leave (filter->caller) > OUTPUT_MOST)
+    bufferevent_disable (bev, EV_READ);
+}
+
+static void
+on_server_written (struct bufferevent *bev UNUSED, void *context)
+{
+  GateFilter *filter = context;
+
+  bufferevent_enable (filter->caller, EV_READ);
+  caller_read (filter);
+}
+
+static void
+on_server_event (struct bufferevent *bev, short what, void *context)
+{
+  GateFilter *filter = context;
+
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  bufferevent_write_buffer (filter->caller, bufferevent_get_input (bev));
+  close_server (filter);
+}
+
+static void
+on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *context)
+{
+  GateFilter *filter = context;
+
+  if (filter->lingering)
+    filter_free (filter);
+  else
+    caller_read (filter);
+}
+
+GateFilter *
+gate_filter_new (struct bufferevent *caller,
+                 struct bufferevent *server,
+                 GateLink *link,
+                 const GateFilterLimits *limits,
+                 struct cds_list_head *list)
+{
+  GateFilter *filter = memory_alloc (sizeof (*filter));
+  struct timeval stalled = { .tv_sec = limits->stalled_s };
+
+  filter->caller = caller;
+  filter->server = server;
+  filter->link = gate_link_hold (link);
+  filter->timer = evtimer_new (bufferevent_get_base (caller), on_timer, filter);
+  gate_framing_init (&filter->framing, limits->head_max);
+  cds_list_add_tail (&filter->node, list);
+  bufferevent_setcb (caller, on_caller_read, on_caller_written, on_caller_event, filter);
+  bufferevent_setcb (server, on_server_read, on_server_written, on_server_event, filter);
+  bufferevent_setwatermark (caller, EV_READ, 0, AHEAD_MOST);
+  bufferevent_set_timeouts (caller, NULL, &stalled);
+  bufferevent_enable (caller, EV_READ | EV_WRITE);
+  bufferevent_enable (server, EV_READ | EV_WRITE);
+  return filter;
+}
+
+void
+gate_filters_hurry (struct cds_list_head *list)
+{
+  GateFilter *filter, *next;
+
+  cds_list_for_each_entry_safe (filter, next, list, node)
+  {
+    filter->hurried = true;
+    if (filter->lingering)
+      filter_free (filter);
+  }
+}
+
+void
+gate_filters_free (struct cds_list_head *list)
+{
+  GateFilter *filter, *next;
+
+  cds_list_for_each_entry_safe (filter, next, list, node) filter_free (filter);
+}
--- a/src/gate_framing.c
+++ b/src/gate_framing.c
@@ -1,65 +1,90 @@
-/* Two parsers that read one head differently let a caller hide a request within another. What
- * libmicrohttpd takes all the same, choosing one reading, is refused here before any byte of a body
- * is read. */
+/* Two parsers that read one head differently let a caller hide a request within another, and
+ * libmicrohttpd takes heads (a folded line, a NUL) whose other reading it doesn't show, or answers
+ * them twice (a negative length, no host). Such heads must end before it sees their last line. */
 #include "gate_framing.h"
-#include <stdbool.h>
+#include <stdint.h>
 #include <string.h>
-#include <strings.h>
 
-#define DIGITS_MAX 18 /* any number of so many digits fits 64 bits */
+#define STATUS_HEAD_TOO_LARGE 431
 
-typedef struct
+void
+gate_framing_init (GateFraming *framing, size_t head_max)
 {
-  unsigned hosts;
-  unsigned lengths;
-  unsigned codings;
-  const char *length;
-  const char *coding;
-} Framing;
+  /* Bodies are bounded behind this, where their refusal is written. */
+  HttpIntakeLimits limits = { .head_max = head_max, .body_max = SIZE_MAX };
 
-static enum MHD_Result
-count_field (void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+  http_intake_init (&framing->intake, &limits);
+  framing->passed = 0;
+}
+
+/* Whole lines go on at once, so that a head that comes slowly is seen to be on its way. */
+static void
+pass_lines (GateFraming *framing, Buffer *pass)
+{
+  const Buffer *raw = &framing->intake.raw;
+  const char *end = memrchr (raw->data, '\n', raw->len);
+  size_t len = end ? (size_t)(end + 1 - raw->data) : 0;
+
+  if (len <= framing->passed)
+    return;
+  buffer_add (pass, raw->data + framing->passed, len - framing->passed);
+  framing->passed = len;
+}
+
+static void
+pass_head (GateFraming *framing, Buffer *pass)
 {
-  Framing *framing = cls;
+  const HttpHead *head = &framing->intake.head;
+
+  buffer_add (pass, head->text + framing->passed, head->len - framing->passed);
+  framing->passed = head->len;
+}
 
-  if (kind != MHD_HEADER_KIND)
-    return MHD_YES;
-  if (strcasecmp (name, "Host") == 0)
-    framing->hosts++;
-  else if (strcasecmp (name, "Content-Length") == 0)
+static void
+next_request (GateFraming *framing)
+{
+  http_intake_reset (&framing->intake);
+  framing->passed = 0;
+}
+
+FramingResult
+gate_framing_feed (GateFraming *framing, const char *data, size_t len, size_t *used, Buffer *pass)
+{
+  HttpIntake *intake = &framing->intake;
+  bool was_in_body = intake->in_body;
+  size_t head_had = intake->raw.len;
+  size_t body_start = 0;
+  IntakeResult result = http_intake_feed (intake, data, len, used);
+
+  if (result == INTAKE_REFUSED)
+    return FRAMING_FAULT;
+  buffer_clear (&intake->body);
+  if (!intake->in_body)
     {
-      framing->lengths++;
-      framing->length = value;
+      pass_lines (framing, pass);
+      return FRAMING_MORE;
     }
-  else if (strcasecmp (name, "Transfer-Encoding") == 0)
+  if (!was_in_body)
     {
-      framing->codings++;
-      framing->coding = value;
+      pass_head (framing, pass);
+      body_start = intake->head.len - head_had;
     }
-  return MHD_YES;
+  buffer_add (pass, data + body_start, *used - body_start);
+  if (result == INTAKE_MORE)
+    return FRAMING_MORE;
+  next_request (framing);
+  return FRAMING_DONE;
 }
 
-static bool
-is_length (const char *text)
+int
+gate_framing_fault (const GateFraming *framing)
 {
-  size_t len = text ? strlen (text) : 0;
-
-  return len > 0 && len <= DIGITS_MAX && strspn (text, "0123456789") == len;
+  return framing->intake.refuse_status == STATUS_HEAD_TOO_LARGE ? REFUSAL_HEAD_TOO_LARGE
+                                                                : REFUSAL_MALFORMED;
 }
 
-const char *
-gate_framing_fault (struct MHD_Connection *connection, const char *version)
+void
+gate_framing_clear (GateFraming *framing)
 {
-  Framing framing = { 0 };
-
-  MHD_get_connection_values (connection, MHD_HEADER_KIND, count_field, &framing);
-  if (framing.hosts > 1 || (framing.hosts == 0 && strcmp (version, MHD_HTTP_VERSION_1_0) != 0))
-    return "Host: expected exactly one";
-  if (framing.lengths > 1 || framing.codings > 1 || (framing.lengths > 0 && framing.codings > 0))
-    return "expected one Content-Length or one Transfer-Encoding";
-  if (framing.lengths > 0 && !is_length (framing.length))
-    return "Content-Length: expected digits";
-  if (framing.codings > 0 && (!framing.coding || strcasecmp (framing.coding, "chunked") != 0))
-    return "Transfer-Encoding: expected chunked";
-  return NULL;
+  http_intake_reset (&framing->intake);
 }
--- a/src/gate_framing.h
+++ b/src/gate_framing.h
@@ -1,12 +1,34 @@
 /**
- * Whether a request's head leaves no doubt where its body ends and for which host it is.
+ * Follows the requests of one caller's connection byte by byte and tells which bytes may go on to
+ * libmicrohttpd. The end of a head is held back until the head leaves no doubt where its body ends
+ * and for which host it is. No I/O.
  */
 #ifndef GATE_FRAMING_H
 #define GATE_FRAMING_H
 
-#include <microhttpd.h>
+#include "gate_refusal.h"
+#include "http_intake.h"
 
-/** NULL if it does; else what is wrong with it. */
-const char *gate_framing_fault (struct MHD_Connection *connection, const char *version);
+typedef enum
+{
+  FRAMING_MORE,
+  FRAMING_DONE, /**< the end of a request; what follows belongs to the next one */
+  FRAMING_FAULT /**< nothing more of this connection may be passed on */
+} FramingResult;
+
+typedef struct
+{
+  HttpIntake intake;
+  size_t passed; /**< bytes of the head in progress that were passed on */
+} GateFraming;
+
+/** Heads longer than head_max bytes are a fault. */
+void gate_framing_init (GateFraming *framing, size_t head_max);
+/** Takes bytes up to the end of one request; adds to *pass those that may go on. */
+FramingResult
+gate_framing_feed (GateFraming *framing, const char *data, size_t len, size_t *used, Buffer *pass);
+/** After a fault: the reason (GateReason) with which to refuse the request. */
+int gate_framing_fault (const GateFraming *framing);
+void gate_framing_clear (GateFraming *framing);
 
 #endif
--- a/src/gate_http.c
+++ b/src/gate_http.c
@@ -1,5 +1,5 @@
 #include "gate_http.h"
-#include "gate_framing.h"
+#include "gate_callers.h"
 #include "gate_raw.h"
 #include "gate_refused.h"
 #include "gate_request.h"
@@ -8,13 +8,8 @@
 #include "gate_sweep.h"
 #include "util_clock.h"
 #include "util_memory.h"
-#include <arpa/inet.h>
-#include <errno.h>
-#include <netinet/in.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #define STEP              "http.start"
 #define STACK_SIZE        (256UL * 1024)
@@ -22,17 +17,21 @@
 #define CONNECTIONS_SPARE 64
 #define DRAIN_MAX_MS      500
 #define DRAIN_STEP_MS     10
-#define FILE_MAX          (256UL * 1024)
 
 struct GateHttp
 {
   Gate *gate;
   GateSweep *sweep;
+  GateCallers *callers;
   struct MHD_Daemon *daemon;
-  char *certificate;
-  char *key;
 };
 
+typedef struct
+{
+  SweepEntry *sweep;
+  GateLink *link;
+} Connection;
+
 static void *on_uri (void *cls, const char *uri, struct MHD_Connection *connection);
 static void on_connection (void *cls,
                            struct MHD_Connection *connection,
@@ -51,8 +50,8 @@
                           void **con_cls,
                           enum MHD_RequestTerminationCode code);
 
-static SweepEntry *
-sweep_entry (struct MHD_Connection *connection)
+static Connection *
+connection_of (struct MHD_Connection *connection)
 {
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -60,6 +59,14 @@
   return info != NULL ? info->socket_context : NULL;
 }
 
+static SweepEntry *
+sweep_entry (struct MHD_Connection *connection)
+{
+  const Connection *c = connection_of (connection);
+
+  return c != NULL ? c->sweep : NULL;
+}
+
 static void
 on_connection (void *cls,
                struct MHD_Connection *connection,
@@ -67,15 +74,21 @@
                enum MHD_ConnectionNotificationCode code)
 {
   GateHttp *http = cls;
+  Connection *c = *socket_context;
   const union MHD_ConnectionInfo *info;
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
-      gate_sweep_remove (http->sweep, *socket_context);
+      gate_sweep_remove (http->sweep, c->sweep);
+      gate_link_release (c->link);
+      free (c);
       return;
     }
   info = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  *socket_context = gate_sweep_add (http->sweep, info->connect_fd);
+  c = memory_alloc (sizeof (*c));
+  c->sweep = gate_sweep_add (http->sweep, info->connect_fd);
+  c->link = gate_callers_link (http->callers, info->connect_fd);
+  *socket_context = c;
 }
 
 /* The request line has come; the URI is not decoded yet, so that a plain service gets it as sent.
@@ -99,20 +112,10 @@
          && strtoull (length, NULL, 10) > (unsigned long long)r->gate->settings.body_max;
 }
 
-static bool
-framing_is_good (GateRequest *r, const char *version)
-{
-  const char *fault = gate_framing_fault (r->connection, version);
-
-  if (fault)
-    refusal_set (&r->refusal, REFUSAL_MALFORMED, REQUEST_NOT_RUN, "request.head", "%s", fault);
-  return fault == NULL;
-}
-
 static enum MHD_Result
-on_head (GateHttp *http, GateRequest *r, const char *method, const char *version)
+on_head (GateHttp *http, GateRequest *r, const char *method)
 {
-  if (!gate_request_read_head (r, method) || !framing_is_good (r, version))
+  if (!gate_request_read_head (r, method))
     {
       gate_sweep_working (http->sweep, sweep_entry (r->connection));
       return gate_respond_refusal (r);
@@ -142,11 +145,8 @@
   refusal_set (&r->refusal, REFUSAL_TOO_LARGE, REQUEST_NOT_RUN, "request.body",
                "expected at most %zu bytes", max);
   gate_refused_note (r);
-  if (r->gate->settings.tls_certificate_file == NULL)
-    {
-      gate_raw_refuse (r->fd, &r->refusal);
-      gate_raw_drain (r->fd);
-    }
+  gate_raw_refuse (r->fd, &r->refusal);
+  gate_raw_drain (r->fd);
   return MHD_NO;
 }
 
@@ -191,8 +191,9 @@
 
   (void)connection;
   (void)url;
+  (void)version;
   if (r->method == NULL)
-    return on_head (cls, r, method, version);
+    return on_head (cls, r, method);
   if (*upload_size > 0)
     return on_body (cls, r, upload, upload_size);
   return on_whole_request (cls, r);
@@ -205,108 +206,69 @@
               enum MHD_RequestTerminationCode code)
 {
   GateHttp *http = cls;
+  const Connection *c = connection_of (connection);
 
   (void)code;
   if (*con_cls == NULL)
     return;
   gate_request_free (*con_cls);
   *con_cls = NULL;
-  gate_sweep_idle (http->sweep, sweep_entry (connection));
+  if (c == NULL)
+    return;
+  gate_sweep_idle (http->sweep, c->sweep);
+  gate_link_answered (c->link);
 }
 
-static bool
-read_file (const char *path, char **out, Status *st)
+static unsigned
+idle_timeout_s (const GateHttp *http)
 {
-  FILE *file = fopen (path, "re");
-  char *text;
-  size_t len;
-
-  if (file == NULL)
-    {
-      status_set (st, STATUS_INVALID, STEP, NULL, "%s: %s", path, strerror (errno));
-      return false;
-    }
-  text = memory_alloc (FILE_MAX + 1);
-  len = fread (text, 1, FILE_MAX, file);
-  fclose (file);
-  *out = text;
-  if (len > 0)
-    return true;
-  status_set (st, STATUS_INVALID, STEP, NULL, "%s: empty", path);
-  return false;
+  return (unsigned)gate_idle_timeout_s (http->gate);
 }
 
-static bool
-read_address (const SettingsAddress *address, struct sockaddr_storage *out, Status *st)
+static struct MHD_Daemon *
+start_daemon (GateHttp *http)
 {
-  struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+  const SettingsGate *settings = &http->gate->settings;
+  unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL
+                   | MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
 
-  memset (out, 0, sizeof (*out));
-  if (inet_pton (AF_INET, address->address, &v4->sin_addr) == 1)
-    {
-      v4->sin_family = AF_INET;
-      v4->sin_port = htons ((uint16_t)address->port);
-      return true;
-    }
-  if (inet_pton (AF_INET6, address->address, &v6->sin6_addr) == 1)
-    {
-      v6->sin6_family = AF_INET6;
-      v6->sin6_port = htons ((uint16_t)address->port);
-      return true;
-    }
-  status_set (st, STATUS_INVALID, STEP, address->address, "expected an IP number");
-  return false;
+  return MHD_start_daemon (
+      flags, 0, NULL, NULL, on_request, http, MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK_SIZE,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)(2 * settings->streams_max + CONNECTIONS_SPARE),
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)settings->header_max + CONNECTION_MEMORY,
+      MHD_OPTION_CONNECTION_TIMEOUT, idle_timeout_s (http), MHD_OPTION_URI_LOG_CALLBACK, on_uri,
+      http, MHD_OPTION_NOTIFY_CONNECTION, on_connection, http, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, http, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
 
-static struct MHD_Daemon *
-start_daemon (GateHttp *http, const struct sockaddr *address)
+static bool
+start (GateHttp *http, Status *st)
 {
   const SettingsGate *settings = &http->gate->settings;
-  unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL;
-  struct MHD_OptionItem tls[]
-      = { { .option = MHD_OPTION_HTTPS_MEM_CERT, .ptr_value = http->certificate },
-          { .option = MHD_OPTION_HTTPS_MEM_KEY, .ptr_value = http->key },
-          { .option = MHD_OPTION_END } };
-
-  if (http->certificate != NULL)
-    flags |= MHD_USE_TLS;
-  else
-    tls[0].option = MHD_OPTION_END;
-  if (address->sa_family == AF_INET6)
-    flags |= MHD_USE_IPv6;
-  return MHD_start_daemon (
-      flags, (uint16_t)settings->callers.port, NULL, NULL, on_request, http, MHD_OPTION_SOCK_ADDR,
-      address, MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK_SIZE, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)(2 * settings->streams_max + CONNECTIONS_SPARE), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)settings->header_max + CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)gate_idle_timeout_s (http->gate), MHD_OPTION_URI_LOG_CALLBACK, on_uri, http,
-      MHD_OPTION_NOTIFY_CONNECTION, on_connection, http, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      http, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U,
-      MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
+  GateFilterLimits limits = {
+    .head_max = (size_t)settings->header_max + CONNECTION_MEMORY,
+    .stalled_s = idle_timeout_s (http),
+  };
+
+  http->callers = gate_callers_new (settings, &limits, st);
+  if (http->callers == NULL)
+    return false;
+  http->sweep = gate_sweep_start (settings);
+  http->daemon = start_daemon (http);
+  if (http->daemon != NULL)
+    return gate_callers_start (http->callers, http->daemon, st);
+  status_set (st, STATUS_INTERNAL, STEP, NULL, "libmicrohttpd doesn't start");
+  return false;
 }
 
 GateHttp *
 gate_http_start (Gate *gate, Status *st)
 {
-  const SettingsGate *settings = &gate->settings;
   GateHttp *http = memory_alloc (sizeof (*http));
-  struct sockaddr_storage address;
 
   http->gate = gate;
-  if (!read_address (&settings->callers, &address, st))
-    goto failed;
-  if (settings->tls_certificate_file != NULL
-      && (!read_file (settings->tls_certificate_file, &http->certificate, st)
-          || !read_file (settings->tls_key_file, &http->key, st)))
-    goto failed;
-  http->sweep = gate_sweep_start (settings);
-  http->daemon = start_daemon (http, (struct sockaddr *)&address);
-  if (http->daemon != NULL)
+  if (start (http, st))
     return http;
-  status_set (st, STATUS_INTERNAL, STEP, settings->callers.address, "can't listen on port %lld",
-              (long long)settings->callers.port);
-failed:
   gate_http_stop (http);
   return NULL;
 }
@@ -317,10 +279,8 @@
 drain (GateHttp *http)
 {
   int64_t until_ms = clock_boot_ms () + DRAIN_MAX_MS;
-  MHD_socket listening = MHD_quiesce_daemon (http->daemon);
 
-  if (listening != MHD_INVALID_SOCKET)
-    close (listening);
+  gate_callers_refuse_more (http->callers);
   while (clock_boot_ms () < until_ms && gate_sweep_open (http->sweep) > 0)
     clock_sleep_ms (DRAIN_STEP_MS);
 }
@@ -333,9 +293,9 @@
       drain (http);
       MHD_stop_daemon (http->daemon);
     }
+  if (http->callers != NULL)
+    gate_callers_free (http->callers);
   if (http->sweep != NULL)
     gate_sweep_stop (http->sweep);
-  free (http->certificate);
-  free (http->key);
   free (http);
 }
--- a/src/gate_main.c
+++ b/src/gate_main.c
@@ -19,7 +19,7 @@
 #define GROUP_OPS_MAX       400
 #define TABLE_TIMEOUT_MS    1500
 #define SESSIONS_REMEMBERED 20000
-#define FILES_A_STREAM      3
+#define FILES_A_STREAM      7
 #define FILES_SPARE         256
 #define STOP_STEP_MS        20
 #define STOP_BILL_MIN_MS    2000
@@ -223,8 +223,8 @@
   return left;
 }
 
-/* Each request in progress has two sockets, and a second connection may be waiting to be refused.
- */
+/* Each request in progress has a socket to its caller, a pair before libmicrohttpd and one to its
+   engine; a second connection, without an engine, may be waiting to be refused. */
 static void
 raise_file_limit (const SettingsGate *settings)
 {
--- a/src/gate_raw.c
+++ b/src/gate_raw.c
@@ -7,20 +7,27 @@
 #define DRAIN_BLOCK  16384
 
 void
-gate_raw_refuse (int fd, const Refusal *refusal)
+gate_raw_answer (const Refusal *refusal, Buffer *out)
 {
   Buffer body = { 0 };
-  Buffer out = { 0 };
 
   refusal_json (refusal, &body);
-  buffer_printf (&out,
+  buffer_printf (out,
                  "HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\nX-Lovage-State: %s\r\n"
                  "Connection: close\r\nContent-Length: %zu\r\n\r\n",
                  refusal_http_status (refusal->reason), request_state_name (refusal->state),
                  body.len);
-  buffer_add (&out, body.data, body.len);
-  (void)send (fd, out.data, out.len, MSG_DONTWAIT | MSG_NOSIGNAL);
+  buffer_add (out, body.data, body.len);
   buffer_free (&body);
+}
+
+void
+gate_raw_refuse (int fd, const Refusal *refusal)
+{
+  Buffer out = { 0 };
+
+  gate_raw_answer (refusal, &out);
+  (void)send (fd, out.data, out.len, MSG_DONTWAIT | MSG_NOSIGNAL);
   buffer_free (&out);
 }
 
--- a/src/gate_raw.h
+++ b/src/gate_raw.h
@@ -8,7 +8,9 @@
 
 #include "gate_refusal.h"
 
-/** Writes the refusal as one HTTP answer that closes the connection. Not for TLS. */
+/** Adds the refusal as one HTTP answer that closes the connection. */
+void gate_raw_answer (const Refusal *refusal, Buffer *out);
+/** Writes that answer to a socket. */
 void gate_raw_refuse (int fd, const Refusal *refusal);
 /** Takes and drops what the caller still sends, for a bounded time: closing a socket with unread
  *  bytes resets the connection, and the refusal would be lost on its way. */
--- a/src/gate_refusal.c
+++ b/src/gate_refusal.c
@@ -43,6 +43,8 @@
   [REFUSAL_NO_ROUTE] = { "no_route", 404, 0, "nothing is served at this path" },
   [REFUSAL_METHOD] = { "method_not_allowed", 405, 0, "the path does not take this method" },
   [REFUSAL_TOO_LARGE] = { "too_large", 413, 0, "the body is longer than this system takes" },
+  [REFUSAL_HEAD_TOO_LARGE]
+  = { "head_too_large", 431, 0, "the head is longer than this system takes" },
   [REFUSAL_READ_TIMEOUT]
   = { "read_timeout", 408, 1 * SECONDS, "the request took too long to arrive" },
   [REFUSAL_BAD_SESSION] = { "bad_session", 400, 0, "the session token is not one for this team" },
--- a/src/gate_refusal.h
+++ b/src/gate_refusal.h
@@ -16,6 +16,7 @@
   REFUSAL_NO_ROUTE,
   REFUSAL_METHOD,
   REFUSAL_TOO_LARGE,
+  REFUSAL_HEAD_TOO_LARGE,
   REFUSAL_READ_TIMEOUT,        /**< the request took too long to arrive */
   REFUSAL_BAD_SESSION,         /**< the session token is not one of ours for this team */
   REFUSAL_SESSION_UNAVAILABLE, /**< a caller-named session can't be looked up now */
--- a/src/gate_sweep.c
+++ b/src/gate_sweep.c
@@ -34,7 +34,6 @@
   pthread_mutex_t lock;
   pthread_t thread;
   bool stop; /* atomic */
-  bool tls;
   int64_t read_timeout_ms;
   int64_t idle_timeout_ms;
   struct cds_list_head entries;
@@ -61,14 +60,13 @@
   return false;
 }
 
-/* Under TLS the connection is cut without a word. */
 static void
-refuse_reader (const GateSweep *sweep, const SweepEntry *entry)
+refuse_reader (const SweepEntry *entry)
 {
   Refusal refusal = { 0 };
 
   counter_add (COUNTER_GATE_READ_TIMEOUTS, 1);
-  if (!sweep->tls && entry->state == SWEEP_READING)
+  if (entry->state == SWEEP_READING)
     {
       refusal_set (&refusal, REFUSAL_READ_TIMEOUT, REQUEST_NOT_RUN, "request.read", NULL);
       gate_raw_refuse (entry->fd, &refusal);
@@ -91,7 +89,7 @@
       {
         if (!overdue (sweep, entry, now_ms))
           continue;
-        refuse_reader (sweep, entry);
+        refuse_reader (entry);
         entry->state = SWEEP_WORKING;
       }
       pthread_mutex_unlock (&sweep->lock);
@@ -107,7 +105,6 @@
 
   pthread_mutex_init (&sweep->lock, NULL);
   CDS_INIT_LIST_HEAD (&sweep->entries);
-  sweep->tls = settings->tls_certificate_file != NULL;
   sweep->read_timeout_ms = settings->read_timeout_ms;
   sweep->idle_timeout_ms = settings->idle_timeout_ms;
   gate_thread_start (&sweep->thread, sweep_run, sweep);
--- a/src/http_intake.c
+++ b/src/http_intake.c
@@ -106,7 +106,7 @@
   *used = http_parser_execute (&intake->parser, &callbacks, data, len);
   if (intake->complete)
     return INTAKE_DONE;
-  if (HTTP_PARSER_ERRNO (&intake->parser) != HPE_OK || intake->parser.upgrade)
+  if (HTTP_PARSER_ERRNO (&intake->parser) != HPE_OK)
     return refuse (intake, STATUS_BAD_REQUEST);
   return INTAKE_MORE;
 }
--- a/tests/test_front_http.c
+++ b/tests/test_front_http.c
@@ -65,6 +65,24 @@
   http_intake_reset (&intake);
 }
 
+/* Story: Java's own HTTP client offers HTTP/2 with each first request (Upgrade: h2c). A server may
+   ignore the offer. Refused, all its callers get 400 whenever head and body come in two packets. */
+static void
+test_upgrade_offer (void)
+{
+  static const char head[] = "POST / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+                             "Upgrade: h2c\r\nContent-Length: 3\r\n\r\n";
+  HttpIntake intake;
+  size_t used;
+
+  http_intake_init (&intake, &limits);
+  CU_ASSERT_EQUAL (http_intake_feed (&intake, head, sizeof head - 1, &used), INTAKE_MORE);
+  CU_ASSERT_EQUAL (http_intake_feed (&intake, "abcGET", 6, &used), INTAKE_DONE);
+  CU_ASSERT_EQUAL (used, 3);
+  CU_ASSERT_EQUAL (intake.body.len, 3);
+  http_intake_reset (&intake);
+}
+
 static void
 test_chunked_request (void)
 {
@@ -232,6 +250,7 @@
 
 static const SuiteCase cases[] = {
   { "whole_request", test_whole_request },
+  { "upgrade_offer", test_upgrade_offer },
   { "chunked_request", test_chunked_request },
   { "smuggled_requests", test_smuggled_requests },
   { "malformed_requests", test_malformed_requests },
