The state of a backend server is decided in one place, with a table of its lives

front_pick, the metrics and the table-driven test go by front_server_state: list before requests, leaving is final. front_log.py story tells what became of the front when no line ends a request. Tried and left out: a server listed at an address marks the older one there as leaving - in a whole listing the older one may come second, and the answer 421 already says it.

--- a/src/front_control.c
+++ b/src/front_control.c
@@ -51,6 +51,19 @@
   reply (http, front_is_ready (control->front) ? HTTP_OK : HTTP_SERVUNAVAIL, NULL);
 }
 
+static void
+server_metrics (const Front *front, Buffer *out)
+{
+  unsigned counts[FRONT_SERVER_STATES] = { 0 };
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, front_servers_list (front->servers), node)
+      counts[front_server_state (server, clock_boot_ms ())]++;
+  for (unsigned i = 0; i < FRONT_SERVER_STATES; i++)
+    buffer_printf (out, "lovage_front_servers_in_state{state=\"%s\"} %u\n",
+                   front_server_state_name ((FrontServerState)i), counts[i]);
+}
+
 static void
 on_metrics (struct evhttp_request *http, void *user)
 {
@@ -68,6 +81,7 @@
                  front_servers_count (front->servers),
                  front_peers_alive (front->peers, clock_boot_ms ()),
                  front->config ? (long long)front->config->version : 0);
+  server_metrics (front, &text);
   for (unsigned i = 0; i < STORE_TABLES; i++)
     buffer_printf (&text, "lovage_front_store_lost{table=\"%u\"} %d\n", i,
                    front_store_is_lost (front->store, (StoreTable)i));
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -28,9 +28,9 @@
 }
 
 static bool
-is_usable (const PickQuery *query, const FrontServer *server)
+is_asked_for (const PickQuery *query, const FrontServer *server)
 {
-  return server->listed && !server->leaving && strcmp (server->entry.service, query->service) == 0
+  return strcmp (server->entry.service, query->service) == 0
          && (!query->version || strcmp (server->entry.version, query->version) == 0);
 }
 
@@ -71,8 +71,8 @@
   {
     uint64_t hash = id_hash (&server->hash, sizeof server->hash, prompt);
 
-    if (!server->is_near || !is_usable (query, server) || server->unconfirmed
-        || front_health_avoided (&server->health, now_ms) || (home && hash <= best))
+    if (!server->is_near || !is_asked_for (query, server)
+        || front_server_state (server, now_ms) >= FRONT_SERVER_AVOIDED || (home && hash <= best))
       continue;
     home = server;
     best = hash;
@@ -131,12 +131,12 @@
 
   cds_list_for_each_entry (server, front_servers_list (servers), node)
   {
-    bool avoided;
+    FrontServerState state = front_server_state (server, now_ms);
+    bool avoided = state >= FRONT_SERVER_AVOIDED;
     double cost;
 
-    if (!is_usable (query, server) || was_tried (query, server))
+    if (state >= FRONT_SERVER_LEAVING || !is_asked_for (query, server) || was_tried (query, server))
       continue;
-    avoided = server->unconfirmed || front_health_avoided (&server->health, now_ms);
     if (best.server && avoided && !best.avoided)
       continue;
     cost = cost_ms (query, server, home, now_ms);
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -276,7 +276,7 @@
   switch (kind)
     {
     case REPLY_OTHER_SERVER:
-      request->server->leaving = true;
+      front_server_lost_address (request->server);
       request_again (request, "other_server", false);
       return;
     case REPLY_NOT_RUN:
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -11,6 +11,20 @@
 #include <netinet/in.h>
 #include <urcu/list.h>
 
+/** From best to worst: a request goes to a server of a better state first, within READY and COLD by
+ * predicted time. */
+typedef enum
+{
+  FRONT_SERVER_READY,
+  FRONT_SERVER_COLD,        /**< started lately, and slow for a while */
+  FRONT_SERVER_AVOIDED,     /**< unreachable, failing or full: used if there is no better one */
+  FRONT_SERVER_UNCONFIRMED, /**< gone from the list while the store could not be trusted: the same
+                             */
+  FRONT_SERVER_LEAVING,     /**< draining, or its address belongs to another server: no new work */
+  FRONT_SERVER_GONE,        /**< not listed any more */
+  FRONT_SERVER_STATES
+} FrontServerState;
+
 typedef struct FrontServer
 {
   struct cds_list_head node;
@@ -31,4 +45,11 @@
   FrontPrompts prompts;
 } FrontServer;
 
+/** Another server answered at its address: it has ended, though the list doesn't say so yet. */
+void front_server_lost_address (FrontServer *server);
+/** What its entry, the list and its treatment of requests say together. */
+FrontServerState front_server_state (const FrontServer *server, int64_t now_ms);
+/** Lower-case name, as in logs and metrics. */
+const char *front_server_state_name (FrontServerState state);
+
 #endif
--- /dev/null
+++ b/tests/test_front_server.c
@@ -0,0 +1,240 @@
+/** The state of a backend server: src/front_server.c, front_servers.c, front_health.c. */
+#include "front_servers.h"
+#include "suite.h"
+#include <string.h>
+
+#define NOW   100000
+#define GRACE 2200
+
+/** What may happen to a server. */
+typedef enum
+{
+  LISTED,
+  LISTED_COLD, /* for 1,000 ms */
+  DRAINS,
+  REMOVED,
+  LAPSED,       /* removed while the store was away lately */
+  ADDRESS_LOST, /* another server answers at its address */
+  ANSWERED,
+  FAILED,
+  FULL,
+  UNREACHABLE,
+  NOTHING, /* time passes */
+} Event;
+
+typedef struct
+{
+  Event event;
+  int64_t at_ms; /* after the start */
+  FrontServerState state;
+} Step;
+
+#define STEPS_MAX 8
+
+/** One life of a server, by which each transition is passed. */
+typedef struct
+{
+  const char *story;
+  unsigned count;
+  Step steps[STEPS_MAX];
+} Life;
+
+static const Life lives[] = {
+  { "drains and is removed",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { DRAINS, 10, FRONT_SERVER_LEAVING },
+      { LISTED, 20, FRONT_SERVER_LEAVING }, /* an old report doesn't bring it back */
+      { REMOVED, 30, FRONT_SERVER_GONE } } },
+  { "starts cold",
+    3,
+    { { LISTED_COLD, 0, FRONT_SERVER_COLD },
+      { ANSWERED, 999, FRONT_SERVER_COLD },
+      { NOTHING, 1000, FRONT_SERVER_READY } } },
+  { "lapses and is back",
+    3,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { LAPSED, 100, FRONT_SERVER_UNCONFIRMED },
+      { LISTED, 500, FRONT_SERVER_READY } } },
+  { "lapses and stays away",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { LAPSED, 100, FRONT_SERVER_UNCONFIRMED },
+      { LAPSED, 100 + GRACE - 1, FRONT_SERVER_UNCONFIRMED }, /* its grace doesn't begin anew */
+      { NOTHING, 100 + GRACE, FRONT_SERVER_GONE } } },
+  { "drains while it is not confirmed",
+    3,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { LAPSED, 100, FRONT_SERVER_UNCONFIRMED },
+      { DRAINS, 200, FRONT_SERVER_LEAVING } } },
+  { "its address is used again",
+    3,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { ADDRESS_LOST, 100, FRONT_SERVER_LEAVING },
+      { LISTED, 200, FRONT_SERVER_LEAVING } } },
+  { "can't be reached for a while",
+    5,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { UNREACHABLE, 10, FRONT_SERVER_AVOIDED },
+      { NOTHING, 809, FRONT_SERVER_AVOIDED },
+      { NOTHING, 810, FRONT_SERVER_READY },
+      { ANSWERED, 820, FRONT_SERVER_READY } } },
+  { "can't be reached again and again",
+    5,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { UNREACHABLE, 10, FRONT_SERVER_AVOIDED },
+      { UNREACHABLE, 810, FRONT_SERVER_AVOIDED },
+      { NOTHING, 2409, FRONT_SERVER_AVOIDED }, /* twice as long */
+      { NOTHING, 2410, FRONT_SERVER_READY } } },
+  { "fails most requests",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { FAILED, 10, FRONT_SERVER_READY }, /* one may be an accident */
+      { FAILED, 10, FRONT_SERVER_AVOIDED },
+      { NOTHING, 1510, FRONT_SERVER_READY } } },
+  { "fails few of many",
+    5,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { ANSWERED, 10, FRONT_SERVER_READY },
+      { ANSWERED, 10, FRONT_SERVER_READY },
+      { FAILED, 10, FRONT_SERVER_READY },
+      { FAILED, 10, FRONT_SERVER_READY } } },
+  { "is full",
+    3,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { FULL, 10, FRONT_SERVER_AVOIDED },
+      { NOTHING, 160, FRONT_SERVER_READY } } },
+  { "flaps: answers end its avoidance no sooner",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { UNREACHABLE, 10, FRONT_SERVER_AVOIDED },
+      { ANSWERED, 20, FRONT_SERVER_AVOIDED }, /* it was asked for lack of others */
+      { NOTHING, 810, FRONT_SERVER_READY } } },
+  { "is avoided and leaves",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { UNREACHABLE, 10, FRONT_SERVER_AVOIDED },
+      { LAPSED, 20, FRONT_SERVER_UNCONFIRMED },
+      { DRAINS, 30, FRONT_SERVER_LEAVING } } },
+};
+
+static ServerEntry
+entry_of (const char *id)
+{
+  ServerEntry entry
+      = { .service = "drafts", .address = "10.0.0.1:80", .version = "v1", .slots = 8 };
+
+  snprintf (entry.id, sizeof entry.id, "%s", id);
+  return entry;
+}
+
+static void
+list (FrontServers *servers, const char *id, bool draining, int64_t cold_ms, int64_t now_ms)
+{
+  ServerEntry entry = entry_of (id);
+  bool changed;
+
+  entry.draining = draining;
+  entry.cold_ms = cold_ms;
+  CU_ASSERT (front_servers_set (servers, &entry, now_ms, &changed));
+}
+
+static void
+happen (FrontServers *servers, FrontServer *server, Event event, int64_t now_ms)
+{
+  switch (event)
+    {
+    case LISTED:
+    case LISTED_COLD:
+    case DRAINS:
+      list (servers, "a", event == DRAINS, event == LISTED_COLD ? 1000 : 0, now_ms);
+      break;
+    case REMOVED:
+    case LAPSED:
+      front_servers_remove (servers, "a", now_ms, event == LAPSED ? GRACE : 0);
+      break;
+    case ADDRESS_LOST:
+      front_server_lost_address (server);
+      break;
+    case ANSWERED:
+      front_health_answered (&server->health, now_ms, 10, 10);
+      break;
+    case FAILED:
+      front_health_failed (&server->health, now_ms);
+      break;
+    case FULL:
+      front_health_full (&server->health, now_ms);
+      break;
+    case UNREACHABLE:
+      front_health_unreachable (&server->health, now_ms);
+      break;
+    case NOTHING:
+      break;
+    }
+  front_servers_sweep (servers, now_ms);
+}
+
+static void
+live (const Life *life)
+{
+  FrontServers *servers = front_servers_new ("here");
+  FrontServer *server = NULL;
+
+  for (unsigned i = 0; i < life->count; i++)
+    {
+      const Step *step = &life->steps[i];
+      FrontServerState state;
+
+      happen (servers, server, step->event, NOW + step->at_ms);
+      if (!server)
+        {
+          server = front_servers_find (servers, "a");
+          front_server_ref (server); /* an attempt holds it to the end */
+        }
+      state = front_server_state (server, NOW + step->at_ms);
+      if (state != step->state)
+        printf ("%s, step %u: %s in place of %s\n", life->story, i, front_server_state_name (state),
+                front_server_state_name (step->state));
+      CU_ASSERT_EQUAL (state, step->state);
+    }
+  front_server_unref (server);
+  front_servers_free (servers);
+}
+
+static void
+test_lives (void)
+{
+  for (size_t i = 0; i < SUITE_COUNT (lives); i++)
+    live (&lives[i]);
+}
+
+/* Each state is reached in some life, and has a name of its own. */
+static void
+test_all_states (void)
+{
+  bool seen[FRONT_SERVER_STATES] = { 0 };
+
+  for (size_t i = 0; i < SUITE_COUNT (lives); i++)
+    {
+      for (unsigned j = 0; j < lives[i].count; j++)
+        seen[lives[i].steps[j].state] = true;
+    }
+  for (unsigned i = 0; i < FRONT_SERVER_STATES; i++)
+    {
+      CU_ASSERT (seen[i]);
+      for (unsigned j = 0; j < i; j++)
+        CU_ASSERT_STRING_NOT_EQUAL (front_server_state_name ((FrontServerState)i),
+                                    front_server_state_name ((FrontServerState)j));
+    }
+}
+
+static const SuiteCase cases[] = {
+  { "lives", test_lives },
+  { "all_states", test_all_states },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_server", cases, SUITE_COUNT (cases));
+}
--- a/tools/front_log.py
+++ b/tools/front_log.py
@@ -14,6 +14,7 @@
 import sys
 
 QUIET = {"request_sent", "request_answered", "request_cascade", "server_state", "peer_state"}
+ENDS = {"request_answered", "request_refused", "request_failed", "request_cancelled"}
 LINE = re.compile(r"^\s*(-?[\d.]+)?[^{]*(\{.*\})\s*$")
 
 
@@ -37,10 +38,25 @@
 
 
 def story(request, paths):
-    found = sorted(((at, entry) for at, entry in lines(paths) if entry.get("request") == request), key=lambda x: x[0])
+    """All lines of a request, and what became of the front that had it if none of them ends it."""
+    found, starts, last = [], collections.defaultdict(list), {}
+    for at, entry in lines(paths):
+        last[entry["vm"]] = max(at, last.get(entry["vm"], at))
+        if entry["event"] == "start":
+            starts[entry["vm"]].append(at)
+        if entry.get("request") == request:
+            found.append((at, entry))
+    found.sort(key=lambda x: x[0])
     for at, entry in found:
         rest = {name: value for name, value in entry.items() if name not in ("ms", "vm", "event", "request")}
         print(f"{at:12.3f} {entry['vm']} {entry['event']:18} " + " ".join(f"{n}={v}" for n, v in rest.items()))
+    if found and found[-1][1]["event"] not in ENDS:
+        at, vm = found[-1][0], found[-1][1]["vm"]
+        again = [start for start in starts[vm] if start > at]
+        if again:
+            print(f"{'':12} {vm} has no line that ends it; its process was started anew at {again[0]:.3f}")
+        else:
+            print(f"{'':12} {vm} has no line that ends it; the last line of this VM is of {last[vm]:.3f}")
     return 0 if found else 1
 
 
