--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,10 @@
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
+# The model of a platform's site plays lovage-front's own modules.
+$(BUILD)/bench_front: $(BUILD)/obj/bench/bench_front.o $(BUILD)/obj/bench/model_event.o \
+  $(call obj,$(wildcard bench/front_*.c) $(FRONT_PARTS)) $(LIB)
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -o $@
 $(BUILD)/bench_%: $(BUILD)/obj/bench/bench_%.o $(call obj,$(BENCH_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
--- /dev/null
+++ b/bench/front_policies.c
@@ -0,0 +1,81 @@
+/* The product's policy and what it is played against. */
+#include "front_model.h"
+#include <string.h>
+
+static PickAnswer
+pick_product (FrontServers *servers, const PickQuery *query, Clock *clock)
+{
+  return front_pick (servers, query, clock->now_ms);
+}
+
+static bool
+was_tried (const PickQuery *query, const FrontServer *server)
+{
+  for (unsigned i = 0; i < query->tried_count; i++)
+    {
+      if (query->tried[i] == server->hash)
+        return true;
+    }
+  return false;
+}
+
+/* Any server, at random. */
+static PickAnswer
+pick_random (FrontServers *servers, const PickQuery *query, Clock *clock)
+{
+  PickAnswer answer = { 0 };
+  FrontServer *server;
+  unsigned seen = 0;
+
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    if (!was_tried (query, server) && gsl_rng_uniform_int (clock->rng, ++seen) == 0)
+      answer.server = server;
+  }
+  return answer;
+}
+
+/* The server with the fewest requests of this front, the first of several. */
+static PickAnswer
+pick_least_running (FrontServers *servers, const PickQuery *query, Clock *clock)
+{
+  PickAnswer answer = { 0 };
+  FrontServer *server;
+
+  (void)clock;
+  cds_list_for_each_entry (server, front_servers_list (servers), node)
+  {
+    if (!was_tried (query, server) && (!answer.server || server->running < answer.server->running))
+      answer.server = server;
+  }
+  return answer;
+}
+
+static bool
+never (const CascadeCase *c)
+{
+  (void)c;
+  return false;
+}
+
+/* One bar for all requests, whatever the largest model's queue. */
+static bool
+below_bar (const CascadeCase *c)
+{
+  return c->confidence < 56;
+}
+
+const Policy model_policies[] = {
+  { .name = "product", .pick = pick_product, .wants_larger = front_cascade_wants_larger },
+  { .name = "one-bar", .pick = pick_product, .wants_larger = below_bar },
+  { .name = "smallest-only", .pick = pick_product, .wants_larger = never },
+  { .name = "largest-only",
+    .first_model = MODELS - 1,
+    .pick = pick_product,
+    .wants_larger = never },
+  { .name = "random-server", .pick = pick_random, .wants_larger = front_cascade_wants_larger },
+  { .name = "least-running",
+    .pick = pick_least_running,
+    .wants_larger = front_cascade_wants_larger },
+};
+const unsigned model_policy_count = sizeof model_policies / sizeof model_policies[0];
--- a/src/front.h
+++ b/src/front.h
@@ -8,6 +8,7 @@
 #include "choose_quarantine.h"
 #include "front_budget.h"
 #include "front_config.h"
+#include "front_lag.h"
 #include "front_rollouts.h"
 #include "front_servers.h"
 #include "front_sessions.h"
@@ -30,6 +31,7 @@
   FrontRollouts *rollouts;
   FrontBudget *budget;
   Quarantine *quarantine;
+  FrontLag lag; /**< of engines' answers */
   FrontStore *store;
   FrontPeers *peers;
   struct cds_list_head conns;    /**< FrontConn by node */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -1,4 +1,5 @@
 /* What a backend server answers, and how it reaches the caller. */
+#include "front_cascade.h"
 #include "front_counter.h"
 #include "front_log.h"
 #include "front_request_private.h"
@@ -13,20 +14,6 @@
 #define STATUS_SERVER_ERROR 500
 #define STATUS_UNAVAILABLE  503
 
-/* The smallest model's answer is kept if it trusts it at least so much, of 100. Bars of 20 to 80
- * were played: below, poor answers are kept; above, the largest model, which reads ten times as
- * slowly and costs fifteen times as much, does work that the smallest had done well. For the least
- * urgent routes the largest model's answer is worth less than its cost earlier. Beside one bar of
- * 60 for all this buys 0.02 of worth on average, 0.06 on the busiest days of the large sites. */
-#define CONFIDENCE_KEPT       56.0
-#define CONFIDENCE_KEPT_LOW   36.0
-#define LEAST_URGENT_PRIORITY 2
-/* The bar falls by so much as the largest model's answer takes the whole objective to begin: a long
- * prompt read by it holds up all streams on its server. */
-#define CONFIDENCE_FOR_WAIT 80.0
-/* A larger model is tried only while this part of the time to the first event is left. */
-#define CASCADE_LATEST 0.6
-
 typedef enum
 {
   REPLY_STREAM,       /* events to pass on as they come */
@@ -88,28 +75,29 @@
     front_health_failed (&request->server->health, now_ms);
   else
     front_health_answered (&request->server->health, now_ms, first_ms, request->predicted_ms);
+  if (!failed && request->model != NO_MODEL)
+    front_lag_add (&request->front->lag, first_ms - request->predicted_ms, now_ms);
   request_add_evidence (request, failed, now_ms);
 }
 
-static double
-confidence_kept (const FrontRequest *request)
-{
-  bool least_urgent = request->route->priority >= LEAST_URGENT_PRIORITY;
-  double wait = request_larger_ms (request) / (double)request->route->objective_ms;
-
-  return (least_urgent ? CONFIDENCE_KEPT_LOW : CONFIDENCE_KEPT) - CONFIDENCE_FOR_WAIT * wait;
-}
-
 static bool
 wants_larger (const FrontRequest *request, const ReplyFacts *facts)
 {
-  int64_t passed_ms = clock_boot_ms () - request->arrived_ms;
-
-  return request->model != NO_MODEL && request->model + 1 < request->route->model_count
-         && !request->cascade_done && !request->head_sent && facts->confidence >= 0
-         && facts->confidence < confidence_kept (request)
-         && request->attempts < request->route->attempts_max
-         && (double)passed_ms < (double)request->route->objective_ms * CASCADE_LATEST;
+  int64_t now_ms = clock_boot_ms ();
+  CascadeCase c = {
+    .confidence = facts->confidence,
+    .priority = request->route->priority,
+    .passed_ms = now_ms - request->arrived_ms,
+    .objective_ms = request->route->objective_ms,
+  };
+
+  if (request->model == NO_MODEL || request->model + 1 >= request->route->model_count
+      || request->cascade_done || request->head_sent
+      || request->attempts >= request->route->attempts_max)
+    return false;
+  c.larger_ms = request_larger_ms (request);
+  c.lag_ms = front_lag_now (&request->front->lag, now_ms);
+  return front_cascade_wants_larger (&c);
 }
 
 /* Drops the answer for the largest model's; false if the budget doesn't allow it. */
--- /dev/null
+++ b/tests/test_front_lag.c
@@ -0,0 +1,42 @@
+/** How late answers come, over all engines: src/front_lag.c. */
+#include "front_lag.h"
+#include "suite.h"
+
+#define NOW 100000
+
+/* Load pattern: a burst of four times the usual for some seconds. A front of 69 begins 15 answers a
+   second, of 88 engines; of no single one it learns in time that its queue has grown by a second.
+   Over all of them it knows half of it after 7 answers, and believes it no more 4 s later. */
+static void
+test_burst (void)
+{
+  FrontLag lag = { 0 };
+
+  for (unsigned i = 1; i <= 7; i++)
+    front_lag_add (&lag, 1000, NOW + i * 66);
+  CU_ASSERT (front_lag_now (&lag, NOW + 462) > 450);
+  CU_ASSERT (front_lag_now (&lag, NOW + 462) < 600);
+  CU_ASSERT (front_lag_now (&lag, NOW + 4462) < 150);
+}
+
+/* One slow engine of twenty doesn't change what is sent to the others. */
+static void
+test_one_slow_engine (void)
+{
+  FrontLag lag = { 0 };
+
+  for (unsigned i = 0; i < 200; i++)
+    front_lag_add (&lag, i % 20 == 0 ? 1000 : -20, NOW + i * 66);
+  CU_ASSERT (front_lag_now (&lag, NOW + 13200) < 100);
+}
+
+static const SuiteCase cases[] = {
+  { "burst", test_burst },
+  { "one_slow_engine", test_one_slow_engine },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_lag", cases, SUITE_COUNT (cases));
+}
