--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -85,6 +85,8 @@
 unsigned peers_choose (FrontPeers *peers, Peer **chosen, int64_t now_ms);
 /* Adds our own failure domain's sum, and some of the others in turn. */
 void peers_domains_fill (FrontPeers *peers, FrontRollout *rollout, PeerRollout *out);
+/* Leaves out of the message what doesn't fit; returns its bytes. */
+size_t peers_encode (PeerMessage *message, void *out, size_t size);
 /* Tells them how things stand here. */
 void peers_tell (FrontPeers *peers, int64_t now_ms);
 
--- a/src/front_peers_tell.c
+++ b/src/front_peers_tell.c
@@ -188,40 +188,70 @@
     }
 }
 
-/* Leaves out what will be told in later messages anyway; false if nothing is left. */
+/* Drops half of the sessions of the first roll-out that has some. */
 static bool
-message_shorten (PeerMessage *message)
+sessions_shorten (PeerMessage *message)
 {
-  if (message->member_count > 0)
+  for (uint32_t i = 0; i < message->rollout_count; i++)
     {
-      message->member_count /= 2;
+      if (message->rollouts[i].session_count == 0)
+        continue;
+      message->rollouts[i].session_count /= 2;
       return true;
     }
+  return false;
+}
+
+/* Each message begins its list of failure domains at another one. */
+static bool
+domains_shorten (PeerMessage *message)
+{
   for (uint32_t i = 0; i < message->rollout_count; i++)
     {
-      if (message->rollouts[i].session_count == 0)
+      if (message->rollouts[i].domain_count < 2)
         continue;
-      message->rollouts[i].session_count /= 2;
+      message->rollouts[i].domain_count--;
       return true;
     }
+  return false;
+}
+
+/* Leaves out what will be told in later messages anyway; false if nothing is left. */
+static bool
+message_shorten (PeerMessage *message)
+{
+  if (message->member_count > 0)
+    {
+      message->member_count /= 2;
+      return true;
+    }
+  if (sessions_shorten (message) || domains_shorten (message))
+    return true;
   if (message->death_count == 0)
     return false;
   message->death_count--;
   return true;
 }
 
+size_t
+peers_encode (PeerMessage *message, void *out, size_t size)
+{
+  size_t len;
+
+  while ((len = peer_message_encode (message, out, size)) == 0)
+    {
+      if (!message_shorten (message))
+        return 0;
+    }
+  return len;
+}
+
 void
 peers_tell (FrontPeers *peers, int64_t now_ms)
 {
   unsigned char data[PEER_MESSAGE_MAX];
   PeerMessage message;
-  size_t len;
 
   message_fill (peers, &message, now_ms);
-  while ((len = peer_message_encode (&message, data, sizeof data)) == 0)
-    {
-      if (!message_shorten (&message))
-        return;
-    }
-  tell_some (peers, data, len, now_ms);
+  tell_some (peers, data, peers_encode (&message, data, sizeof data), now_ms);
 }
--- a/tests/test_front_peers.c
+++ b/tests/test_front_peers.c
@@ -269,12 +269,46 @@
   net_free (net);
 }
 
+/* Story: two services with eight routes each are rolled out at once over three failure domains. All
+   that is to be told doesn't fit one packet; a message that can't be written is no message, and no
+   front would hear of any other. */
+static void
+test_full_message (void)
+{
+  unsigned char data[PEER_MESSAGE_MAX];
+  PeerMessage message = { .incarnation = 1, .rollout_count = PEER_ROLLOUTS_MAX }, out;
+
+  message.member_count = PEER_MEMBERS_MAX;
+  message.death_count = PEER_DEATHS_MAX;
+  for (unsigned i = 0; i < PEER_DEATHS_MAX; i++)
+    message.deaths[i].count = QUARANTINE_FLIGHT_MAX;
+  for (unsigned i = 0; i < PEER_ROLLOUTS_MAX; i++)
+    {
+      PeerRollout *rollout = &message.rollouts[i];
+
+      rollout->session_count = PEER_SESSIONS_MAX;
+      rollout->domain_count = PEER_DOMAINS_MAX;
+      for (unsigned route = 0; route < EVIDENCE_ROUTES; route++)
+        {
+          rollout->evidence.counts[EVIDENCE_NEW][route].answers = 1;
+          for (unsigned j = 0; j < PEER_DOMAINS_MAX; j++)
+            rollout->domains[j].evidence.counts[EVIDENCE_OLD][route].answers = 1;
+        }
+    }
+  CU_ASSERT (peers_encode (&message, data, sizeof data) > 0);
+  CU_ASSERT (peer_message_decode (&out, data, sizeof data));
+  CU_ASSERT_EQUAL (out.rollout_count, PEER_ROLLOUTS_MAX);
+  CU_ASSERT (out.rollouts[0].domain_count >= 1);
+  CU_ASSERT (out.rollouts[1].domain_count >= 1);
+}
+
 static const SuiteCase cases[] = {
   { "evidence_of_360_fronts", test_evidence_of_360_fronts },
   { "evidence_of_smaller_sites", test_evidence_of_smaller_sites },
   { "messages_a_round", test_messages_a_round },
   { "word_of_a_busy_front", test_word_of_a_busy_front },
   { "word_of_a_bad_version", test_word_of_a_bad_version },
+  { "full_message", test_full_message },
 };
 
 int
