lovage-gate ends TLS with its own record

The filter before libmicrohttpd shut the socket down without it, so a strict client took each answer with Connection: close for a cut one. case_tls, check_end: failed before.

--- a/regress/case_tls.sh
+++ b/regress/case_tls.sh
@@ -81,6 +81,27 @@
   expect_equal "runs of what was not served" 0 "$(run_count tls)"
 }
 
+# A connection that ends without TLS's own word of it looks cut: a client that is strict must not take it
+# for an attack on the end of its answer.
+check_end() {
+  local body
+  body=$(chat draft-small "the end over TLS")
+  python3 - "${port[18110]}" "$site/right.pem" "${key[tender-desk]}" "$body" <<'END' || fail "no orderly end over TLS"
+import socket, ssl, sys
+port, trust, key, body = sys.argv[1:]
+context = ssl.create_default_context(cafile=trust)
+with socket.create_connection(("127.0.0.1", int(port)), 10) as plain:
+    with context.wrap_socket(plain, server_hostname="127.0.0.1", suppress_ragged_eofs=False) as peer:
+        head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {key}\r\n"
+        head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        peer.sendall((head + body).encode())
+        got = b""
+        while more := peer.recv(65536):
+            got += more
+sys.exit(not got.startswith(b"HTTP/1.1 200 "))
+END
+}
+
 # refused_operator WHAT COMMAND...: a change by this lovagectl must reach no steward, and must not be
 # said to have been done perhaps.
 refused_operator() {
@@ -134,6 +155,7 @@
 site_start 2
 wait_for "a view of both VMs" two_members
 check_callers
+check_end
 check_operators
 site_stop
 echo "TLS: passed"
--- a/src/gate_filter.c
+++ b/src/gate_filter.c
@@ -4,7 +4,9 @@
 #include "util_memory.h"
 #include "util_unused.h"
 #include <event2/buffer.h>
+#include <event2/bufferevent_ssl.h>
 #include <event2/event.h>
+#include <openssl/ssl.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
@@ -57,6 +59,17 @@
   free (filter);
 }
 
+/* Over TLS the end has a record of its own; without it the answer looks cut. */
+static void
+end_output (struct bufferevent *caller)
+{
+  SSL *tls = bufferevent_openssl_get_ssl (caller);
+
+  if (tls)
+    SSL_shutdown (tls);
+  shutdown (bufferevent_getfd (caller), SHUT_WR);
+}
+
 /* Call it last: it may free the filter. */
 static void
 linger (GateFilter *filter)
@@ -65,13 +78,13 @@
 
   if (filter->lingering || waiting_to_leave (filter->caller) > 0)
     return;
+  end_output (filter->caller);
   if (filter->hurried)
     {
       filter_free (filter);
       return;
     }
   filter->lingering = true;
-  shutdown (bufferevent_getfd (filter->caller), SHUT_WR);
   bufferevent_enable (filter->caller, EV_READ);
   evtimer_add (filter->timer, &wait);
 }
