--- a/mk/decision.mk
+++ b/mk/decision.mk
@@ -3,7 +3,7 @@
 
 $(BUILD)/bench_decision: $(BUILD)/obj/bench/bench_decision.o $(call obj,$(BENCH_HELPERS)) \
   $(call obj,$(filter-out src/gate_main.c,$(wildcard src/gate_*.c))) $(LIB)
-	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(GATE_LIBS) -o $@
 
 # The bound of mk/policy.mk's check-decision, on the largest site.
 check-decision: check-gate-decision
