--- a/bench/front_model.h
+++ b/bench/front_model.h
@@ -50,8 +50,9 @@
   double rate;       /**< requests a second, all together */
   double burst;      /**< times the rate in the middle third */
   double long_times; /**< prompts' length, against the usual */
-  double lost;       /**< share of engines that stop answering in the middle third */
-  double slow;       /**< share of engines that are slow_times slower in the middle third */
+  double lost; /**< share of engines that can't be reached in the middle third; what they run still
+                  ends */
+  double slow; /**< share of engines that are slow_times slower in the middle third */
   double slow_times;
 } Scenario;
 
--- a/bench/front_play.c
+++ b/bench/front_play.c
@@ -21,7 +21,8 @@
 #define MS_PER_S        1000.0
 #define READ_A_MS       140.0 /* what fronts expect, as their configuration says */
 /* The model's own opinion of its answer, 0 to 100: rough, higher for a good one. Of 11,900 answers
- * of the smallest model that a site's logs say were dropped, 45% said less than 10, 13% above 40.
+ * of the smallest model that a site's logs say were dropped, 45% said less than 10, 10% more
+ * than 40.
  */
 #define CONFIDENCE_WELL   70.0
 #define CONFIDENCE_POOR   14.0
