check-front fails when the lag of answers is not heeded

With the lag taken out of the model's decisions the check still passed: the product might be 0.03 behind in any scenario, and in the burst it was 0.02 behind the smallest model alone. Each scenario now says what the product must be ahead by: 0.02 in the burst and with long prompts (0.058 and 0.035 found), at most 0.02 behind elsewhere. Without the lag: burst FAILED against smallest-only and random-server. Stricter in each line.

--- a/bench/bench_front.c
+++ b/bench/bench_front.c
@@ -116,11 +116,8 @@
   return spread_of (results, SEEDS_CHECK, &net).mean;
 }
 
-/* The product may be behind a simpler policy by this much: one bar for all is 0.015 ahead where
- * some engines are slow, and seeds differ by 0.005. */
-#define BEHIND_MOST 0.03
-
-/* The product, which is the first policy, is behind none of the others in any scenario. */
+/* The product, which is the first policy, earns as much more than the others as each scenario asks.
+ */
 static int
 check (void)
 {
@@ -133,7 +130,7 @@
       for (unsigned i = 1; i < model_policy_count; i++)
         {
           double other = net_of (&model_scenarios[s], &model_policies[i]);
-          bool good = product >= other - BEHIND_MOST;
+          bool good = product >= other + model_scenarios[s].ahead_least;
 
           printf ("%s: product %.3f, %s %.3f%s\n", model_scenarios[s].name, product,
                   model_policies[i].name, other, good ? "" : " FAILED");
--- a/bench/front_model.h
+++ b/bench/front_model.h
@@ -54,6 +54,8 @@
                   ends */
   double slow; /**< share of engines that are slow_times slower in the middle third */
   double slow_times;
+  double ahead_least; /**< what the product must earn more than any other policy; below zero: less
+                         at most */
 } Scenario;
 
 typedef struct
--- a/bench/front_site.c
+++ b/bench/front_site.c
@@ -50,17 +50,33 @@
 
 #define RATE 820.0
 
+/* Where nothing is short, simpler policies do as well: one bar is 0.007 ahead at most, and seeds
+ * differ by 0.005. In a burst and with long prompts the product earns 0.058 and 0.035 more than the
+ * next one; without the lag of answers the smallest model alone is ahead of it in the burst. */
+#define AS_GOOD      (-0.02)
+#define CLEARLY_MORE 0.02
+
 const Scenario model_scenarios[] = {
-  { .name = "calm", .rate = RATE, .burst = 1, .long_times = 1 },
-  { .name = "burst", .rate = RATE, .burst = 4, .long_times = 1 },
-  { .name = "long-prompts", .rate = RATE, .burst = 1, .long_times = 3 },
-  { .name = "engines-lost", .rate = RATE, .burst = 1.3, .long_times = 1, .lost = 0.17 },
+  { .name = "calm", .rate = RATE, .burst = 1, .long_times = 1, .ahead_least = AS_GOOD },
+  { .name = "burst", .rate = RATE, .burst = 4, .long_times = 1, .ahead_least = CLEARLY_MORE },
+  { .name = "long-prompts",
+    .rate = RATE,
+    .burst = 1,
+    .long_times = 3,
+    .ahead_least = CLEARLY_MORE },
+  { .name = "engines-lost",
+    .rate = RATE,
+    .burst = 1.3,
+    .long_times = 1,
+    .lost = 0.17,
+    .ahead_least = AS_GOOD },
   { .name = "engines-slow",
     .rate = RATE,
     .burst = 1,
     .long_times = 1,
     .slow = 0.15,
-    .slow_times = 8 },
+    .slow_times = 8,
+    .ahead_least = AS_GOOD },
 };
 const unsigned model_scenario_count = sizeof model_scenarios / sizeof model_scenarios[0];
 
--- a/mk/policy.mk
+++ b/mk/policy.mk
@@ -23,7 +23,7 @@
 	$(BUILD)/bench_front data > $(BUILD)/front.data
 	gnuplot -e "data='$(BUILD)/front.data'; out='docs/design/front.svg'" bench/plot_front.gp
 
-# The product is behind no simpler policy in any scenario; part of CI.
+# The product earns as much more than simpler policies as each scenario asks; part of CI.
 check-front: $(BUILD)/bench_front
 	$(BUILD)/bench_front check
 
