In force waits for a VM that left the view and came back in an outage

Cause: a VM that left as planned and starts again while the table service is away gets the old view from its peers, with its own address in it, and a grant by their word. The view without it is taken over and established, a number is accepted and in force among its members, and the VM goes on by the lower number until its grant ends (38 ms were seen, grant_ms are possible).

Ruled out: clocks, the gate's side. Weighed: no grant by peers to a VM started in an outage (refuses work that it may take).

Now the members' word is not enough for "in force" until grant_ms after the view that lacks an address was established. The test fails without the guard (2 asserts) and passes with it.

--- a/src/steward.h
+++ b/src/steward.h
@@ -29,7 +29,10 @@
   pthread_mutex_t lock;
   pthread_cond_t changed; /**< broadcast when news may matter to one who waits */
   ClusterState *state;
-  bool granted;               /**< at the last look, for the log */
+  bool granted;           /**< at the last look, for the log */
+  bool member_left;       /**< a view was taken over that lacks an address of the one before, and
+                             it is not established yet */
+  int64_t member_left_at; /**< last time that such a view was taken over or established; 0: never */
   StewardSuspicion suspicion; /**< at the last look */
   /** A member that asked us while we knew no view: who to fetch one from. Port 0: none. */
   ClusterMember introducer;
--- a/src/steward_cluster.c
+++ b/src/steward_cluster.c
@@ -12,6 +12,14 @@
 #define FEW_MEMBERS 16
 /* Silence after which nothing that a member was granted can be in use any more, in grants. */
 #define DEAD_GRANTS 3
+/* Clocks of VMs run apart by one part in CLUSTER_DRIFT_PARTS, and each side rounds. */
+#define BOUND_MARGIN_MS 20
+
+int64_t
+steward_cluster_grant_bound_ms (int64_t grant_ms)
+{
+  return grant_ms + grant_ms / CLUSTER_DRIFT_PARTS * 2 + BOUND_MARGIN_MS;
+}
 
 void
 steward_cluster_init (StewardCluster *c, uint64_t incarnation, int64_t grant_ms)
@@ -96,8 +104,50 @@
   return left;
 }
 
+static bool
+lacks_address (const ClusterView *view, const ClusterView *before)
+{
+  for (size_t i = 0; i < before->count; i++)
+    if (cluster_view_find_slot (view, before->members[i].address, before->members[i].port) < 0)
+      return true;
+  return false;
+}
+
+/* A view that is the first we know may have lost a member just before; only the very first of all,
+   number 1, can't. */
+bool
+steward_cluster_adopt_view (Steward *s, const ClusterView *view, int64_t now)
+{
+  StewardCluster *c = &s->cluster;
+  const ClusterView *ours = cluster_state_view (c->state);
+  bool lost = ours->number == 0 ? view->number > 1 : lacks_address (view, ours);
+
+  if (!cluster_state_adopt_view (c->state, view))
+    return false;
+  if (lost || c->member_left)
+    c->member_left_at = now;
+  c->member_left = (lost || c->member_left) && !view->established;
+  return true;
+}
+
+/* A VM that left the view as planned and was started again during an outage of the table service
+   may have got a grant from peers that still knew the view with its address in it. The view without
+   it doesn't count it, so a number would be called in force while it takes work under a lower one.
+   Once the new view is established no majority supports that grant any more (a voter that has heard
+   of a newer view is not counted), so it ends grant_ms later at the latest; until then the members'
+   word is not enough. */
+static bool
+may_work_unseen (const Steward *s, int64_t now)
+{
+  const StewardCluster *c = &s->cluster;
+
+  return c->member_left
+         || (c->member_left_at != 0
+             && now - c->member_left_at <= steward_cluster_grant_bound_ms (s->settings.grant_ms));
+}
+
 StewardProgress
-steward_cluster_progress (Steward *s, int64_t number)
+steward_cluster_progress (Steward *s, int64_t number, int64_t now)
 {
   StewardProgress progress = { 0 };
   const ClusterState *state = s->cluster.state;
@@ -112,6 +162,8 @@
       if (k != NULL && k->number >= number)
         progress.members_in_force++;
     }
+  progress.in_force = progress.accepted && progress.members > 0
+                      && progress.members_in_force == progress.members && !may_work_unseen (s, now);
   pthread_mutex_unlock (&s->cluster.lock);
   return progress;
 }
--- a/src/steward_cluster.h
+++ b/src/steward_cluster.h
@@ -22,6 +22,7 @@
   bool accepted;
   size_t members;          /**< of the view */
   size_t members_in_force; /**< those known to apply the number or a newer one */
+  bool in_force;           /**< accepted, and nobody takes new work under a lower number */
 } StewardProgress;
 
 void steward_cluster_init (StewardCluster *c, uint64_t incarnation, int64_t grant_ms);
@@ -30,11 +31,15 @@
 /** Applies the newest document as far as the gates have it in force. Call it whenever one of them
  *  may have changed. */
 void steward_cluster_apply (Steward *s);
+/** Milliseconds on our clock after which a grant of grant_ms on another VM's has ended. */
+int64_t steward_cluster_grant_bound_ms (int64_t grant_ms);
 /** What may be granted to a gate; the cluster's lock is held. */
 ClusterGrant steward_cluster_grant_now (const Steward *s, int64_t now);
 /** Milliseconds that new work may be taken from now on, 0 for none. */
 int64_t steward_cluster_grant (Steward *s, int64_t now);
-StewardProgress steward_cluster_progress (Steward *s, int64_t number);
+StewardProgress steward_cluster_progress (Steward *s, int64_t number, int64_t now);
+/** Takes a view over (cluster_state_adopt_view); the cluster's lock is held. */
+bool steward_cluster_adopt_view (Steward *s, const ClusterView *view, int64_t now);
 /** Waits until something may have changed, at most ms. */
 void steward_cluster_wait (Steward *s, int64_t ms);
 /** True once a planned stop has begun: nobody waits any longer. */
--- a/src/steward_fetch.c
+++ b/src/steward_fetch.c
@@ -87,7 +87,7 @@
   if (cluster_view_parse (document->text, view, &list))
     {
       pthread_mutex_lock (&s->cluster.lock);
-      (void)cluster_state_adopt_view (s->cluster.state, view);
+      (void)steward_cluster_adopt_view (s, view, clock_boot_ms ());
       pthread_mutex_unlock (&s->cluster.lock);
     }
   else
--- a/src/steward_orders.c
+++ b/src/steward_orders.c
@@ -202,14 +202,11 @@
 one_round (StewardOrders *o)
 {
   Config *config = steward_document_config (&o->s->document);
-  StewardProgress progress;
   bool in_force;
 
   if (config == NULL)
     return;
-  progress = steward_cluster_progress (o->s, config->number);
-  in_force
-      = progress.accepted && progress.members > 0 && progress.members_in_force == progress.members;
+  in_force = steward_cluster_progress (o->s, config->number, clock_boot_ms ()).in_force;
   for (size_t i = 0; i < config->server_count && !stopped (o); i++)
     {
       int64_t fence = steward_duty_fence (o->duty);
--- a/src/steward_rollout.c
+++ b/src/steward_rollout.c
@@ -188,10 +188,11 @@
   decision = rollout_watch_decide (w, rollout->stage, now);
   if (decision.verdict == ROLLOUT_BRAKE)
     raise_brake (r, config, rollout, decision.why);
-  RolloutLook look = { .verdict = decision.verdict,
-                       .braked = is_stopped (r->s, config, rollout->to),
-                       .accepted = steward_cluster_progress (r->s, config->number).accepted,
-                       .ordered = steward_orders_stated (r->orders, config, rollout->to) };
+  RolloutLook look
+      = { .verdict = decision.verdict,
+          .braked = is_stopped (r->s, config, rollout->to),
+          .accepted = steward_cluster_progress (r->s, config->number, clock_boot_ms ()).accepted,
+          .ordered = steward_orders_stated (r->orders, config, rollout->to) };
   step = rollout_step_due (rollout, &look);
   if (step == ROLLOUT_STEP_NONE || now < r->step_at)
     return false;
--- a/src/steward_rows.c
+++ b/src/steward_rows.c
@@ -2,6 +2,7 @@
 #include "cluster_accept.h"
 #include "steward_cluster.h"
 #include "steward_heartbeat.h"
+#include "util_clock.h"
 #include "util_id.h"
 #include "util_log.h"
 #include "util_memory.h"
@@ -26,7 +27,7 @@
   if (!r->row.known || r->row.view.number == 0)
     return;
   pthread_mutex_lock (&s->cluster.lock);
-  adopted = cluster_state_adopt_view (s->cluster.state, &r->row.view);
+  adopted = steward_cluster_adopt_view (s, &r->row.view, clock_boot_ms ());
   if (adopted)
     pthread_cond_broadcast (&s->cluster.changed);
   pthread_mutex_unlock (&s->cluster.lock);
--- a/src/steward_wait.c
+++ b/src/steward_wait.c
@@ -7,8 +7,6 @@
 /* Members that don't apply the number yet are asked again after this, then after twice as long. */
 #define ASK_LEAST_MS 15
 #define ASK_LIMIT_MS 500
-/* Clocks of VMs run apart by one part in CLUSTER_DRIFT_PARTS, and each side rounds. */
-#define BOUND_MARGIN_MS 20
 
 /** The wait for one number. */
 typedef struct
@@ -25,23 +23,19 @@
 static bool
 bound_passed (const Wait *w, int64_t now)
 {
-  int64_t grant_ms = w->s->settings.grant_ms;
-
   return w->accepted_at != 0
-         && now - w->accepted_at > grant_ms + grant_ms / CLUSTER_DRIFT_PARTS * 2 + BOUND_MARGIN_MS;
+         && now - w->accepted_at > steward_cluster_grant_bound_ms (w->s->settings.grant_ms);
 }
 
 static StewardReach
 look (Wait *w, StewardProgress *progress, int64_t now)
 {
-  *progress = steward_cluster_progress (w->s, w->number);
+  *progress = steward_cluster_progress (w->s, w->number, now);
   if (!progress->accepted)
     return STEWARD_DURABLE;
   if (w->accepted_at == 0)
     w->accepted_at = now;
-  if (progress->members > 0 && progress->members_in_force == progress->members)
-    return STEWARD_IN_FORCE;
-  return bound_passed (w, now) ? STEWARD_IN_FORCE : STEWARD_ACCEPTED;
+  return progress->in_force || bound_passed (w, now) ? STEWARD_IN_FORCE : STEWARD_ACCEPTED;
 }
 
 static void
--- a/tests/test_steward_parts.c
+++ b/tests/test_steward_parts.c
@@ -351,6 +351,61 @@
   free (s);
 }
 
+/* What an operator would see: "in force" for a number that withdraws a version, and after it an
+ * answer by the number before. vm0 stopped as planned and left the view; the table service went
+ * away; vm0 started again, learned the old view from its peers and got a grant by their word. Then
+ * the service was back, the peers took over the view without vm0, accepted the next number and had
+ * it in force among themselves, while vm0's grant still lasted. */
+static void
+test_in_force_waits_for_one_that_left (void)
+{
+  enum
+  {
+    GRANT_MS = 3000,
+    PENDING_AT = 10000,
+    ESTABLISHED_AT = 10500,
+  };
+  Steward *s = memory_alloc (sizeof *s);
+  ClusterView *view = memory_alloc (sizeof *view);
+  int64_t end = ESTABLISHED_AT + steward_cluster_grant_bound_ms (GRANT_MS);
+
+  s->settings.grant_ms = GRANT_MS;
+  s->incarnation = 1;
+  steward_cluster_init (&s->cluster, 1, GRANT_MS);
+  *view = (ClusterView){ .number = 1, .established = true, .count = 2 };
+  view->members[0] = (ClusterMember){ .incarnation = 1, .address = "10.0.0.1", .port = 7000 };
+  view->members[1] = (ClusterMember){ .incarnation = 2, .address = "10.0.0.2", .port = 7000 };
+  CU_ASSERT_TRUE (steward_cluster_adopt_view (s, view, 1000));
+  CU_ASSERT_TRUE (cluster_state_apply (s->cluster.state, 12));
+  cluster_state_table_read (s->cluster.state, PENDING_AT, 12, 12);
+  CU_ASSERT_FALSE (steward_cluster_progress (s, 12, PENDING_AT).in_force);
+
+  view->number = 2;
+  view->established = false;
+  view->count = 1;
+  view->previous_count = 2;
+  view->previous[0] = 1;
+  view->previous[1] = 2;
+  CU_ASSERT_TRUE (steward_cluster_adopt_view (s, view, PENDING_AT));
+  CU_ASSERT_EQUAL (steward_cluster_progress (s, 12, PENDING_AT).members_in_force, 1);
+  CU_ASSERT_FALSE (steward_cluster_progress (s, 12, PENDING_AT + 10 * GRANT_MS).in_force);
+  view->number = 3;
+  view->established = true;
+  view->previous_count = 0;
+  CU_ASSERT_TRUE (steward_cluster_adopt_view (s, view, ESTABLISHED_AT));
+  CU_ASSERT_FALSE (steward_cluster_progress (s, 12, end).in_force);
+  CU_ASSERT_TRUE (steward_cluster_progress (s, 12, end + 1).in_force);
+
+  /* A new process at the same address takes the place over: nobody works unseen. */
+  view->number = 4;
+  view->members[0].incarnation = 1;
+  CU_ASSERT_TRUE (steward_cluster_adopt_view (s, view, end + 2));
+  CU_ASSERT_TRUE (steward_cluster_progress (s, 12, end + 2).in_force);
+  free (view);
+  steward_cluster_clear (&s->cluster);
+  free (s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -368,6 +423,7 @@
     { "heartbeat_rate", test_heartbeat_rate },
     { "poll_time", test_poll_time },
     { "gate_alive_when_unsure", test_gate_alive_when_unsure },
+    { "in_force_waits_for_one_that_left", test_in_force_waits_for_one_that_left },
   };
 
   return suite_main (argc, argv, "steward_parts", cases, SUITE_COUNT (cases));
