A server that starts again under its id is another start; entries of other writers name no server

Cause: an id was taken for one start of a server. One that drained or crashed and started again kept its old address, health, cache and leaving state here; a state that nobody names counted as ready, Slots -1 as four billion places, a missing zone as none.

Id and start (born) are one incarnation now: a later one replaces the earlier with nothing believed of it, what ran there counts as cut, an earlier one or a report after the end of a drained start is not heeded (front_starts, 48 KiB a front). An entry must have each field with its type; else it names no server, also under an id that we know.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -427,6 +427,47 @@
     equal(faults, [], "faults")
 
 
+async def engine_starts_again(site):
+    """An engine falls silent within an answer and starts again under its id at another address; its
+    old connections hang. What ran there goes on elsewhere as soon as the new start is known, new
+    work reaches the new address, and a late report of the first start changes nothing."""
+    orders = [engine for engine in site.engines if engine.service == "orders"]
+    await orders[1].leave()
+    await asyncio.sleep(1)
+    reborn, first = orders[0], orders[0].entry()
+    reborn.mode = "mute"
+    call = asyncio.ensure_future(site.call(site.fronts[0], "/again/a", b"held"))
+    await asyncio.sleep(0.1)
+    await reborn.start_again((reborn.address[0], reborn.address[1] + 500))
+    answer = await call
+    equal(answer.status, 200, "the look-up that the first start held")
+    equal([run.engine.name for run in site.runs_of(answer)], [reborn.name, reborn.name], "where it ran")
+    reasons = [event["reason"] for event in log_events(site, "request_retry") if event["request"] == answer.request]
+    equal(reasons, ["answer_cut"], "why it was sent again")
+    await site.store.put("servers", reborn.name, json.dumps({**first, "State": "draining"}))
+    await asyncio.sleep(1)
+    for front in site.fronts:
+        equal((await site.call(front, "/once/b", b"new")).status, 200, "an order at the later start")
+
+
+async def foreign_entries(site):
+    """Somebody else writes into the list of engines: rows that can't be read, and rows that name a
+    place where nobody listens. They get no request, and the engines go on."""
+    good = site.engines[0].entry()
+    rows = [
+        "\x00\xff", "[]", json.dumps({**good, "State": "resting"}), json.dumps({**good, "Slots": -1}),
+        json.dumps({**good, "born": "yesterday"}), json.dumps({k: v for k, v in good.items() if k != "Zone"}),
+        json.dumps({**good, "Service": "no such service", "Address": "127.0.0.1:9"}),
+    ]  # fmt: skip
+    for number, row in enumerate(rows):
+        await site.store.put("servers", f"odd-{number}", row)
+    await asyncio.sleep(1)
+    for answer in await traffic(site, time.monotonic() + 1, "/again/"):
+        equal((answer.status, len(site.runs_of(answer))), (200, 1), "a look-up")
+    events = {event["server"]: event["state"] for event in log_events(site, "server_state")}
+    equal([events.get(f"odd-{number}") for number in range(len(rows))], ["unreadable"] * 6 + ["ready"], "log")
+
+
 async def metrics_and_logs(site):
     """On-call engineers see each decision on a request by its id, and counters on the control
     address."""
@@ -445,7 +486,7 @@
 CASES = [
     calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, new_configuration,
     turned_away, late_news, long_table_at_start, held_questions, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
-    leaving_engine, metrics_and_logs,
+    leaving_engine, engine_starts_again, foreign_entries, metrics_and_logs,
 ]  # fmt: skip
 
 
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -59,6 +59,7 @@
         self.confidence = 90
         self.poison = None
         self.writers = set()
+        self.born_ms = time.time_ns() // 1_000_000
         self.left_at = None  # when the store acknowledged that it leaves
 
     @property
@@ -69,13 +70,16 @@
         self.server = await asyncio.start_server(self.serve, *self.address)
         await self.report()
 
-    async def report(self):
+    def entry(self):
         public = self.public or self.address
-        entry = {
+        return {
             "Service": self.service, "Address": f"{public[0]}:{public[1]}", "Zone": self.domain,
             "Version": self.version, "Slots": 8, "State": self.state, "ColdLeftMs": 0, "Seq": 1,
+            "born": self.born_ms,
         }  # fmt: skip
-        await self.world.store.put("servers", self.name, json.dumps(entry))
+
+    async def report(self):
+        await self.world.store.put("servers", self.name, json.dumps(self.entry()))
 
     async def drain(self):
         self.state = "draining"
@@ -97,6 +101,13 @@
         await asyncio.sleep(1)
         self.server = await asyncio.start_server(self.serve, *self.address)
 
+    async def start_again(self, address):
+        """A new process under the same id at another address; the connections of the one before hang."""
+        self.server.close()
+        self.writers = set()
+        self.address, self.born_ms, self.mode, self.state = address, self.born_ms + 1, "ok", "ready"
+        await self.start()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -218,6 +218,20 @@
   request_send (request);
 }
 
+/* A server that fell silent and started again closes none of its old connections where a cut path
+ * keeps its resets from us; without this a stream on one waits for two allowed pauses. */
+void
+front_requests_restarted (Front *front)
+{
+  FrontRequest *request, *next;
+
+  cds_list_for_each_entry_safe (request, next, &front->requests, node)
+  {
+    if (request->attempt && request->server->restarted)
+      request_cut (request);
+  }
+}
+
 unsigned
 front_request_running (const Front *front, const char *service, const char *version)
 {
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -57,6 +57,8 @@
 /* Milliseconds after which the largest model's answer is predicted to begin. */
 double request_larger_ms (const FrontRequest *request);
 void request_arm (FrontRequest *request);
+/* The attempt's server has ended, or its connection has; the request may be freed. */
+void request_cut (FrontRequest *request);
 
 /* front_request_again.c; after each of them the request may be freed. */
 /* An attempt failed. Sends the request again if that is allowed, or gives it up. */
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -301,7 +301,12 @@
 static void
 on_cut (void *user)
 {
-  FrontRequest *request = user;
+  request_cut (user);
+}
+
+void
+request_cut (FrontRequest *request)
+{
   int64_t now_ms = clock_boot_ms ();
 
   if (!front_attempt_is_sent (request->attempt))
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -31,10 +31,11 @@
   struct cds_list_head bucket; /**< by hash of the id */
   ServerEntry entry;
   struct sockaddr_in address;
-  uint64_t hash;    /**< of the id */
+  uint64_t hash;    /**< of the id and the start, the same on every VM */
   bool is_near;     /**< in our own failure domain */
   bool leaving;     /**< draining, or its address belongs to another server: no new work */
   bool listed;      /**< false: freed as soon as nothing refers to it */
+  bool restarted;   /**< a later start of the same id is known: what ran here is lost */
   bool unconfirmed; /**< gone from the list while the store could not be trusted */
   int64_t unconfirmed_until_ms; /**< gone unless it is back by then */
   int64_t cold_until_ms;
--- a/src/front_server_entry.h
+++ b/src/front_server_entry.h
@@ -11,7 +11,10 @@
 
 typedef struct
 {
-  char id[SERVER_TEXT_MAX]; /**< of one start of a server; never used again */
+  char
+      id[SERVER_TEXT_MAX]; /**< kept by a server that starts again, which knows nothing of before */
+  int64_t born_ms;         /**< when this start was, Unix milliseconds; tells the starts of one id
+                              apart; 0: not said */
   char service[SERVER_TEXT_MAX];
   char address[SERVER_TEXT_MAX]; /**< IP:PORT */
   char failure_domain[SERVER_TEXT_MAX];
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -1,5 +1,7 @@
 #include "front_servers.h"
 #include "front_socket.h"
+#include "front_starts.h"
+#include "util_id.h"
 #include "util_memory.h"
 #include "util_span.h"
 #include <stdlib.h>
@@ -13,6 +15,7 @@
   struct cds_list_head buckets[BUCKETS];
   char failure_domain[SERVER_TEXT_MAX];
   unsigned count;
+  FrontStarts starts;
 };
 
 FrontServers *
@@ -69,7 +72,7 @@
   FrontServer *server = memory_alloc (sizeof *server);
 
   server->address = *address;
-  server->hash = span_hash (span_of (entry->id));
+  server->hash = id_hash_string (entry->id, (uint64_t)entry->born_ms);
   server->is_near = strcmp (entry->failure_domain, servers->failure_domain) == 0;
   server->listed = true;
   cds_list_add_tail (&server->node, &servers->list);
@@ -78,6 +81,16 @@
   return server;
 }
 
+static void
+server_remove (FrontServers *servers, FrontServer *server)
+{
+  server->listed = false;
+  server->leaving = true;
+  servers->count--;
+  if (server->references == 0)
+    server_free (server);
+}
+
 bool
 front_servers_set (FrontServers *servers, const ServerEntry *entry, int64_t now_ms, bool *changed)
 {
@@ -87,12 +100,21 @@
   *changed = false;
   if (!front_socket_address (entry->address, &address))
     return false;
+  if (!front_starts_take (&servers->starts, entry))
+    return true;
+  /* Its cache is empty, its place may be another, and how it treated us, how long it drains or
+     stays cold is told anew: kept, these would deny it work or send it work at its old address. */
+  if (server && entry->born_ms > server->entry.born_ms)
+    {
+      server->restarted = true;
+      server_remove (servers, server);
+      server = NULL;
+    }
   if (!server)
     {
       server = server_add (servers, entry, &address);
       *changed = true;
     }
-  /* An old report of a server may follow the one that it drains; it never takes work again. */
   if (entry->draining && !server->leaving)
     {
       server->leaving = true;
@@ -104,16 +126,6 @@
   return true;
 }
 
-static void
-server_remove (FrontServers *servers, FrontServer *server)
-{
-  server->listed = false;
-  server->leaving = true;
-  servers->count--;
-  if (server->references == 0)
-    server_free (server);
-}
-
 void
 front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms)
 {
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -12,7 +12,8 @@
 FrontServers *front_servers_new (const char *failure_domain);
 void front_servers_free (FrontServers *servers);
 /** Adds or updates an entry; false if its address can't be read. *changed tells whether anything
- *  but a heartbeat is new. */
+ *  but a heartbeat is new. A later start of a known id replaces the earlier one, with nothing that
+ *  was believed of that; news of a start that is over changes nothing. */
 bool
 front_servers_set (FrontServers *servers, const ServerEntry *entry, int64_t now_ms, bool *changed);
 /** The entry is gone from the list. If the store was away lately it may have lapsed though the
--- /dev/null
+++ b/src/front_starts.h
@@ -0,0 +1,30 @@
+/**
+ * The newest start that is known of each backend server id, also after its entry is gone: news of
+ * servers may be late, and an old report must not bring back a process that has ended. A fixed
+ * table in which a newer id displaces an older one with the same slot. No I/O.
+ */
+#ifndef FRONT_STARTS_H
+#define FRONT_STARTS_H
+
+#include "front_server_entry.h"
+
+#define STARTS_SLOTS 2048 /**< a power of two, three times the 660 servers of the target; 48 KiB   \
+                           */
+
+typedef struct
+{
+  uint64_t id; /**< hash; 0: empty */
+  int64_t born_ms;
+  bool drained; /**< this start said that it drains; it takes no work again */
+} ServerStart;
+
+typedef struct
+{
+  ServerStart slots[STARTS_SLOTS];
+} FrontStarts;
+
+/** False if the entry tells of a start that is over: a later one is known, or this one drained and
+ *  the entry says that it is ready. Otherwise the entry is remembered. */
+bool front_starts_take (FrontStarts *starts, const ServerEntry *entry);
+
+#endif
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -1,6 +1,7 @@
 /* What rows of the store change in this process. */
 #include "front_log.h"
 #include "front_peers.h"
+#include "front_request.h"
 #include "front_store_private.h"
 #include "util_clock.h"
 #include "wire_config.h"
@@ -84,6 +85,7 @@
   if (entry)
     {
       front_log_text (line, "service", entry->service);
+      front_log_number (line, "born", entry->born_ms);
       front_log_text (line, "version", entry->version);
       front_log_text (line, "failure_domain", entry->failure_domain);
     }
@@ -108,9 +110,16 @@
   else if (!wire_server_decode (row->key, (Span){ .text = row->value, .len = row->value_len },
                                 &entry)
            || !front_servers_set (front->servers, &entry, now_ms, &changed))
-    log_server (row->key, "unreadable", NULL, row->version);
+    {
+      /* Not the server's own writing. A living server's next report brings it back. */
+      log_server (row->key, "unreadable", NULL, row->version);
+      front_servers_remove (front->servers, row->key, now_ms, 0);
+    }
   else if (changed)
-    log_server (row->key, entry.draining ? "draining" : "ready", &entry, row->version);
+    {
+      log_server (row->key, entry.draining ? "draining" : "ready", &entry, row->version);
+      front_requests_restarted (front);
+    }
 }
 
 void
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -1,6 +1,8 @@
 /** The state of a backend server: src/front_server.c, front_servers.c, front_health.c. */
 #include "front_servers.h"
 #include "suite.h"
+#include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define NOW   100000
@@ -228,7 +230,145 @@
     }
 }
 
+/* What may be told of one id, in any order. */
+typedef struct
+{
+  int64_t born_ms;
+  bool draining;
+  bool removed;
+} Report;
+
+#define BORN 1796000000000
+
+static bool
+tell (FrontServers *servers, const Report *report, int64_t now_ms)
+{
+  ServerEntry entry = entry_of ("a");
+  bool changed;
+
+  if (report->removed)
+    {
+      front_servers_remove (servers, "a", now_ms, 0);
+      return false;
+    }
+  entry.born_ms = report->born_ms;
+  entry.draining = report->draining;
+  snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", (int)(report->born_ms - BORN));
+  CU_ASSERT (front_servers_set (servers, &entry, now_ms, &changed));
+  return changed;
+}
+
+/* What a caller would see: no answer, or a stream that stands still. A server drained or crashed
+ * and started again under its id; the front went on with the address, the health and the prompt
+ * cache of the start before, or kept it away from all work, as a server that drains stays away. */
+static void
+test_later_start (void)
+{
+  static const Report first = { BORN + 1, false, false }, drains = { BORN + 1, true, false },
+                      second = { BORN + 2, false, false };
+  FrontServers *servers = front_servers_new ("here");
+  FrontServer *before, *after;
+
+  tell (servers, &first, NOW);
+  before = front_servers_find (servers, "a");
+  front_server_ref (before);
+  front_health_unreachable (&before->health, NOW);
+  before->pending_ms = 700;
+  before->prompts.keys[3] = 5;
+  tell (servers, &drains, NOW);
+  CU_ASSERT (tell (servers, &second, NOW));
+  after = front_servers_find (servers, "a");
+  CU_ASSERT_PTR_NOT_EQUAL (after, before);
+  CU_ASSERT (before->restarted);
+  CU_ASSERT_EQUAL (front_server_state (before, NOW), FRONT_SERVER_GONE);
+  CU_ASSERT_EQUAL (front_server_state (after, NOW), FRONT_SERVER_READY);
+  CU_ASSERT_EQUAL (after->pending_ms, 0);
+  CU_ASSERT_EQUAL (after->prompts.keys[3], 0);
+  CU_ASSERT_EQUAL (ntohl (after->address.sin_addr.s_addr) & 0xff, 2);
+  CU_ASSERT_NOT_EQUAL (after->hash, before->hash);
+  CU_ASSERT_EQUAL (front_servers_count (servers), 1);
+
+  /* Late reports of the first start say nothing of the second. */
+  CU_ASSERT_FALSE (tell (servers, &drains, NOW));
+  CU_ASSERT_FALSE (tell (servers, &first, NOW));
+  CU_ASSERT_PTR_EQUAL (front_servers_find (servers, "a"), after);
+  CU_ASSERT_EQUAL (front_server_state (after, NOW), FRONT_SERVER_READY);
+  front_server_unref (before);
+  front_servers_free (servers);
+}
+
+/* A report that was on its way while its server drained and left comes after the removal. */
+static void
+test_report_after_the_end (void)
+{
+  static const Report ready = { BORN + 1, false, false }, drains = { BORN + 1, true, false },
+                      gone = { .removed = true }, again = { BORN + 2, false, false };
+  FrontServers *servers = front_servers_new ("here");
+
+  tell (servers, &ready, NOW);
+  tell (servers, &gone, NOW);
+  tell (servers, &ready, NOW); /* its entry had lapsed, and is back */
+  CU_ASSERT_PTR_NOT_NULL (front_servers_find (servers, "a"));
+  tell (servers, &drains, NOW);
+  tell (servers, &gone, NOW);
+  tell (servers, &ready, NOW);
+  CU_ASSERT_PTR_NULL (front_servers_find (servers, "a"));
+  tell (servers, &again, NOW);
+  CU_ASSERT_PTR_NOT_NULL (front_servers_find (servers, "a"));
+  tell (servers, &gone, NOW);
+  tell (servers, &drains, NOW);
+  CU_ASSERT_PTR_NULL (front_servers_find (servers, "a"));
+  front_servers_free (servers);
+}
+
+/* Reports of three starts in any order, lost and repeated: the server that is used is never of an
+ * earlier start than one that was told, never one that has said that it drains, and always at the
+ * address of its own start. */
+static void
+test_reports_in_any_order (void)
+{
+  enum
+  {
+    RUNS = 2000,
+    REPORTS = 30,
+    STARTS = 3,
+  };
+  unsigned seed = 1;
+
+  for (unsigned run = 0; run < RUNS; run++)
+    {
+      FrontServers *servers = front_servers_new ("here");
+      int64_t newest = 0;
+      bool drained[STARTS + 1] = { false };
+
+      for (unsigned i = 0; i < REPORTS; i++)
+        {
+          int start = 1 + rand_r (&seed) % STARTS;
+          Report report = { BORN + start, rand_r (&seed) % 4 == 0, rand_r (&seed) % 8 == 0 };
+          const FrontServer *server;
+
+          tell (servers, &report, NOW + i);
+          if (!report.removed && start >= newest)
+            {
+              newest = start;
+              drained[start] |= report.draining;
+            }
+          server = front_servers_find (servers, "a");
+          if (!server)
+            continue;
+          CU_ASSERT_EQUAL (server->entry.born_ms, BORN + newest);
+          CU_ASSERT_EQUAL (ntohl (server->address.sin_addr.s_addr) & 0xff, newest);
+          CU_ASSERT_EQUAL (front_server_state (server, NOW + i) == FRONT_SERVER_LEAVING,
+                           drained[newest]);
+        }
+      front_servers_free (servers);
+    }
+}
+
 static const SuiteCase cases[] = {
+  { "later_start", test_later_start },
+  { "report_after_the_end", test_report_after_the_end },
+  { "reports_in_any_order", test_reports_in_any_order },
   { "lives", test_lives },
   { "all_states", test_all_states },
 };
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -229,15 +229,104 @@
   CU_ASSERT (wire_server_decode ("i-1",
                                  span_of ("{\"Service\":\"s1\",\"Address\":\"1.2.3.4:80\",\"Zone\":"
                                           "\"z\",\"Version\":\"v1\",\"Slots\":48,\"State\":"
-                                          "\"draining\",\"ColdLeftMs\":5}"),
+                                          "\"draining\",\"ColdLeftMs\":5,\"Seq\":3,\"born\":"
+                                          "1796000000123}"),
                                  &entry));
   CU_ASSERT (entry.draining);
   CU_ASSERT_EQUAL (entry.slots, 48);
   CU_ASSERT_STRING_EQUAL (entry.failure_domain, "z");
+  CU_ASSERT_EQUAL (entry.born_ms, 1796000000123);
   CU_ASSERT (!wire_server_decode ("i-1", span_of ("{\"Service\":\"s1\"}"), &entry));
   CU_ASSERT (!wire_server_decode ("i-1", span_of ("{"), &entry));
 }
 
+/* One field of a good entry, put another way. */
+typedef struct
+{
+  const char *field;
+  const char *value; /* NULL: it is missing */
+  bool good;
+} Change;
+
+#define SERVER_FIELDS 8
+
+static void
+server_text (char *out, size_t size, const Change *change)
+{
+  static const char *const fields[SERVER_FIELDS][2] = {
+    { "Service", "\"s1\"" }, { "Address", "\"1.2.3.4:80\"" },
+    { "Zone", "\"z\"" },     { "Version", "\"v1\"" },
+    { "Slots", "48" },       { "State", "\"ready\"" },
+    { "ColdLeftMs", "0" },   { "Seq", "7" },
+  };
+  size_t len = (size_t)snprintf (out, size, "{\"Models\":[]");
+  bool placed = !change->value;
+
+  for (unsigned i = 0; i < SERVER_FIELDS; i++)
+    {
+      bool changed = strcmp (fields[i][0], change->field) == 0;
+      const char *value = changed ? change->value : fields[i][1];
+
+      placed |= changed;
+      if (value)
+        len += (size_t)snprintf (out + len, size - len, ",\"%s\":%s", fields[i][0], value);
+    }
+  if (!placed)
+    len += (size_t)snprintf (out + len, size - len, ",\"%s\":%s", change->field, change->value);
+  snprintf (out + len, size - len, "}");
+}
+
+/* What an operator would see: requests sent to a place that no server has, or four billion of them
+ * to one, since somebody else wrote into the table of servers and its row was believed. */
+static void
+test_entry_of_another_writer (void)
+{
+  static const Change changes_made[] = {
+    { "State", "\"ready\"", true },
+    { "State", "\"draining\"", true },
+    { "State", "\"resting\"", false },
+    { "State", "7", false },
+    { "State", NULL, false },
+    { "Service", NULL, false },
+    { "Service", "\"\"", false },
+    { "Service", "[\"s1\"]", false },
+    { "Address", "17", false },
+    { "Zone", NULL, false },
+    { "Zone", "{}", false },
+    { "Version", "1", false },
+    { "Slots", "-1", false },
+    { "Slots", "0", false },
+    { "Slots", "48.5", false },
+    { "Slots", "\"48\"", false },
+    { "Slots", "1e18", false },
+    { "Slots", "9000000000", false },
+    { "Slots", NULL, false },
+    { "ColdLeftMs", "-5", false },
+    { "ColdLeftMs", "1e99", false },
+    { "ColdLeftMs", "null", false },
+    { "Seq", "true", false },
+    { "Seq", NULL, false },
+    { "born", "1796000000123", true },
+    { "born", NULL, true },
+    { "born", "1796000000123.5", false },
+    { "born", "\"1796000000123\"", false },
+    { "born", "-1", false },
+    { "born", "null", false },
+  };
+
+  for (size_t i = 0; i < SUITE_COUNT (changes_made); i++)
+    {
+      const Change *change = &changes_made[i];
+      char text[400];
+      ServerEntry entry;
+
+      server_text (text, sizeof text, change);
+      if (wire_server_decode ("i-1", span_of (text), &entry) != change->good)
+        printf ("%s\n", text);
+      CU_ASSERT_EQUAL (wire_server_decode ("i-1", span_of (text), &entry), change->good);
+    }
+}
+
 static char changes[400];
 
 static void
@@ -351,6 +440,7 @@
   { "reply", test_reply },
   { "rollout", test_rollout },
   { "server", test_server },
+  { "entry_of_another_writer", test_entry_of_another_writer },
   { "table", test_table },
   { "whole_table_is_not_behind", test_whole_table_is_not_behind },
   { "write", test_write },
