Logs of answers tell the longest pause between events

Why streams are late could not be told: first events come well inside the objective (p90 0.6 to 1.6 s of 3 to 4 s).

--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -44,6 +44,8 @@
   double pending_ms; /* what this attempt added to the server's pending work */
   int64_t sent_ms;   /* when the attempt began */
   int64_t event_ms;  /* when its last event came */
+  int64_t passed_ms; /* when an event was last passed on, of any attempt; 0: none was */
+  int64_t pause_ms;  /* longest between two events that were passed on, of all attempts */
   bool relaying;     /* the attempt's answer is being passed on */
 
   bool head_sent; /* the caller has got the head of a stream */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -138,6 +138,8 @@
   front_log_number (line, "first_ms", request->first_ms);
   front_log_number (line, "whole_ms", whole_ms);
   front_log_number (line, "objective_ms", request->route->objective_ms);
+  front_log_number (line, "pause_ms", request->pause_ms);
+  front_log_number (line, "pause_aim_ms", request->route->gap_ms);
   front_log_number (line, "events", request->events.passed);
   front_log_number (line, "attempts", request->attempts);
   front_log_end (line);
@@ -192,6 +194,17 @@
   request->head_sent = true;
 }
 
+static void
+event_passed (FrontRequest *request)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  if (request->passed_ms != 0 && now_ms - request->passed_ms > request->pause_ms)
+    request->pause_ms = now_ms - request->passed_ms;
+  request->passed_ms = now_ms;
+  request->event_ms = now_ms;
+}
+
 /* Passes on the whole events that have come. */
 static void
 stream_progress (FrontRequest *request)
@@ -207,7 +220,7 @@
       if (!request->head_sent)
         stream_head (request);
       first_byte (request);
-      request->event_ms = clock_boot_ms ();
+      event_passed (request);
       front_conn_stream_data (request->conn, out.data, out.len);
     }
   buffer_free (&out);
