--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -86,7 +86,8 @@
       PeerMessage message;
       Peer *peer;
 
-      if (!peer_message_decode (&message, data, (size_t)len)
+      if (peers_take_work (peers, data, (size_t)len, clock_boot_ms ())
+          || !peer_message_decode (&message, data, (size_t)len)
           || message.incarnation == peers->front->incarnation)
         continue;
       peer = peer_add (peers, from.sin_addr.s_addr);
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -48,6 +48,7 @@
   unsigned next;        /* where the next round of messages begins */
   unsigned next_member; /* where the next list of members begins */
   unsigned next_domain; /* where the next list of failure domains' sums begins */
+  unsigned next_work;   /* where the next note of work begins */
   double far_credit;    /* messages to other failure domains that may be sent, below one */
   int64_t beat_ms;
   int64_t ahead_since_ms[PEER_TABLES]; /* since when some peer knows more; 0: none does */
@@ -78,6 +79,9 @@
 /* front_peers_take.c: what another front has told. */
 void peers_take_message (FrontPeers *peers, Peer *peer, const PeerMessage *message, int64_t now_ms);
 
+/* front_peers_work.c: false if the bytes are no note of work. */
+bool peers_take_work (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
+
 #define PEERS_A_ROUND 16 /* that are told at once, at most */
 
 /* front_peers_tell.c: whom to tell in this round: the collectors of the own failure domain, other
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -109,20 +109,21 @@
 }
 
 static double
-queue_ms (const PickQuery *query, const FrontServer *server)
+queue_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
 {
   unsigned slots = slots_of (query, server);
   unsigned queued = server->running >= slots ? server->running - slots + 1 : 0;
 
   if (query->is_model)
-    return server->pending_ms + server->running * MODEL_RUNNING_MS + queued * SERVICE_QUEUED_MS;
+    return server->pending_ms + front_backlog_now (&server->others, now_ms)
+           + server->running * MODEL_RUNNING_MS + queued * SERVICE_QUEUED_MS;
   return (double)server->running / slots * SERVICE_RUNNING_MS + queued * SERVICE_QUEUED_MS;
 }
 
 static double
 cost_ms (const PickQuery *query, const FrontServer *server, const FrontServer *home, int64_t now_ms)
 {
-  double cost = queue_ms (query, server) + prompt_ms (query, server, home, now_ms)
+  double cost = queue_ms (query, server, now_ms) + prompt_ms (query, server, home, now_ms)
                 + front_health_penalty_ms (&server->health, now_ms);
 
   if (!server->is_near)
@@ -160,7 +161,7 @@
     {
       best.prompt_ms = prompt_ms (query, best.server, home, now_ms);
       best.prompt_tokens = prompt_tokens (query, best.server, home, now_ms);
-      best.predicted_ms = best.prompt_ms + queue_ms (query, best.server);
+      best.predicted_ms = best.prompt_ms + queue_ms (query, best.server, now_ms);
     }
   return best;
 }
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -2,6 +2,7 @@
 #include "front_counter.h"
 #include "front_deaths.h"
 #include "front_log.h"
+#include "front_peers.h"
 #include "front_request_private.h"
 #include "util_clock.h"
 #include "util_unused.h"
@@ -135,6 +136,8 @@
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
+  if (query->is_model)
+    front_peers_tell_work (request->front->peers, pick->server, pick->prompt_ms, now_ms);
   if (query->is_model)
     front_prompts_sent (&pick->server->prompts, &request->call, query->model, now_ms);
 }
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -5,6 +5,7 @@
 #ifndef FRONT_SERVER_H
 #define FRONT_SERVER_H
 
+#include "front_backlog.h"
 #include "front_health.h"
 #include "front_prompts.h"
 #include "front_server_entry.h"
@@ -42,6 +43,8 @@
   unsigned references; /**< attempts that hold it */
   unsigned running;    /**< our requests there */
   double pending_ms;   /**< prompts that we sent and whose answer has not begun: predicted work */
+  FrontBacklog others; /**< reading that other fronts sent there */
+  double untold_ms;    /**< reading that we sent there and others don't know of yet */
   FrontHealth health;
   FrontPrompts prompts;
 } FrontServer;
--- /dev/null
+++ b/tests/test_front_work.c
@@ -0,0 +1,109 @@
+/** Reading that other fronts tell of: src/front_backlog.c, front_work_message.c, front_pick.c. */
+#include "front_pick.h"
+#include "front_work_message.h"
+#include "suite.h"
+#include <math.h>
+#include <string.h>
+
+#define NOW 100000
+
+static void
+test_backlog_drains (void)
+{
+  FrontBacklog backlog = { 0 };
+
+  CU_ASSERT_EQUAL (front_backlog_now (&backlog, NOW), 0);
+  front_backlog_add (&backlog, 300, NOW);
+  front_backlog_add (&backlog, 200, NOW + 100);
+  CU_ASSERT_DOUBLE_EQUAL (front_backlog_now (&backlog, NOW + 100), 400, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (front_backlog_now (&backlog, NOW + 450), 50, 1e-9);
+  CU_ASSERT_EQUAL (front_backlog_now (&backlog, NOW + 1000), 0);
+  front_backlog_add (&backlog, 10, NOW + 1000);
+  CU_ASSERT_DOUBLE_EQUAL (front_backlog_now (&backlog, NOW + 1000), 10, 1e-9);
+}
+
+/* Nonsense adds nothing, and a huge figure no more than any server can have in front of it. */
+static void
+test_backlog_bounds (void)
+{
+  static const double odd[] = { -1, 0, NAN, -INFINITY };
+  FrontBacklog backlog = { 0 };
+
+  for (size_t i = 0; i < SUITE_COUNT (odd); i++)
+    front_backlog_add (&backlog, odd[i], NOW);
+  CU_ASSERT_EQUAL (front_backlog_now (&backlog, NOW), 0);
+  front_backlog_add (&backlog, 4e9, NOW);
+  CU_ASSERT (front_backlog_now (&backlog, NOW) <= 10000);
+}
+
+static void
+test_message (void)
+{
+  WorkMessage message = { .incarnation = 5, .count = 2, .notes = { { 11, 250 }, { 12, 30 } } };
+  WorkMessage read;
+  unsigned char data[WORK_MESSAGE_MAX];
+  size_t len = work_message_encode (&message, data, sizeof data);
+
+  CU_ASSERT (len > 0);
+  CU_ASSERT (work_message_decode (&read, data, len));
+  CU_ASSERT_EQUAL (read.count, 2);
+  CU_ASSERT_EQUAL (read.notes[1].server, 12);
+  CU_ASSERT_EQUAL (read.notes[1].read_ms, 30);
+  for (size_t i = 0; i < len; i++)
+    CU_ASSERT (!work_message_decode (&read, data, i));
+  data[15] = WORK_NOTES_MAX + 1; /* the count's last byte */
+  CU_ASSERT (!work_message_decode (&read, data, len));
+  message.count = WORK_NOTES_MAX;
+  CU_ASSERT (work_message_encode (&message, data, sizeof data) <= WORK_MESSAGE_MAX);
+}
+
+/* What callers would see: streams that stand still for two seconds. Two fronts get a prompt of
+ * 20,000 tokens for the largest model within 50 ms; each knows only its own work and sends it to
+ * the server that both like best, where one is read behind the other. Told of the first, the second
+ * front takes the next server; once the first prompt is read, the best one again. A front that is
+ * cut off from this news decides as it would alone. */
+static void
+test_two_long_prompts (void)
+{
+  FrontServers *servers = front_servers_new ("here");
+  static const char *const ids[] = { "near", "beside" };
+  FrontCall call = { .prompt_tokens = 20000 };
+  PickQuery query = {
+    .service = "drafts",
+    .call = &call,
+    .read_time = { .ms_per_token = 0.03 },
+    .slots = 8,
+    .is_model = true,
+    .reuse_window_ms = 6000,
+  };
+  FrontServer *first;
+
+  for (unsigned i = 0; i < SUITE_COUNT (ids); i++)
+    {
+      ServerEntry entry = { .service = "drafts", .address = "10.0.0.1:80", .version = "v1" };
+      bool changed;
+
+      snprintf (entry.id, sizeof entry.id, "%s", ids[i]);
+      snprintf (entry.failure_domain, sizeof entry.failure_domain, "%s", i == 0 ? "here" : "there");
+      CU_ASSERT (front_servers_set (servers, &entry, NOW, &changed));
+    }
+  first = front_pick (servers, &query, NOW).server;
+  CU_ASSERT_STRING_EQUAL (first->entry.id, "near");
+  front_backlog_add (&first->others, 600, NOW);
+  CU_ASSERT_STRING_EQUAL (front_pick (servers, &query, NOW + 50).server->entry.id, "beside");
+  CU_ASSERT_STRING_EQUAL (front_pick (servers, &query, NOW + 595).server->entry.id, "near");
+  front_servers_free (servers);
+}
+
+static const SuiteCase cases[] = {
+  { "backlog_drains", test_backlog_drains },
+  { "backlog_bounds", test_backlog_bounds },
+  { "message", test_message },
+  { "two_long_prompts", test_two_long_prompts },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_work", cases, SUITE_COUNT (cases));
+}
