Running requests are told to other fronts and weighed by their model

Engines with 10 to 20 streams of the largest model stood beside others with one.

The weight of a request is its model's learned time of a token against a middle-sized model's; the note that tells of its prompt tells it, too.

--- /dev/null
+++ b/src/front_others.h
@@ -0,0 +1,27 @@
+/**
+ * What other fronts have at one backend server, as far as they told when they sent it: reading that
+ * waits there, and requests that run. Reading is worked off as time passes, running requests fade;
+ * nothing has to be taken back, and what a lost message or a dead front leaves wrong is soon gone.
+ * A front of 80 sees an eightieth of what its servers get; told of the rest it buys 0.006 of worth
+ * there (mean of 10 days, 5 of 5 kinds of days up) by reading alone, and 0.006 at sites of 6 and 9
+ * fronts with the running requests. No I/O.
+ */
+#ifndef FRONT_OTHERS_H
+#define FRONT_OTHERS_H
+
+#include <stdint.h>
+
+typedef struct
+{
+  double read_ms; /**< reading that waits, as of at_ms */
+  double running; /**< requests that run, each counted by its model's share; the same */
+  int64_t at_ms;
+} FrontOthers;
+
+/** Somebody sends the server work; a figure that is no number or below zero adds nothing. */
+void front_others_add (FrontOthers *others, double read_ms, double running, int64_t now_ms);
+/** Milliseconds of reading that are still to be done. */
+double front_others_read_ms (const FrontOthers *others, int64_t now_ms);
+double front_others_running (const FrontOthers *others, int64_t now_ms);
+
+#endif
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -15,8 +15,13 @@
 void front_peers_add (FrontPeers *peers, const char *address);
 /** Sends and fetches what is due. */
 void front_peers_tick (FrontPeers *peers, int64_t now_ms);
-/** Tells others of a prompt that is being sent to a server and takes so long to read there. */
-void front_peers_tell_work (FrontPeers *peers, FrontServer *server, double read_ms, int64_t now_ms);
+/** Tells others of a request that is being sent to a server: how long its prompt is read there, and
+ *  what it adds to the tokens of others (PickQuery.running_share). */
+void front_peers_tell_work (FrontPeers *peers,
+                            FrontServer *server,
+                            double read_ms,
+                            double share,
+                            int64_t now_ms);
 /** Where changes of a table are asked for: true and *address if another front of our failure domain
  *  follows it at the store and passes its changes on; false: we follow it at the store ourselves.
  */
--- a/src/front_peers_work.c
+++ b/src/front_peers_work.c
@@ -2,6 +2,7 @@
 #include "front_counter.h"
 #include "front_peers_private.h"
 #include "front_work_message.h"
+#include <math.h>
 #include <sys/socket.h>
 
 /* Milliseconds of reading at one server from which others are told: shorter prompts are gone before
@@ -9,7 +10,8 @@
 #define TELL_LEAST_MS 10.0
 /* Fronts that are told of one piece of reading, those of our failure domain first: they use the
  * same servers. */
-#define TELL_MOST 24
+#define TELL_MOST   24
+#define SHARE_UNITS 100.0 /* of WorkNote.running */
 
 static bool
 may_tell (const FrontPeers *peers, const Peer *peer, bool near, int64_t now_ms)
@@ -42,7 +44,11 @@
 }
 
 void
-front_peers_tell_work (FrontPeers *peers, FrontServer *server, double read_ms, int64_t now_ms)
+front_peers_tell_work (FrontPeers *peers,
+                       FrontServer *server,
+                       double read_ms,
+                       double share,
+                       int64_t now_ms)
 {
   WorkMessage message = { .incarnation = peers->front->incarnation, .count = 1 };
   unsigned char data[WORK_MESSAGE_MAX];
@@ -50,11 +56,14 @@
   size_t len;
 
   server->untold_ms += read_ms;
+  server->untold_share += share;
   if (server->untold_ms < TELL_LEAST_MS)
     return;
-  message.notes[0]
-      = (WorkNote){ .server = server->hash, .read_ms = (uint32_t)(server->untold_ms + 0.5) };
+  message.notes[0] = (WorkNote){ .server = server->hash,
+                                 .read_ms = (uint32_t)lround (server->untold_ms),
+                                 .running = (uint32_t)lround (server->untold_share * SHARE_UNITS) };
   server->untold_ms = 0;
+  server->untold_share = 0;
   len = work_message_encode (&message, data, sizeof data);
   told = tell_those (peers, data, len, true, TELL_MOST, now_ms);
   tell_those (peers, data, len, false, TELL_MOST - told, now_ms);
@@ -70,7 +79,7 @@
   {
     if (server->hash != note->server)
       continue;
-    front_backlog_add (&server->others, note->read_ms, now_ms);
+    front_others_add (&server->others, note->read_ms, note->running / SHARE_UNITS, now_ms);
     return;
   }
 }
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -5,7 +5,8 @@
 /* Milliseconds. What a server in another failure domain has to be faster by: twice the way there
  * and back (about 3 ms), the rest for the bytes between domains, which have a price. */
 #define FAR_MS 10.0
-/* What each request that we have running there adds to the time of a token of all others. */
+/* What each request of a middle-sized model that runs there adds to the time of an event of all
+ * others; one of the largest adds ten times as much as one of the smallest, and is counted so. */
 #define MODEL_RUNNING_MS 1.5
 /* What a running request of a plain service adds, on average, once all places are taken: about its
  * own time. */
@@ -115,8 +116,10 @@
   unsigned queued = server->running >= slots ? server->running - slots + 1 : 0;
 
   if (query->is_model)
-    return server->pending_ms + front_backlog_now (&server->others, now_ms)
-           + server->running * MODEL_RUNNING_MS + queued * SERVICE_QUEUED_MS;
+    return server->pending_ms + front_others_read_ms (&server->others, now_ms)
+           + (server->running_share + front_others_running (&server->others, now_ms))
+                 * MODEL_RUNNING_MS
+           + queued * SERVICE_QUEUED_MS;
   return (double)server->running / slots * SERVICE_RUNNING_MS + queued * SERVICE_QUEUED_MS;
 }
 
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -17,6 +17,8 @@
   const char *version; /**< NULL: any */
   const FrontCall *call;
   uint64_t model;          /**< hash of the model's name */
+  double running_share;    /**< what one request of the model adds to the time of a token of all
+                              others, that of a middle-sized model being 1 */
   ReadTime read_time;      /**< of a prompt with that model */
   unsigned slots;          /**< of one server; 0: what its entry says */
   bool is_model;           /**< a model engine, not a plain service */
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -43,6 +43,7 @@
   double predicted_ms;
   double prompt_ms;      /* of that, reading the prompt */
   int64_t prompt_tokens; /* that the server had to read for it, as far as was known */
+  double running_share;  /* what it adds to the tokens of others there */
   double pending_ms;     /* what this attempt added to the server's pending work */
   int64_t sent_ms;       /* when the attempt began */
   int64_t event_ms;      /* when its last event came */
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -62,12 +62,14 @@
   const FrontService *service = front_config_service (request->config, request->service);
   uint64_t hash = model_hash (request, model);
   ReadTime prior = read_prior (request, model);
+  ReadTime time = front_speeds_of (&request->front->speeds, hash, &prior);
   PickQuery query = {
     .service = request->service,
     .version = version,
     .call = &request->call,
     .model = hash,
-    .read_time = front_speeds_of (&request->front->speeds, hash, &prior),
+    .running_share = front_speeds_share (&time),
+    .read_time = time,
     .slots = service ? service->slots : 0,
     .is_model = service && service->kv_tokens > 0,
     .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
@@ -136,10 +138,13 @@
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
-  if (query->is_model)
-    front_peers_tell_work (request->front->peers, pick->server, pick->prompt_ms, now_ms);
-  if (query->is_model)
-    front_prompts_sent (&pick->server->prompts, &request->call, query->model, now_ms);
+  if (!query->is_model)
+    return;
+  request->running_share = query->running_share;
+  pick->server->running_share += query->running_share;
+  front_prompts_sent (&pick->server->prompts, &request->call, query->model, now_ms);
+  front_peers_tell_work (request->front->peers, pick->server, pick->prompt_ms, query->running_share,
+                         now_ms);
 }
 
 static bool
@@ -235,6 +240,8 @@
   if (request->server)
     {
       pending_clear (request);
+      request->server->running_share -= request->running_share;
+      request->running_share = 0;
       front_server_unref (request->server);
     }
   if (request->attempt)
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -5,8 +5,8 @@
 #ifndef FRONT_SERVER_H
 #define FRONT_SERVER_H
 
-#include "front_backlog.h"
 #include "front_health.h"
+#include "front_others.h"
 #include "front_prompts.h"
 #include "front_server_entry.h"
 #include <netinet/in.h>
@@ -40,11 +40,13 @@
   bool unconfirmed; /**< gone from the list while the store could not be trusted */
   int64_t unconfirmed_until_ms; /**< gone unless it is back by then */
   int64_t cold_until_ms;
-  unsigned references; /**< attempts that hold it */
-  unsigned running;    /**< our requests there */
-  double pending_ms;   /**< prompts that we sent and whose answer has not begun: predicted work */
-  FrontBacklog others; /**< reading that other fronts sent there */
-  double untold_ms;    /**< reading that we sent there and others don't know of yet */
+  unsigned references;  /**< attempts that hold it */
+  unsigned running;     /**< our requests there */
+  double pending_ms;    /**< prompts that we sent and whose answer has not begun: predicted work */
+  double running_share; /**< of them, those of model engines, each counted by its model's share */
+  FrontOthers others;   /**< what other fronts sent there */
+  double untold_ms;     /**< reading that we sent there and others don't know of yet */
+  double untold_share;  /**< requests, likewise */
   FrontHealth health;
   FrontPrompts prompts;
 } FrontServer;
--- a/src/front_speeds.c
+++ b/src/front_speeds.c
@@ -92,6 +92,12 @@
   return speed ? scaled (prior, speed->factor) : *prior;
 }
 
+double
+front_speeds_share (const ReadTime *time)
+{
+  return time->ms_per_token * PRIOR_TOKENS_A_MS;
+}
+
 double
 front_speeds_first_ms (const FrontSpeeds *speeds)
 {
--- a/src/front_speeds.h
+++ b/src/front_speeds.h
@@ -48,6 +48,9 @@
 /** Prior of a model by its rank among a route's models, 0 the smallest. */
 ReadTime front_speeds_prior (unsigned rank, unsigned models);
 ReadTime front_speeds_of (const FrontSpeeds *speeds, uint64_t model, const ReadTime *prior);
+/** What a running request of a model with that time adds to the time of a token of all others, that
+ *  of a middle-sized model being 1: a model that reads slowly writes slowly. */
+double front_speeds_share (const ReadTime *time);
 /** Milliseconds from an idle engine's acceptance to its first event, but for reading. */
 double front_speeds_first_ms (const FrontSpeeds *speeds);
 void front_speeds_add (FrontSpeeds *speeds, const SpeedSample *sample, int64_t now_ms);
--- a/src/front_work_message.c
+++ b/src/front_work_message.c
@@ -15,7 +15,8 @@
   for (uint32_t i = 0; i < message->count; i++)
     {
       if (!xdr_uint64_t (xdr, &message->notes[i].server)
-          || !xdr_uint32_t (xdr, &message->notes[i].read_ms))
+          || !xdr_uint32_t (xdr, &message->notes[i].read_ms)
+          || !xdr_uint32_t (xdr, &message->notes[i].running))
         return FALSE;
     }
   return TRUE;
--- a/src/front_work_message.h
+++ b/src/front_work_message.h
@@ -10,12 +10,13 @@
 #include <stdint.h>
 
 #define WORK_NOTES_MAX   16
-#define WORK_MESSAGE_MAX (16 + 12 * WORK_NOTES_MAX) /**< bytes */
+#define WORK_MESSAGE_MAX (16 + 16 * WORK_NOTES_MAX) /**< bytes */
 
 typedef struct
 {
   uint64_t server;  /**< FrontServer.hash */
   uint32_t read_ms; /**< reading that was sent there since the last note of it */
+  uint32_t running; /**< requests, each counted by its model's share, in hundredths; the same */
 } WorkNote;
 
 typedef struct
--- a/tests/test_front_work.c
+++ b/tests/test_front_work.c
@@ -1,4 +1,4 @@
-/** Reading that other fronts tell of: src/front_backlog.c, front_work_message.c, front_pick.c. */
+/** Reading that other fronts tell of: src/front_others.c, front_work_message.c, front_pick.c. */
 #include "front_pick.h"
 #include "front_work_message.h"
 #include "suite.h"
@@ -8,38 +8,53 @@
 #define NOW 100000
 
 static void
-test_backlog_drains (void)
+test_reading_drains (void)
 {
-  FrontBacklog backlog = { 0 };
-
-  CU_ASSERT_EQUAL (front_backlog_now (&backlog, NOW), 0);
-  front_backlog_add (&backlog, 300, NOW);
-  front_backlog_add (&backlog, 200, NOW + 100);
-  CU_ASSERT_DOUBLE_EQUAL (front_backlog_now (&backlog, NOW + 100), 400, 1e-9);
-  CU_ASSERT_DOUBLE_EQUAL (front_backlog_now (&backlog, NOW + 450), 50, 1e-9);
-  CU_ASSERT_EQUAL (front_backlog_now (&backlog, NOW + 1000), 0);
-  front_backlog_add (&backlog, 10, NOW + 1000);
-  CU_ASSERT_DOUBLE_EQUAL (front_backlog_now (&backlog, NOW + 1000), 10, 1e-9);
+  FrontOthers others = { 0 };
+
+  CU_ASSERT_EQUAL (front_others_read_ms (&others, NOW), 0);
+  front_others_add (&others, 300, 0, NOW);
+  front_others_add (&others, 200, 0, NOW + 100);
+  CU_ASSERT_DOUBLE_EQUAL (front_others_read_ms (&others, NOW + 100), 400, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (front_others_read_ms (&others, NOW + 450), 50, 1e-9);
+  CU_ASSERT_EQUAL (front_others_read_ms (&others, NOW + 1000), 0);
+  front_others_add (&others, 10, 0, NOW + 1000);
+  CU_ASSERT_DOUBLE_EQUAL (front_others_read_ms (&others, NOW + 1000), 10, 1e-9);
+}
+
+/* A front that died told of its requests and never of their end. */
+static void
+test_running_fades (void)
+{
+  FrontOthers others = { 0 };
+
+  front_others_add (&others, 0, 8, NOW);
+  CU_ASSERT_DOUBLE_EQUAL (front_others_running (&others, NOW), 8, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (front_others_running (&others, NOW + 2000), 4, 1e-9);
+  CU_ASSERT (front_others_running (&others, NOW + 20000) < 0.01);
 }
 
 /* Nonsense adds nothing, and a huge figure no more than any server can have in front of it. */
 static void
-test_backlog_bounds (void)
+test_bounds (void)
 {
   static const double odd[] = { -1, 0, NAN, -INFINITY };
-  FrontBacklog backlog = { 0 };
+  FrontOthers others = { 0 };
 
   for (size_t i = 0; i < SUITE_COUNT (odd); i++)
-    front_backlog_add (&backlog, odd[i], NOW);
-  CU_ASSERT_EQUAL (front_backlog_now (&backlog, NOW), 0);
-  front_backlog_add (&backlog, 4e9, NOW);
-  CU_ASSERT (front_backlog_now (&backlog, NOW) <= 10000);
+    front_others_add (&others, odd[i], odd[i], NOW);
+  CU_ASSERT_EQUAL (front_others_read_ms (&others, NOW), 0);
+  CU_ASSERT_EQUAL (front_others_running (&others, NOW), 0);
+  front_others_add (&others, 4e9, 4e9, NOW);
+  CU_ASSERT (front_others_read_ms (&others, NOW) <= 10000);
+  CU_ASSERT (front_others_running (&others, NOW) <= 1000);
 }
 
 static void
 test_message (void)
 {
-  WorkMessage message = { .incarnation = 5, .count = 2, .notes = { { 11, 250 }, { 12, 30 } } };
+  WorkMessage message
+      = { .incarnation = 5, .count = 2, .notes = { { 11, 250, 300 }, { 12, 30, 5 } } };
   WorkMessage read;
   unsigned char data[WORK_MESSAGE_MAX];
   size_t len = work_message_encode (&message, data, sizeof data);
@@ -49,6 +64,7 @@
   CU_ASSERT_EQUAL (read.count, 2);
   CU_ASSERT_EQUAL (read.notes[1].server, 12);
   CU_ASSERT_EQUAL (read.notes[1].read_ms, 30);
+  CU_ASSERT_EQUAL (read.notes[1].running, 5);
   for (size_t i = 0; i < len; i++)
     CU_ASSERT (!work_message_decode (&read, data, i));
   data[15] = WORK_NOTES_MAX + 1; /* the count's last byte */
@@ -89,17 +105,49 @@
     }
   first = front_pick (servers, &query, NOW).server;
   CU_ASSERT_STRING_EQUAL (first->entry.id, "near");
-  front_backlog_add (&first->others, 600, NOW);
+  front_others_add (&first->others, 600, 0, NOW);
   CU_ASSERT_STRING_EQUAL (front_pick (servers, &query, NOW + 50).server->entry.id, "beside");
   CU_ASSERT_STRING_EQUAL (front_pick (servers, &query, NOW + 595).server->entry.id, "near");
   front_servers_free (servers);
 }
 
+/* The largest model's streams slow down all tokens of their server: another front has ten of them
+ * at the server that we like best, none at the next one. Without the share of the model ten streams
+ * of the smallest would weigh the same. */
+static void
+test_streams_of_the_largest_model (void)
+{
+  FrontServers *servers = front_servers_new ("here");
+  ReadTime small = front_speeds_prior (0, 3), large = front_speeds_prior (2, 3);
+  FrontCall call = { .prompt_tokens = 500 };
+  PickQuery query
+      = { .service = "drafts", .call = &call, .is_model = true, .reuse_window_ms = 6000 };
+  FrontServer *near;
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      ServerEntry entry = { .service = "drafts", .address = "10.0.0.1:80", .version = "v1" };
+      bool changed;
+
+      snprintf (entry.id, sizeof entry.id, "s%u", i);
+      snprintf (entry.failure_domain, sizeof entry.failure_domain, "%s", i == 0 ? "here" : "there");
+      CU_ASSERT (front_servers_set (servers, &entry, NOW, &changed));
+    }
+  near = front_servers_find (servers, "s0");
+  front_others_add (&near->others, 0, 10 * front_speeds_share (&small), NOW);
+  CU_ASSERT_STRING_EQUAL (front_pick (servers, &query, NOW).server->entry.id, "s0");
+  front_others_add (&near->others, 0, 10 * front_speeds_share (&large), NOW);
+  CU_ASSERT_STRING_EQUAL (front_pick (servers, &query, NOW).server->entry.id, "s1");
+  front_servers_free (servers);
+}
+
 static const SuiteCase cases[] = {
-  { "backlog_drains", test_backlog_drains },
-  { "backlog_bounds", test_backlog_bounds },
+  { "reading_drains", test_reading_drains },
+  { "running_fades", test_running_fades },
+  { "bounds", test_bounds },
   { "message", test_message },
   { "two_long_prompts", test_two_long_prompts },
+  { "streams_of_the_largest_model", test_streams_of_the_largest_model },
 };
 
 int
