--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -190,6 +190,28 @@
   CU_ASSERT (front_health_penalty_ms (health, NOW + 20000) < 100);
 }
 
+/* Load: eight long prompts of other fronts are read at the near server within a second, and six of
+   our answers begin 25 ms later than predicted; the far server is idle. What waited there is read by
+   the next request, so it stays near: bytes between failure domains are dear. A near server that
+   has turned slow, with answers late by two seconds, is left. */
+static void
+test_late_by_others_or_slow (void)
+{
+  PickQuery query = query_of ("v1");
+  FrontHealth *health;
+
+  begin ();
+  add ("a", "here", "v1");
+  add ("bb", "there", "v1");
+  health = &front_servers_find (servers, "a")->health;
+  for (unsigned i = 0; i < 6; i++)
+    front_health_answered (health, NOW, 85, 60);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "a");
+  for (unsigned i = 0; i < 2; i++)
+    front_health_answered (health, NOW, 2060, 60);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "bb");
+}
+
 static void
 test_unreachable_server (void)
 {
@@ -287,6 +309,7 @@
   { "cached_prompt", test_cached_prompt },
   { "fronts_agree_on_shared_prompts", test_fronts_agree_on_shared_prompts },
   { "failing_server", test_failing_server },
+  { "late_by_others_or_slow", test_late_by_others_or_slow },
   { "unreachable_server", test_unreachable_server },
   { "versions_and_tried", test_versions_and_tried },
   { "draining_is_final", test_draining_is_final },
