--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -191,7 +191,7 @@
 }
 
 /* Load: eight long prompts of other fronts are read at the near server within a second, and six of
-   our answers begin 25 ms later than predicted; the far server is idle. What waited there is read by
+   our answers begin 110 ms later than predicted; the far server is idle. What waited there is read by
    the next request, so it stays near: bytes between failure domains are dear. A near server that
    has turned slow, with answers late by two seconds, is left. */
 static void
@@ -205,7 +205,7 @@
   add ("bb", "there", "v1");
   health = &front_servers_find (servers, "a")->health;
   for (unsigned i = 0; i < 6; i++)
-    front_health_answered (health, NOW, 85, 60);
+    front_health_answered (health, NOW, 170, 60);
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "a");
   for (unsigned i = 0; i < 2; i++)
     front_health_answered (health, NOW, 2060, 60);
