--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -191,8 +191,8 @@
 }
 
 /* Load: eight long prompts of other fronts are read at the near server within a second, and six of
-   our answers begin 110 ms later than predicted; the far server is idle. What waited there is read by
-   the next request, so it stays near: bytes between failure domains are dear. A near server that
+   our answers begin 110 ms later than predicted; the far server is idle. What waited there is read
+   by the next request, so it stays near: bytes between failure domains are dear. A near server that
    has turned slow, with answers late by two seconds, is left. */
 static void
 test_late_by_others_or_slow (void)
