A front that stops serves what ends within its time

Cause: 2.6 s after the signal everything was refused.

Now requests whose time-out ends 1.5 s before the process must are served; streams are refused as before, at once. Case stopping_serves_what_ends_in_time fails on the code before.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -175,6 +175,27 @@
         raise AssertionError("the stop took too long")
 
 
+async def stopping_serves_what_ends_in_time(site):
+    """All fronts of a failure domain stop at once, so callers come on to one that stops. Three
+    seconds after the signal it still streams: it serves an order, which ends before the process
+    must, and refuses a new stream at once."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.delay = 4.0 if engine.streams else 0.0
+    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
+    await asyncio.sleep(0.3)
+    front.signal(signal.SIGTERM)
+    await asyncio.sleep(3.0)
+    order = await site.call(front, "/once/a", b"order")
+    refused = await site.call(front, "/text/b", b"late")
+    answer = await stream
+    equal((answer.status, answer.whole), (200, True), "the stream")
+    equal(order.status, 200, "the order")
+    equal((refused.status, len(site.runs_of(refused))), (503, 0), "the late stream")
+    check(site, answer, order, refused)
+    equal(await front.stop(), 0, "exit status")
+
+
 async def new_configuration(site):
     """A version removes a key and a route and adds others; each front goes by it within two seconds,
     and never back."""
@@ -484,7 +505,7 @@
 
 
 CASES = [
-    calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, new_configuration,
+    calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, stopping_serves_what_ends_in_time, new_configuration,
     turned_away, late_news, long_table_at_start, held_questions, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
     leaving_engine, engine_starts_again, foreign_entries, metrics_and_logs,
 ]  # fmt: skip
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -20,10 +20,14 @@
   3000 /* the request crashes servers; it will not do better soon                                  \
         */
 
-/* Milliseconds after the stop was asked for from which requests are no longer taken: by then the
+/* Milliseconds after the stop was asked for from which streams are no longer taken: by then the
  * balancer sends callers elsewhere, and those who come all the same are told so at once, since an
  * answer that takes longer than the process lives would be cut off. */
-#define STOP_TAKES_MS     2600
+#define STOP_TAKES_MS 2600
+/* Milliseconds before the process is killed by which everything else that is taken must have its
+ * final answer, if only that of its time-out. */
+#define STOP_SPARE_MS     1500
+#define MS_PER_S          1000
 #define COME_BACK_STOP_MS 50 /* another front takes the request right away */
 
 FrontRequest *
@@ -160,6 +164,21 @@
   return id_hash (intake->target.text, intake->target.len, print) | 1;
 }
 
+/* Whether the answer may be cut off by the end of a planned stop. Where all fronts of a failure
+ * domain stop at once callers have nowhere else to go: of 48 requests refused in such a day, some
+ * twice and for good, those that end within their time-out are served. */
+static bool
+may_outlive_stop (const FrontRequest *request)
+{
+  const Front *front = request->front;
+  int64_t passed_ms = request->arrived_ms - front->stop_ms;
+  int64_t most_ms = (int64_t)(front->settings.stop_s * MS_PER_S) - STOP_SPARE_MS;
+
+  if (front->stop_ms == 0 || passed_ms <= STOP_TAKES_MS)
+    return false;
+  return request->route->kind == ROUTE_STREAM || passed_ms + request->route->timeout_ms > most_ms;
+}
+
 /* False if it was refused. */
 static bool
 admit (FrontRequest *request)
@@ -167,11 +186,6 @@
   Front *front = request->front;
   FrontConfig *config = front->config;
 
-  if (front->stop_ms != 0 && request->arrived_ms - front->stop_ms > STOP_TAKES_MS)
-    {
-      request_refuse (request, STATUS_UNAVAILABLE, "stopping", COME_BACK_STOP_MS);
-      return false;
-    }
   if (!config || !front->servers_known)
     {
       request_refuse (request, STATUS_UNAVAILABLE, "no_configuration", COME_BACK_STARTING_MS);
@@ -190,6 +204,11 @@
       request_refuse (request, STATUS_UNAUTHORIZED, "unknown_key", 0);
       return false;
     }
+  if (may_outlive_stop (request))
+    {
+      request_refuse (request, STATUS_UNAVAILABLE, "stopping", COME_BACK_STOP_MS);
+      return false;
+    }
   request->fingerprint = fingerprint_of (request);
   if (!quarantine_holds (front->quarantine, request->fingerprint, request->arrived_ms))
     return true;
