Plain services keep their allowance for the answer; one was_tried

Cause: with the learned time to the first event plain services lost the 60 ms that they had of the engines' constant, so that look-ups were sent again after 60 ms of silence, not 240, and roll-outs called answers slow from 200 ms on, not 440. Not meant, seen on reading the diff.

front_pick_was_tried serves the model of a site, too.

--- a/bench/front_policies.c
+++ b/bench/front_policies.c
@@ -8,17 +8,6 @@
   return front_pick (servers, query, clock->now_ms);
 }
 
-static bool
-was_tried (const PickQuery *query, const FrontServer *server)
-{
-  for (unsigned i = 0; i < query->tried_count; i++)
-    {
-      if (query->tried[i] == server->hash)
-        return true;
-    }
-  return false;
-}
-
 /* Any server, at random. */
 static PickAnswer
 pick_random (FrontServers *servers, const PickQuery *query, Clock *clock)
@@ -29,7 +18,7 @@
 
   cds_list_for_each_entry (server, front_servers_list (servers), node)
   {
-    if (!was_tried (query, server) && gsl_rng_uniform_int (clock->rng, ++seen) == 0)
+    if (!front_pick_was_tried (query, server) && gsl_rng_uniform_int (clock->rng, ++seen) == 0)
       answer.server = server;
   }
   return answer;
@@ -45,7 +34,8 @@
   (void)clock;
   cds_list_for_each_entry (server, front_servers_list (servers), node)
   {
-    if (!was_tried (query, server) && (!answer.server || server->running < answer.server->running))
+    if (!front_pick_was_tried (query, server)
+        && (!answer.server || server->running < answer.server->running))
       answer.server = server;
   }
   return answer;
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -17,8 +17,8 @@
 /* Tokens of shared prompt from which fronts agree on a server for it: 500 are 4 ms of reading. */
 #define HOME_LEAST_TOKENS 500
 
-static bool
-was_tried (const PickQuery *query, const FrontServer *server)
+bool
+front_pick_was_tried (const PickQuery *query, const FrontServer *server)
 {
   for (unsigned i = 0; i < query->tried_count; i++)
     {
@@ -150,7 +150,8 @@
     bool avoided = state >= FRONT_SERVER_AVOIDED;
     double cost;
 
-    if (state >= FRONT_SERVER_LEAVING || !is_asked_for (query, server) || was_tried (query, server))
+    if (state >= FRONT_SERVER_LEAVING || !is_asked_for (query, server)
+        || front_pick_was_tried (query, server))
       continue;
     if (best.server && avoided && !best.avoided)
       continue;
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -36,6 +36,8 @@
   bool avoided;          /**< it is one to be avoided; there was no better */
 } PickAnswer;
 
+/** True if the request was sent to this server before. */
+bool front_pick_was_tried (const PickQuery *query, const FrontServer *server);
 PickAnswer front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms);
 
 #endif
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -22,6 +22,9 @@
 #define FIRST_BYTE_SHARE 0.6
 #define FIRST_BYTE_TIMES 4.0
 #define MS_PER_S         1000
+/* From a plain service's acceptance to its answer: its slow answers of 60 ms are no silence, which
+ * is four times this. */
+#define PLAIN_FIRST_MS 60.0
 
 static void on_sent (void *user);
 static void on_progress (void *user);
@@ -128,9 +131,9 @@
   request->attempts++;
   request->server = pick->server;
   front_server_ref (pick->server);
-  request->predicted_ms = pick->predicted_ms;
-  if (query->is_model)
-    request->predicted_ms += front_speeds_first_ms (&request->front->speeds);
+  request->predicted_ms
+      = pick->predicted_ms
+        + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
   request->prompt_ms = pick->prompt_ms;
   request->prompt_tokens = pick->prompt_tokens;
   request->pending_ms = pick->prompt_ms;
