--- a/tools/play_days.sh
+++ b/tools/play_days.sh
@@ -1,10 +1,14 @@
 #!/bin/bash
 # Plays days that once broke a promise, on the code as it is: play_days.sh FOLDER [PATTERN]. FOLDER is the
-# users' kit with bin/ and the site files; PATTERN chooses lines of docs/incidents/days.txt. Prints a line a
-# day, and exits with 1 if one breaks a promise or can't be played.
+# users' kit with its bench and the site files; PATTERN chooses lines of docs/incidents/days.txt. Prints a
+# line a day, and exits with 1 if one breaks a promise or can't be played.
+#   play_days.sh FOLDER own SITE [SEEDS]  plays the days of deploy/days on one site, as written and with
+#                                         times and figures varied by each of SEEDS (default: 1 2 3)
 set -uo pipefail
 cd "$(dirname "$0")/.."
-if [ $# -lt 1 ] || [ ! -x "$1/bin/fleetbench" ]; then
+# The newest of the benches that the kit holds beside the first one plays the earlier site files, too.
+bench=$(ls -t "${1:-}"/more/bench-*/bin/fleetbench "${1:-}"/bin/fleetbench 2>/dev/null | head -n 1 || true)
+if [ $# -lt 1 ] || [ ! -x "$bench" ]; then
   echo "play_days.sh: expected the folder of the users' kit, found: ${1:-nothing}" >&2
   exit 2
 fi
@@ -16,22 +20,47 @@
 play() {
   local site=$1 verb=$2
   shift 2
-  "$kit/bin/fleetbench" "$verb" "$kit/$site" "$@" --why "a day that once broke a promise, again" >"$out" 2>&1 \
+  "$bench" "$verb" "$kit/$site" "$@" --why "a day that once broke a promise, again" >"$out" 2>&1 \
     && grep -q '^worth ' "$out" && ! grep -q '^rules broken' "$out"
 }
 
 failed=0 played=0
-while read -r site rest; do
-  [[ -z $site || $site = \#* || ! "$site $rest" =~ $pattern ]] && continue
+
+# report SITE VERB ARGUMENT...: plays the day and prints a line on it.
+report() {
   played=$((played + 1))
-  # shellcheck disable=SC2086 -- words of one line of the list
-  if play "$site" $rest; then
-    echo "kept: $site $rest"
-  else
-    echo "BROKEN: $site $rest"
-    grep -A 3 '^rules broken' "$out" || tail -n 3 "$out"
-    failed=$((failed + 1))
+  if play "$@"; then
+    echo "kept: $*"
+    return
   fi
-done <docs/incidents/days.txt
+  echo "BROKEN: $*"
+  grep -A 3 '^rules broken' "$out" || tail -n 3 "$out"
+  failed=$((failed + 1))
+}
+
+own_days() {
+  local site=$1 seeds=$2 day seed
+  for day in deploy/days/*.toml; do
+    report "$site" run "$day"
+    for seed in $seeds; do
+      report "$site" run "$day" --vary --seed "$seed"
+    done
+  done
+}
+
+listed_days() {
+  local site rest
+  while read -r site rest; do
+    [[ -z $site || $site = \#* || ! "$site $rest" =~ $pattern ]] && continue
+    # shellcheck disable=SC2086 -- words of one line of the list
+    report "$site" $rest
+  done <docs/incidents/days.txt
+}
+
+if [ "$pattern" = own ]; then
+  own_days "${3:?play_days.sh: own needs a site file under the kit}" "${4:-1 2 3}"
+else
+  listed_days
+fi
 echo "$played days played, $failed broken"
 [ $failed -eq 0 ] && [ $played -gt 0 ]
