--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 GATE_PKGS = libevent libevent_pthreads libevent_openssl libssl libcrypto
 GATE_LIBS = $(shell pkg-config --libs $(GATE_PKGS)) -lhttp_parser
 # What lovage-front is made of beside src/front_*.c; small, as its memory has a price.
-FRONT_PKGS = libevent json-c libsodium libxxhash libtirpc
+FRONT_PKGS = libevent json-c libsodium libxxhash libtirpc zlib
 FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
 FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
   src/http_head.c src/http_intake.c src/http_reply.c src/choose_quarantine.c)
--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -258,8 +258,9 @@
 
 async def long_table_at_start(site):
     """A front restarts beside 1,400 servers, while the store takes a second for each page of 500. It
-    has them all after the first page, as a neighbour knows them: three hundred fronts that read all
-    pages fill the store's link for many seconds."""
+    has them all from a neighbour, without a page of the store's: three hundred fronts that read all
+    pages fill the store's link for many seconds. One that is registered, so that others count on it
+    to ask the store, asks the store only if it hears of no neighbour that has them."""
     entry = site.store.rows["servers", site.engines[0].name][0]
     for number in range(1400):
         await site.store.put("servers", f"j-{number}", entry.replace('"texts"', '"spare"'))
@@ -270,14 +271,24 @@
         return any(line.startswith("lovage_front_servers 14") for line in text.splitlines())
 
     await site.wait(lambda: knows_all(site.fronts[2]), "all servers at the neighbour")
-    await front.kill()
-    front.door.set("slow")
-    front.door.pages.clear()
-    await front.start()
-    await site.wait(lambda: knows_all(front), "all servers after the start")
-    await asyncio.sleep(2)
-    pages = [page for page in front.door.pages if "Table=servers" in page]
-    equal(len(pages), 1, "pages of servers read from the store")
+
+    async def pages_of_start():
+        await front.kill()
+        front.door.set("slow")
+        front.door.pages.clear()
+        await front.start()
+        await site.wait(lambda: knows_all(front), "all servers after the start")
+        await asyncio.sleep(2)
+        front.door.set("ok")
+        return len([page for page in front.door.pages if "Table=servers" in page])
+
+    async def registered():
+        return ("lovagehub_fronts", front.ip) in site.store.rows
+
+    equal(await registered(), False, "registered within its first seconds")
+    equal(await pages_of_start(), 0, "pages of servers read from the store")
+    await site.wait(registered, "the front's registration")
+    equal(await pages_of_start(), 0, "pages read by a registered front")
 
 
 async def held_questions(site):
@@ -310,6 +321,39 @@
     equal(answer.status, 200, "an order")
 
 
+async def all_start_again(site):
+    """All fronts lose power at one moment and start again, while nobody else knows anything. Each is
+    ready soon, and the store is asked for its tables by the registered ones only."""
+    for _ in range(9):
+        site.fronts.append(type(site.fronts[0])(site, len(site.fronts)))
+    for front in site.fronts[3:]:
+        await front.door.start()
+        await front.start()
+
+    def registered():
+        return sum(table == "lovagehub_fronts" for table, _ in site.store.rows)
+
+    async def ten_registered():
+        return registered() == 10
+
+    await site.wait(ten_registered, "five of six fronts of each failure domain are registered")
+    await asyncio.gather(*(front.kill() for front in site.fronts))
+    for front in site.fronts:
+        front.door.pages.clear()
+    for front in site.fronts:
+        await front.start()
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready", BUSY_S)
+    for front in site.fronts:
+        equal((await site.call(front, "/once/a", b"order")).status, 200, f"an order at front {front.number}")
+    tables = [page for front in site.fronts for page in front.door.pages if "lovagehub_fronts" not in page]
+    lists = sum(len(front.door.pages) for front in site.fronts) - len(tables)
+    equal(lists, len(site.fronts), "readings of the list of fronts")
+    if len(tables) > 10 * 3:
+        raise AssertionError(f"{len(tables)} readings of three tables by ten registered fronts")
+    equal(registered(), 10, "registered fronts")
+
+
 async def forgotten_history(site):
     """The store drops its history while an engine leaves and a version is written."""
     site.store.forget()
@@ -506,7 +550,7 @@
 
 CASES = [
     calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, stopping_serves_what_ends_in_time, new_configuration,
-    turned_away, late_news, long_table_at_start, held_questions, start_without_store, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
+    turned_away, late_news, long_table_at_start, held_questions, start_without_store, all_start_again, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
     leaving_engine, engine_starts_again, foreign_entries, metrics_and_logs,
 ]  # fmt: skip
 
--- a/src/front.c
+++ b/src/front.c
@@ -8,7 +8,7 @@
 }
 
 uint32_t
-front_failure_domain (const SettingsFront *settings)
+front_failure_domain (const char *name)
 {
-  return (uint32_t)span_hash (span_of (settings->failure_domain)) | 1;
+  return (uint32_t)span_hash (span_of (name)) | 1;
 }
--- a/src/front.h
+++ b/src/front.h
@@ -19,6 +19,7 @@
 
 typedef struct FrontStore FrontStore;
 typedef struct FrontPeers FrontPeers;
+typedef struct FrontControl FrontControl;
 
 typedef struct Front
 {
@@ -36,6 +37,7 @@
   FrontSpeeds speeds;
   FrontStore *store;
   FrontPeers *peers;
+  FrontControl *control; /**< NULL until it listens */
   struct cds_list_head conns;    /**< FrontConn by node */
   struct cds_list_head requests; /**< FrontRequest by node */
   unsigned conn_count;
@@ -45,7 +47,7 @@
 
 /** True if callers may be sent here: everything needed to serve them is known. */
 bool front_is_ready (const Front *front);
-/** Hash of this VM's failure domain, as fronts tell it each other; never 0. */
-uint32_t front_failure_domain (const SettingsFront *settings);
+/** Hash of a failure domain's name, as fronts tell it each other; never 0. */
+uint32_t front_failure_domain (const char *name);
 
 #endif
--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -11,6 +11,8 @@
 /* Milliseconds without an acknowledgement or an answer to a probe after which the connection is
  * dead: news has to arrive within two seconds, so a silent connection must show earlier. */
 #define SILENT_MS 1200
+/* Until a question fails for which no socket could be had: never within the call that asks. */
+#define NOT_CONNECTED_MS 1
 
 struct FrontChannel
 {
@@ -21,6 +23,8 @@
   struct event *timer;
   HttpReply reply;
   bool waiting;
+  int connect_ms; /* until a new connection is given up; 0: as long as for the answer */
+  int answer_ms;  /* of the open question */
   ChannelAnswer answer;
   void *user;
 };
@@ -49,6 +53,14 @@
     finish (channel, 0, "", 0);
 }
 
+static void
+timer_set (FrontChannel *channel, int ms)
+{
+  struct timeval wait = { .tv_sec = ms / MS_PER_S, .tv_usec = ms % MS_PER_S * US_PER_MS };
+
+  evtimer_add (channel->timer, &wait);
+}
+
 static void
 on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
@@ -86,7 +98,11 @@
   FrontChannel *channel = user;
 
   if (what & BEV_EVENT_CONNECTED)
-    return;
+    {
+      if (channel->waiting)
+        timer_set (channel, channel->answer_ms);
+      return;
+    }
   if (what & BEV_EVENT_EOF)
     http_reply_end (&channel->reply);
   disconnect (channel);
@@ -139,18 +155,19 @@
 void
 front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms)
 {
-  struct timeval wait
-      = { .tv_sec = timeout_ms / MS_PER_S, .tv_usec = timeout_ms % MS_PER_S * US_PER_MS };
+  bool is_new = !channel->bev;
   struct evbuffer *output;
 
   channel->waiting = true;
+  channel->answer_ms = timeout_ms;
   http_reply_clear (&channel->reply);
   http_reply_init (&channel->reply);
   if (!connect_now (channel))
-    wait = (struct timeval){ .tv_usec = US_PER_MS };
-  evtimer_add (channel->timer, &wait);
-  if (!channel->bev)
-    return;
+    {
+      timer_set (channel, NOT_CONNECTED_MS);
+      return;
+    }
+  timer_set (channel, is_new && channel->connect_ms > 0 ? channel->connect_ms : timeout_ms);
   output = bufferevent_get_output (channel->bev);
   evbuffer_add_printf (output, "%s %s HTTP/1.1\r\nHost: %s\r\n", body ? "POST" : "GET", path,
                        channel->host);
@@ -173,6 +190,12 @@
   inet_ntop (AF_INET, &address->sin_addr, channel->host, sizeof channel->host);
 }
 
+void
+front_channel_connect_within (FrontChannel *channel, int ms)
+{
+  channel->connect_ms = ms;
+}
+
 void
 front_channel_drop (FrontChannel *channel)
 {
--- a/src/front_channel.h
+++ b/src/front_channel.h
@@ -24,6 +24,9 @@
 front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms);
 /** The next question goes to this address. No question may be open. */
 void front_channel_aim (FrontChannel *channel, const struct sockaddr_in *address);
+/** A new connection is given up after so many milliseconds; 0: only with the question. A VM without
+ *  power doesn't refuse connections, and TCP tries again after a second only. */
+void front_channel_connect_within (FrontChannel *channel, int ms);
 /** Forgets an open question; its answer will not come. */
 void front_channel_drop (FrontChannel *channel);
 bool front_channel_is_open (const FrontChannel *channel);
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -1,6 +1,7 @@
 #include "front_control.h"
 #include "front_counter.h"
 #include "front_log.h"
+#include "front_pack.h"
 #include "front_peers.h"
 #include "front_socket.h"
 #include "front_store.h"
@@ -24,12 +25,23 @@
   int64_t asked_ms;
 } Question;
 
+/* The rows last given, packed. Some dozen fronts ask for the same ones at one moment, and a front
+ * may have a tenth of a core. */
+typedef struct
+{
+  StoreTable table;
+  int64_t since;
+  int64_t version;
+  Buffer text;
+} Given;
+
 struct FrontControl
 {
   Front *front;
   struct evhttp *ready;
   struct evhttp *control;
   struct cds_list_head questions;
+  Given given;
 };
 
 static void
@@ -92,13 +104,22 @@
 static void
 give (FrontControl *control, struct evhttp_request *http, StoreTable table, int64_t since)
 {
-  Buffer text = { 0 };
+  const FrontStore *store = control->front->store;
+  int64_t version = front_store_version (store, table);
+  Given *given = &control->given;
 
-  if (front_store_give (control->front->store, table, since, &text))
-    reply (http, HTTP_OK, &text);
+  if (given->text.len == 0 || given->table != table || given->since != since
+      || given->version != version)
+    {
+      buffer_clear (&given->text);
+      *given = (Given){ .table = table, .since = since, .version = version, .text = given->text };
+      if (!front_store_give (store, table, since, &given->text) || !front_pack (&given->text))
+        buffer_clear (&given->text);
+    }
+  if (given->text.len > 0)
+    reply (http, HTTP_OK, &given->text);
   else
     reply (http, HTTP_SERVUNAVAIL, NULL);
-  buffer_free (&text);
 }
 
 static void
@@ -141,6 +162,14 @@
   question_free (question);
 }
 
+/* The question's time is over, or there is news. */
+static bool
+is_due (const Question *question, int64_t now_ms)
+{
+  return front_store_has_news (question->control->front->store, question->table, question->since)
+         || now_ms - question->asked_ms >= FRONT_NEWS_WAIT_MS;
+}
+
 void
 front_control_tick (FrontControl *control, int64_t now_ms)
 {
@@ -148,8 +177,7 @@
 
   cds_list_for_each_entry_safe (question, next, &control->questions, node)
   {
-    if (front_store_has_news (control->front->store, question->table, question->since)
-        || now_ms - question->asked_ms >= FRONT_NEWS_WAIT_MS)
+    if (is_due (question, now_ms))
       question_answer (question);
   }
 }
@@ -195,6 +223,7 @@
   FrontControl *control = memory_alloc (sizeof *control);
 
   control->front = front;
+  front->control = control;
   CDS_INIT_LIST_HEAD (&control->questions);
   control->ready = serve (front, front->settings.ready);
   control->control = serve (front, front->settings.control);
@@ -216,5 +245,7 @@
     evhttp_free (control->ready);
   if (control->control)
     evhttp_free (control->control);
+  buffer_free (&control->given.text);
+  control->front->control = NULL;
   free (control);
 }
--- a/src/front_control.h
+++ b/src/front_control.h
@@ -6,8 +6,6 @@
 
 #include "front.h"
 
-typedef struct FrontControl FrontControl;
-
 /** NULL if an address can't be bound. */
 FrontControl *front_control_new (Front *front);
 void front_control_free (FrontControl *control);
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -180,6 +180,7 @@
 
   self->tick = event_new (self->front.base, -1, EV_PERSIST, on_tick, self);
   event_add (self->tick, &every);
+  event_active (self->tick, EV_TIMEOUT, 0); /* others are to hear of us at once */
   self->signals[0] = evsignal_new (self->front.base, SIGTERM, on_stop, self);
   self->signals[1] = evsignal_new (self->front.base, SIGHUP, on_reload, self);
   event_add (self->signals[0], NULL);
@@ -200,7 +201,8 @@
   front->servers = front_servers_new (settings->failure_domain);
   front->sessions
       = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S) + SESSION_MORE_MS);
-  front->rollouts = front_rollouts_new (front->sessions, front_failure_domain (settings));
+  front->rollouts
+      = front_rollouts_new (front->sessions, front_failure_domain (settings->failure_domain));
   front->budget = front_budget_new (&(BudgetSettings){
       .share = settings->retry_share * RETRY_SHARE_USED,
       .extra = settings->retry_extra,
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -2,7 +2,7 @@
 #include <rpc/xdr.h>
 #include <string.h>
 
-#define MAGIC 0x4c484247u /* "LHBG"; rises with any change of the form */
+#define MAGIC 0x4c484248u /* "LHBH"; rises with any change of the form */
 
 static bool_t
 xdr_hash (XDR *xdr, uint64_t *value)
@@ -141,6 +141,8 @@
       if (!xdr_int64_t (xdr, &message->newest[i]))
         return FALSE;
     }
+  if (!xdr_uint32_t (xdr, &message->alive))
+    return FALSE;
   return xdr_lists (xdr, message);
 }
 
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -49,6 +49,8 @@
   uint64_t incarnation;
   uint32_t domain;             /**< hash of the sender's failure domain */
   int64_t newest[PEER_TABLES]; /**< newest change known of each table */
+  uint32_t alive;              /**< other fronts that the sender knows to live; few: it has just
+                                    started, and is to be told who is there */
   uint32_t rollout_count;
   PeerRollout rollouts[PEER_ROLLOUTS_MAX];
   uint32_t death_count;
--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -9,8 +9,9 @@
 #include <unistd.h>
 
 /* Milliseconds. */
-#define BEAT_MS      500 /* between messages while nothing happens */
-#define BEAT_BUSY_MS 200 /* during a roll-out: its verdict needs the evidence of all */
+#define BEAT_MS       500 /* between messages while nothing happens */
+#define BEAT_ALONE_MS 200 /* while nobody was heard: a front that starts is to be of use soon */
+#define BEAT_BUSY_MS  200 /* during a roll-out: its verdict needs the evidence of all */
 /* The same with many peers: five messages of 900 bytes in a round shall stay below 14 KB/s. */
 #define BEAT_BUSY_LARGE_MS 400
 #define LARGE_PEERS        100
@@ -19,7 +20,7 @@
  * of each of 360 takes some rounds longer. */
 #define ALIVE_MORE_MS 15
 
-static Peer *
+Peer *
 peer_find (FrontPeers *peers, uint32_t ip)
 {
   for (unsigned i = 0; i < peers->count; i++)
@@ -59,17 +60,60 @@
   return peer->heard_ms != 0 && now_ms - peer->heard_ms < peer->alive_ms;
 }
 
-void
-front_peers_add (FrontPeers *peers, const char *address)
+/* The IP number of "IP" or "IP:PORT"; 0 if it is none. */
+static uint32_t
+ip_of (const char *address)
 {
   Span rest = span_of (address);
-  Span host = span_cut (&rest, ':');
-  char *ip = span_dup (host);
+  char *ip = span_dup (span_cut (&rest, ':'));
   struct in_addr in;
+  bool good = inet_pton (AF_INET, ip, &in) == 1;
 
-  if (inet_pton (AF_INET, ip, &in) == 1)
-    peer_add (peers, in.s_addr);
   free (ip);
+  return good ? in.s_addr : 0;
+}
+
+void
+front_peers_add (FrontPeers *peers, const char *address)
+{
+  uint32_t ip = ip_of (address);
+
+  if (ip != 0)
+    peer_add (peers, ip);
+}
+
+bool
+front_peers_add_registered (FrontPeers *peers, const char *address, uint32_t domain)
+{
+  uint32_t ip = ip_of (address);
+  Peer *peer;
+
+  if (ip == 0)
+    return false;
+  if (ip == peers->own.sin_addr.s_addr)
+    {
+      peers->is_registered = true;
+      return true;
+    }
+  peer = peer_add (peers, ip);
+  if (!peer)
+    return true;
+  peer->is_registered = true;
+  if (peer->domain == 0)
+    peer->domain = domain;
+  return true;
+}
+
+bool
+front_peers_is_registered (const FrontPeers *peers)
+{
+  return peers->is_registered;
+}
+
+void
+front_peers_set_registered (FrontPeers *peers)
+{
+  peers->is_registered = true;
 }
 
 static void
@@ -121,6 +165,8 @@
   int64_t busy_ms = peers_is_large (peers) ? BEAT_BUSY_LARGE_MS : BEAT_BUSY_MS;
   int64_t beat_ms = peers_has_rollout (peers) ? busy_ms : BEAT_MS;
 
+  if (front_peers_alive (peers, now_ms) == 1)
+    beat_ms = BEAT_ALONE_MS;
   if (now_ms - peers->beat_ms >= beat_ms)
     {
       peers->beat_ms = now_ms;
@@ -138,6 +184,7 @@
   struct in_addr ip;
 
   peers->front = front;
+  peers->started_ms = clock_boot_ms ();
   peers->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   peers->own.sin_family = AF_INET;
   peers->own.sin_port = htons ((uint16_t)front->settings.peer_port);
@@ -148,7 +195,7 @@
       return NULL;
     }
   peers->own.sin_addr = ip;
-  peers->own_domain = front_failure_domain (&front->settings);
+  peers->own_domain = front_failure_domain (front->settings.failure_domain);
   peers->control_port = control.sin_port;
   if (bind (peers->fd, (struct sockaddr *)&peers->own, sizeof peers->own) != 0)
     {
--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -2,11 +2,13 @@
 #include "front_log.h"
 #include "front_peers_private.h"
 #include "util_id.h"
-#include "wire_store.h"
 
 /* Milliseconds. */
 #define AHEAD_MS 350 /* a peer may know more for so long, as the store tells us apart */
 #define FETCH_MS 800 /* for an answer of a peer; another one is asked after that */
+/* After the start, in which a front asks its neighbours and the store for the rows that it lacks;
+ * where neither have them, fronts of other failure domains are asked. */
+#define LOAD_MS 2500
 
 #define STATUS_GOOD        200
 #define STATUS_UNAVAILABLE 503
@@ -20,7 +22,7 @@
   fetch->done = true;
   /* The peer doesn't remember what was removed since our version. */
   fetch->needs_all = status == STATUS_UNAVAILABLE;
-  if (status == STATUS_GOOD && wire_store_decode (text, len, &answer))
+  if (status == STATUS_GOOD && front_store_unpack (text, len, &answer))
     {
       front_store_take (fetch->peers->front->store, fetch->table, fetch->since, &answer);
       store_answer_clear (&answer);
@@ -92,22 +94,20 @@
 }
 
 /* A peer that knows more for longer than the store takes to tell us: we are cut off from the store,
- * or our connection to it is silent. While the store's pages of a long table are still being read,
- * a peer of the own failure domain that has them all is asked at once. */
+ * or our connection to it is silent. */
 void
 peers_catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms)
 {
   const Peer *best = nearest_informed_peer (peers, table, now_ms);
-  bool reading = front_store_reads_pages (peers->front->store, table);
 
   fetch_clear (&peers->fetches[table]);
+  if (front_store_is_loading (peers->front->store, table) && now_ms - peers->started_ms < LOAD_MS)
+    return;
   if (!best)
     peers->ahead_since_ms[table] = 0;
   else if (peers->ahead_since_ms[table] == 0)
     peers->ahead_since_ms[table] = now_ms;
-  if (!best
-      || (now_ms - peers->ahead_since_ms[table] < AHEAD_MS
-          && !(reading && best->domain == peers->own_domain)))
+  if (!best || now_ms - peers->ahead_since_ms[table] < AHEAD_MS)
     return;
   front_store_hint (peers->front->store, table, best->newest[table], now_ms);
   if (!peers->fetches[table].channel)
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -21,6 +21,8 @@
   int64_t heard_ms;     /* by us or another front */
   int64_t alive_ms;     /* how long it counts as alive after that */
   int64_t sent_ms;
+  int64_t failed_ms;  /* when it gave no good answer to a question for rows; 0: it never did */
+  bool is_registered; /* it is on the store's list of fronts */
   int64_t newest[PEER_TABLES];
 } Peer;
 
@@ -53,6 +55,8 @@
   unsigned next_work;   /* where the next note of work begins */
   double far_credit;    /* messages to other failure domains that may be sent, below one */
   int64_t beat_ms;
+  int64_t started_ms;
+  bool is_registered;                  /* we are on the store's list of fronts */
   int64_t ahead_since_ms[PEER_TABLES]; /* since when some peer knows more; 0: none does */
   Fetch fetches[PEER_TABLES];
 };
@@ -75,6 +79,7 @@
 
 /* front_peers.c */
 bool peer_is_alive (const Peer *peer, int64_t now_ms);
+Peer *peer_find (FrontPeers *peers, uint32_t ip);
 /* The entry of this address, made if there is none; NULL: it is our own, or there is no room. */
 Peer *peer_add (FrontPeers *peers, uint32_t ip);
 
@@ -99,6 +104,10 @@
 size_t peers_encode (PeerMessage *message, void *out, size_t size);
 /* Tells them how things stand here. */
 void peers_tell (FrontPeers *peers, int64_t now_ms);
+/* True if a front that knows so many others is to be answered at once. */
+bool peers_is_newcomer (const FrontPeers *peers, const Peer *peer, uint32_t alive, int64_t now_ms);
+/* Answers a front that hardly knows anybody yet: tells of its own failure domain. */
+void peers_greet (FrontPeers *peers, Peer *peer, int64_t now_ms);
 
 /* front_peers_fetch.c: gets rows that others know and we don't. */
 void peers_catch_up (FrontPeers *peers, StoreTable table, int64_t now_ms);
--- a/src/front_peers_take.c
+++ b/src/front_peers_take.c
@@ -82,4 +82,6 @@
     quarantine_add (front->quarantine, &message->deaths[i], now_ms);
   for (uint32_t i = 0; i < message->member_count; i++)
     take_member (peers, &message->members[i], now_ms);
+  if (peers_is_newcomer (peers, peer, message->alive, now_ms))
+    peers_greet (peers, peer, now_ms);
 }
--- a/src/front_peers_tell.c
+++ b/src/front_peers_tell.c
@@ -2,14 +2,19 @@
 #include "front_counter.h"
 #include "front_peers_private.h"
 #include "front_request.h"
+#include "util_id.h"
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#define PROBE_MS    2500 /* between messages to an address that doesn't answer */
-#define NEAR_FANOUT 4    /* peers of the own failure domain told at a time, collectors included */
-#define FAR_FANOUT  3    /* others */
-#define BOOT_FANOUT 6    /* while hardly anybody is known */
+#define PROBE_MS       2500 /* between messages to an address that doesn't answer */
+#define PROBE_ALONE_MS 150  /* the same while nobody answers: they may be starting, too */
+#define GREET_MS       300  /* between answers to one that starts */
+/* A front that knows less than this part of those that we know has just started. */
+#define NEWCOMER_PART 4
+#define NEAR_FANOUT   4 /* peers of the own failure domain told at a time, collectors included */
+#define FAR_FANOUT    3 /* others */
+#define BOOT_FANOUT   6 /* while hardly anybody is known */
 /* Messages to other failure domains that one of them sends in a round, all its fronts together but
  * for the collectors: bytes between domains have a price, and what one front has heard it tells all
  * its neighbours. Beside three of each front this takes 14% off all bytes between the domains of 69
@@ -18,6 +23,16 @@
 
 _Static_assert(NEAR_FANOUT + FAR_FANOUT + BOOT_FANOUT <= PEERS_A_ROUND, "all that are chosen fit");
 
+static void
+member_add (PeerMessage *message, const Peer *peer, int64_t now_ms)
+{
+  message->members[message->member_count++] = (PeerMember){
+    .ip = ntohl (peer->address.sin_addr.s_addr),
+    .domain = peer->domain,
+    .age_ms = (uint32_t)(now_ms - peer->heard_ms),
+  };
+}
+
 /* Tells of some living fronts, others the next time. */
 static void
 members_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
@@ -29,17 +44,27 @@
     {
       const Peer *peer = &peers->list[(start + i) % peers->count];
 
-      if (!peer_is_alive (peer, now_ms))
-        continue;
-      message->members[message->member_count++] = (PeerMember){
-        .ip = ntohl (peer->address.sin_addr.s_addr),
-        .domain = peer->domain,
-        .age_ms = (uint32_t)(now_ms - peer->heard_ms),
-      };
+      if (peer_is_alive (peer, now_ms))
+        member_add (message, peer, now_ms);
     }
   peers->next_member = start + i;
 }
 
+/* Tells of the living fronts of one failure domain, beginning at a random one. */
+static void
+members_fill_domain (const FrontPeers *peers, PeerMessage *message, uint32_t domain, int64_t now_ms)
+{
+  unsigned start = peers->count ? (unsigned)(id_random_u64 () % peers->count) : 0;
+
+  for (unsigned i = 0; i < peers->count && message->member_count < PEER_MEMBERS_MAX; i++)
+    {
+      const Peer *peer = &peers->list[(start + i) % peers->count];
+
+      if (peer->domain == domain && peer_is_alive (peer, now_ms))
+        member_add (message, peer, now_ms);
+    }
+}
+
 void
 peers_domains_fill (FrontPeers *peers, FrontRollout *rollout, PeerRollout *out)
 {
@@ -87,6 +112,7 @@
   message->domain = peers->own_domain;
   for (unsigned i = 0; i < PEER_TABLES; i++)
     message->newest[i] = front_store_newest (front->store, (StoreTable)i);
+  message->alive = front_peers_alive (peers, now_ms) - 1;
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
   {
     if (!front_rollout_is_running (rollout) || message->rollout_count == PEER_ROLLOUTS_MAX)
@@ -95,7 +121,6 @@
   }
   message->death_count
       = (uint32_t)quarantine_news (front->quarantine, message->deaths, PEER_DEATHS_MAX, now_ms);
-  members_fill (peers, message, now_ms);
 }
 
 /* How many fronts of each kind may still be told in a round. */
@@ -104,6 +129,7 @@
   unsigned near;
   unsigned far;
   unsigned boot;
+  int64_t probe_ms; /* between messages to one that doesn't answer */
 } Quota;
 
 static unsigned
@@ -144,7 +170,7 @@
 is_told (const FrontPeers *peers, const Peer *peer, Quota *quota, int64_t now_ms)
 {
   if (!peer_is_alive (peer, now_ms))
-    return now_ms - peer->sent_ms >= PROBE_MS && take_one (&quota->boot);
+    return now_ms - peer->sent_ms >= quota->probe_ms && take_one (&quota->boot);
   return take_one (peer->domain == peers->own_domain ? &quota->near : &quota->far);
 }
 
@@ -152,7 +178,8 @@
 peers_choose (FrontPeers *peers, Peer **chosen, int64_t now_ms)
 {
   Collectors collectors;
-  Quota quota = { .boot = BOOT_FANOUT };
+  bool is_alone = front_peers_alive (peers, now_ms) == 1;
+  Quota quota = { .boot = BOOT_FANOUT, .probe_ms = is_alone ? PROBE_ALONE_MS : PROBE_MS };
   unsigned count = 0;
 
   peers_collectors (peers, now_ms, &collectors);
@@ -172,6 +199,14 @@
   return count;
 }
 
+static void
+tell_one (FrontPeers *peers, Peer *peer, const unsigned char *data, size_t len, int64_t now_ms)
+{
+  peer->sent_ms = now_ms;
+  sendto (peers->fd, data, len, 0, (struct sockaddr *)&peer->address, sizeof peer->address);
+  front_counter_add (FRONT_COUNTER_PEER_MESSAGES);
+}
+
 static void
 tell_some (FrontPeers *peers, const unsigned char *data, size_t len, int64_t now_ms)
 {
@@ -179,13 +214,7 @@
   unsigned count = peers_choose (peers, chosen, now_ms);
 
   for (unsigned i = 0; i < count; i++)
-    {
-      Peer *peer = chosen[i];
-
-      peer->sent_ms = now_ms;
-      sendto (peers->fd, data, len, 0, (struct sockaddr *)&peer->address, sizeof peer->address);
-      front_counter_add (FRONT_COUNTER_PEER_MESSAGES);
-    }
+    tell_one (peers, chosen[i], data, len, now_ms);
 }
 
 /* Drops half of the sessions of the first roll-out that has some. */
@@ -253,5 +282,28 @@
   PeerMessage message;
 
   message_fill (peers, &message, now_ms);
+  members_fill (peers, &message, now_ms);
   tell_some (peers, data, peers_encode (&message, data, sizeof data), now_ms);
 }
+
+bool
+peers_is_newcomer (const FrontPeers *peers, const Peer *peer, uint32_t alive, int64_t now_ms)
+{
+  unsigned known = front_peers_alive (peers, now_ms) - 1;
+
+  return (alive == 0 || alive * NEWCOMER_PART < known) && now_ms - peer->sent_ms >= GREET_MS;
+}
+
+/* Three hundred fronts start at one moment and each knows the same three addresses. Told in turn
+ * as usual it would take them some ten seconds to hear of their neighbours, and all that time each
+ * would take itself for the first of its failure domain and ask the store. */
+void
+peers_greet (FrontPeers *peers, Peer *peer, int64_t now_ms)
+{
+  unsigned char data[PEER_MESSAGE_MAX];
+  PeerMessage message;
+
+  message_fill (peers, &message, now_ms);
+  members_fill_domain (peers, &message, peer->domain, now_ms);
+  tell_one (peers, peer, data, peers_encode (&message, data, sizeof data), now_ms);
+}
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -2,6 +2,7 @@
 #include "front_log.h"
 #include "front_peers.h"
 #include "front_socket.h"
+#include "front_start.h"
 #include "front_store_private.h"
 #include "util_clock.h"
 #include "util_id.h"
@@ -18,28 +19,25 @@
 #define AGAIN_FIRST_MS 120 /* until the next try after an error, doubling */
 #define AGAIN_MOST_MS  1000
 #define HINT_MS        700 /* a question is asked anew no more often than this */
-/* Between an answer and the next question for changes of the servers: a roll-out or a release
- * changes them several times a second, each front's call has a price, and a server that leaves
- * goes on serving for two seconds. */
+/* Between an answer of the store and the next question for changes of the servers: a roll-out or a
+ * release changes them several times a second, each call has a price, and a server that leaves goes
+ * on serving for two seconds. Longer than this a front would hear of a change from others first and
+ * fetch it from another failure domain (AHEAD_MS of front_peers_fetch.c). */
 #define SERVERS_PAUSE_MS 300
-#define PEER_AGAIN_MS    3000 /* after a failed answer of another front, the store is asked itself */
-/* Bytes of a table from which each front asks the store itself: its link is wide, while a front's
- * carries 10 Mbit/s, and a configuration of 85 KB that changes four times a second would fill
- * the link of one that passes it on to five others. */
-#define LARGE_BYTES 16384
-
-/* A store may fall silent without any connection ending, and what was asked before its return is
- * never answered; keep-alive doesn't show it. So that not all fronts wait for the end of long
- * questions, a few of them, whichever are first by rank, ask short ones of the tables that callers
- * depend on: with three, one may be stopped and one frozen. They learn of a change within the two
- * times below, tell it with their next message, and the others ask anew. It costs two calls a
- * second and front, whatever the number of fronts. */
-#define SENTINELS          3
+/* For the rows of a whole table, from another front and from the store: a front that starts waits
+ * so long for an answer that is lost. The store's may take a second when it is slow. */
+#define PEER_LOAD_MS  1000
+#define STORE_LOAD_MS 1500
+/* For a connection to another front, a hundred times the way there and back within a failure
+ * domain. After a loss of power that neighbour may not have started yet; without this bound one in
+ * ten of 300 fronts served a second later than the others. */
+#define PEER_CONNECT_MS 100
+/* Until the list of fronts is read once more by one that knows nobody, doubling. */
+#define LIST_AGAIN_MS      3000
+#define LIST_AGAIN_MOST_MS 30000
 #define SENTINEL_WAIT_MS   1000
 #define SENTINEL_ANSWER_MS 500
 
-static void watch_ask (Watch *watch);
-
 typedef struct
 {
   const char *name;
@@ -72,8 +70,8 @@
   front_log_end (line);
 }
 
-static void
-again_in (Watch *watch, int64_t ms)
+void
+store_watch_later (Watch *watch, int64_t ms)
 {
   struct timeval wait = { .tv_sec = ms / MS_PER_S, .tv_usec = ms % MS_PER_S * US_PER_MS };
 
@@ -91,7 +89,7 @@
   lost_set (watch, true, status);
   if (most_ms > AGAIN_MOST_MS)
     most_ms = AGAIN_MOST_MS;
-  again_in (watch, most_ms / 2 + (int64_t)(id_random_u64 () % (uint64_t)(most_ms / 2)));
+  store_watch_later (watch, most_ms / 2 + (int64_t)(id_random_u64 () % (uint64_t)(most_ms / 2)));
 }
 
 static void
@@ -119,27 +117,11 @@
   watch->after = all->count ? memory_strdup (all->rows[all->count - 1].key) : NULL;
 }
 
-/* A peer's rows are newer than the pages read so far: a front that starts beside 300 others reads
- * 1 of 6 pages of 3,000 servers from the store, and the rest within its own failure domain. */
-static bool
-peer_was_faster (const Watch *watch, const StoreAnswer *answer)
-{
-  int64_t version = watch->pages.count > 0 ? watch->pages.version : answer->version;
-
-  return watch->table.version >= version;
-}
-
 static void
 load_take (Watch *watch, StoreAnswer *answer)
 {
   bool more = answer->more && answer->count > 0;
 
-  if (more && peer_was_faster (watch, answer))
-    {
-      pages_drop (watch);
-      watch->loaded = true;
-      return;
-    }
   pages_add (watch, answer);
   if (more)
     return;
@@ -149,31 +131,45 @@
   store_apply_end (watch->store, watch->id);
 }
 
+static void
+peer_failed (Watch *watch)
+{
+  watch->peer_failures++;
+  front_peers_failed (watch->store->front->peers, &watch->source, clock_boot_ms ());
+  store_watch_ask (watch);
+}
+
+static bool
+answer_decode (const Watch *watch, const char *text, size_t len, StoreAnswer *answer)
+{
+  return watch->asked_peer ? front_store_unpack (text, len, answer)
+                           : wire_store_decode (text, len, answer);
+}
+
 static void
 on_answer (void *user, int status, const char *text, size_t len)
 {
   Watch *watch = user;
   StoreAnswer answer;
 
-  if (watch->asked_peer && status != STORE_GOOD)
-    {
-      watch->peer_failed_ms = clock_boot_ms ();
-      watch_ask (watch);
-      return;
-    }
-  if (status == STORE_GONE)
+  if (status == STORE_GONE && !watch->asked_peer)
     {
       watch->loaded = false; /* the changes since our version are forgotten: read all rows */
-      watch_ask (watch);
+      store_watch_ask (watch);
       return;
     }
-  if (status != STORE_GOOD || !wire_store_decode (text, len, &answer))
+  if (status != STORE_GOOD || !answer_decode (watch, text, len, &answer))
     {
-      watch_failed (watch, status);
+      if (watch->asked_peer)
+        peer_failed (watch);
+      else
+        watch_failed (watch, status);
       return;
     }
   watch->tries = 0;
-  lost_set (watch, false, status);
+  watch->peer_failures = 0;
+  if (!watch->asked_peer)
+    lost_set (watch, false, status);
   if (answer.clock_ms != 0)
     watch->store->clock_ms = answer.clock_ms - clock_boot_ms ();
   if (!watch->loaded)
@@ -184,71 +180,73 @@
       store_apply_end (watch->store, watch->id);
     }
   store_answer_clear (&answer);
-  if (watch->loaded && watch->id == STORE_SERVERS)
-    again_in (watch, SERVERS_PAUSE_MS);
+  if (watch->loaded && watch->id == STORE_SERVERS && !watch->asked_peer)
+    store_watch_later (watch, SERVERS_PAUSE_MS);
   else if (kinds[watch->id].followed || !watch->loaded)
-    watch_ask (watch);
-}
-
-/* Servers change one by one and only their changes are told; the configuration comes whole. */
-static bool
-is_large (const Watch *watch)
-{
-  return watch->id == STORE_OPERATOR && front_table_bytes (&watch->table) >= LARGE_BYTES;
-}
-
-static bool
-is_sentinel (const Watch *watch)
-{
-  return (watch->id == STORE_OPERATOR || watch->id == STORE_SERVERS) && watch->loaded
-         && front_peers_rank (watch->store->front->peers, (uint64_t)watch->id + 1, clock_boot_ms ())
-                < SENTINELS;
+    store_watch_ask (watch);
 }
 
-/* Changes come from another front of our failure domain if one follows the store for us. */
-static bool
-watch_aim (Watch *watch)
+static void
+ask_peer (Watch *watch)
 {
-  FrontStore *store = watch->store;
-  int64_t now_ms = clock_boot_ms ();
-  struct sockaddr_in address = store->address;
-  bool peer = watch->loaded && !is_large (watch) && !is_sentinel (watch)
-              && now_ms - watch->peer_failed_ms > PEER_AGAIN_MS
-              && front_peers_source (store->front->peers, (uint64_t)watch->id, now_ms, &address);
+  Buffer path = { 0 };
 
-  front_channel_aim (watch->channel, &address);
-  return peer;
+  front_channel_aim (watch->channel, &watch->source);
+  front_channel_connect_within (watch->channel, PEER_CONNECT_MS);
+  front_store_news_path (&path, watch->id, watch->table.version, true);
+  front_channel_ask (watch->channel, path.data, NULL,
+                     watch->loaded ? STORE_ANSWER_MS + FRONT_NEWS_WAIT_MS : PEER_LOAD_MS);
+  buffer_free (&path);
 }
 
 static void
-watch_ask (Watch *watch)
+ask_store (Watch *watch)
 {
-  bool sentinel = is_sentinel (watch);
-  int wait_ms = sentinel ? SENTINEL_WAIT_MS : FRONT_NEWS_WAIT_MS;
-  int answer_ms = sentinel ? SENTINEL_ANSWER_MS : STORE_ANSWER_MS;
+  int wait_ms, answer_ms;
   Buffer path = { 0 };
 
-  watch->asked_ms = clock_boot_ms ();
-  watch->asked_peer = watch_aim (watch);
-  if (!watch->asked_peer)
-    front_counter_add (FRONT_COUNTER_STORE_CALLS);
-  if (watch->asked_peer)
-    front_store_news_path (&path, watch->id, watch->table.version, true);
-  else if (watch->loaded)
+  watch->asked_short = store_is_sentinel (watch, watch->asked_ms);
+  wait_ms = watch->asked_short ? SENTINEL_WAIT_MS : FRONT_NEWS_WAIT_MS;
+  answer_ms = watch->asked_short ? SENTINEL_ANSWER_MS : STORE_ANSWER_MS;
+  front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  front_channel_aim (watch->channel, &watch->store->address);
+  front_channel_connect_within (watch->channel, 0);
+  if (watch->loaded)
     wire_feed_path (&path, kinds[watch->id].name, watch->table.version, wait_ms);
   else
     wire_rows_path (&path, kinds[watch->id].name, watch->after);
-  front_channel_ask (watch->channel, path.data, NULL, answer_ms + (watch->loaded ? wait_ms : 0));
+  front_channel_ask (watch->channel, path.data, NULL,
+                     watch->loaded ? answer_ms + wait_ms : STORE_LOAD_MS);
   buffer_free (&path);
 }
 
+void
+store_watch_ask (Watch *watch)
+{
+  int64_t now_ms = clock_boot_ms ();
+  Aim aim = store_aim (watch, now_ms);
+
+  if (aim == AIM_LATER)
+    {
+      store_watch_later (watch, START_LOOK_MS);
+      return;
+    }
+  watch->asked_ms = now_ms;
+  watch->asked_peer = aim == AIM_PEER;
+  watch->asked_short = false;
+  if (watch->asked_peer)
+    ask_peer (watch);
+  else
+    ask_store (watch);
+}
+
 static void
 on_again (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   Watch *watch = user;
 
   if (!front_channel_is_open (watch->channel))
-    watch_ask (watch);
+    store_watch_ask (watch);
 }
 
 bool
@@ -260,7 +258,10 @@
 int64_t
 front_store_newest (const FrontStore *store, StoreTable table)
 {
-  return store->watches[table].table.newest;
+  const FrontTable *rows = &store->watches[table].table;
+
+  /* Of an empty table no change was seen, but it is known that there is nothing. */
+  return rows->newest == 0 && rows->version != 0 ? 1 : rows->newest;
 }
 
 bool
@@ -269,6 +270,37 @@
   return store->watches[table].lost;
 }
 
+static void
+ask_anew (Watch *watch)
+{
+  front_channel_drop (watch->channel);
+  pages_drop (watch);
+  store_watch_ask (watch);
+}
+
+void
+store_settle (FrontStore *store, int64_t now_ms)
+{
+  if (store->settled || now_ms - store->started_ms < STORE_SETTLED_MS)
+    return;
+  store->settled = true;
+  for (unsigned i = 0; i < STORE_TABLES; i++)
+    {
+      Watch *watch = &store->watches[i];
+
+      if (watch->loaded && watch->asked_peer && front_channel_is_open (watch->channel))
+        ask_anew (watch);
+    }
+}
+
+void
+store_sentinel_tick (Watch *watch, int64_t now_ms)
+{
+  if (front_channel_is_open (watch->channel) && !watch->asked_short
+      && store_is_sentinel (watch, now_ms))
+    ask_anew (watch);
+}
+
 void
 front_store_hint (FrontStore *store, StoreTable table, int64_t version, int64_t now_ms)
 {
@@ -278,11 +310,13 @@
   if (!watch->loaded || !front_table_is_behind (&watch->table, version)
       || now_ms - watch->asked_ms < HINT_MS || !front_channel_is_open (watch->channel))
     return;
-  /* Whom we asked is behind, too: the store itself is asked next. */
-  watch->peer_failed_ms = now_ms;
   front_channel_drop (watch->channel);
   pages_drop (watch);
-  watch_ask (watch);
+  /* Whom we asked is behind, too: somebody else is asked next. */
+  if (watch->asked_peer)
+    peer_failed (watch);
+  else
+    store_watch_ask (watch);
 }
 
 int64_t
@@ -292,9 +326,21 @@
 }
 
 bool
-front_store_reads_pages (const FrontStore *store, StoreTable table)
+front_store_is_loading (const FrontStore *store, StoreTable table)
 {
-  return store->watches[table].after != NULL;
+  const Watch *watch = &store->watches[table];
+
+  return !watch->loaded && !watch->lost;
+}
+
+/* What is being read of the whole table isn't needed any more: its changes are asked for. */
+static void
+load_end (Watch *watch)
+{
+  watch->loaded = true;
+  pages_drop (watch);
+  front_channel_drop (watch->channel);
+  store_watch_later (watch, 0);
 }
 
 /* What a peer passes on is as good as the store's own rows: it read them there. */
@@ -310,6 +356,8 @@
   else
     front_table_changes (&watch->table, answer, kinds[table].change, store);
   store_apply_end (store, table);
+  if (!watch->loaded)
+    load_end (watch);
 }
 
 bool
@@ -326,7 +374,27 @@
 bool
 front_store_has_news (const FrontStore *store, StoreTable table, int64_t since)
 {
-  return store->watches[table].table.newest > since;
+  const FrontTable *rows = &store->watches[table].table;
+
+  return since == 0 ? rows->version != 0 : rows->newest > since;
+}
+
+/* A front that found nobody when it started was the first, or all that were listed have died: it
+ * must not stay alone with what it knows of bad versions and crashed servers. */
+void
+store_list_tick (FrontStore *store, int64_t now_ms)
+{
+  Watch *list = &store->watches[STORE_MEMBERS];
+
+  if (now_ms < store->list_again_ms || front_channel_is_open (list->channel)
+      || front_peers_alive (store->front->peers, now_ms) > 1)
+    return;
+  store->list_wait_ms *= 2;
+  if (store->list_wait_ms > LIST_AGAIN_MOST_MS)
+    store->list_wait_ms = LIST_AGAIN_MOST_MS;
+  store->list_again_ms = now_ms + store->list_wait_ms;
+  list->loaded = false;
+  store_watch_ask (list);
 }
 
 FrontStore *
@@ -340,6 +408,9 @@
   store = memory_alloc (sizeof *store);
   store->front = front;
   store->address = address;
+  store->started_ms = clock_boot_ms ();
+  store->list_wait_ms = LIST_AGAIN_MS;
+  store->list_again_ms = store->started_ms + LIST_AGAIN_MS;
   store->writer = front_channel_new (front->base, &address, store_written, store);
   for (unsigned i = 0; i < STORE_TABLES; i++)
     {
@@ -348,12 +419,12 @@
       watch->store = store;
       watch->id = (StoreTable)i;
       watch->back_ms = -STORE_RELIST_MS;
-      watch->peer_failed_ms = -PEER_AGAIN_MS;
       front_table_init (&watch->table);
       watch->channel = front_channel_new (front->base, &address, on_answer, watch);
       watch->again = evtimer_new (front->base, on_again, watch);
-      watch_ask (watch);
     }
+  for (unsigned i = 0; i < STORE_TABLES; i++)
+    store_watch_ask (&store->watches[i]);
   return store;
 }
 
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -31,8 +31,10 @@
 bool front_store_is_lost (const FrontStore *store, StoreTable table);
 /** Version up to which all changes are known; 0: none are. */
 int64_t front_store_version (const FrontStore *store, StoreTable table);
-/** True while a table that is longer than one answer of the store is being read. */
-bool front_store_reads_pages (const FrontStore *store, StoreTable table);
+/** True until the rows of a table are known, unless the store doesn't answer. */
+bool front_store_is_loading (const FrontStore *store, StoreTable table);
+/** What another front gave: unpacks and decodes it. False if it is no such answer. */
+bool front_store_unpack (const char *data, size_t len, StoreAnswer *answer);
 /** Rows of a table as another front has them: all changes since a version that is known here; 0:
  *  all rows. */
 void front_store_take (FrontStore *store, StoreTable table, int64_t since, StoreAnswer *answer);
--- /dev/null
+++ b/src/front_store_aim.c
@@ -0,0 +1,98 @@
+/* Whom a question for rows goes to: the store, or another front that passes them on. */
+#include "front_peers.h"
+#include "front_start.h"
+#include "front_store_private.h"
+
+/* In a row, until the store is asked: several neighbours may have died at one moment. */
+#define PEER_FAILURES_MOST 4
+
+/* A store may fall silent without any connection ending, and what was asked before its return is
+ * never answered; keep-alive doesn't show it. So that not all fronts wait for the end of long
+ * questions, a few of them, whichever are first by rank, ask short ones of the tables that callers
+ * depend on: with three, one may be stopped and one frozen. They learn of a change within the two
+ * times of front_store.c, tell it with their next message, and the others ask anew. It costs two
+ * calls a second and front, whatever the number of fronts. */
+#define SENTINELS 3
+
+static bool
+is_settled (const FrontStore *store, int64_t now_ms)
+{
+  return now_ms - store->started_ms >= STORE_SETTLED_MS;
+}
+
+bool
+store_is_sentinel (const Watch *watch, int64_t now_ms)
+{
+  const FrontStore *store = watch->store;
+
+  return (watch->id == STORE_OPERATOR || watch->id == STORE_SERVERS) && watch->loaded
+         && is_settled (store, now_ms)
+         && front_peers_is_among (store->front->peers, (uint64_t)watch->id + 1, SENTINELS, now_ms);
+}
+
+/* A front that has just started doesn't know yet who lives, and would take itself for the first by
+ * rank: it asks one that is likely to follow the store. */
+static Aim
+aim_ranked (Watch *watch, int64_t now_ms)
+{
+  const FrontStore *store = watch->store;
+
+  if (!is_settled (store, now_ms)
+      && front_peers_informed_before (store->front->peers, (uint64_t)watch->id, now_ms,
+                                      &watch->source))
+    return AIM_PEER;
+  return front_peers_source (watch->store->front->peers, (uint64_t)watch->id, now_ms,
+                             &watch->source)
+             ? AIM_PEER
+             : AIM_STORE;
+}
+
+/* The table is to be read as a whole. */
+static Aim
+aim_start (Watch *watch, int64_t now_ms)
+{
+  FrontStore *store = watch->store;
+  FrontPeers *peers = store->front->peers;
+  const Watch *list = &store->watches[STORE_MEMBERS];
+  StartView view = {
+    .age_ms = now_ms - store->started_ms,
+    .list_known = list->loaded,
+    .list_lost = list->lost,
+    .is_registered = front_peers_is_registered (peers),
+    .has_registered = front_peers_has_registered (peers),
+    .has_informed = front_peers_informed (peers, (uint64_t)watch->id, now_ms, &watch->source),
+    .failures = watch->peer_failures,
+  };
+
+  switch (front_start_step (&view))
+    {
+    case START_WAIT:
+      return AIM_LATER;
+    case START_ASK_INFORMED:
+      return AIM_PEER;
+    case START_ASK_RANKED:
+      return aim_ranked (watch, now_ms);
+    default:
+      return AIM_STORE;
+    }
+}
+
+/* The store doesn't remember the changes since our version. It says so to all that follow it at one
+ * moment; if they asked each other, nobody would read what has changed. */
+static bool
+is_forgotten (const Watch *watch)
+{
+  return !watch->loaded && watch->table.version != 0;
+}
+
+Aim
+store_aim (Watch *watch, int64_t now_ms)
+{
+  if (watch->id == STORE_MEMBERS || watch->after || is_forgotten (watch))
+    return AIM_STORE;
+  if (!watch->loaded)
+    return aim_start (watch, now_ms);
+  if (store_is_sentinel (watch, now_ms) || watch->peer_failures >= PEER_FAILURES_MOST)
+    return AIM_STORE;
+  return aim_ranked (watch, now_ms);
+}
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -1,5 +1,7 @@
 /* What rows of the store change in this process. */
+#include "front_control.h"
 #include "front_log.h"
+#include "front_member.h"
 #include "front_peers.h"
 #include "front_request.h"
 #include "front_store_private.h"
@@ -156,9 +158,20 @@
 store_apply_member (void *user, const StoreRow *row)
 {
   FrontStore *store = user;
+  Span value = { .text = row->value, .len = row->value_len };
+  FrontMember member;
+  FrontLine *line;
 
-  if (!row->removed)
-    front_peers_add (store->front->peers, row->key);
+  if (row->removed)
+    return;
+  if (front_member_decode (value, &member)
+      && front_peers_add_registered (store->front->peers, row->key,
+                                     front_failure_domain (member.failure_domain)))
+    return;
+  line = front_log_begin (FRONT_EVENT_MEMBER_REFUSED);
+  front_log_text (line, "key", row->key);
+  front_log_number (line, "row_version", row->version);
+  front_log_end (line);
 }
 
 /* Statuses may have been read before the orders that they belong to. */
@@ -182,4 +195,7 @@
     front->servers_known = true;
   if (id == STORE_OPERATOR)
     statuses_again (store);
+  /* Fronts that start wait for these rows: a tick later is a tenth of a second of refusals. */
+  if (front->control)
+    front_control_tick (front->control, clock_boot_ms ());
 }
--- a/src/front_store_news.c
+++ b/src/front_store_news.c
@@ -1,6 +1,8 @@
-/* The paths under which fronts ask each other for rows. */
+/* What fronts ask each other for rows, and give. */
+#include "front_pack.h"
 #include "front_store.h"
 #include "util_span.h"
+#include "wire_store.h"
 #include <string.h>
 
 static const char news_prefix[] = "/news/";
@@ -30,3 +32,14 @@
   *wait = span_is (rest, news_wait + 1);
   return span_number (part, since) && (rest.text == NULL || *wait);
 }
+
+bool
+front_store_unpack (const char *data, size_t len, StoreAnswer *answer)
+{
+  Buffer text = { 0 };
+  bool good = front_unpack (&text, data, len, FRONT_PACK_TEXT_MOST) && text.len > 0
+              && wire_store_decode (text.data, text.len, answer);
+
+  buffer_free (&text);
+  return good;
+}
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -13,6 +13,10 @@
 /** After the store's return living servers are listed again within two seconds. */
 #define STORE_RELIST_MS 2200
 
+/** Milliseconds after the start in which a front knows too few others to know its rank among them:
+ *  300 fronts that each took itself for a sentinel made 1,800 calls. */
+#define STORE_SETTLED_MS 4000
+
 #define STORE_GOOD     200
 #define STORE_CONFLICT 412
 #define STORE_GONE     410
@@ -32,8 +36,10 @@
   unsigned tries;    /* in a row that failed */
   int64_t back_ms;   /* when the store answered again after an error */
   int64_t asked_ms;
-  bool asked_peer;        /* the open question went to another front */
-  int64_t peer_failed_ms; /* when one gave no good answer */
+  bool asked_peer;           /* the open question went to another front */
+  bool asked_short;          /* the open question is a sentinel's */
+  struct sockaddr_in source; /* which one */
+  unsigned peer_failures;    /* questions to other fronts that failed, in a row */
 } Watch;
 
 struct FrontStore
@@ -42,11 +48,14 @@
   struct sockaddr_in address;
   Watch watches[STORE_TABLES];
   FrontChannel *writer;
+  int64_t started_ms;
+  int64_t list_again_ms; /* when the list of fronts is read again, should we still be alone */
+  int64_t list_wait_ms;  /* until the time after that */
   FrontRollout *writing; /* the roll-out whose status is being written; NULL: none */
   FrontRolloutState writing_state;
   int64_t writing_started_ms;
-  bool joined; /* our address was written */
-  bool joining;
+  bool settled;     /* STORE_SETTLED_MS are over */
+  bool registering; /* our address is being written */
   int64_t clock_ms; /* the store's clock less ours */
   int64_t write_again_ms;
 };
@@ -59,6 +68,30 @@
 /* What follows from the news of a table as a whole. */
 void store_apply_end (FrontStore *store, StoreTable id);
 
+/* front_store.c */
+void store_watch_ask (Watch *watch);
+/* Asks again in so many milliseconds. */
+void store_watch_later (Watch *watch, int64_t ms);
+/* Questions that a front asked before it knew its rank are asked anew, of whom they belong to. */
+void store_settle (FrontStore *store, int64_t now_ms);
+/* One that has become a sentinel, as another died, doesn't wait for the end of its long question.
+ */
+void store_sentinel_tick (Watch *watch, int64_t now_ms);
+/* Reads the list of fronts again while nobody is known. */
+void store_list_tick (FrontStore *store, int64_t now_ms);
+
+/* front_store_aim.c: whom a question goes to. */
+typedef enum
+{
+  AIM_STORE,
+  AIM_PEER, /* watch->source */
+  AIM_LATER /* nobody yet */
+} Aim;
+
+Aim store_aim (Watch *watch, int64_t now_ms);
+/* We are one of the few whose questions at the store are short. */
+bool store_is_sentinel (const Watch *watch, int64_t now_ms);
+
 /* front_store_write.c */
 void store_written (void *user, int status, const char *text, size_t len);
 
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -1,6 +1,7 @@
 /* What this process writes to the store: its address, and how roll-outs stand. */
 #include "front_counter.h"
 #include "front_log.h"
+#include "front_member.h"
 #include "front_peers.h"
 #include "front_store_private.h"
 #include "util_clock.h"
@@ -68,8 +69,8 @@
 
   if ((status == STORE_GOOD || status == STORE_CONFLICT) && wire_store_decode (text, len, &answer))
     {
-      if (store->joining)
-        store->joined = status == STORE_GOOD;
+      if (store->registering && status == STORE_GOOD)
+        front_peers_set_registered (store->front->peers);
       else if (status == STORE_GOOD && store->writing)
         front_rollouts_status (store->writing, store->writing->order.target, store->writing_state,
                                answer.version, 0);
@@ -84,18 +85,19 @@
       store->write_again_ms = clock_boot_ms () + TURN_MS;
       front_counter_add (FRONT_COUNTER_STORE_ERRORS);
     }
-  store->joining = false;
+  store->registering = false;
   store->writing = NULL;
 }
 
 static void
-join (FrontStore *store)
+register_self (FrontStore *store)
 {
+  const SettingsFront *settings = &store->front->settings;
   Buffer value = { 0 };
 
-  store->joining = true;
-  buffer_add_string (&value, store->front->settings.vm);
-  write_row (store, wire_table_members, store->front->settings.ip, &value, -1);
+  store->registering = true;
+  front_member_encode (&value, settings->vm, settings->failure_domain);
+  write_row (store, wire_table_members, settings->ip, &value, -1);
   buffer_free (&value);
 }
 
@@ -105,6 +107,10 @@
   Front *front = store->front;
   FrontRollout *rollout;
 
+  store_list_tick (store, now_ms);
+  store_settle (store, now_ms);
+  for (unsigned i = 0; i < STORE_TABLES; i++)
+    store_sentinel_tick (&store->watches[i], now_ms);
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
       front_rollout_judge (rollout, now_ms);
   if (front_channel_is_open (store->writer) || now_ms < store->write_again_ms)
@@ -118,6 +124,7 @@
     write_status (store, rollout);
     return;
   }
-  if (!store->joined && front->config)
-    join (store);
+  if (store->settled && front->config && !front_peers_is_registered (front->peers)
+      && front_peers_registers (front->peers, now_ms))
+    register_self (store);
 }
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -127,16 +127,6 @@
   return newest_elsewhere > table->version;
 }
 
-size_t
-front_table_bytes (const FrontTable *table)
-{
-  TableEntry *entry;
-  size_t bytes = 0;
-
-  cds_list_for_each_entry (entry, &table->entries, node) bytes += entry->row.value_len;
-  return bytes;
-}
-
 bool
 front_table_remembers (const FrontTable *table, int64_t since)
 {
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -43,8 +43,6 @@
 /** True if a change with this version, known elsewhere, is not known here. A table that was read as
  * a whole knows all changes up to its version, though it saw none of the removals among them. */
 bool front_table_is_behind (const FrontTable *table, int64_t newest_elsewhere);
-/** Bytes of all values. */
-size_t front_table_bytes (const FrontTable *table);
 /** True if all changes since a version can still be told. */
 bool front_table_remembers (const FrontTable *table, int64_t since);
 /** NULL if there is none. */
--- /dev/null
+++ b/tests/test_front_start.c
@@ -0,0 +1,477 @@
+/** Who asks the store when many fronts start: src/front_start.c, front_peers_rank.c and the choice
+ * of whom to tell, played in steps of 10 ms without a network. */
+#include "front_peers_private.h"
+#include "front_start.h"
+#include "suite.h"
+#include "util_id.h"
+#include "util_memory.h"
+#include <arpa/inet.h>
+#include <stdlib.h>
+
+#define FRONTS     300
+#define DOMAINS    6
+#define SEEDS      3
+#define STEP_MS    10
+#define JITTER_MS  300 /* all VMs start within this */
+#define BEAT_MS    500
+#define ALONE_MS   200
+#define LOAD_MS    1000 /* until a question to a front that is silent has failed */
+#define LOST_MS    1500 /* the same for a question to the store */
+#define ANSWER_MS  10   /* of the store, or of a front that has the rows */
+#define FIRST_IP   0x0a000001u
+#define TABLE      ((uint64_t)STORE_SERVERS)
+#define ORIGIN_MS  1000000
+#define GIVE_UP_MS 20000
+/* The most calls that a start is to cost: reading the list of fronts, and one more. */
+#define CALLS_A_START 2
+
+typedef enum
+{
+  ASKS_NOBODY,
+  ASKS_STORE,
+  ASKS_FRONT
+} Asks;
+
+typedef struct
+{
+  FrontPeers peers;
+  int64_t start_ms; /* not yet started before; -1: never starts */
+  int64_t dies_ms;  /* 0: it doesn't */
+  bool list_known;
+  int64_t list_ms; /* when the list of fronts arrives */
+  bool has_table;
+  int64_t known_ms; /* since when */
+  Asks asks;
+  unsigned asked; /* number of the front that is asked */
+  int64_t until_ms;
+  unsigned failures;
+} Node;
+
+typedef struct
+{
+  unsigned registered[FRONTS]; /* bit: the store lists it */
+  unsigned list_calls;
+  unsigned table_calls;
+  int64_t silent_until_ms; /* the store answers nothing before */
+  unsigned lost_every;     /* each so many-th answer of the store is lost; 0: none */
+  Node nodes[FRONTS];
+} World;
+
+static uint32_t
+address_of (unsigned number)
+{
+  return htonl (FIRST_IP + number);
+}
+
+static unsigned
+number_of (const struct sockaddr_in *address)
+{
+  return ntohl (address->sin_addr.s_addr) - FIRST_IP;
+}
+
+static uint32_t
+domain_of (unsigned number)
+{
+  return 1 + number % DOMAINS;
+}
+
+static World *
+world_new (void)
+{
+  World *world = memory_alloc (sizeof *world);
+
+  for (unsigned i = 0; i < FRONTS; i++)
+    {
+      Node *node = &world->nodes[i];
+
+      node->peers.own.sin_addr.s_addr = address_of (i);
+      node->peers.own_domain = domain_of (i);
+      node->peers.next = i;
+      node->start_ms = ORIGIN_MS + (int64_t)(i * 7919 % JITTER_MS);
+      for (unsigned j = 0; j < SEEDS; j++)
+        peer_add (&node->peers, address_of (j * 50));
+    }
+  return world;
+}
+
+/* The first three of each failure domain, as found by whoever starts now. */
+static void
+all_registered (World *world)
+{
+  for (unsigned i = 0; i < DOMAINS * 3; i++)
+    world->registered[i] = 1;
+}
+
+static bool
+runs (const Node *node, int64_t now_ms)
+{
+  return node->start_ms >= 0 && node->start_ms <= now_ms
+         && (node->dies_ms == 0 || now_ms < node->dies_ms);
+}
+
+static void
+heard (Node *node, unsigned from, int64_t newest, int64_t now_ms)
+{
+  Peer *peer = peer_add (&node->peers, address_of (from));
+
+  if (!peer)
+    return;
+  peer->heard_ms = now_ms;
+  peer->domain = domain_of (from);
+  if (newest > 0)
+    peer->newest[TABLE] = newest;
+}
+
+/* Tells of up to 40 others that the sender knows; of one failure domain only if domain isn't 0. */
+static void
+tell_members (const Node *from, Node *to, uint32_t domain, unsigned start, int64_t now_ms)
+{
+  unsigned told = 0;
+
+  for (unsigned i = 0; i < from->peers.count && told < PEER_MEMBERS_MAX; i++)
+    {
+      const Peer *peer = &from->peers.list[(start + i) % from->peers.count];
+
+      if (!peer_is_alive (peer, now_ms) || (domain != 0 && peer->domain != domain))
+        continue;
+      told++;
+      heard (to, number_of (&peer->address), 0, now_ms);
+    }
+}
+
+static void
+tell (World *world, unsigned from, unsigned to, int64_t now_ms)
+{
+  Node *sender = &world->nodes[from], *receiver = &world->nodes[to];
+  uint32_t alive = front_peers_alive (&sender->peers, now_ms) - 1;
+
+  if (!runs (receiver, now_ms))
+    return;
+  heard (receiver, from, sender->has_table, now_ms);
+  tell_members (sender, receiver, 0, sender->peers.next_member, now_ms);
+  if (!peers_is_newcomer (&receiver->peers, peer_find (&receiver->peers, address_of (from)), alive,
+                          now_ms))
+    return;
+  heard (sender, to, receiver->has_table, now_ms);
+  tell_members (receiver, sender, domain_of (from), from, now_ms);
+}
+
+static void
+beat (World *world, unsigned number, int64_t now_ms)
+{
+  Node *node = &world->nodes[number];
+  bool alone = front_peers_alive (&node->peers, now_ms) == 1;
+  Peer *chosen[PEERS_A_ROUND];
+  unsigned count;
+
+  if (now_ms - node->peers.beat_ms < (alone ? ALONE_MS : BEAT_MS))
+    return;
+  node->peers.beat_ms = now_ms;
+  count = peers_choose (&node->peers, chosen, now_ms);
+  for (unsigned i = 0; i < count; i++)
+    {
+      chosen[i]->sent_ms = now_ms;
+      tell (world, number, number_of (&chosen[i]->address), now_ms);
+    }
+  node->peers.next_member += PEER_MEMBERS_MAX;
+}
+
+/* When the store's answer to a question asked now arrives; far away if it is lost. */
+static int64_t
+store_answers (const World *world, unsigned calls, int64_t now_ms)
+{
+  if (world->lost_every != 0 && calls % world->lost_every == 0)
+    return now_ms + LOST_MS;
+  return (world->silent_until_ms > now_ms ? now_ms + LOST_MS : now_ms) + ANSWER_MS;
+}
+
+static void
+list_read (World *world, Node *node, int64_t now_ms)
+{
+  if (node->list_known)
+    return;
+  if (node->list_ms == 0)
+    node->list_ms = store_answers (world, ++world->list_calls, now_ms);
+  if (now_ms < node->list_ms)
+    return;
+  if (world->silent_until_ms > now_ms)
+    {
+      node->list_ms = 0;
+      return;
+    }
+  node->list_known = true;
+  for (unsigned i = 0; i < FRONTS; i++)
+    {
+      if (world->registered[i])
+        {
+          char text[INET_ADDRSTRLEN];
+          struct in_addr ip = { .s_addr = address_of (i) };
+
+          inet_ntop (AF_INET, &ip, text, sizeof text);
+          front_peers_add_registered (&node->peers, text, domain_of (i));
+        }
+    }
+}
+
+static void
+ask (World *world, Node *node, int64_t now_ms)
+{
+  struct sockaddr_in source = { 0 };
+  StartView view = {
+    .age_ms = now_ms - node->start_ms,
+    .list_known = node->list_known,
+    .is_registered = front_peers_is_registered (&node->peers),
+    .has_registered = front_peers_has_registered (&node->peers),
+    .has_informed = front_peers_informed (&node->peers, TABLE, now_ms, &source),
+    .failures = node->failures,
+  };
+  StartStep step = front_start_step (&view);
+
+  if (step == START_WAIT)
+    return;
+  if (step == START_ASK_RANKED)
+    step = front_peers_source (&node->peers, TABLE, now_ms, &source) ? START_ASK_INFORMED
+                                                                     : START_ASK_STORE;
+  node->asks = step == START_ASK_STORE ? ASKS_STORE : ASKS_FRONT;
+  node->asked = number_of (&source);
+  node->until_ms = step == START_ASK_STORE ? store_answers (world, ++world->table_calls, now_ms)
+                                           : now_ms + LOAD_MS;
+}
+
+static void
+learn (Node *node, int64_t now_ms)
+{
+  node->has_table = true;
+  node->known_ms = now_ms;
+  node->asks = ASKS_NOBODY;
+}
+
+static void
+fail (Node *node, int64_t now_ms)
+{
+  struct sockaddr_in source = { .sin_addr.s_addr = address_of (node->asked) };
+
+  if (node->asks == ASKS_FRONT)
+    {
+      node->failures++;
+      front_peers_failed (&node->peers, &source, now_ms);
+    }
+  node->asks = ASKS_NOBODY;
+}
+
+static void
+wait_for_answer (World *world, Node *node, int64_t now_ms)
+{
+  const Node *asked = &world->nodes[node->asked];
+
+  if (node->asks == ASKS_STORE && now_ms >= node->until_ms)
+    {
+      if (world->silent_until_ms > now_ms)
+        fail (node, now_ms);
+      else
+        learn (node, now_ms);
+    }
+  if (node->asks != ASKS_FRONT)
+    return;
+  if (!runs (asked, now_ms))
+    fail (node, now_ms); /* connections are refused, or end */
+  else if (asked->has_table && asked->known_ms + ANSWER_MS <= now_ms)
+    learn (node, now_ms);
+  else if (now_ms >= node->until_ms)
+    fail (node, now_ms);
+}
+
+static void
+step (World *world, int64_t now_ms)
+{
+  for (unsigned i = 0; i < FRONTS; i++)
+    {
+      Node *node = &world->nodes[i];
+
+      if (!runs (node, now_ms))
+        continue;
+      beat (world, i, now_ms);
+      list_read (world, node, now_ms);
+      if (node->asks != ASKS_NOBODY)
+        wait_for_answer (world, node, now_ms);
+      if (!node->has_table && node->asks == ASKS_NOBODY)
+        ask (world, node, now_ms);
+    }
+}
+
+static bool
+all_know (const World *world, int64_t now_ms)
+{
+  for (unsigned i = 0; i < FRONTS; i++)
+    {
+      if (runs (&world->nodes[i], now_ms) && !world->nodes[i].has_table)
+        return false;
+    }
+  return now_ms > ORIGIN_MS + JITTER_MS;
+}
+
+/* Milliseconds from the last start until all have the table. */
+static int64_t
+play (World *world)
+{
+  int64_t now_ms = ORIGIN_MS;
+
+  while (!all_know (world, now_ms) && now_ms < ORIGIN_MS + GIVE_UP_MS)
+    {
+      now_ms += STEP_MS;
+      step (world, now_ms);
+    }
+  return now_ms - ORIGIN_MS - JITTER_MS;
+}
+
+/* Story: a site of 300 fronts starts for the first time. Each knows three addresses and takes
+   itself for the first of its failure domain, so each reads every table, some of them again and
+   again, and writes its address: 13 calls a start, 3,800 before the first request. */
+static void
+test_first_start (void)
+{
+  World *world = world_new ();
+
+  CU_ASSERT (play (world) <= 3000);
+  CU_ASSERT (world->list_calls <= FRONTS);
+  CU_ASSERT (world->list_calls + 3 * world->table_calls <= CALLS_A_START * FRONTS);
+  free (world);
+}
+
+/* Story: all VMs lose power at one moment and are back within 300 ms of each other, in any order.
+   Callers are waiting: each front is to have all tables within half a second, without 300 reading
+   each of them. */
+static void
+test_all_start_again (void)
+{
+  World *world = world_new ();
+
+  all_registered (world);
+  CU_ASSERT (play (world) <= 500);
+  CU_ASSERT (world->list_calls + 3 * world->table_calls <= CALLS_A_START * FRONTS);
+  free (world);
+}
+
+/* Story: the same, and in one failure domain none of the three that are registered comes back. */
+static void
+test_registered_are_gone (void)
+{
+  World *world = world_new ();
+
+  all_registered (world);
+  for (unsigned i = 0; i < 3; i++)
+    world->nodes[i * DOMAINS].start_ms = -1;
+  CU_ASSERT (play (world) <= 1000);
+  CU_ASSERT (world->list_calls + 3 * world->table_calls <= CALLS_A_START * FRONTS);
+  free (world);
+}
+
+/* Story: the same, and the registered ones die again 20 ms after they came, while others wait for
+   their answers. */
+static void
+test_registered_die_in_the_middle (void)
+{
+  World *world = world_new ();
+
+  all_registered (world);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      Node *node = &world->nodes[i * DOMAINS];
+
+      node->dies_ms = node->start_ms + 2 * ANSWER_MS;
+    }
+  CU_ASSERT (play (world) <= 1500);
+  CU_ASSERT (world->list_calls + 3 * world->table_calls <= CALLS_A_START * FRONTS);
+  free (world);
+}
+
+/* Story: each third answer of the store is lost, the list of fronts among them; who gets none asks
+   again after 1.5 s. The others serve meanwhile, and nobody waits longer than twice that and a
+   moment. */
+static void
+test_lost_answers (void)
+{
+  World *world = world_new ();
+
+  all_registered (world);
+  world->lost_every = 3;
+  CU_ASSERT (play (world) <= 3500);
+  CU_ASSERT (world->list_calls + 3 * world->table_calls <= CALLS_A_START * FRONTS);
+  free (world);
+}
+
+/* Story: the store is silent for the first 3 s. Once it answers, all have the table soon. */
+static void
+test_silent_store (void)
+{
+  World *world = world_new ();
+
+  all_registered (world);
+  world->silent_until_ms = ORIGIN_MS + 3000;
+  CU_ASSERT (play (world) <= 3000 + 3500);
+  free (world);
+}
+
+/* Story: one front of 300 is killed and starts again beside the others. It asks a neighbour, not
+   the store. */
+static void
+test_one_starts_again (void)
+{
+  World *world = world_new ();
+
+  all_registered (world);
+  for (unsigned i = 0; i < FRONTS; i++)
+    {
+      world->nodes[i].has_table = i != FRONTS - 1;
+      world->nodes[i].list_known = i != FRONTS - 1;
+    }
+  CU_ASSERT (play (world) <= 100);
+  CU_ASSERT_EQUAL (world->list_calls, 1);
+  CU_ASSERT_EQUAL (world->table_calls, 0);
+  free (world);
+}
+
+/* The states of a start, each with what a front knows in it. */
+static void
+test_steps (void)
+{
+  static const struct
+  {
+    StartView view;
+    StartStep step;
+  } states[] = {
+    { { .age_ms = 0 }, START_WAIT },
+    { { .age_ms = 299 }, START_WAIT },
+    { { .age_ms = 5, .has_informed = true }, START_ASK_INFORMED },
+    { { .age_ms = 5, .list_known = true, .is_registered = true }, START_ASK_STORE },
+    { { .age_ms = 5, .list_known = true, .has_registered = true }, START_WAIT },
+    { { .age_ms = 300, .list_known = true, .has_registered = true }, START_ASK_RANKED },
+    { { .age_ms = 400, .list_known = true }, START_WAIT },
+    { { .age_ms = 1500, .list_known = true }, START_ASK_RANKED },
+    { { .age_ms = 5, .list_lost = true }, START_WAIT },
+    { { .age_ms = 300, .list_lost = true }, START_ASK_RANKED },
+    { { .age_ms = 1500 }, START_ASK_RANKED },
+    { { .age_ms = 5, .has_informed = true, .failures = 6 }, START_ASK_INFORMED },
+    { { .age_ms = 300, .has_informed = true, .failures = 6 }, START_ASK_STORE },
+  };
+
+  for (size_t i = 0; i < SUITE_COUNT (states); i++)
+    CU_ASSERT_EQUAL (front_start_step (&states[i].view), states[i].step);
+}
+
+static const SuiteCase cases[] = {
+  { "steps", test_steps },
+  { "first_start", test_first_start },
+  { "all_start_again", test_all_start_again },
+  { "registered_are_gone", test_registered_are_gone },
+  { "registered_die_in_the_middle", test_registered_die_in_the_middle },
+  { "lost_answers", test_lost_answers },
+  { "silent_store", test_silent_store },
+  { "one_starts_again", test_one_starts_again },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_start", cases, SUITE_COUNT (cases));
+}
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -5,7 +5,7 @@
 packages=(
   gcc clang make pkg-config
   libmicrohttpd-dev libneon27-gnutls-dev liburcu-dev libtirpc-dev rpcsvc-proto libjson-c-dev
-  libsodium-dev libxxhash-dev libevent-dev libssl-dev libhttp-parser-dev libgsl-dev libgnutls28-dev libsqlite3-dev libcunit1-dev
+  libsodium-dev libxxhash-dev zlib1g-dev libevent-dev libssl-dev libhttp-parser-dev libgsl-dev libgnutls28-dev libsqlite3-dev libcunit1-dev
   clang-format clang-tidy cppcheck valgrind spin libclang-rt-14-dev mandoc
   curl jq python3
 )
