The link to the store split by job; a start explains itself in the log

front_store.c was one file of 478 lines for the table's question, the public calls and the ticks; the question is front_store_watch.c now. rows_asked and rows_failed tell whom a front that stays unready waits for.

--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -68,10 +68,20 @@
 /* What follows from the news of a table as a whole. */
 void store_apply_end (FrontStore *store, StoreTable id);
 
-/* front_store.c */
+/* front_store_watch.c */
+void store_watch_init (Watch *watch, FrontStore *store, StoreTable id);
+void store_watch_clear (Watch *watch);
 void store_watch_ask (Watch *watch);
+/* Forgets the open question and asks another one. */
+void store_watch_ask_anew (Watch *watch);
+/* Another front knows the table up to this version. */
+void store_watch_hint (Watch *watch, int64_t version, int64_t now_ms);
+/* Another front gave rows: all, or those changed since a version. */
+void store_watch_take (Watch *watch, int64_t since, StoreAnswer *answer);
 /* Asks again in so many milliseconds. */
 void store_watch_later (Watch *watch, int64_t ms);
+
+/* front_store.c */
 /* Questions that a front asked before it knew its rank are asked anew, of whom they belong to. */
 void store_settle (FrontStore *store, int64_t now_ms);
 /* One that has become a sentinel, as another died, doesn't wait for the end of its long question.
--- /dev/null
+++ b/src/front_store_watch.c
@@ -0,0 +1,349 @@
+/* Follows one table: whom it asks is decided in front_store_aim.c. */
+#include "front_counter.h"
+#include "front_log.h"
+#include "front_peers.h"
+#include "front_start.h"
+#include "front_store_private.h"
+#include "util_clock.h"
+#include "util_id.h"
+#include "util_memory.h"
+#include "util_unused.h"
+#include "wire_store.h"
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S  1000
+#define US_PER_MS 1000
+
+/* Milliseconds. */
+#define AGAIN_FIRST_MS 120 /* until the next try after an error, doubling */
+#define AGAIN_MOST_MS  1000
+#define HINT_MS        700 /* a question is asked anew no more often than this */
+/* Between an answer of the store and the next question for changes of the servers: a roll-out or a
+ * release changes them several times a second, each call has a price, and a server that leaves goes
+ * on serving for two seconds. Longer than this a front would hear of a change from others first and
+ * fetch it from another failure domain (AHEAD_MS of front_peers_fetch.c). */
+#define SERVERS_PAUSE_MS 300
+/* For the rows of a whole table, from another front and from the store: a front that starts waits
+ * so long for an answer that is lost. The store's may take a second when it is slow. */
+#define PEER_LOAD_MS  1000
+#define STORE_LOAD_MS 1500
+/* For a connection to another front, a hundred times the way there and back within a failure
+ * domain. After a loss of power that neighbour may not have started yet; without this bound one in
+ * ten of 300 fronts served a second later than the others. */
+#define PEER_CONNECT_MS    100
+#define SENTINEL_WAIT_MS   1000
+#define SENTINEL_ANSWER_MS 500
+
+typedef struct
+{
+  const char *name;
+  TableChange change;
+  bool followed; /* false: read once */
+} TableKind;
+
+static const TableKind kinds[STORE_TABLES] = {
+  [STORE_OPERATOR]
+  = { .name = wire_table_operator, .change = store_apply_operator, .followed = true },
+  [STORE_SERVERS] = { .name = wire_table_servers, .change = store_apply_server, .followed = true },
+  [STORE_STATUS] = { .name = wire_table_status, .change = store_apply_status, .followed = true },
+  [STORE_MEMBERS] = { .name = wire_table_members, .change = store_apply_member },
+};
+
+static void
+lost_set (Watch *watch, bool lost, int status)
+{
+  FrontLine *line;
+
+  if (watch->lost == lost)
+    return;
+  watch->lost = lost;
+  if (!lost)
+    watch->back_ms = clock_boot_ms ();
+  line = front_log_begin (lost ? FRONT_EVENT_STORE_LOST : FRONT_EVENT_STORE_BACK);
+  front_log_text (line, "table", kinds[watch->id].name);
+  front_log_number (line, "status", status);
+  front_log_number (line, "known", watch->table.version);
+  front_log_end (line);
+}
+
+void
+store_watch_later (Watch *watch, int64_t ms)
+{
+  struct timeval wait = { .tv_sec = ms / MS_PER_S, .tv_usec = ms % MS_PER_S * US_PER_MS };
+
+  evtimer_add (watch->again, &wait);
+}
+
+/* Fronts that lose the store at one moment must not all come back at one: the wait is random. */
+static void
+watch_failed (Watch *watch, int status)
+{
+  int64_t most_ms = AGAIN_FIRST_MS << (watch->tries < 4 ? watch->tries : 4);
+
+  watch->tries++;
+  front_counter_add (FRONT_COUNTER_STORE_ERRORS);
+  lost_set (watch, true, status);
+  if (most_ms > AGAIN_MOST_MS)
+    most_ms = AGAIN_MOST_MS;
+  store_watch_later (watch, most_ms / 2 + (int64_t)(id_random_u64 () % (uint64_t)(most_ms / 2)));
+}
+
+static void
+pages_drop (Watch *watch)
+{
+  store_answer_clear (&watch->pages);
+  free (watch->after);
+  watch->after = NULL;
+}
+
+static void
+pages_add (Watch *watch, StoreAnswer *page)
+{
+  StoreAnswer *all = &watch->pages;
+
+  if (all->count == 0)
+    all->version = page->version;
+  all->rows = memory_grow (all->rows, all->count + page->count, sizeof *all->rows);
+  memcpy (all->rows + all->count, page->rows, page->count * sizeof *page->rows);
+  all->count += page->count;
+  free (page->rows);
+  page->rows = NULL;
+  page->count = 0;
+  free (watch->after);
+  watch->after = all->count ? memory_strdup (all->rows[all->count - 1].key) : NULL;
+}
+
+static void
+load_take (Watch *watch, StoreAnswer *answer)
+{
+  bool more = answer->more && answer->count > 0;
+
+  pages_add (watch, answer);
+  if (more)
+    return;
+  front_table_snapshot (&watch->table, &watch->pages, kinds[watch->id].change, watch->store);
+  pages_drop (watch);
+  watch->loaded = true;
+  store_apply_end (watch->store, watch->id);
+}
+
+/* The front that is asked, or the store. */
+static void
+log_source (FrontLine *line, const Watch *watch)
+{
+  char ip[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &watch->source.sin_addr, ip, sizeof ip);
+  front_log_text (line, "source", watch->asked_peer ? ip : "store");
+}
+
+static void
+peer_failed (Watch *watch)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_ROWS_FAILED);
+
+  front_log_text (line, "table", kinds[watch->id].name);
+  log_source (line, watch);
+  front_log_number (line, "waited_ms", clock_boot_ms () - watch->asked_ms);
+  front_log_number (line, "known", watch->table.version);
+  front_log_end (line);
+  watch->peer_failures++;
+  front_peers_failed (watch->store->front->peers, &watch->source, clock_boot_ms ());
+  store_watch_ask (watch);
+}
+
+static bool
+answer_decode (const Watch *watch, const char *text, size_t len, StoreAnswer *answer)
+{
+  return watch->asked_peer ? front_store_unpack (text, len, answer)
+                           : wire_store_decode (text, len, answer);
+}
+
+static void
+on_answer (void *user, int status, const char *text, size_t len)
+{
+  Watch *watch = user;
+  StoreAnswer answer;
+
+  if (status == STORE_GONE && !watch->asked_peer)
+    {
+      watch->loaded = false; /* the changes since our version are forgotten: read all rows */
+      store_watch_ask (watch);
+      return;
+    }
+  if (status != STORE_GOOD || !answer_decode (watch, text, len, &answer))
+    {
+      if (watch->asked_peer)
+        peer_failed (watch);
+      else
+        watch_failed (watch, status);
+      return;
+    }
+  watch->tries = 0;
+  watch->peer_failures = 0;
+  if (!watch->asked_peer)
+    lost_set (watch, false, status);
+  if (answer.clock_ms != 0)
+    watch->store->clock_ms = answer.clock_ms - clock_boot_ms ();
+  if (!watch->loaded)
+    load_take (watch, &answer);
+  else
+    {
+      front_table_changes (&watch->table, &answer, kinds[watch->id].change, watch->store);
+      store_apply_end (watch->store, watch->id);
+    }
+  store_answer_clear (&answer);
+  if (watch->loaded && watch->id == STORE_SERVERS && !watch->asked_peer)
+    store_watch_later (watch, SERVERS_PAUSE_MS);
+  else if (kinds[watch->id].followed || !watch->loaded)
+    store_watch_ask (watch);
+}
+
+/* A front that stays unready shows by these lines whom it waits for. */
+static void
+log_asked (const Watch *watch)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_ROWS_ASKED);
+
+  front_log_text (line, "table", kinds[watch->id].name);
+  log_source (line, watch);
+  front_log_number (line, "age_ms", watch->asked_ms - watch->store->started_ms);
+  front_log_number (line, "failures", watch->peer_failures);
+  front_log_end (line);
+}
+
+static void
+ask_peer (Watch *watch)
+{
+  Buffer path = { 0 };
+
+  front_channel_aim (watch->channel, &watch->source);
+  front_channel_connect_within (watch->channel, PEER_CONNECT_MS);
+  front_store_news_path (&path, watch->id, watch->table.version, true);
+  front_channel_ask (watch->channel, path.data, NULL,
+                     watch->loaded ? STORE_ANSWER_MS + FRONT_NEWS_WAIT_MS : PEER_LOAD_MS);
+  buffer_free (&path);
+}
+
+static void
+ask_store (Watch *watch)
+{
+  int wait_ms, answer_ms;
+  Buffer path = { 0 };
+
+  watch->asked_short = store_is_sentinel (watch, watch->asked_ms);
+  wait_ms = watch->asked_short ? SENTINEL_WAIT_MS : FRONT_NEWS_WAIT_MS;
+  answer_ms = watch->asked_short ? SENTINEL_ANSWER_MS : STORE_ANSWER_MS;
+  front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  front_channel_aim (watch->channel, &watch->store->address);
+  front_channel_connect_within (watch->channel, 0);
+  if (watch->loaded)
+    wire_feed_path (&path, kinds[watch->id].name, watch->table.version, wait_ms);
+  else
+    wire_rows_path (&path, kinds[watch->id].name, watch->after);
+  front_channel_ask (watch->channel, path.data, NULL,
+                     watch->loaded ? answer_ms + wait_ms : STORE_LOAD_MS);
+  buffer_free (&path);
+}
+
+void
+store_watch_ask (Watch *watch)
+{
+  int64_t now_ms = clock_boot_ms ();
+  Aim aim = store_aim (watch, now_ms);
+
+  if (aim == AIM_LATER)
+    {
+      store_watch_later (watch, START_LOOK_MS);
+      return;
+    }
+  watch->asked_ms = now_ms;
+  watch->asked_peer = aim == AIM_PEER;
+  watch->asked_short = false;
+  if (!watch->loaded)
+    log_asked (watch);
+  if (watch->asked_peer)
+    ask_peer (watch);
+  else
+    ask_store (watch);
+}
+
+static void
+on_again (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
+{
+  Watch *watch = user;
+
+  if (!front_channel_is_open (watch->channel))
+    store_watch_ask (watch);
+}
+
+void
+store_watch_ask_anew (Watch *watch)
+{
+  front_channel_drop (watch->channel);
+  pages_drop (watch);
+  store_watch_ask (watch);
+}
+
+void
+store_watch_hint (Watch *watch, int64_t version, int64_t now_ms)
+{
+  /* While all rows are being read, asking anew would begin from the first page again. */
+  if (!watch->loaded || !front_table_is_behind (&watch->table, version)
+      || now_ms - watch->asked_ms < HINT_MS || !front_channel_is_open (watch->channel))
+    return;
+  front_channel_drop (watch->channel);
+  pages_drop (watch);
+  /* Whom we asked is behind, too: somebody else is asked next. */
+  if (watch->asked_peer)
+    peer_failed (watch);
+  else
+    store_watch_ask (watch);
+}
+
+/* What is being read of the whole table isn't needed any more: its changes are asked for. */
+static void
+load_end (Watch *watch)
+{
+  watch->loaded = true;
+  pages_drop (watch);
+  front_channel_drop (watch->channel);
+  store_watch_later (watch, 0);
+}
+
+/* What a peer passes on is as good as the store's own rows: it read them there. */
+void
+store_watch_take (Watch *watch, int64_t since, StoreAnswer *answer)
+{
+  if (answer->version <= watch->table.version)
+    return;
+  if (since == 0)
+    front_table_snapshot (&watch->table, answer, kinds[watch->id].change, watch->store);
+  else
+    front_table_changes (&watch->table, answer, kinds[watch->id].change, watch->store);
+  store_apply_end (watch->store, watch->id);
+  if (!watch->loaded)
+    load_end (watch);
+}
+
+void
+store_watch_init (Watch *watch, FrontStore *store, StoreTable id)
+{
+  watch->store = store;
+  watch->id = id;
+  watch->back_ms = -STORE_RELIST_MS;
+  front_table_init (&watch->table);
+  watch->channel = front_channel_new (store->front->base, &store->address, on_answer, watch);
+  watch->again = evtimer_new (store->front->base, on_again, watch);
+}
+
+void
+store_watch_clear (Watch *watch)
+{
+  pages_drop (watch);
+  front_channel_free (watch->channel);
+  event_free (watch->again);
+  front_table_clear (&watch->table);
+}
