--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -73,6 +73,10 @@
 } Collectors;
 
 /* front_peers_rank.c */
+/* Place of a front in the order for a subject: the highest comes first. */
+uint64_t peers_rank_hash (const struct sockaddr_in *address, uint64_t subject);
+/* It lives, in our failure domain. */
+bool peers_is_neighbour (const FrontPeers *peers, const Peer *peer, int64_t now_ms);
 void peers_collectors (FrontPeers *peers, int64_t now_ms, Collectors *out);
 /* Living fronts of our failure domain, ourselves included. */
 unsigned peers_neighbours (const FrontPeers *peers, int64_t now_ms);
--- a/src/front_peers_rank.c
+++ b/src/front_peers_rank.c
@@ -2,19 +2,11 @@
 #include "front_peers_private.h"
 #include "util_id.h"
 
-/* Fronts of each failure domain that follow a table at the store; the others ask one of these. If
- * one of the two is frozen or cut off, the half of the domain that asks the other one hears of the
- * change at once, and the rest of the domain by its messages. A third made 1.5 times the calls. */
-#define FOLLOWERS 2
 /* Fronts of each failure domain that register with the store, so that one that starts and knows
  * nobody finds somebody; four may be lost at one moment. */
 #define REGISTRARS        5
 #define REGISTRAR_SUBJECT 0x72656731u
 #define DOMAINS_MOST      16 /* told apart; the target has 6 */
-/* Milliseconds until a front is asked for rows again that gave no good answer; it may be frozen for
- * seconds. One that refuses connections while everybody starts is about to start, too. */
-#define FAILED_MS       3000
-#define FAILED_START_MS 40
 /* Sets the order of collectors apart from those of followers. */
 #define COLLECTOR_SUBJECT 0x636f6c6cu
 
@@ -28,14 +20,14 @@
   return count;
 }
 
-static uint64_t
-rank_hash (const struct sockaddr_in *address, uint64_t subject)
+uint64_t
+peers_rank_hash (const struct sockaddr_in *address, uint64_t subject)
 {
   return id_hash (&address->sin_addr.s_addr, sizeof address->sin_addr.s_addr, subject);
 }
 
-static bool
-is_neighbour (const FrontPeers *peers, const Peer *peer, int64_t now_ms)
+bool
+peers_is_neighbour (const FrontPeers *peers, const Peer *peer, int64_t now_ms)
 {
   return peer->domain == peers->own_domain && peer_is_alive (peer, now_ms);
 }
@@ -46,7 +38,7 @@
   unsigned count = 1;
 
   for (unsigned i = 0; i < peers->count; i++)
-    count += is_neighbour (peers, &peers->list[i], now_ms);
+    count += peers_is_neighbour (peers, &peers->list[i], now_ms);
   return count;
 }
 
@@ -75,13 +67,13 @@
   uint64_t hashes[COLLECTORS] = { 0 };
 
   *out = (Collectors){ 0 };
-  collector_insert (best, hashes, NULL, rank_hash (&peers->own, COLLECTOR_SUBJECT));
+  collector_insert (best, hashes, NULL, peers_rank_hash (&peers->own, COLLECTOR_SUBJECT));
   for (unsigned i = 0; i < peers->count; i++)
     {
       Peer *peer = &peers->list[i];
 
-      if (is_neighbour (peers, peer, now_ms))
-        collector_insert (best, hashes, peer, rank_hash (&peer->address, COLLECTOR_SUBJECT));
+      if (peers_is_neighbour (peers, peer, now_ms))
+        collector_insert (best, hashes, peer, peers_rank_hash (&peer->address, COLLECTOR_SUBJECT));
     }
   for (unsigned i = 0; i < COLLECTORS; i++)
     {
@@ -92,140 +84,6 @@
     }
 }
 
-static bool
-has_failed (const Peer *peer, int64_t for_ms, int64_t now_ms)
-{
-  return peer->failed_ms != 0 && now_ms - peer->failed_ms < for_ms;
-}
-
-static bool
-is_usable (const FrontPeers *peers, const Peer *peer, int64_t now_ms)
-{
-  return is_neighbour (peers, peer, now_ms) && !has_failed (peer, FAILED_MS, now_ms);
-}
-
-/* How many neighbours come before this hash and can be asked. */
-static unsigned
-usable_before (const FrontPeers *peers, uint64_t hash, uint64_t table, int64_t now_ms)
-{
-  unsigned before = 0;
-
-  for (unsigned i = 0; i < peers->count; i++)
-    {
-      const Peer *peer = &peers->list[i];
-
-      before += is_usable (peers, peer, now_ms) && rank_hash (&peer->address, table) > hash;
-    }
-  return before;
-}
-
-/* Each front asks the one that its own address picks among several, so that they share the load. */
-static uint64_t
-choice_hash (const FrontPeers *peers, const Peer *peer, uint64_t table)
-{
-  return rank_hash (&peer->address, rank_hash (&peers->own, table));
-}
-
-static bool
-source_set (const FrontPeers *peers, const Peer *peer, struct sockaddr_in *address)
-{
-  if (!peer)
-    return false;
-  *address = peer->address;
-  address->sin_port = peers->control_port;
-  return true;
-}
-
-/* Only fronts that come before us are asked, so that no two ask each other, whatever each of them
- * knows. */
-bool
-front_peers_source (const FrontPeers *peers,
-                    uint64_t table,
-                    int64_t now_ms,
-                    struct sockaddr_in *address)
-{
-  const Peer *best = NULL;
-  uint64_t best_hash = 0;
-
-  if (usable_before (peers, rank_hash (&peers->own, table), table, now_ms) < FOLLOWERS)
-    return false;
-  for (unsigned i = 0; i < peers->count; i++)
-    {
-      const Peer *peer = &peers->list[i];
-      uint64_t hash = choice_hash (peers, peer, table);
-
-      if (!is_usable (peers, peer, now_ms) || (best && hash <= best_hash)
-          || usable_before (peers, rank_hash (&peer->address, table), table, now_ms) >= FOLLOWERS)
-        continue;
-      best = peer;
-      best_hash = hash;
-    }
-  return source_set (peers, best, address);
-}
-
-/* It told us that it has rows of the table; or it is registered and nothing is known of it since
- * we started: then it asks the store, if it has nothing yet. */
-static bool
-is_informed (const FrontPeers *peers, const Peer *peer, uint64_t table, int64_t now_ms)
-{
-  if (peer->domain != peers->own_domain || has_failed (peer, FAILED_START_MS, now_ms))
-    return false;
-  if (peer_is_alive (peer, now_ms) && peer->newest[table] > 0)
-    return true;
-  return peer->is_registered && !peers->is_registered
-         && (peer->heard_ms == 0 || peer_is_alive (peer, now_ms));
-}
-
-/* The informed neighbour that our address picks among those that come after this hash. */
-static bool
-pick_informed (const FrontPeers *peers,
-               uint64_t table,
-               uint64_t above,
-               int64_t now_ms,
-               struct sockaddr_in *address)
-{
-  const Peer *best = NULL;
-  uint64_t best_hash = 0;
-
-  for (unsigned i = 0; i < peers->count; i++)
-    {
-      const Peer *peer = &peers->list[i];
-      uint64_t hash = choice_hash (peers, peer, table);
-
-      if (!is_informed (peers, peer, table, now_ms) || (best && hash <= best_hash)
-          || rank_hash (&peer->address, table) < above)
-        continue;
-      best = peer;
-      best_hash = hash;
-    }
-  return source_set (peers, best, address);
-}
-
-bool
-front_peers_informed (const FrontPeers *peers,
-                      uint64_t table,
-                      int64_t now_ms,
-                      struct sockaddr_in *address)
-{
-  return pick_informed (peers, table, 0, now_ms, address);
-}
-
-/* Where only one other can be asked, both are to ask the store: the other may be cut off from it.
- */
-bool
-front_peers_informed_before (const FrontPeers *peers,
-                             uint64_t table,
-                             int64_t now_ms,
-                             struct sockaddr_in *address)
-{
-  unsigned informed = 0;
-
-  for (unsigned i = 0; i < peers->count; i++)
-    informed += is_informed (peers, &peers->list[i], table, now_ms);
-  return informed >= FOLLOWERS
-         && pick_informed (peers, table, rank_hash (&peers->own, table), now_ms, address);
-}
-
 bool
 front_peers_has_registered (const FrontPeers *peers)
 {
@@ -241,14 +99,15 @@
 static unsigned
 rank_near (const FrontPeers *peers, uint64_t subject, int64_t now_ms)
 {
-  uint64_t own = rank_hash (&peers->own, subject);
+  uint64_t own = peers_rank_hash (&peers->own, subject);
   unsigned before = 0;
 
   for (unsigned i = 0; i < peers->count; i++)
     {
       const Peer *peer = &peers->list[i];
 
-      before += is_neighbour (peers, peer, now_ms) && rank_hash (&peer->address, subject) > own;
+      before += peers_is_neighbour (peers, peer, now_ms)
+                && peers_rank_hash (&peer->address, subject) > own;
     }
   return before;
 }
@@ -259,26 +118,17 @@
   return rank_near (peers, REGISTRAR_SUBJECT, now_ms) < REGISTRARS;
 }
 
-void
-front_peers_failed (FrontPeers *peers, const struct sockaddr_in *address, int64_t now_ms)
-{
-  Peer *peer = peer_find (peers, address->sin_addr.s_addr);
-
-  if (peer)
-    peer->failed_ms = now_ms;
-}
-
 unsigned
 front_peers_rank (const FrontPeers *peers, uint64_t subject, int64_t now_ms)
 {
-  uint64_t own = rank_hash (&peers->own, subject);
+  uint64_t own = peers_rank_hash (&peers->own, subject);
   unsigned rank = 0;
 
   for (unsigned i = 0; i < peers->count; i++)
     {
       const Peer *peer = &peers->list[i];
 
-      rank += peer_is_alive (peer, now_ms) && rank_hash (&peer->address, subject) > own;
+      rank += peer_is_alive (peer, now_ms) && peers_rank_hash (&peer->address, subject) > own;
     }
   return rank;
 }
