--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -354,6 +354,26 @@
     equal(registered(), 10, "registered fronts")
 
 
+async def wrong_seeds(site):
+    """All fronts start anew in an empty store, and the addresses that their settings name belong to
+    nobody. Each reads the store and registers; alone, it reads the list again, and so all find each
+    other. Left alone, a front would never hear what the others know of a bad version."""
+    for front in site.fronts:
+        await front.kill()
+        site.store.rows.pop(("lovagehub_fronts", front.ip), None)
+    for front in site.fronts:
+        front.seeds = [f"{site.subnet}.250:{CONTROL}"]
+        await front.start()
+
+    async def knows_all(front):
+        text = (await front.get(CONTROL, "/metrics")).body.decode()
+        return "lovage_front_peers_alive 3" in text
+
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+        await site.wait(lambda front=front: knows_all(front), f"front {front.number} knows the others")
+
+
 async def callers_at_start(site):
     """A front is killed and starts again while its callers are already back. It needs a moment until
     a neighbour has told it the configuration; who comes in that moment waits and is served. Refused,
@@ -583,7 +603,7 @@
 
 CASES = [
     calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, stopping_serves_what_ends_in_time, new_configuration,
-    turned_away, late_news, long_table_at_start, held_questions, start_without_store, all_start_again, callers_at_start,
+    turned_away, late_news, long_table_at_start, held_questions, start_without_store, all_start_again, wrong_seeds, callers_at_start,
     refused_without_configuration, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
     leaving_engine, engine_starts_again, foreign_entries, metrics_and_logs,
 ]  # fmt: skip
