A question for rows that had no whole answer says how many bytes of it came

Logs couldn't tell a neighbour that was silent from one whose answer was cut while it arrived, a fetch of news that failed left no line at all, and nothing counted what a front gives to others. rows_failed is now written for all three kinds of question, with the bytes received; metrics count answers given, their bytes, and answers cut.

--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -209,3 +209,9 @@
 {
   return channel->waiting;
 }
+
+size_t
+front_channel_received (const FrontChannel *channel)
+{
+  return channel->reply.raw.len + channel->reply.body.len;
+}
--- a/src/front_channel.h
+++ b/src/front_channel.h
@@ -30,5 +30,7 @@
 /** Forgets an open question; its answer will not come. */
 void front_channel_drop (FrontChannel *channel);
 bool front_channel_is_open (const FrontChannel *channel);
+/** Bytes that have come of the answer to the last question, which failed or is open. */
+size_t front_channel_received (const FrontChannel *channel);
 
 #endif
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -116,10 +116,14 @@
       if (!front_store_give (store, table, since, &given->text) || !front_pack (&given->text))
         buffer_clear (&given->text);
     }
-  if (given->text.len > 0)
-    reply (http, HTTP_OK, &given->text);
-  else
-    reply (http, HTTP_SERVUNAVAIL, NULL);
+  if (given->text.len == 0)
+    {
+      reply (http, HTTP_SERVUNAVAIL, NULL);
+      return;
+    }
+  front_counter_add (FRONT_COUNTER_ROWS_GIVEN);
+  front_counter_add_many (FRONT_COUNTER_ROWS_GIVEN_BYTES, given->text.len);
+  reply (http, HTTP_OK, &given->text);
 }
 
 static void
--- a/src/front_counter.c
+++ b/src/front_counter.c
@@ -33,6 +33,12 @@
   counters[id]++;
 }
 
+void
+front_counter_add_many (FrontCounterId id, size_t count)
+{
+  counters[id] += (int64_t)count;
+}
+
 void
 front_counter_wait (FrontWaitId id, int64_t ms)
 {
--- a/src/front_counter.h
+++ b/src/front_counter.h
@@ -5,6 +5,7 @@
 #define FRONT_COUNTER_H
 
 #include "util_buffer.h"
+#include <stddef.h>
 #include <stdint.h>
 
 typedef enum
@@ -23,6 +24,7 @@
 } FrontWaitId;
 
 void front_counter_add (FrontCounterId id);
+void front_counter_add_many (FrontCounterId id, size_t count);
 void front_counter_wait (FrontWaitId id, int64_t ms);
 /** In the text format that monitoring systems commonly read. */
 void front_counter_metrics (Buffer *out);
--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -1,6 +1,7 @@
 /* Rows that other fronts know before the store has told them here. */
 #include "front_log.h"
 #include "front_peers_private.h"
+#include "util_clock.h"
 #include "util_id.h"
 
 /* Milliseconds. */
@@ -22,11 +23,14 @@
   fetch->done = true;
   /* The peer doesn't remember what was removed since our version. */
   fetch->needs_all = status == STATUS_UNAVAILABLE;
-  if (status == STATUS_GOOD && front_store_unpack (text, len, &answer))
+  if (status != STATUS_GOOD || !front_store_unpack (text, len, &answer))
     {
-      front_store_take (fetch->peers->front->store, fetch->table, fetch->since, &answer);
-      store_answer_clear (&answer);
+      front_store_rows_failed (fetch->peers->front->store, fetch->table, &fetch->source,
+                               fetch->asked_ms, fetch->channel);
+      return;
     }
+  front_store_take (fetch->peers->front->store, fetch->table, fetch->since, &answer);
+  store_answer_clear (&answer);
 }
 
 /* Asks for the changes since our version. The whole list of 3,000 servers is 0.85 MB; fetched by
@@ -37,7 +41,7 @@
 fetch_begin (FrontPeers *peers, const Peer *peer, StoreTable table)
 {
   Fetch *fetch = &peers->fetches[table];
-  struct sockaddr_in address = peer->address;
+  struct sockaddr_in source = peer->address;
   FrontLine *line = front_log_begin (FRONT_EVENT_NEWS);
   int64_t since = fetch->needs_all ? 0 : front_store_version (peers->front->store, table);
   Buffer path = { 0 };
@@ -48,9 +52,10 @@
   front_log_number (line, "since", since);
   front_log_number (line, "same_domain", peer->domain == peers->own_domain);
   front_log_end (line);
-  address.sin_port = peers->control_port;
-  *fetch = (Fetch){ .peers = peers, .table = table, .since = since };
-  fetch->channel = front_channel_new (peers->front->base, &address, on_fetched, fetch);
+  source.sin_port = peers->control_port;
+  *fetch = (Fetch){ .peers = peers, .table = table, .since = since, .source = source };
+  fetch->asked_ms = clock_boot_ms ();
+  fetch->channel = front_channel_new (peers->front->base, &source, on_fetched, fetch);
   front_store_news_path (&path, table, since, false);
   front_channel_ask (fetch->channel, path.data, NULL, FETCH_MS);
   buffer_free (&path);
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -6,6 +6,7 @@
 #define FRONT_STORE_H
 
 #include "front.h"
+#include "front_channel.h"
 #include "front_row.h"
 
 typedef enum
@@ -35,6 +36,13 @@
 bool front_store_is_loading (const FrontStore *store, StoreTable table);
 /** What another front gave: unpacks and decodes it. False if it is no such answer. */
 bool front_store_unpack (const char *data, size_t len, StoreAnswer *answer);
+/** Notes a question for rows whose answer didn't come whole, with the bytes of it that came.
+ *  source: the front that was asked; NULL: the store. */
+void front_store_rows_failed (const FrontStore *store,
+                              StoreTable table,
+                              const struct sockaddr_in *source,
+                              int64_t asked_ms,
+                              const FrontChannel *channel);
 /** Rows of a table as another front has them: all changes since a version that is known here; 0:
  *  all rows. */
 void front_store_take (FrontStore *store, StoreTable table, int64_t since, StoreAnswer *answer);
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -129,26 +129,53 @@
   store_apply_end (watch->store, watch->id);
 }
 
-/* The front that is asked, or the store. */
+/* The front that was asked; NULL: the store. */
+static const struct sockaddr_in *
+asked_source (const Watch *watch)
+{
+  return watch->asked_peer ? &watch->source : NULL;
+}
+
 static void
-log_source (FrontLine *line, const Watch *watch)
+log_source (FrontLine *line, const struct sockaddr_in *source)
 {
-  char ip[INET_ADDRSTRLEN];
+  char ip[INET_ADDRSTRLEN] = "store";
 
-  inet_ntop (AF_INET, &watch->source.sin_addr, ip, sizeof ip);
-  front_log_text (line, "source", watch->asked_peer ? ip : "store");
+  if (source)
+    inet_ntop (AF_INET, &source->sin_addr, ip, sizeof ip);
+  front_log_text (line, "source", ip);
 }
 
-static void
-peer_failed (Watch *watch)
+void
+front_store_rows_failed (const FrontStore *store,
+                         StoreTable table,
+                         const struct sockaddr_in *source,
+                         int64_t asked_ms,
+                         const FrontChannel *channel)
 {
   FrontLine *line = front_log_begin (FRONT_EVENT_ROWS_FAILED);
 
-  front_log_text (line, "table", kinds[watch->id].name);
-  log_source (line, watch);
-  front_log_number (line, "waited_ms", clock_boot_ms () - watch->asked_ms);
-  front_log_number (line, "known", watch->table.version);
+  front_log_text (line, "table", kinds[table].name);
+  log_source (line, source);
+  front_log_number (line, "waited_ms", clock_boot_ms () - asked_ms);
+  front_log_number (line, "known", store->watches[table].table.version);
+  front_log_number (line, "received", (int64_t)front_channel_received (channel));
   front_log_end (line);
+  if (front_channel_received (channel) > 0)
+    front_counter_add (FRONT_COUNTER_ROWS_CUT);
+}
+
+static void
+rows_failed (const Watch *watch)
+{
+  front_store_rows_failed (watch->store, watch->id, asked_source (watch), watch->asked_ms,
+                           watch->channel);
+}
+
+/* Another one is asked. */
+static void
+peer_failed (Watch *watch)
+{
   watch->peer_failures++;
   front_peers_failed (watch->store->front->peers, &watch->source, clock_boot_ms ());
   store_watch_ask (watch);
@@ -175,6 +202,7 @@
     }
   if (status != STORE_GOOD || !answer_decode (watch, text, len, &answer))
     {
+      rows_failed (watch);
       if (watch->asked_peer)
         peer_failed (watch);
       else
@@ -208,7 +236,7 @@
   FrontLine *line = front_log_begin (FRONT_EVENT_ROWS_ASKED);
 
   front_log_text (line, "table", kinds[watch->id].name);
-  log_source (line, watch);
+  log_source (line, asked_source (watch));
   front_log_number (line, "age_ms", watch->asked_ms - watch->store->started_ms);
   front_log_number (line, "failures", watch->peer_failures);
   front_log_end (line);
@@ -297,6 +325,7 @@
   front_channel_drop (watch->channel);
   pages_drop (watch);
   /* Whom we asked is behind, too: somebody else is asked next. */
+  rows_failed (watch);
   if (watch->asked_peer)
     peer_failed (watch);
   else
