An answer that arrives is waited for as long as it moves

Callers met the routes of an older configuration up to 4.5 s after a change of 1,400 routes, where 3 s is the bound. Cause: a question for rows was given up when its whole answer had not come within a fixed time (0.8 s of a neighbour's news, 1 s and 1.5 s for whole tables, 1.5 s of a sentinel), and asked anew. Over a link that many share no answer came in that time, and the bytes sent for nothing kept the link busy. Ruled out: news that came late (the front fetched all the while), and one long transfer alone.

Now the fixed time ends when the answer begins; from then on each 1.2 s have to bring 1,000 bytes. So a frozen, cut or trickling giver is still left, and a long answer ends.

--- a/regress/front/cases_links.py
+++ b/regress/front/cases_links.py
@@ -33,7 +33,9 @@
 async def news_over_slow_link(site):
     """Callers meet the routes of an older configuration for seconds after it was changed. It grew by some
     thousand routes; a front that the store doesn't answer hears that its neighbour has it and fetches it
-    there, over a link on which that takes three seconds."""
+    there, over a link on which that takes three seconds. The question was given up after 0.8 s while its
+    answer arrived, and asked anew, without end: the log of a late front has fetch after fetch of the same
+    rows, each cut with bytes received."""
     near, late = site.fronts[0], site.fronts[2]
     await near.kill()
     near.control = NEAR_CONTROL  # others come to the relay at the usual one
@@ -54,7 +56,8 @@
 
 async def configuration_over_slow_link(site):
     """The same configuration comes from the store, whose answer takes three seconds over each front's
-    link. The store is never silent, and is taken for lost."""
+    link. The store is never silent, and was taken for lost: short questions were given up after 1.5 s
+    while their answers arrived."""
 
     def asks_briefly(front):
         return any("WaitMs=1000" in feed and "Table=op" in feed for feed in front.door.feeds)
@@ -73,8 +76,8 @@
 
 
 async def start_over_slow_link(site):
-    """All fronts start again, with the large configuration to be read over such links: none becomes
-    ready."""
+    """All fronts start again, with the large configuration to be read over such links. A start gave up
+    its question after 1.5 s, with most of the bytes received, and began anew: no front became ready."""
     add_routes(site)
     await site.configure()
     for front in site.fronts:
--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -11,6 +11,9 @@
 /* Milliseconds without an acknowledgement or an answer to a probe after which the connection is
  * dead: news has to arrive within two seconds, so a silent connection must show earlier. */
 #define SILENT_MS 1200
+/* An answer that has begun goes on while each of these times brings so many bytes. */
+#define PROGRESS_MS    1200
+#define PROGRESS_BYTES 1000
 /* Until a question fails for which no socket could be had: never within the call that asks. */
 #define NOT_CONNECTED_MS 1
 
@@ -24,7 +27,8 @@
   HttpReply reply;
   bool waiting;
   int connect_ms; /* until a new connection is given up; 0: as long as for the answer */
-  int answer_ms;  /* of the open question */
+  int answer_ms;  /* until the answer to the open question begins */
+  size_t marked;  /* bytes that had come when the timer was set */
   ChannelAnswer answer;
   void *user;
 };
@@ -61,10 +65,22 @@
   evtimer_add (channel->timer, &wait);
 }
 
+/* How long a large configuration takes depends on the link and on who else asks. Were it given up
+ * after a fixed time, the same bytes would be asked for again and given up again, and callers would
+ * meet the configuration before for as long as links stay busy. What doesn't move is left. */
 static void
 on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
-  fail (user);
+  FrontChannel *channel = user;
+  size_t received = front_channel_received (channel);
+
+  if (received < channel->marked + PROGRESS_BYTES)
+    {
+      fail (channel);
+      return;
+    }
+  channel->marked = received;
+  timer_set (channel, PROGRESS_MS);
 }
 
 static void
@@ -85,7 +101,11 @@
 {
   FrontChannel *channel = user;
 
+  bool has_begun = front_channel_received (channel) > 0;
+
   front_socket_read (bev, &channel->reply);
+  if (channel->waiting && !has_begun)
+    timer_set (channel, PROGRESS_MS);
   if (channel->reply.broken || !channel->waiting)
     fail (channel);
   else if (channel->reply.complete)
@@ -160,6 +180,7 @@
 
   channel->waiting = true;
   channel->answer_ms = timeout_ms;
+  channel->marked = 0;
   http_reply_clear (&channel->reply);
   http_reply_init (&channel->reply);
   if (!connect_now (channel))
@@ -215,3 +236,9 @@
 {
   return channel->reply.raw.len + channel->reply.body.len;
 }
+
+bool
+front_channel_is_receiving (const FrontChannel *channel)
+{
+  return channel->waiting && front_channel_received (channel) > 0;
+}
--- a/src/front_channel.h
+++ b/src/front_channel.h
@@ -19,7 +19,8 @@
                                  ChannelAnswer answer,
                                  void *user);
 void front_channel_free (FrontChannel *channel);
-/** Asks; no other question may be open. body NULL: a GET without one. */
+/** Asks; no other question may be open. body NULL: a GET without one. The question fails if no
+ *  answer begins within timeout_ms; one that has begun may take longer, as long as it moves. */
 void
 front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms);
 /** The next question goes to this address. No question may be open. */
@@ -32,5 +33,7 @@
 bool front_channel_is_open (const FrontChannel *channel);
 /** Bytes that have come of the answer to the last question, which failed or is open. */
 size_t front_channel_received (const FrontChannel *channel);
+/** True while the answer to the open question arrives. */
+bool front_channel_is_receiving (const FrontChannel *channel);
 
 #endif
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -34,9 +34,9 @@
   FrontChannel *channel; /* NULL: nothing */
   struct sockaddr_in source;
   int64_t asked_ms;
-  int64_t since;         /* version whose successors are asked for; 0: all rows are */
-  bool needs_all;        /* the changes since our version are not known any more */
-  bool done;             /* the channel is to be freed outside of its own call */
+  int64_t since;  /* version whose successors are asked for; 0: all rows are */
+  bool needs_all; /* the changes since our version are not known any more */
+  bool done;      /* the channel is to be freed outside of its own call */
 } Fetch;
 
 struct FrontPeers
