The soak of the front knows large configurations over slow links

All its links were without a bound, and its configuration had three routes, so it could not meet answers that take longer than they are waited for.

--- a/mk/soak.mk
+++ b/mk/soak.mk
@@ -7,13 +7,14 @@
 	python3 regress/soak/soak.py --build $(BUILD) --seed $(SEED) --seconds $(SECONDS) --vms $(VMS)
 
 # Real fronts on the platform's protocol under randomised faults: make soak-front SEED=n SECONDS=s
-# FRONTS=n; make soak-front-many plays SEEDS seeds from SEED on, JOBS at a time.
+# FRONTS=n; make soak-front-many plays SEEDS seeds from SEED on, JOBS at a time. SOAK=--narrow: with a
+# large configuration over slow links to the store.
 FRONTS ?= 4
 SEEDS ?= 50
 .PHONY: soak-front soak-front-many
 soak-front: front
-	python3 regress/front/soak.py $(BUILD)/lovage-front --seed $(SEED) --seconds $(SECONDS) --fronts $(FRONTS)
+	python3 regress/front/soak.py $(BUILD)/lovage-front --seed $(SEED) --seconds $(SECONDS) --fronts $(FRONTS) $(SOAK)
 soak-front-many: front
 	seq $(SEED) $$(($(SEED) + $(SEEDS) - 1)) | xargs -P$(JOBS) -I{} sh -c 'python3 regress/front/soak.py \
-	  $(BUILD)/lovage-front --seed {} --seconds $(SECONDS) --fronts $(FRONTS) --slack 2 >$(BUILD)/logs/soak-front-{}.log 2>&1; \
+	  $(BUILD)/lovage-front --seed {} --seconds $(SECONDS) --fronts $(FRONTS) --slack 2 $(SOAK) >$(BUILD)/logs/soak-front-{}.log 2>&1; \
 	  tail -n 1 $(BUILD)/logs/soak-front-{}.log'
--- a/regress/case_front_soak.sh
+++ b/regress/case_front_soak.sh
@@ -7,10 +7,11 @@
 failed=0
 
 play() {
-  python3 "$here/front/soak.py" "$build/lovage-front" --seed "$1" --seconds 14 --slack 10 || failed=1
+  python3 "$here/front/soak.py" "$build/lovage-front" --seed "$@" --seconds 14 --slack 10 || failed=1
 }
 
 play 4
+play 5 --narrow
 while read -r seed _; do
   play "$seed"
 done < <(grep -v '^#' "$here/front/seeds.txt")
--- a/regress/front/cases_links.py
+++ b/regress/front/cases_links.py
@@ -3,11 +3,11 @@
 Each transfer here takes about three seconds, longer than a front waits for the first byte of any answer.
 """
 
-import random
 import sys
 
 from cases import BUSY_S, CONTROL, equal, log_events, main
 from relay_tcp import Relay
+from site_front import add_routes
 
 ROUTES_MORE = 4200
 STORE_RATE = 350_000  # bytes a second; the store's answer with these has 1.2 MB
@@ -15,14 +15,6 @@
 NEAR_CONTROL = CONTROL + 100
 
 
-def add_routes(site):
-    names = random.Random(site.version)
-    template = site.routes[-1]
-    for _ in range(ROUTES_MORE):
-        name = f"{names.getrandbits(48):012x}"
-        site.routes.append({**template, "Name": f"r-{name}", "Prefix": f"/more/{name}/"})
-
-
 async def wait_applied(site, front, version, limit=BUSY_S):
     async def applied():
         return any(line["config"] == version for line in front.events("config_applied"))
@@ -46,7 +38,7 @@
         await site.wait(near.is_ready, "the neighbour ready")
         late.door.set("reset")
         relay.rate = FRONT_RATE
-        add_routes(site)
+        add_routes(site, ROUTES_MORE)
         version = await site.configure()
         await wait_applied(site, near, version)
         await wait_applied(site, late, version)
@@ -68,7 +60,7 @@
     await site.wait(any_settled, "short questions at the store")
     for front in site.fronts:
         front.door.rate = STORE_RATE
-    add_routes(site)
+    add_routes(site, ROUTES_MORE)
     version = await site.configure()
     for front in site.fronts:
         await wait_applied(site, front, version)
@@ -78,7 +70,7 @@
 async def start_over_slow_link(site):
     """All fronts start again, with the large configuration to be read over such links. A start gave up
     its question after 1.5 s, with most of the bytes received, and began anew: no front became ready."""
-    add_routes(site)
+    add_routes(site, ROUTES_MORE)
     await site.configure()
     for front in site.fronts:
         front.door.rate = STORE_RATE
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -133,6 +133,15 @@
     return answer
 
 
+def add_routes(site, number):
+    """Routes that nobody calls, as a site's configuration has them by the thousand."""
+    names = random.Random(site.version)
+    template = site.routes[-1]
+    for _ in range(number):
+        name = f"{names.getrandbits(48):012x}"
+        site.routes.append({**template, "Name": f"r-{name}", "Prefix": f"/more/{name}/"})
+
+
 class Site:
     def __init__(self, program, fronts=3, engines=4, seed=1):
         self.program = os.path.abspath(program)
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -16,11 +16,13 @@
 
 from check import attempt_faults, site_faults
 from relay_tcp import Relay
-from site_front import CALLERS, Site
+from site_front import CALLERS, Site, add_routes
 
 CALM_S = 3.0  # promises with a bound of time hold for a front that nothing was done to for so long
 APPLY_S = 2.0  # a configuration is in force after this
 RELAY = 8200
+NARROW_ROUTES = 2000  # an answer of the store with these has 0.6 MB
+NARROW_RATE = 300_000  # bytes a second
 ENGINE_MODES = ["mute", "half", "cut", "full", "error", "unsigned", "foreign", "unframed", "lost"]
 DOOR_MODES = ["busy", "many", "reset", "silent", "slow", "lost"]
 RELAY_MODES = ["slow", "reset", "deaf", "mute", "dark"]
@@ -31,6 +33,7 @@
         self.site = Site(args.program, fronts=args.fronts, engines=args.engines, seed=args.seed)
         self.random = random.Random(args.seed)
         self.seconds, self.slack = args.seconds, args.slack
+        self.narrow = args.narrow
         self.faults = []
         self.answers = []
         self.disturbed = {}  # front number, or "engines", or "store" -> time of the last fault
@@ -265,6 +268,10 @@
         self.relays, self.engine_relays = {}, []
         self.rolling, self.version_number = False, 1
         self.site.make_engine = self.add_engine
+        if self.narrow:
+            add_routes(self.site, NARROW_ROUTES)
+            for front in self.site.fronts:
+                front.door.rate = NARROW_RATE
         await self.site.start()
         for front in self.site.fronts:
             self.relays[front.number] = Relay((front.ip, RELAY), (front.ip, CALLERS))
@@ -319,6 +326,7 @@
     parser.add_argument("--engines", type=int, default=8)
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--slack", type=float, default=0.5, help="seconds that bounds of time are widened by")
+    parser.add_argument("--narrow", action="store_true", help="a large configuration over slow links to the store")
     args = parser.parse_args()
     soak = Soak(args)
     try:
