An answer larger than 16 MB is given up

Since answers are waited for as long as they move, one without end would be read until the front is killed for its memory; the time for the whole had bounded that. test_front_channel, answer_without_end, fails without the bound.

--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -15,10 +15,12 @@
 /* An answer that has begun goes on while each of these times brings so many bytes. */
 #define PROGRESS_MS    1200
 #define PROGRESS_BYTES 8000 /* a share of the smallest link that 150 others use, too */
-/* An answer that takes longer, or of which nothing comes for so long, may be had sooner elsewhere.
- */
+/* One that takes longer, or of which nothing comes for so long, may be had sooner elsewhere. */
 #define SLOW_MS  1500
 #define STILL_MS 400
+/* Bytes; a configuration of 50,000 routes has fewer. An answer without end must not use up the
+ * memory of the VM. */
+#define ANSWER_MOST ((size_t)16 << 20)
 /* Until a question fails for which no socket could be had: never within the call that asks. */
 #define NOT_CONNECTED_MS 1
 
@@ -115,7 +117,7 @@
       channel->begun_ms = channel->moved_ms;
       timer_set (channel, PROGRESS_MS);
     }
-  if (channel->reply.broken || !channel->waiting)
+  if (channel->reply.broken || !channel->waiting || front_channel_received (channel) > ANSWER_MOST)
     fail (channel);
   else if (channel->reply.complete)
     take_answer (channel);
--- a/src/front_channel.h
+++ b/src/front_channel.h
@@ -21,7 +21,8 @@
                                  void *user);
 void front_channel_free (FrontChannel *channel);
 /** Asks; no other question may be open. body NULL: a GET without one. The question fails if no
- *  answer begins within timeout_ms; one that has begun may take longer, as long as it moves. */
+ *  answer begins within timeout_ms; one that has begun may take longer, as long as it moves, and
+ *  fails if it is larger than any answer of the store. */
 void
 front_channel_ask (FrontChannel *channel, const char *path, const Buffer *body, int timeout_ms);
 /** The next question goes to this address. No question may be open. */
--- a/tests/test_front_channel.c
+++ b/tests/test_front_channel.c
@@ -12,10 +12,13 @@
 
 #define PIECE_BYTES 2000
 #define PIECES      24
-#define PIECE_US    50000 /* between two pieces */
-#define WAIT_MS     300   /* that the question waits; the whole answer takes four times as long */
-#define US_PER_MS   1000
-#define GIVE_UP_S   20 /* for a test whose answer or failure never comes */
+/* Of an answer that is larger than any that is taken. */
+#define LARGE_PIECE_BYTES ((size_t)2 << 20)
+#define LARGE_PIECES      12
+#define PIECE_US          50000 /* between two pieces */
+#define WAIT_MS           300 /* that the question waits; the whole answer takes four times as long */
+#define US_PER_MS         1000
+#define GIVE_UP_S         20 /* for a test whose answer or failure never comes */
 
 /* A server of one connection. */
 typedef struct
@@ -27,6 +30,7 @@
   unsigned pieces;      /* sent so far */
   unsigned pieces_most; /* after these it sends nothing more */
   size_t piece_bytes;
+  size_t length;     /* as the answer's head tells it */
   bool has_answered; /* the asker's callback was called */
   int status;
   size_t len;
@@ -38,7 +42,7 @@
 send_piece (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
   static const struct timeval wait = { .tv_usec = PIECE_US };
-  static const char piece[PIECE_BYTES];
+  static const char piece[LARGE_PIECE_BYTES];
   Server *server = user;
 
   if (server->pieces == server->pieces_most)
@@ -56,7 +60,8 @@
   evbuffer_drain (input, evbuffer_get_length (input));
   if (((Server *)user)->pieces_most > 0)
     evbuffer_add_printf (bufferevent_get_output (bev),
-                         "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", PIECES * PIECE_BYTES);
+                         "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+                         ((Server *)user)->length);
   send_piece (-1, 0, user);
 }
 
@@ -88,10 +93,10 @@
 
 /* Asks a server that sends so many pieces of this size and then nothing more. */
 static Server
-ask (unsigned pieces_most, size_t piece_bytes)
+ask (unsigned pieces_most, size_t piece_bytes, size_t length)
 {
   static const struct timeval give_up = { .tv_sec = GIVE_UP_S };
-  Server server = { .pieces_most = pieces_most, .piece_bytes = piece_bytes };
+  Server server = { .pieces_most = pieces_most, .piece_bytes = piece_bytes, .length = length };
   char text[32];
   struct sockaddr_in address;
 
@@ -123,7 +128,7 @@
 static void
 test_slow_link (void)
 {
-  Server server = ask (PIECES, PIECE_BYTES);
+  Server server = ask (PIECES, PIECE_BYTES, PIECES * PIECE_BYTES);
 
   CU_ASSERT (server.has_answered);
   CU_ASSERT_EQUAL (server.status, 200);
@@ -133,7 +138,7 @@
 static void
 test_silent_server (void)
 {
-  Server server = ask (0, PIECE_BYTES);
+  Server server = ask (0, PIECE_BYTES, PIECE_BYTES);
 
   CU_ASSERT (server.has_answered);
   CU_ASSERT_EQUAL (server.status, 0);
@@ -145,7 +150,7 @@
 static void
 test_server_stops_in_the_middle (void)
 {
-  Server server = ask (PIECES / 2, PIECE_BYTES);
+  Server server = ask (PIECES / 2, PIECE_BYTES, PIECES * PIECE_BYTES);
 
   CU_ASSERT (server.has_answered);
   CU_ASSERT_EQUAL (server.status, 0);
@@ -157,18 +162,31 @@
 static void
 test_server_trickles (void)
 {
-  Server server = ask (PIECES * PIECE_BYTES, 1);
+  Server server = ask (PIECES * PIECE_BYTES, 1, PIECES * PIECE_BYTES);
 
   CU_ASSERT (server.has_answered);
   CU_ASSERT_EQUAL (server.status, 0);
   CU_ASSERT (server.pieces < PIECES * PIECE_BYTES);
 }
 
+/* Story: something else answers at a front's address, with bytes that don't end. They arrive as
+   fast as can be, and the front that waits for the last one is killed for its memory. */
+static void
+test_answer_without_end (void)
+{
+  Server server = ask (LARGE_PIECES, LARGE_PIECE_BYTES, LARGE_PIECES * LARGE_PIECE_BYTES);
+
+  CU_ASSERT (server.has_answered);
+  CU_ASSERT_EQUAL (server.status, 0);
+  CU_ASSERT (server.received < LARGE_PIECES * LARGE_PIECE_BYTES);
+}
+
 static const SuiteCase cases[] = {
   { "slow_link", test_slow_link },
   { "silent_server", test_silent_server },
   { "server_stops_in_the_middle", test_server_stops_in_the_middle },
   { "server_trickles", test_server_trickles },
+  { "answer_without_end", test_answer_without_end },
 };
 
 int
