Comments of the link to the store say what its times mean now

They bound the wait for the begin of an answer. Three comments told how values had been tuned; the figures stand in the commits that set them.

--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -33,10 +33,8 @@
   store_answer_clear (&answer);
 }
 
-/* Asks for the changes since our version. The whole list of 3,000 servers is 0.85 MB; fetched by
- * each of 300 fronts for each change that was late, from anywhere, it made most of the bytes
- * between failure domains: with this and fewer messages (FAR_A_DOMAIN) they fell from 24 to 5 KB/s
- * a front. */
+/* Asks for the changes since our version. A whole list of servers, fetched by each front for each
+ * change that is late, would make most of the bytes between failure domains. */
 static void
 fetch_begin (FrontPeers *peers, const Peer *peer, StoreTable table)
 {
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -8,13 +8,13 @@
 #include "front_store.h"
 #include "front_table.h"
 
-/** Milliseconds after which an answer is lost. */
+/** Milliseconds after which an answer that hasn't begun is lost. */
 #define STORE_ANSWER_MS 3000
 /** After the store's return living servers are listed again within two seconds. */
 #define STORE_RELIST_MS 2200
 
-/** Milliseconds after the start in which a front knows too few others to know its rank among them:
- *  300 fronts that each took itself for a sentinel made 1,800 calls. */
+/** Milliseconds after the start in which a front knows too few others to know its rank among them,
+ *  and would take itself for a sentinel. */
 #define STORE_SETTLED_MS 4000
 
 #define STORE_GOOD     200
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -25,14 +25,16 @@
  * on serving for two seconds. Longer than this a front would hear of a change from others first and
  * fetch it from another failure domain (AHEAD_MS of front_peers_fetch.c). */
 #define SERVERS_PAUSE_MS 300
-/* For the rows of a whole table, from another front and from the store: a front that starts waits
- * so long for an answer that is lost. The store's may take a second when it is slow. */
+/* Until the rows of a whole table begin to come, from another front and from the store: a front
+ * that starts waits so long for an answer that is lost. The store's may take a second when it is
+ * slow. */
 #define PEER_LOAD_MS  1000
 #define STORE_LOAD_MS 1500
 /* For a connection to another front, a hundred times the way there and back within a failure
- * domain. After a loss of power that neighbour may not have started yet; without this bound one in
- * ten of 300 fronts served a second later than the others. */
-#define PEER_CONNECT_MS    100
+ * domain. After a loss of power that neighbour may not have started yet, and the system's own wait
+ * for a connection is a second. */
+#define PEER_CONNECT_MS 100
+/* That the store holds a sentinel's question, and until its answer begins after that. */
 #define SENTINEL_WAIT_MS   1000
 #define SENTINEL_ANSWER_MS 500
 
