--- a/tests/test_front_channel.c
+++ b/tests/test_front_channel.c
@@ -10,8 +10,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define PIECE_BYTES 2000
-#define PIECES      24
+#define PIECE_BYTES ((size_t)2000)
+#define PIECES      24U
 /* Of an answer that is larger than any that is taken. */
 #define LARGE_PIECE_BYTES ((size_t)2 << 20)
 #define LARGE_PIECES      12
