--- a/tests/test_front_pack.c
+++ b/tests/test_front_pack.c
@@ -7,11 +7,22 @@
 #include "util_memory.h"
 #include "util_unused.h"
 #include "wire_store.h"
+#include <sodium.h>
 #include <string.h>
 
 #define SERVERS     300
 #define PACKED_MOST 20000 /* bytes: 25 neighbours get so much in 0.2 s over a link of 20 Mbit/s */
 
+/* A configuration that is to reach all fronts of a failure domain, from one of them, in half of the
+ * three seconds that a change may take. */
+#define ROUTES          4200
+#define NEIGHBOURS      13
+#define LINK_BYTES_S    1250000 /* 10 Mbit/s */
+#define NEWS_S          1.5
+#define CONFIG_MOST     ((size_t)(LINK_BYTES_S * NEWS_S / NEIGHBOURS))
+#define NAME_BYTES      6
+#define ROUTE_NAME_MOST (2 * NAME_BYTES + 1)
+
 static FrontTable table;
 
 static void
@@ -64,6 +75,59 @@
   front_table_clear (&table);
 }
 
+/* As an operator writes it; names are random, which packs worst. */
+static Buffer
+configuration (void)
+{
+  static const unsigned char seed[randombytes_SEEDBYTES];
+  static unsigned char names[ROUTES][NAME_BYTES];
+  Buffer text = { 0 };
+
+  randombytes_buf_deterministic (names, sizeof names, seed);
+  buffer_add_string (&text, "{\"Version\":7,\"Routes\":[");
+  for (unsigned i = 0; i < ROUTES; i++)
+    {
+      char hex[ROUTE_NAME_MOST];
+
+      sodium_bin2hex (hex, sizeof hex, names[i], NAME_BYTES);
+      buffer_printf (&text,
+                     "%s{\"Name\":\"r-%s\",\"Host\":\"a.example\",\"Prefix\":\"/more/%s/\","
+                     "\"Kind\":\"idempotent\",\"Service\":\"orders\",\"TimeoutMs\":2500,"
+                     "\"SloMs\":300,\"MaxAttempts\":3,\"Priority\":1,\"Public\":false}",
+                     i > 0 ? "," : "", hex, hex);
+    }
+  buffer_add_string (&text, "]}");
+  return text;
+}
+
+/* Story: a configuration grows by some thousand routes. The front of a failure domain that reads it
+   at the store passes it on to a dozen neighbours over one link of 10 Mbit/s, and the last of them
+   has it seconds after it had to be in force: the rows of each were as long as the store writes
+   them. */
+static void
+test_large_configuration (void)
+{
+  Buffer value = configuration (), text = { 0 };
+  StoreAnswer answer = { .count = 1, .version = 7 };
+
+  front_table_init (&table);
+  answer.rows = memory_array (1, sizeof *answer.rows);
+  answer.rows[0] = (StoreRow){
+    .key = memory_strdup ("config"), .value = value.data, .value_len = value.len, .version = 7
+  };
+  front_table_changes (&table, &answer, ignore, NULL);
+  store_answer_clear (&answer);
+  wire_store_encode (&text, &table, 0);
+  CU_ASSERT (text.len > CONFIG_MOST);
+  CU_ASSERT (front_pack (&text));
+  CU_ASSERT (text.len <= CONFIG_MOST);
+  CU_ASSERT_FATAL (front_store_unpack (text.data, text.len, &answer));
+  CU_ASSERT_EQUAL (answer.count, 1);
+  store_answer_clear (&answer);
+  buffer_free (&text);
+  front_table_clear (&table);
+}
+
 /* Story: a front dies while it gives its rows, or something else answers at its address. What came
    is no answer; half a list of servers would look as if the others had gone. */
 static void
@@ -123,9 +187,8 @@
 }
 
 static const SuiteCase cases[] = {
-  { "round_trip", test_round_trip },
-  { "damaged", test_damaged },
-  { "too_much", test_too_much },
+  { "round_trip", test_round_trip }, { "large_configuration", test_large_configuration },
+  { "damaged", test_damaged },       { "too_much", test_too_much },
   { "member", test_member },
 };
 
