--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -588,6 +588,87 @@
     equal([events.get(f"odd-{number}") for number in range(len(rows))], ["unreadable"] * 6 + ["ready"], "log")
 
 
+async def domain_gets_nothing(site, domain, fronts=None):
+    """No request reaches the failure domain's engines, whichever front it comes to."""
+    site.runs.clear()
+    for front in fronts or site.fronts:
+        for number in range(8):
+            for path in ("/text/", "/once/", "/again/"):
+                answer = await site.call(front, f"{path}e{number}", b"e%d" % number)
+                equal(answer.status, 200, path)
+                check(site, answer)
+    equal([run.engine.name for run in site.runs if run.engine.domain == domain], [], "arrivals there")
+
+
+async def domain_gets_work(site, domain):
+    async def works():
+        site.runs.clear()
+        for front in site.fronts:
+            for number in range(8):
+                await site.call(front, f"/again/w{number}", b"w%d" % number)
+        return any(run.engine.domain == domain for run in site.runs)
+
+    await site.wait(works, f"work for domain {domain}", BUSY_S)
+
+
+async def evacuated_domain(site):
+    """A failure domain's engines go on as if nothing were, but the operator wants them to get nothing.
+    Fronts that were turned away by the store or have just started obey, too, until it is taken back."""
+    site.fronts[1].door.set("busy")
+    await site.store.put("op", "evacuate/a", "{}")
+    await asyncio.sleep(2)
+    await domain_gets_nothing(site, "a")
+    site.fronts[1].door.set("ok")
+    await site.fronts[2].kill()
+    await site.fronts[2].start()
+    await site.wait(site.fronts[2].is_ready, "ready again")
+    await domain_gets_nothing(site, "a", [site.fronts[2]])
+    await site.store.put("op", "evacuate/a", None)
+    await domain_gets_work(site, "a")
+
+
+async def evacuation_forgotten(site):
+    """The store drops its history while an evacuation is ordered, and again while it is taken back: the
+    removal is in no feed."""
+    site.store.forget()
+    await site.store.put("op", "evacuate/b", "{}")
+    site.store.forget()
+    await asyncio.sleep(2)
+    await domain_gets_nothing(site, "b")
+    await site.store.put("op", "evacuate/b", None)
+    site.store.forget()
+    await domain_gets_work(site, "b")
+
+
+async def evacuated_everywhere(site):
+    """Both failure domains are evacuated. Callers learn at once that nothing ran and when to come back."""
+    for domain in "ab":
+        await site.store.put("op", f"evacuate/{domain}", "{}")
+    await asyncio.sleep(2)
+    answer = await site.call(site.fronts[0], "/once/a", b"order")
+    equal((answer.status, len(site.runs_of(answer))), (503, 0), "the refusal")
+    if float(answer.fields["retry-after"]) <= 0 or answer.ended_at - answer.sent_at > 1:
+        raise AssertionError("no time to come back, or held back")
+    reasons = [e["reason"] for e in log_events(site, "request_refused") if e["request"] == answer.request]
+    equal(reasons, ["evacuated"], "the reason")
+
+
+async def odd_evacuations(site):
+    """Rows that are broken, name no failure domain or one that nobody has, and the same one twice. What
+    can't be obeyed is logged; the others are obeyed, and the requests go on."""
+    for key, value in (("evacuate/a", "\x00\xff"), ("evacuate/a", "{}"), ("evacuate/nowhere", "[]"),
+                       ("evacuate/", "{}"), ("evacuate/" + "x" * 100, "{}")):  # fmt: skip
+        await site.store.put("op", key, value)
+    await asyncio.sleep(2)
+    await domain_gets_nothing(site, "a")
+    events = log_events(site, "evacuation")
+    equal(sorted({e["domain"] for e in events if e["state"] == "ordered"}), ["a", "nowhere"], "orders in the log")
+    equal(len([e for e in events if e["state"] == "refused"]), 2 * len(site.fronts), "refused orders")
+    await site.store.put("op", "evacuate/a", None)
+    await site.store.put("op", "evacuate/a", None)
+    await domain_gets_work(site, "a")
+
+
 async def metrics_and_logs(site):
     """On-call engineers see each decision on a request by its id, and counters on the control
     address."""
@@ -607,7 +688,7 @@
     calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, stopping_serves_what_ends_in_time, new_configuration,
     turned_away, late_news, long_table_at_start, held_questions, start_without_store, all_start_again, wrong_seeds, callers_at_start,
     refused_without_configuration, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
-    leaving_engine, engine_starts_again, foreign_entries, metrics_and_logs,
+    leaving_engine, engine_starts_again, foreign_entries, evacuated_domain, evacuation_forgotten, evacuated_everywhere, odd_evacuations, metrics_and_logs,
 ]  # fmt: skip
 
 
