Evacuated failure domains get nothing

Cause: nobody read the rows evacuate/DOMAIN of the operator's table.

The row is decoded in platform/ (its being there is the order, so a broken text is no reason to send work there), kept by front_servers as a set of domains and as a state of each server, present and listed later. front_pick is the one way by which a first send, a retry, a resumed stream, a larger model and the home of a prompt find their server, and it leaves them out; the version of a roll-out counts them as servers that take no work. Streams that run there end there. It comes with the operator's table, so restarts, forgotten histories, news of neighbours and removals that were in no feed are those of the configuration. Where only such servers are left: refused at once as 'evacuated', not run.

--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -155,15 +155,19 @@
     bool avoided = state >= FRONT_SERVER_AVOIDED;
     double cost;
 
-    if (state >= FRONT_SERVER_LEAVING || !is_asked_for (query, server)
-        || front_pick_was_tried (query, server))
+    if (!is_asked_for (query, server) || front_pick_was_tried (query, server))
       continue;
+    if (state >= FRONT_SERVER_EVACUATED)
+      {
+        best.evacuated |= state == FRONT_SERVER_EVACUATED;
+        continue;
+      }
     if (best.server && avoided && !best.avoided)
       continue;
     cost = cost_ms (query, server, home, now_ms);
     if (best.server && avoided == best.avoided && cost >= best_cost)
       continue;
-    best = (PickAnswer){ .server = server, .avoided = avoided };
+    best = (PickAnswer){ .server = server, .avoided = avoided, .evacuated = best.evacuated };
     best_cost = cost;
   }
   if (best.server)
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -34,6 +34,7 @@
   double predicted_ms;   /**< until the answer begins */
   double prompt_ms;      /**< of that, reading the prompt */
   int64_t prompt_tokens; /**< that it has to read, as far as is known */
+  bool evacuated;        /**< servers were left out since their failure domain is evacuated */
   bool avoided;          /**< it is one to be avoided; there was no better */
 } PickAnswer;
 
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -189,7 +189,7 @@
     }
   if (!pick.server)
     {
-      request_give_up (request, "no_server");
+      request_give_up (request, pick.evacuated ? "evacuated" : "no_server");
       return;
     }
   version_set (request, version, now_ms);
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -287,7 +287,7 @@
 
   cds_list_for_each_entry (server, front_servers_list (servers), node)
   {
-    if (server->listed && !server->leaving && strcmp (server->entry.service, service) == 0
+    if (front_server_takes_work (server) && strcmp (server->entry.service, service) == 0
         && strcmp (server->entry.version, version) == 0)
       return true;
   }
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -21,6 +21,7 @@
   FRONT_SERVER_AVOIDED,     /**< unreachable, failing or full: used if there is no better one */
   FRONT_SERVER_UNCONFIRMED, /**< gone from the list while the store could not be trusted: the same
                              */
+  FRONT_SERVER_EVACUATED,   /**< in a failure domain that is to get no work for now */
   FRONT_SERVER_LEAVING,     /**< draining, or its address belongs to another server: no new work */
   FRONT_SERVER_GONE,        /**< not listed any more */
   FRONT_SERVER_STATES
@@ -35,6 +36,7 @@
   uint64_t hash;    /**< of the id and the start, the same on every VM */
   bool is_near;     /**< in our own failure domain */
   bool leaving;     /**< draining, or its address belongs to another server: no new work */
+  bool evacuated;   /**< its failure domain is to get no work for now */
   bool listed;      /**< false: freed as soon as nothing refers to it */
   bool restarted;   /**< a later start of the same id is known: what ran here is lost */
   bool unconfirmed; /**< gone from the list while the store could not be trusted */
@@ -53,6 +55,8 @@
 
 /** Another server answered at its address: it has ended, though the list doesn't say so yet. */
 void front_server_lost_address (FrontServer *server);
+/** False if it gets nothing at all, however good it is; the states from EVACUATED on. */
+bool front_server_takes_work (const FrontServer *server);
 /** What its entry, the list and its treatment of requests say together. */
 FrontServerState front_server_state (const FrontServer *server, int64_t now_ms);
 /** Lower-case name, as in logs and metrics. */
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -1,4 +1,5 @@
 #include "front_servers.h"
+#include "front_evacuations.h"
 #include "front_socket.h"
 #include "front_starts.h"
 #include "util_id.h"
@@ -16,6 +17,7 @@
   char failure_domain[SERVER_TEXT_MAX];
   unsigned count;
   FrontStarts starts;
+  FrontEvacuations evacuations;
 };
 
 FrontServers *
@@ -26,6 +28,7 @@
   CDS_INIT_LIST_HEAD (&servers->list);
   for (unsigned i = 0; i < BUCKETS; i++)
     CDS_INIT_LIST_HEAD (&servers->buckets[i]);
+  front_evacuations_init (&servers->evacuations);
   strncpy (servers->failure_domain, failure_domain, SERVER_TEXT_MAX - 1);
   return servers;
 }
@@ -45,6 +48,7 @@
   FrontServer *server, *next;
 
   cds_list_for_each_entry_safe (server, next, &servers->list, node) server_free (server);
+  front_evacuations_clear (&servers->evacuations);
   free (servers);
 }
 
@@ -123,10 +127,26 @@
     }
   server->entry = *entry;
   server->cold_until_ms = now_ms + entry->cold_ms;
+  server->evacuated = front_evacuations_has (&servers->evacuations, entry->failure_domain);
   server->unconfirmed = false;
   return true;
 }
 
+bool
+front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered)
+{
+  FrontServer *server;
+
+  if (!front_evacuations_set (&servers->evacuations, domain, ordered))
+    return false;
+  cds_list_for_each_entry (server, &servers->list, node)
+  {
+    if (strcmp (server->entry.failure_domain, domain) == 0)
+      server->evacuated = ordered;
+  }
+  return true;
+}
+
 void
 front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms)
 {
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -65,6 +65,31 @@
   front_log_end (line);
 }
 
+/* The row's being there is the order: a failure domain that is to get nothing must not get work for
+ * the sake of a text that can't be read. */
+static void
+apply_evacuation (Front *front, const StoreRow *row)
+{
+  const char *domain = row->key + strlen (wire_key_evacuation);
+  bool is_name = domain[0] && strlen (domain) < SERVER_TEXT_MAX;
+  const char *state = row->removed ? "taken_back" : "ordered";
+  FrontLine *line;
+
+  if (is_name && !front_servers_evacuate (front->servers, domain, !row->removed))
+    return;
+  line = front_log_begin (FRONT_EVENT_EVACUATION);
+  front_log_text (line, "domain", domain);
+  front_log_text (line, "state", is_name ? state : "refused");
+  front_log_number (line, "row_version", row->version);
+  front_log_end (line);
+}
+
+static bool
+has_prefix (const char *key, const char *prefix)
+{
+  return strncmp (key, prefix, strlen (prefix)) == 0;
+}
+
 void
 store_apply_operator (void *user, const StoreRow *row)
 {
@@ -72,8 +97,10 @@
 
   if (strcmp (row->key, wire_key_config) == 0 && !row->removed)
     apply_config (store->front, row);
-  else if (strncmp (row->key, wire_key_rollout, strlen (wire_key_rollout)) == 0)
+  else if (has_prefix (row->key, wire_key_rollout))
     apply_order (store->front, row);
+  else if (has_prefix (row->key, wire_key_evacuation))
+    apply_evacuation (store->front, row);
 }
 
 static void
@@ -133,7 +160,7 @@
   FrontRollout *rollout;
   int64_t started_ms;
 
-  if (row->removed || strncmp (row->key, wire_key_rollout, strlen (wire_key_rollout)) != 0
+  if (row->removed || !has_prefix (row->key, wire_key_rollout)
       || !wire_rollout_status_decode ((Span){ .text = row->value, .len = row->value_len }, target,
                                       &state, &started_ms))
     return;
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -318,6 +318,38 @@
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "none");
 }
 
+/* Failure: a failure domain is evacuated in a burst, and its idle servers draw all requests since
+   those of the other one are loaded, full or failing; or the home of a hot prompt stays there. */
+static void
+test_domain_evacuated_in_a_burst (void)
+{
+  PickQuery query = query_of ("v1");
+
+  begin ();
+  add ("a", "here", "v1");
+  add ("bb", "here", "v1");
+  add ("ccc", "there", "v1");
+  CU_ASSERT (front_servers_evacuate (servers, "here", true));
+  CU_ASSERT (!front_servers_evacuate (servers, "here", true));
+  for (unsigned i = 0; i < 200; i++)
+    {
+      PickAnswer answer = front_pick (servers, &query, NOW + i);
+
+      CU_ASSERT_STRING_EQUAL (answer.server->entry.id, "ccc");
+      answer.server->pending_ms += answer.prompt_ms;
+      answer.server->running++;
+      if (i % 3 == 0)
+        front_health_full (&answer.server->health, NOW + i);
+      if (i % 7 == 0)
+        front_health_failed (&answer.server->health, NOW + i);
+    }
+  front_servers_remove (servers, "ccc", NOW + 200, 0);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 200), "none");
+  CU_ASSERT (front_pick (servers, &query, NOW + 200).evacuated);
+  CU_ASSERT (front_servers_evacuate (servers, "here", false));
+  CU_ASSERT_STRING_NOT_EQUAL (picked (&query, NOW + 200), "none");
+}
+
 static void
 test_removed_while_used (void)
 {
@@ -347,6 +379,7 @@
   { "versions_and_tried", test_versions_and_tried },
   { "draining_is_final", test_draining_is_final },
   { "lapsed_entries", test_lapsed_entries },
+  { "domain_evacuated_in_a_burst", test_domain_evacuated_in_a_burst },
   { "removed_while_used", test_removed_while_used },
 };
 
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -21,7 +21,9 @@
   FAILED,
   FULL,
   UNREACHABLE,
-  NOTHING, /* time passes */
+  EVACUATED,  /* its failure domain */
+  TAKEN_BACK, /* the evacuation */
+  NOTHING,    /* time passes */
 } Event;
 
 typedef struct
@@ -112,6 +114,19 @@
       { UNREACHABLE, 10, FRONT_SERVER_AVOIDED },
       { ANSWERED, 20, FRONT_SERVER_AVOIDED }, /* it was asked for lack of others */
       { NOTHING, 810, FRONT_SERVER_READY } } },
+  { "is evacuated, which answers and reports don't end",
+    5,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { EVACUATED, 10, FRONT_SERVER_EVACUATED },
+      { ANSWERED, 20, FRONT_SERVER_EVACUATED },
+      { LISTED_COLD, 30, FRONT_SERVER_EVACUATED },
+      { TAKEN_BACK, 2000, FRONT_SERVER_READY } } },
+  { "is listed in an evacuated failure domain, and leaves there",
+    4,
+    { { EVACUATED, 0, FRONT_SERVER_GONE },
+      { LISTED, 10, FRONT_SERVER_EVACUATED },
+      { DRAINS, 20, FRONT_SERVER_LEAVING },
+      { TAKEN_BACK, 30, FRONT_SERVER_LEAVING } } },
   { "is avoided and leaves",
     4,
     { { LISTED, 0, FRONT_SERVER_READY },
@@ -123,8 +138,11 @@
 static ServerEntry
 entry_of (const char *id)
 {
-  ServerEntry entry
-      = { .service = "drafts", .address = "10.0.0.1:80", .version = "v1", .slots = 8 };
+  ServerEntry entry = { .service = "drafts",
+                        .address = "10.0.0.1:80",
+                        .failure_domain = "hall",
+                        .version = "v1",
+                        .slots = 8 };
 
   snprintf (entry.id, sizeof entry.id, "%s", id);
   return entry;
@@ -170,6 +188,10 @@
     case UNREACHABLE:
       front_health_unreachable (&server->health, now_ms);
       break;
+    case EVACUATED:
+    case TAKEN_BACK:
+      front_servers_evacuate (servers, "hall", event == EVACUATED);
+      break;
     case NOTHING:
       break;
     }
@@ -188,11 +210,15 @@
       FrontServerState state;
 
       happen (servers, server, step->event, NOW + step->at_ms);
+      if (!server)
+        server = front_servers_find (servers, "a");
       if (!server)
         {
-          server = front_servers_find (servers, "a");
-          front_server_ref (server); /* an attempt holds it to the end */
+          CU_ASSERT_EQUAL (step->state, FRONT_SERVER_GONE); /* not listed yet */
+          continue;
         }
+      if (server->references == 0)
+        front_server_ref (server); /* an attempt holds it to the end */
       state = front_server_state (server, NOW + step->at_ms);
       if (state != step->state)
         printf ("%s, step %u: %s in place of %s\n", life->story, i, front_server_state_name (state),
