Servers that start cold get no more than their bound, first way

Callers of the shifted site met servers that crash when they come back: a cold server bears ColdPerS requests a second and crashes well above that, and every front sent it whatever looked fastest.

All fronts together keep the bound without asking each other. Each front has the whole number of slots that its part gives; where that is less than one, a hash of VM and server says whether it has one. Cold is what entries say, and each server of a failure domain whose evacuation was taken back. A request that finds no other server is refused at once with the time until the next slot.

--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -10,6 +10,10 @@
 
 typedef struct FrontAttempt FrontAttempt;
 
+/** Milliseconds for a connection. A server in reach opens one within about 5; one lost packet costs
+ * it a second, after which another server is the better choice. */
+#define FRONT_CONNECT_MS 350
+
 /** Called from the event loop; each may free the attempt, and nothing is called after that. */
 typedef struct
 {
--- /dev/null
+++ b/src/front_cold.h
@@ -0,0 +1,38 @@
+/**
+ * How much a front may send to a backend server that has started lately: such a server crashes
+ * under the load of a warm one. All fronts together keep its bound without asking each other, as
+ * each has a part that follows from the number of fronts. No I/O.
+ */
+#ifndef FRONT_COLD_H
+#define FRONT_COLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Requests that one front may send to one cold server in a second, at most. */
+#define COLD_SLOTS_MAX 8
+
+/** What the fronts of a site may send to one cold server of a service. */
+typedef struct
+{
+  double most_per_s;   /**< requests of all fronts in any second; 0: there is no bound */
+  int64_t start_ms;    /**< how long a server stays cold */
+  uint64_t self;       /**< hash of this VM's name, so that a restart changes no part */
+  unsigned neighbours; /**< fronts of our failure domain, ourselves included */
+  unsigned fronts;     /**< all of them */
+} ColdRule;
+
+/** When the last requests were sent to a server. */
+typedef struct
+{
+  int64_t sent_ms[COLD_SLOTS_MAX];
+} ColdSends;
+
+/** How many requests this front may have sent there in any second. is_near: the server is in our
+ * own failure domain. */
+unsigned cold_slots (const ColdRule *rule, uint64_t server, bool is_near);
+/** Milliseconds until another request may be sent; 0: now; INT64_MAX: none while it is cold. */
+int64_t cold_wait_ms (const ColdSends *sends, unsigned slots, int64_t now_ms);
+void cold_sent (ColdSends *sends, int64_t now_ms);
+
+#endif
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -53,7 +53,9 @@
 typedef struct
 {
   char *name;
-  unsigned slots;    /**< requests that one server runs at once; 0: not said */
+  unsigned slots;        /**< requests that one server runs at once; 0: not said */
+  int64_t cold_start_ms; /**< how long a server stays cold after its start */
+  double cold_per_s; /**< requests that a cold server bears in a second; 0: as many as a warm one */
   int64_t kv_tokens; /**< memory of one model engine; 0: a plain service */
 } FrontService;
 
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -19,6 +19,8 @@
 #define SERVICE_QUEUED_MS  60.0
 #define COLD_MS            40.0
 #define SLOTS_DEFAULT      8
+/* Between an evacuation's end as we learn it and the moment at which its servers were cold. */
+#define RETURN_MARGIN_MS 500
 /* Tokens of shared prompt from which fronts agree on a server for it: 500 are 4 ms of reading. */
 #define HOME_LEAST_TOKENS 500
 
@@ -141,6 +143,48 @@
   return cost;
 }
 
+/* Servers of a failure domain that was evacuated are cold once it is taken back, and their entries
+ * tell so only with the next heartbeat. */
+static bool
+is_cold (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  return now_ms < server->cold_until_ms
+         || (server->returned_ms != 0
+             && now_ms < server->returned_ms + query->cold.start_ms + RETURN_MARGIN_MS);
+}
+
+/* 0: it may get the request as far as its bound is concerned. */
+static int64_t
+bound_wait_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  if (query->cold.most_per_s <= 0 || !is_cold (query, server, now_ms))
+    return 0;
+  return cold_wait_ms (&server->cold_sends,
+                       cold_slots (&query->cold, server->hash, server->is_near), now_ms);
+}
+
+/* True if it may get nothing at present, which the answer then tells. */
+static bool
+is_left_out (PickAnswer *answer, const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  FrontServerState state = front_server_state (server, now_ms);
+  int64_t wait_ms;
+
+  if (state >= FRONT_SERVER_EVACUATED)
+    {
+      answer->evacuated |= state == FRONT_SERVER_EVACUATED;
+      return true;
+    }
+  wait_ms = bound_wait_ms (query, server, now_ms);
+  if (wait_ms == 0)
+    return false;
+  if (wait_ms > query->cold.start_ms)
+    wait_ms = query->cold.start_ms;
+  if (answer->cold_wait_ms == 0 || wait_ms < answer->cold_wait_ms)
+    answer->cold_wait_ms = wait_ms;
+  return true;
+}
+
 PickAnswer
 front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms)
 {
@@ -151,23 +195,19 @@
 
   cds_list_for_each_entry (server, front_servers_list (servers), node)
   {
-    FrontServerState state = front_server_state (server, now_ms);
-    bool avoided = state >= FRONT_SERVER_AVOIDED;
+    bool avoided = front_server_state (server, now_ms) >= FRONT_SERVER_AVOIDED;
     double cost;
 
-    if (!is_asked_for (query, server) || front_pick_was_tried (query, server))
+    if (!is_asked_for (query, server) || front_pick_was_tried (query, server)
+        || is_left_out (&best, query, server, now_ms))
       continue;
-    if (state >= FRONT_SERVER_EVACUATED)
-      {
-        best.evacuated |= state == FRONT_SERVER_EVACUATED;
-        continue;
-      }
     if (best.server && avoided && !best.avoided)
       continue;
     cost = cost_ms (query, server, home, now_ms);
     if (best.server && avoided == best.avoided && cost >= best_cost)
       continue;
-    best = (PickAnswer){ .server = server, .avoided = avoided, .evacuated = best.evacuated };
+    best.server = server;
+    best.avoided = avoided;
     best_cost = cost;
   }
   if (best.server)
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -6,6 +6,7 @@
 #ifndef FRONT_PICK_H
 #define FRONT_PICK_H
 
+#include "front_cold.h"
 #include "front_servers.h"
 #include "front_speeds.h"
 
@@ -23,6 +24,7 @@
   int64_t objective_ms;    /**< what the caller is ready to wait for the answer's begin */
   unsigned slots;          /**< of one server; 0: what its entry says */
   bool is_model;           /**< a model engine, not a plain service */
+  ColdRule cold;           /**< of the service */
   int64_t reuse_window_ms; /**< how long a server's cache is relied on */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of servers that this request was sent to */
@@ -34,6 +36,8 @@
   double predicted_ms;   /**< until the answer begins */
   double prompt_ms;      /**< of that, reading the prompt */
   int64_t prompt_tokens; /**< that it has to read, as far as is known */
+  int64_t cold_wait_ms;  /**< until a cold server may get a request that was left out for the bound
+                              of such servers; 0: none was */
   bool evacuated;        /**< servers were left out since their failure domain is evacuated */
   bool avoided;          /**< it is one to be avoided; there was no better */
 } PickAnswer;
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -95,9 +95,10 @@
 }
 
 void
-request_give_up (FrontRequest *request, const char *reason)
+request_give_up (FrontRequest *request, const char *reason, int64_t wait_ms)
 {
   int64_t now_ms = clock_boot_ms ();
+  int64_t again_ms;
   bool late = now_ms >= request->end_ms;
 
   if (request->head_sent)
@@ -112,8 +113,10 @@
   else if (request->may_have_run)
     request_refuse (request, late ? STATUS_TIMEOUT : STATUS_BAD_GATEWAY, reason, 0);
   else
-    request_refuse (request, STATUS_UNAVAILABLE, reason,
-                    front_budget_refused (request->front->budget, request->service, now_ms));
+    {
+      again_ms = front_budget_refused (request->front->budget, request->service, now_ms);
+      request_refuse (request, STATUS_UNAVAILABLE, reason, wait_ms > again_ms ? wait_ms : again_ms);
+    }
 }
 
 void
--- a/src/front_request_again.c
+++ b/src/front_request_again.c
@@ -80,7 +80,7 @@
   else
     {
       request_drop_attempt (request);
-      request_give_up (request, reason);
+      request_give_up (request, reason, 0);
     }
 }
 
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -83,8 +83,9 @@
 
 /* front_request.c */
 void request_refuse (FrontRequest *request, int status, const char *reason, int64_t retry_after_ms);
-/* The last answer of a request that has been given up, by what may have happened to it. */
-void request_give_up (FrontRequest *request, const char *reason);
+/* The last answer of a request that has been given up, by what may have happened to it. wait_ms:
+ * its caller is told to stay away for so long at least. */
+void request_give_up (FrontRequest *request, const char *reason, int64_t wait_ms);
 void request_free (FrontRequest *request);
 
 #endif
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -11,9 +11,6 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Milliseconds. A server in reach opens a connection within about 5; one lost packet costs the
- * connection a second, after which another server is the better choice. */
-#define CONNECT_MS 350
 /* A stream that may be resumed goes on elsewhere after a silence of this many allowed pauses: twice
  * what is still on time, and far below the eight after which callers leave. */
 #define SILENCE_PAUSES 2
@@ -59,6 +56,23 @@
   return span_hash (model == NO_MODEL ? request->call.model : model_name (request, model));
 }
 
+/* What the settings add to a service's rate is the tolerance of the bound that the users watch. */
+static ColdRule
+cold_rule (const Front *front, const FrontService *service)
+{
+  const SettingsFront *settings = &front->settings;
+
+  if (!service || service->cold_per_s <= 0)
+    return (ColdRule){ 0 };
+  return (ColdRule){
+    .most_per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack,
+    .start_ms = service->cold_start_ms,
+    .self = front->vm_hash,
+    .neighbours = front->neighbours,
+    .fronts = front->fronts,
+  };
+}
+
 static PickQuery
 pick_query (const FrontRequest *request, uint32_t model, const char *version)
 {
@@ -78,6 +92,7 @@
     .is_model = service && service->kv_tokens > 0,
     .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
     .tried_count = request->tried_count,
+    .cold = cold_rule (request->front, service),
   };
 
   memcpy (query.tried, request->tried, sizeof query.tried);
@@ -132,6 +147,7 @@
   request->attempts++;
   request->server = pick->server;
   front_server_ref (pick->server);
+  cold_sent (&pick->server->cold_sends, now_ms);
   request->predicted_ms
       = pick->predicted_ms
         + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
@@ -172,6 +188,14 @@
   return request->attempt != NULL;
 }
 
+static const char *
+no_server_reason (const PickAnswer *pick)
+{
+  if (pick->cold_wait_ms > 0)
+    return "servers_cold";
+  return pick->evacuated ? "evacuated" : "no_server";
+}
+
 void
 request_send (FrontRequest *request)
 {
@@ -189,7 +213,7 @@
     }
   if (!pick.server)
     {
-      request_give_up (request, pick.evacuated ? "evacuated" : "no_server");
+      request_give_up (request, no_server_reason (&pick), pick.cold_wait_ms);
       return;
     }
   version_set (request, version, now_ms);
@@ -265,7 +289,7 @@
   if (!request->attempt)
     return INT64_MAX;
   if (!front_attempt_is_sent (request->attempt))
-    return request->sent_ms + CONNECT_MS;
+    return request->sent_ms + FRONT_CONNECT_MS;
   /* What may run only once is not sent again, so there is nothing to win by giving it up. */
   if (!front_route_is_idempotent (route) || request->attempts >= route->attempts_max)
     return INT64_MAX;
@@ -301,7 +325,7 @@
     {
       request->may_have_run |= sent;
       request_drop_attempt (request);
-      request_give_up (request, "timeout");
+      request_give_up (request, "timeout", 0);
     }
   else if (now_ms < silence_due_ms (request))
     request_arm (request);
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -5,6 +5,7 @@
 #ifndef FRONT_SERVER_H
 #define FRONT_SERVER_H
 
+#include "front_cold.h"
 #include "front_health.h"
 #include "front_others.h"
 #include "front_prompts.h"
@@ -42,6 +43,8 @@
   bool unconfirmed; /**< gone from the list while the store could not be trusted */
   int64_t unconfirmed_until_ms; /**< gone unless it is back by then */
   int64_t cold_until_ms;
+  int64_t returned_ms; /**< when an evacuation of its failure domain was taken back; 0: never */
+  ColdSends cold_sends;
   unsigned references;  /**< attempts that hold it */
   unsigned running;     /**< our requests there */
   double pending_ms;    /**< prompts that we sent and whose answer has not begun: predicted work */
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -133,7 +133,7 @@
 }
 
 bool
-front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered)
+front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered, int64_t now_ms)
 {
   FrontServer *server;
 
@@ -141,8 +141,11 @@
     return false;
   cds_list_for_each_entry (server, &servers->list, node)
   {
-    if (strcmp (server->entry.failure_domain, domain) == 0)
-      server->evacuated = ordered;
+    if (strcmp (server->entry.failure_domain, domain) != 0)
+      continue;
+    server->evacuated = ordered;
+    if (!ordered)
+      server->returned_ms = now_ms;
   }
   return true;
 }
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -21,7 +21,8 @@
 void front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms);
 /** The operator wants the servers of a failure domain to get nothing, or takes that back. True if
  *  that is news. Servers that are listed later are bound by it, too. */
-bool front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered);
+bool
+front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered, int64_t now_ms);
 /** Removes what is still missing at the end of its grace. */
 void front_servers_sweep (FrontServers *servers, int64_t now_ms);
 /** NULL if there is none. */
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -75,7 +75,7 @@
   const char *state = row->removed ? "taken_back" : "ordered";
   FrontLine *line;
 
-  if (is_name && !front_servers_evacuate (front->servers, domain, !row->removed))
+  if (is_name && !front_servers_evacuate (front->servers, domain, !row->removed, clock_boot_ms ()))
     return;
   line = front_log_begin (FRONT_EVENT_EVACUATION);
   front_log_text (line, "domain", domain);
--- a/src/settings_front.c
+++ b/src/settings_front.c
@@ -9,6 +9,9 @@
 #define RETRY_WINDOW_DEFAULT 10.0
 #define REUSE_WINDOW_DEFAULT 6.0
 #define SESSION_DEFAULT_S    5.0
+#define COLD_OVERAGE_DEFAULT 1.0
+#define COLD_OVERAGE_MAX     100.0
+#define COLD_SLACK_MAX       1000.0
 #define SECONDS_MAX          86400.0
 
 typedef struct
@@ -40,6 +43,8 @@
   FRONT_NUMBER ("retry_extra", retry_extra, SECONDS_MAX),
   FRONT_NUMBER ("retry_window_s", retry_window_s, SECONDS_MAX),
   FRONT_NUMBER ("reuse_window_s", reuse_window_s, SECONDS_MAX),
+  FRONT_NUMBER ("cold_overage", cold_overage, COLD_OVERAGE_MAX),
+  FRONT_NUMBER ("cold_slack", cold_slack, COLD_SLACK_MAX),
   FRONT_NUMBER ("session_s", session_s, SECONDS_MAX),
 };
 
@@ -49,6 +54,8 @@
   .retry_extra = RETRY_EXTRA_DEFAULT,
   .retry_window_s = RETRY_WINDOW_DEFAULT,
   .reuse_window_s = REUSE_WINDOW_DEFAULT,
+  .cold_overage = COLD_OVERAGE_DEFAULT,
+  .cold_slack = 0,
   .session_s = SESSION_DEFAULT_S,
 };
 
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -27,6 +27,8 @@
   double retry_extra;     /**< and this many more in a window, over all fronts */
   double retry_window_s;  /**< any span of this length counts */
   double reuse_window_s;  /**< how long a prompt's parts are relied on in a server's cache */
+  double cold_overage;    /**< a cold server may get its rate times this in any second */
+  double cold_slack;      /**< and this many requests more */
   double session_s;       /**< a session ends so long after its last request */
 } SettingsFront;
 
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -329,8 +329,8 @@
   add ("a", "here", "v1");
   add ("bb", "here", "v1");
   add ("ccc", "there", "v1");
-  CU_ASSERT (front_servers_evacuate (servers, "here", true));
-  CU_ASSERT (!front_servers_evacuate (servers, "here", true));
+  CU_ASSERT (front_servers_evacuate (servers, "here", true, NOW));
+  CU_ASSERT (!front_servers_evacuate (servers, "here", true, NOW));
   for (unsigned i = 0; i < 200; i++)
     {
       PickAnswer answer = front_pick (servers, &query, NOW + i);
@@ -346,7 +346,7 @@
   front_servers_remove (servers, "ccc", NOW + 200, 0);
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 200), "none");
   CU_ASSERT (front_pick (servers, &query, NOW + 200).evacuated);
-  CU_ASSERT (front_servers_evacuate (servers, "here", false));
+  CU_ASSERT (front_servers_evacuate (servers, "here", false, NOW + 200));
   CU_ASSERT_STRING_NOT_EQUAL (picked (&query, NOW + 200), "none");
 }
 
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -190,7 +190,7 @@
       break;
     case EVACUATED:
     case TAKEN_BACK:
-      front_servers_evacuate (servers, "hall", event == EVACUATED);
+      front_servers_evacuate (servers, "hall", event == EVACUATED, now_ms);
       break;
     case NOTHING:
       break;
