Servers that start cold: a slot lasts a second, and what is left has owners

The module test found that fronts that count half of the others would exceed the bound (51 and 40 in a second where 32 are allowed), so a failure domain whose list of registered fronts is full counts as at least 20, and owners are fewer (0.45 in place of 0.6): 29 and 32.

Ruled out (trials of the arithmetic, most arrivals in a second at 66 fronts, at 66 that just started, at 300, at 300 that count half): a share of the rate for each front 66, 1650, 300, 300, as a share below one request bounds nothing; the first 24 by rendezvous hash among the known neighbours 17, 17, 24, 51, which needs that members agree.

Tests: test_front_cold; cases cold_engines, back_from_evacuation (with the bound switched off in a trial: 1,261 to 1,649 requests in a second where 11 are borne), odd_cold_rates.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -12,7 +12,7 @@
 import time
 import traceback
 
-from check import attempt_faults, site_faults
+from check import attempt_faults, cold_faults, site_faults
 from engines import digest, whole_stream
 from site_front import CALLERS, CONTROL, KEY, MODELS, Site, exchange
 
@@ -669,6 +669,70 @@
     await domain_gets_work(site, "a")
 
 
+async def crowd(site, callers, seconds):
+    """Many callers at once at all fronts; returns the answers."""
+    until = time.monotonic() + seconds
+
+    async def caller(number):
+        answers = []
+        while time.monotonic() < until:
+            front = site.fronts[number % len(site.fronts)]
+            answers.append(await site.call(front, f"/again/{number}", b"c%d.%d" % (number, len(answers))))
+        return answers
+
+    return [answer for answers in await asyncio.gather(*map(caller, range(callers))) for answer in answers]
+
+
+async def cold_engines(site):
+    """All engines have just started and crash above a small rate, as a crowd comes. No engine gets more;
+    who finds no place is refused at once, truly not run, with a time to come back."""
+    site.cold_per_s = 4
+    await site.configure()
+    for engine in site.engines:
+        engine.chill(6)
+        await engine.report()
+    await asyncio.sleep(0.5)
+    site.runs.clear()
+    answers = await crowd(site, 30, 3)
+    equal(cold_faults(site), [], "the bound of cold engines")
+    check(site, *answers)
+    refused = [answer for answer in answers if answer.status == 503]
+    if not refused or len(refused) == len(answers):
+        raise AssertionError(f"{len(refused)} of {len(answers)} refused")
+    if any(float(answer.fields["retry-after"]) <= 0 or site.runs_of(answer) for answer in refused):
+        raise AssertionError("a refusal without a time to come back, or that ran")
+    reasons = {event["reason"] for event in log_events(site, "request_refused")}
+    equal(reasons, {"servers_cold"}, "reasons")
+
+
+async def back_from_evacuation(site):
+    """An evacuated failure domain is taken back in a crowd. Its engines are cold, and their entries tell
+    only with the next heartbeat."""
+    site.cold_per_s = 4
+    await site.configure()
+    await site.evacuate("a")
+    await asyncio.sleep(2)
+    taken = asyncio.ensure_future(site.take_back("a"))
+    check(site, *await crowd(site, 30, 3))
+    await taken
+    equal(cold_faults(site), [], "the bound of cold engines")
+    if not any(run.cold for run in site.runs):
+        raise AssertionError("the failure domain that was taken back got no work")
+
+
+async def odd_cold_rates(site):
+    """The configuration's figures of cold engines make no sense. They bound nothing, and requests go on."""
+    for rate in (0, -1, 1e300, "many", None):
+        site.cold_per_s = rate
+        await site.configure()
+        for engine in site.engines:
+            engine.chill(2)
+            await engine.report()
+        await asyncio.sleep(0.3)
+        for front in site.fronts:
+            equal((await site.call(front, "/once/a", b"%d" % front.number)).status, 200, f"rate {rate}")
+
+
 async def metrics_and_logs(site):
     """On-call engineers see each decision on a request by its id, and counters on the control
     address."""
@@ -688,7 +752,7 @@
     calm, refusals, cascade, resume, run_once, not_run, crashed_engines, caller_leaves, timeouts, planned_stop, stopping_serves_what_ends_in_time, new_configuration,
     turned_away, late_news, long_table_at_start, held_questions, start_without_store, all_start_again, wrong_seeds, callers_at_start,
     refused_without_configuration, forgotten_history, lost_write, good_rollout, bad_rollout, slow_rollout, crash_request, lost_answers,
-    leaving_engine, engine_starts_again, foreign_entries, evacuated_domain, evacuation_forgotten, evacuated_everywhere, odd_evacuations, metrics_and_logs,
+    leaving_engine, engine_starts_again, foreign_entries, evacuated_domain, evacuation_forgotten, evacuated_everywhere, odd_evacuations, cold_engines, back_from_evacuation, odd_cold_rates, metrics_and_logs,
 ]  # fmt: skip
 
 
--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -1,5 +1,8 @@
 """What must hold for each attempt of a caller, by what the caller and the engines saw."""
 
+from site_front import COLD_OVERAGE, COLD_SLACK
+
+EVACUATED_S = 2.0  # a failure domain's engines get no new work so long after it was evacuated
 LEAVING_S = 2.0  # an engine that leaves gets no new work after so long
 
 
@@ -29,9 +32,29 @@
     return [f"{answer!r}: {fault}" for fault in faults]
 
 
+def cold_faults(site):
+    """Engines that got more in some second than one that has just started bears."""
+    if not site.cold_per_s:
+        return []
+    most, times = site.cold_per_s * COLD_OVERAGE + COLD_SLACK, {}
+    for run in site.runs:
+        if run.cold and run.executed:
+            times.setdefault(run.engine.name, []).append(run.at)
+    faults = []
+    for name, at in times.items():
+        crowd = max(sum(begin <= moment < begin + 1 for moment in at) for begin in at)
+        if crowd > most:
+            faults.append(f"{name} got {crowd} requests in a second while it was cold; it bears {most}")
+    return faults
+
+
 def site_faults(site, calm_since):
     """Promises over the whole site; calm_since(moment) tells since when nothing was in the way."""
-    faults = []
+    faults = cold_faults(site)
+    for run in site.runs:
+        order = site.evacuations.get(run.engine.domain)
+        if order and run.executed and run.at > order + EVACUATED_S and calm_since(run.at) < order:
+            faults.append(f"{run.request}: sent {run.at - order:.2f} s after {run.engine.domain} was evacuated")
     for run in site.runs:
         left_at = run.engine.left_at
         if left_at and run.executed and run.at > left_at + LEAVING_S and calm_since(run.at) < left_at:
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -42,6 +42,7 @@
     fields: dict
     at: float
     executed: bool = False
+    cold: bool = False
     ended: float = 0.0
 
 
@@ -60,6 +61,7 @@
         self.poison = None
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
+        self.cold_until = 0.0
         self.left_at = None  # when the store acknowledged that it leaves
 
     @property
@@ -74,13 +76,20 @@
         public = self.public or self.address
         return {
             "Service": self.service, "Address": f"{public[0]}:{public[1]}", "Zone": self.domain,
-            "Version": self.version, "Slots": 8, "State": self.state, "ColdLeftMs": 0, "Seq": 1,
+            "Version": self.version, "Slots": 8, "State": self.state, "ColdLeftMs": self.cold_left_ms(), "Seq": 1,
             "born": self.born_ms,
         }  # fmt: skip
 
     async def report(self):
         await self.world.store.put("servers", self.name, json.dumps(self.entry()))
 
+    def cold_left_ms(self):
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
+    def chill(self, seconds):
+        """It is as one that has just started, though nobody is told."""
+        self.cold_until = time.monotonic() + seconds
+
     async def drain(self):
         self.state = "draining"
         await self.report()
@@ -129,6 +138,7 @@
             writer.write(answer(503, **NOT_RUN))
             return
         run.executed = True
+        run.cold = self.cold_left_ms() > 0
         run.body = request.body
         run.line = (request.method, request.target)
         gone = asyncio.ensure_future(reader.read(1))  # ends when the caller's side closes
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -18,6 +18,7 @@
 MODELS = ["small", "large"]
 KEY = "key-one"
 WAIT_S = 30
+COLD_START_S, COLD_OVERAGE, COLD_SLACK = 3, 1.5, 5
 
 ROUTES = [
     {"Name": "r-text", "Prefix": "/text/", "Kind": "streaming", "Service": "texts", "Sizes": MODELS,
@@ -63,7 +64,7 @@
             "vm": f"front-{self.number}", "failure_domain": self.domain, "ip": self.ip,
             "callers": f"{self.ip}:{CALLERS}", "ready": f"{self.ip}:{READY}", "control": f"{self.ip}:{self.control}",
             "store": f"{self.ip}:{DOOR}", "peer_port": PEERS, "stop_s": 8, "retry_share": 0.9,
-            "retry_extra": 50, "session_s": 3, "seeds": self.seeds or [f"{front.ip}:{CONTROL}" for front in self.site.fronts[:3]],
+            "retry_extra": 50, "session_s": 3, "cold_overage": COLD_OVERAGE, "cold_slack": COLD_SLACK, "seeds": self.seeds or [f"{front.ip}:{CONTROL}" for front in self.site.fronts[:3]],
         }  # fmt: skip
 
     async def start(self):
@@ -154,6 +155,8 @@
         self.config_acked = {}  # version -> when
         self.routes = [dict(route) for route in ROUTES]
         self.keys = [KEY]
+        self.evacuations = {}  # failure domain -> when its evacuation was acknowledged; it is in force
+        self.cold_per_s = None  # that an engine bears when it has just started; None: the configuration says nothing
         self.ids = itertools.count(1)
         self.fronts = []
         for number in range(fronts):
@@ -192,9 +195,26 @@
                 raise AssertionError(f"waited {limit} s for: {what}")
             await asyncio.sleep(0.05)
 
+    async def evacuate(self, domain):
+        await self.store.put("op", f"evacuate/{domain}", "{}")
+        self.evacuations[domain] = time.monotonic()
+
+    async def take_back(self, domain):
+        """Its engines were cold a moment before; their entries say so a heartbeat later."""
+        self.evacuations.pop(domain, None)
+        engines = [engine for engine in self.engines if engine.domain == domain and not engine.left_at]
+        for engine in engines:
+            engine.chill(COLD_START_S)
+        await self.store.put("op", f"evacuate/{domain}", None)
+        await asyncio.sleep(0.8)
+        for engine in engines:
+            if not engine.left_at:
+                await engine.report()
+
     async def configure(self):
         self.version += self.random.randint(1, 4)
-        services = [{"Name": "texts", "Engine": {"Slots": 8, "KvCapacity": 100000, "Models": [{"Name": m, "Cost": 1} for m in MODELS]}}, {"Name": "orders"}]
+        cold = {"ColdStartS": COLD_START_S, "ColdPerS": self.cold_per_s} if self.cold_per_s is not None else {}
+        services = [{"Name": "texts", **cold, "Engine": {"Slots": 8, "KvCapacity": 100000, "Models": [{"Name": m, "Cost": 1} for m in MODELS]}}, {"Name": "orders", **cold}]
         config = {
             "Version": self.version, "Services": services, "Tenants": [{"Name": "team", "ApiKeys": self.keys}],
             "Routes": [{"Host": "a.example", "Priority": 1, "Public": False, **route} for route in self.routes],
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -16,11 +16,12 @@
 
 from check import attempt_faults, site_faults
 from relay_tcp import Relay
-from site_front import CALLERS, Site, add_routes
+from site_front import CALLERS, COLD_START_S, Site, add_routes
 
 CALM_S = 3.0  # promises with a bound of time hold for a front that nothing was done to for so long
 APPLY_S = 2.0  # a configuration is in force after this
 RELAY = 8200
+COLD_PER_S = 12  # an engine that has just started bears so many requests a second
 NARROW_ROUTES = 2000  # an answer of the store with these has 0.6 MB
 NARROW_RATE = 300_000  # bytes a second
 ENGINE_MODES = ["mute", "half", "cut", "full", "error", "unsigned", "foreign", "unframed", "lost"]
@@ -161,6 +162,15 @@
         for gone in old[:-1]:
             self.revoked[gone] = time.monotonic()
 
+    async def evacuate(self):
+        """Never both failure domains at once; what it has been is made cold as it comes back."""
+        domain = self.random.choice("ab")
+        if self.site.evacuations:
+            return
+        await self.site.evacuate(domain)
+        await self.pause(1, 6)
+        await self.site.take_back(domain)
+
     async def forget(self):
         self.site.store.forget()
 
@@ -200,7 +210,7 @@
             lambda: self.on_front(self.stop), lambda: self.on_front(self.kill), lambda: self.on_front(self.freeze),
             lambda: self.on_front(self.shut_door), lambda: self.on_front(self.cut_callers), self.shut_all_doors,
             self.spoil_engine, self.spoil_engine, self.cut_engine, self.replace_engine, self.configure, self.configure,
-            self.forget, self.roll_out,
+            self.forget, self.roll_out, self.evacuate,
         ]  # fmt: skip
         await self.random.choice(actions)()
 
@@ -253,6 +263,8 @@
 
     async def add_engine(self, service, version="v1"):
         engine = self.site.add_engine(service, version)
+        if self.until:
+            engine.chill(COLD_START_S)
         if self.random.random() < 0.5:
             await engine.start()
             return engine
@@ -268,6 +280,7 @@
         self.relays, self.engine_relays = {}, []
         self.rolling, self.version_number = False, 1
         self.site.make_engine = self.add_engine
+        self.site.cold_per_s = COLD_PER_S
         if self.narrow:
             add_routes(self.site, NARROW_ROUTES)
             for front in self.site.fronts:
--- a/src/front.h
+++ b/src/front.h
@@ -29,10 +29,8 @@
   uint64_t incarnation; /**< random, of this process */
   FrontConfig *config;  /**< NULL until one is known */
   FrontServers *servers;
-  uint64_t vm_hash; /**< of this VM's name */
-  unsigned
-      neighbours;  /**< fronts of our failure domain for the bounds of cold servers, at least 1 */
-  unsigned fronts; /**< all fronts for these bounds, at least 1 */
+  uint64_t vm_hash;   /**< of this VM's name */
+  ColdView fronts;    /**< what is known of the number of fronts */
   bool servers_known; /**< the whole list was read once */
   FrontSessions *sessions;
   FrontRollouts *rollouts;
--- a/src/front_cold.c
+++ b/src/front_cold.c
@@ -7,14 +7,42 @@
  * that a front sends late as its VM stood still. */
 #define NEAR_PART 0.75
 #define FAR_PART  0.125
-/* Where there are more fronts than requests to be sent, each is an owner of the server or not, by a
- * hash. Nobody has to know who the others are, but the number of owners varies. */
-#define OWNERS_PART 0.6
+/* What is left when each front has its whole number of slots is divided by a hash: a front owns one
+ * more slot or doesn't. Nobody has to know who the others are, but the number of owners varies. */
+#define OWNERS_PART 0.45
 #define HASH_BITS   53
-/* Milliseconds in which a request holds its slot: a second, and what it may take to be connected,
- * as it counts from then. */
+/* Milliseconds in which a request holds its slot: a second from the moment at which it reaches the
+ * server, and before that as long as this may take. */
 #define SLOT_MS (1000 + FRONT_CONNECT_MS)
 
+/* Fronts of a large site, and of one of its failure domains. */
+#define LARGE_FRONTS     360
+#define LARGE_NEIGHBOURS 75
+/* Registered fronts of a failure domain from which there may be others beside them, and how many
+ * there are at least taken to be: a front that has not heard of half of them takes no larger part.
+ */
+#define REGISTERED_FULL 5
+#define MANY_NEIGHBOURS 20
+
+static unsigned
+at_least (unsigned count, unsigned least)
+{
+  return count > least ? count : least;
+}
+
+void
+cold_rule_count (ColdRule *rule, const ColdView *view)
+{
+  rule->neighbours = view->neighbours;
+  rule->fronts = view->fronts;
+  if (view->registered >= REGISTERED_FULL)
+    rule->neighbours = at_least (rule->neighbours, MANY_NEIGHBOURS);
+  if (!view->is_new)
+    return;
+  rule->neighbours = at_least (rule->neighbours, LARGE_NEIGHBOURS);
+  rule->fronts = at_least (rule->fronts, LARGE_FRONTS);
+}
+
 /* The same at all times, 0 to 1. */
 static double
 ownership (const ColdRule *rule, uint64_t server)
@@ -28,10 +56,10 @@
 {
   unsigned fronts = is_near ? rule->neighbours : rule->fronts;
   double part = rule->most_per_s * (is_near ? NEAR_PART : FAR_PART) / fmax (fronts, 1);
+  double whole = floor (part);
+  bool owns_one_more = ownership (rule, server) < (part - whole) * OWNERS_PART;
 
-  if (part >= 1)
-    return (unsigned)fmin (part, COLD_SLOTS_MAX);
-  return ownership (rule, server) < part * OWNERS_PART;
+  return (unsigned)fmin (whole + owns_one_more, COLD_SLOTS_MAX);
 }
 
 int64_t
@@ -63,3 +91,15 @@
     oldest = sends->sent_ms[i] < sends->sent_ms[oldest] ? i : oldest;
   sends->sent_ms[oldest] = now_ms;
 }
+
+void
+cold_connected (ColdSends *sends, int64_t sent_ms, int64_t now_ms)
+{
+  for (unsigned i = 0; i < COLD_SLOTS_MAX; i++)
+    {
+      if (sends->sent_ms[i] != sent_ms)
+        continue;
+      sends->sent_ms[i] = now_ms - FRONT_CONNECT_MS;
+      return;
+    }
+}
--- a/src/front_cold.h
+++ b/src/front_cold.h
@@ -12,6 +12,15 @@
 /** Requests that one front may send to one cold server in a second, at most. */
 #define COLD_SLOTS_MAX 8
 
+/** What a front knows of the others, ourselves counted. */
+typedef struct
+{
+  unsigned neighbours; /**< of our failure domain, with those that fell silent lately */
+  unsigned registered; /**< of them, those on the store's list, which takes only a few */
+  unsigned fronts;     /**< of all failure domains */
+  bool is_new;         /**< it has just started, or hears nobody */
+} ColdView;
+
 /** What the fronts of a site may send to one cold server of a service. */
 typedef struct
 {
@@ -19,7 +28,7 @@
   int64_t start_ms;    /**< how long a server stays cold */
   uint64_t self;       /**< hash of this VM's name, so that a restart changes no part */
   unsigned neighbours; /**< fronts of our failure domain, ourselves included */
-  unsigned fronts;     /**< all of them */
+  unsigned fronts;     /**< of all failure domains */
 } ColdRule;
 
 /** When the last requests were sent to a server. */
@@ -28,11 +37,17 @@
   int64_t sent_ms[COLD_SLOTS_MAX];
 } ColdSends;
 
+/** Sets the numbers of fronts: not below what there may be beside those that are known. */
+void cold_rule_count (ColdRule *rule, const ColdView *view);
 /** How many requests this front may have sent there in any second. is_near: the server is in our
  * own failure domain. */
 unsigned cold_slots (const ColdRule *rule, uint64_t server, bool is_near);
 /** Milliseconds until another request may be sent; 0: now; INT64_MAX: none while it is cold. */
 int64_t cold_wait_ms (const ColdSends *sends, unsigned slots, int64_t now_ms);
+/** A request is on its way: until it is connected, its slot is held for as long as that may take.
+ */
 void cold_sent (ColdSends *sends, int64_t now_ms);
+/** The request that has been on its way since sent_ms reaches the server now. */
+void cold_connected (ColdSends *sends, int64_t sent_ms, int64_t now_ms);
 
 #endif
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -91,7 +91,7 @@
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
   front_budget_set_fronts (self->front.budget, front_peers_alive (self->front.peers, now_ms));
-  front_peers_count (self->front.peers, now_ms, &self->front.neighbours, &self->front.fronts);
+  front_peers_count (self->front.peers, now_ms, &self->front.fronts);
   front_control_tick (self->control, now_ms);
   settings_watch (self, now_ms);
   stop_check (self, now_ms);
@@ -215,7 +215,7 @@
   if (!front->peers)
     return "peers";
   front->vm_hash = id_hash_string (settings->vm, 0);
-  front_peers_count (front->peers, front->started_ms, &front->neighbours, &front->fronts);
+  front_peers_count (front->peers, front->started_ms, &front->fronts);
   front->store = front_store_new (front);
   if (!front->store)
     return "store";
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -55,10 +55,8 @@
 void front_peers_failed (FrontPeers *peers, const struct sockaddr_in *address, int64_t now_ms);
 /** Number of fronts known to live, this one included. */
 unsigned front_peers_alive (const FrontPeers *peers, int64_t now_ms);
-/** How many fronts there are in our failure domain and in all, ourselves included and with those
- * that were not heard lately; as many as a large site has while we know too few to tell. */
-void
-front_peers_count (const FrontPeers *peers, int64_t now_ms, unsigned *neighbours, unsigned *fronts);
+/** What is known of the number of fronts, for the bounds of cold servers. */
+void front_peers_count (const FrontPeers *peers, int64_t now_ms, ColdView *view);
 /** True if this front is one of a few, spread over the failure domains, on which all agree for the
  *  subject. Fewer act where a failure domain has fewer fronts than its part. */
 bool front_peers_is_among (const FrontPeers *peers, uint64_t subject, unsigned few, int64_t now_ms);
--- a/src/front_peers_rank.c
+++ b/src/front_peers_rank.c
@@ -14,10 +14,6 @@
 #define SETTLED_MS 4000
 /* Milliseconds: longer than a failure domain is cut off, or a VM takes to come back. */
 #define REMEMBERED_MS 60000
-/* Fronts of a large site, and of one of its failure domains. */
-#define LARGE_FRONTS     360
-#define LARGE_NEIGHBOURS 75
-
 unsigned
 front_peers_alive (const FrontPeers *peers, int64_t now_ms)
 {
@@ -28,29 +24,21 @@
   return count;
 }
 
-/* A front that has just started, or hears nobody, may be one of many. */
 void
-front_peers_count (const FrontPeers *peers, int64_t now_ms, unsigned *neighbours, unsigned *fronts)
+front_peers_count (const FrontPeers *peers, int64_t now_ms, ColdView *view)
 {
-  bool knows_others
-      = now_ms - peers->started_ms >= SETTLED_MS && front_peers_alive (peers, now_ms) > 1;
-
-  *neighbours = 1;
-  *fronts = 1;
+  *view = (ColdView){ .neighbours = 1, .registered = peers->is_registered, .fronts = 1 };
+  view->is_new = now_ms - peers->started_ms < SETTLED_MS || front_peers_alive (peers, now_ms) == 1;
   for (unsigned i = 0; i < peers->count; i++)
     {
       const Peer *peer = &peers->list[i];
       bool heard = peer->heard_ms != 0 && now_ms - peer->heard_ms < REMEMBERED_MS;
+      bool near = peer->domain == peers->own_domain;
 
-      if (!heard && !peer->is_registered)
-        continue;
-      *neighbours += peer->domain == peers->own_domain;
-      *fronts += 1;
+      view->registered += near && peer->is_registered;
+      view->neighbours += near && (heard || peer->is_registered);
+      view->fronts += heard || peer->is_registered;
     }
-  if (!knows_others && *neighbours < LARGE_NEIGHBOURS)
-    *neighbours = LARGE_NEIGHBOURS;
-  if (!knows_others && *fronts < LARGE_FRONTS)
-    *fronts = LARGE_FRONTS;
 }
 
 uint64_t
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -62,15 +62,17 @@
 {
   const SettingsFront *settings = &front->settings;
 
+  ColdRule rule = { 0 };
+
   if (!service || service->cold_per_s <= 0)
-    return (ColdRule){ 0 };
-  return (ColdRule){
+    return rule;
+  rule = (ColdRule){
     .most_per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack,
     .start_ms = service->cold_start_ms,
     .self = front->vm_hash,
-    .neighbours = front->neighbours,
-    .fronts = front->fronts,
   };
+  cold_rule_count (&rule, &front->fronts);
+  return rule;
 }
 
 static PickQuery
@@ -338,7 +340,10 @@
 static void
 on_sent (void *user)
 {
-  request_arm (user);
+  FrontRequest *request = user;
+
+  cold_connected (&request->server->cold_sends, request->sent_ms, clock_boot_ms ());
+  request_arm (request);
 }
 
 static void
--- /dev/null
+++ b/tests/test_front_cold.c
@@ -0,0 +1,173 @@
+/** The bound of servers that have started lately: src/front_cold.c. */
+#include "front_attempt.h"
+#include "front_cold.h"
+#include "suite.h"
+#include "util_id.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define NOW        100000
+#define SECOND_MS  1000
+#define PLAY_MS    3000 /* as long as a server stays cold */
+#define SERVERS    20
+#define FRONTS_MAX 400
+#define MOST       32.0 /* 18 a second, by half more, and 5 */
+
+/** A site, and what its fronts know of each other. */
+typedef struct
+{
+  const char *name;
+  unsigned neighbours; /**< in the server's failure domain */
+  unsigned others;
+  ColdView view;
+} Site;
+
+static const Site sites[] = {
+  { "six fronts", 2, 4, { 2, 2, 6, false } },
+  { "a middle-sized site", 17, 49, { 17, 5, 66, false } },
+  { "with spare fronts", 20, 58, { 20, 5, 78, false } },
+  { "fronts that count half of the others", 17, 49, { 9, 5, 33, false } },
+  { "all have just started", 17, 49, { 1, 0, 1, true } },
+  { "a large site", 75, 225, { 75, 5, 300, false } },
+  { "a large site, half counted", 75, 225, { 37, 5, 150, false } },
+  { "a large site that has just started", 75, 225, { 5, 5, 20, true } },
+  { "a domain that hears nobody else", 75, 225, { 75, 5, 75, false } },
+};
+
+static ColdRule
+rule_of (const Site *site, unsigned front)
+{
+  ColdRule rule = { .most_per_s = MOST, .start_ms = 3000 };
+
+  rule.self = id_hash (&front, sizeof front, 7);
+  cold_rule_count (&rule, &site->view);
+  return rule;
+}
+
+/* Most arrivals in any second of a play in which each front sends as soon as it may. */
+static unsigned
+play_greedy (const Site *site, uint64_t server, unsigned *total)
+{
+  static unsigned arrivals[PLAY_MS];
+  static ColdSends sends[FRONTS_MAX];
+  unsigned fronts = site->neighbours + site->others;
+  unsigned in_second = 0, most = 0;
+
+  memset (arrivals, 0, sizeof arrivals);
+  memset (sends, 0, sizeof sends);
+  *total = 0;
+  for (unsigned ms = 0; ms < PLAY_MS; ms++)
+    {
+      for (unsigned front = 0; front < fronts; front++)
+        {
+          ColdRule rule = rule_of (site, front);
+          unsigned slots = cold_slots (&rule, server, front < site->neighbours);
+
+          if (cold_wait_ms (&sends[front], slots, NOW + ms) != 0)
+            continue;
+          cold_sent (&sends[front], NOW + ms);
+          cold_connected (&sends[front], NOW + ms, NOW + ms);
+          arrivals[ms]++;
+        }
+      in_second += arrivals[ms];
+      if (ms >= SECOND_MS)
+        in_second -= arrivals[ms - SECOND_MS];
+      if (in_second > most)
+        most = in_second;
+      *total += arrivals[ms];
+    }
+  return most;
+}
+
+/* Failure: a domain comes back cold beside a hot prompt and a burst. Every front sends its servers
+   all that it may, and they crash again; also where fronts have just started, hear nobody or
+   disagree. */
+static void
+test_bound_is_kept_by_all_fronts (void)
+{
+  for (size_t i = 0; i < SUITE_COUNT (sites); i++)
+    {
+      unsigned most = 0, all = 0, total;
+
+      for (uint64_t server = 1; server <= SERVERS; server++)
+        {
+          unsigned found = play_greedy (&sites[i], server, &total);
+
+          most = found > most ? found : most;
+          all += total;
+        }
+      printf ("%s: at most %u in a second, %.1f on average\n", sites[i].name, most,
+              (double)all / SERVERS / PLAY_MS * SECOND_MS);
+      CU_ASSERT (most <= (unsigned)MOST);
+      CU_ASSERT (all > 0);
+    }
+}
+
+/* Pattern: a domain back cold. Where all know each other its servers take over at half of their
+   rate at least, or the domain stays idle while the others are overloaded. */
+static void
+test_cold_servers_are_used (void)
+{
+  unsigned total, all = 0;
+
+  for (uint64_t server = 1; server <= SERVERS; server++)
+    {
+      play_greedy (&sites[1], server, &total);
+      all += total;
+    }
+  CU_ASSERT ((double)all / SERVERS / PLAY_MS * SECOND_MS > MOST / 2);
+}
+
+/* Failure: a connection that takes long brings two requests of one slot into one second. */
+static void
+test_slot_counts_from_the_connection (void)
+{
+  ColdSends sends = { 0 };
+
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW), 0);
+  cold_sent (&sends, NOW);
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW), SECOND_MS + FRONT_CONNECT_MS);
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 2, NOW), 0);
+  cold_connected (&sends, NOW, NOW + 300);
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW + 300), SECOND_MS);
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW + 1299), 1);
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW + 1300), 0);
+}
+
+static void
+test_no_slot (void)
+{
+  ColdSends sends = { 0 };
+  ColdRule rule = { .most_per_s = 0.5, .neighbours = 400, .fronts = 1000000 };
+
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 0, NOW), INT64_MAX);
+  CU_ASSERT_EQUAL (cold_slots (&rule, 3, false), 0);
+  rule = (ColdRule){ .most_per_s = 1e6, .neighbours = 0, .fronts = 0 };
+  CU_ASSERT_EQUAL (cold_slots (&rule, 3, true), COLD_SLOTS_MAX);
+}
+
+/* More sends than slots are remembered: only the last ones count. */
+static void
+test_many_sends (void)
+{
+  ColdSends sends = { 0 };
+
+  for (unsigned i = 0; i < 3 * COLD_SLOTS_MAX; i++)
+    cold_sent (&sends, NOW + 10 * i);
+  CU_ASSERT (cold_wait_ms (&sends, COLD_SLOTS_MAX, NOW + 250) > 0);
+  CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW + 3000), 0);
+}
+
+static const SuiteCase cases[] = {
+  { "bound_is_kept_by_all_fronts", test_bound_is_kept_by_all_fronts },
+  { "cold_servers_are_used", test_cold_servers_are_used },
+  { "slot_counts_from_the_connection", test_slot_counts_from_the_connection },
+  { "no_slot", test_no_slot },
+  { "many_sends", test_many_sends },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_cold", cases, SUITE_COUNT (cases));
+}
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -54,6 +54,41 @@
   front_config_unref (config);
 }
 
+/* Figures of servers that have just started: absent, broken or beyond all reason they bound
+ * nothing. */
+static void
+test_config_cold_servers (void)
+{
+  static const struct
+  {
+    const char *text;
+    double per_s;
+    int64_t start_ms;
+  } rows[] = {
+    { "\"ColdStartS\":3.5,\"ColdPerS\":18.0", 18, 3500 },
+    { "\"ColdStartS\":3", 0, 3000 },
+    { "\"ColdStartS\":-3,\"ColdPerS\":-1", 0, 0 },
+    { "\"ColdStartS\":1e300,\"ColdPerS\":1e300", 0, 0 },
+    { "\"ColdStartS\":\"long\",\"ColdPerS\":[]", 0, 0 },
+    { "\"ColdPerS\":0", 0, 0 },
+  };
+
+  for (size_t i = 0; i < SUITE_COUNT (rows); i++)
+    {
+      char text[200];
+      Status status;
+      FrontConfig *config;
+
+      snprintf (text, sizeof text, "{\"Version\":1,\"Services\":[{\"Name\":\"s\",%s}]}",
+                rows[i].text);
+      config = wire_config_decode (text, strlen (text), &status);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+      CU_ASSERT_EQUAL (front_config_service (config, "s")->cold_per_s, rows[i].per_s);
+      CU_ASSERT_EQUAL (front_config_service (config, "s")->cold_start_ms, rows[i].start_ms);
+      front_config_unref (config);
+    }
+}
+
 static void
 refused_config (const char *text, const char *message)
 {
@@ -434,6 +469,7 @@
 
 static const SuiteCase cases[] = {
   { "config", test_config },
+  { "config_cold_servers", test_config_cold_servers },
   { "bad_config", test_bad_config },
   { "call_decode", test_call_decode },
   { "call_encode", test_call_encode },
