The cascade asks the middle model where it is enough

Callers of the shifted site got poor answers for 2 to 11 of 100 requests by kind, while a third of all that is paid for models went into answers of the largest that a model of half its price would have given. The largest model's reading also holds up all streams of its server for its time.

--- a/bench/front_model.h
+++ b/bench/front_model.h
@@ -70,7 +70,7 @@
   const char *name;
   unsigned first_model;
   PickAnswer (*pick) (FrontServers *servers, const PickQuery *query, Clock *clock);
-  bool (*wants_larger) (const CascadeCase *c);
+  CascadeStep (*step) (const CascadeCase *c);
 } Policy;
 
 typedef struct
--- a/bench/front_play.c
+++ b/bench/front_play.c
@@ -255,25 +255,51 @@
   return (int)fmin (fmax (said, 0), 100);
 }
 
-static bool
-asks_larger (Play *play, Call *call)
+/* A call that may be sent to a larger model. */
+typedef struct
+{
+  Play *play;
+  Call *call;
+} Asking;
+
+static unsigned
+step_model (CascadeStep step)
+{
+  return step == CASCADE_MIDDLE ? MODELS / 2 : MODELS - 1;
+}
+
+static CascadeForecast
+forecast (void *user, CascadeStep step)
+{
+  const Asking *asking = user;
+  Play *play = asking->play;
+  PickQuery query = query_of (asking->call, step_model (step));
+  PickAnswer pick = front_pick (play->views[asking->call->front], &query, play->clock.now_ms);
+
+  return (CascadeForecast){ .first_ms = pick.predicted_ms, .reading_ms = pick.prompt_ms };
+}
+
+static CascadeStep
+next_step (Play *play, Call *call)
 {
-  PickQuery query = query_of (call, MODELS - 1);
+  Asking asking = { .play = play, .call = call };
   CascadeCase c = {
     .confidence = confidence_of (play, call),
+    .has_middle = MODELS > 2,
     .priority = call->class->priority,
     .passed_ms = play->clock.now_ms - call->arrived_ms,
     .objective_ms = call->class->objective_ms,
+    .lag_ms = front_lag_now (&play->lags[call->front], play->clock.now_ms),
+    .forecast = forecast,
+    .user = &asking,
   };
 
   if (call->model == MODELS - 1 || call->attempts >= ATTEMPTS_MOST)
-    return false;
-  c.larger_ms = front_pick (play->views[call->front], &query, play->clock.now_ms).predicted_ms;
-  c.lag_ms = front_lag_now (&play->lags[call->front], play->clock.now_ms);
-  return play->policy->wants_larger (&c);
+    return CASCADE_KEEP;
+  return play->policy->step (&c);
 }
 
-/* The answer begins: it goes to the caller, or is dropped for the largest model's. */
+/* The answer begins: it goes to the caller, or is dropped for a larger model's. */
 static void
 on_first (Play *play, unsigned number)
 {
@@ -282,16 +308,18 @@
   double first_ms = (double)(play->clock.now_ms - call->arrived_ms);
   double attempt_ms = (double)(play->clock.now_ms - call->sent_ms);
   double late_ms = attempt_ms - call->predicted_ms;
+  CascadeStep step;
 
   call->server->pending_ms = fmax (0, call->server->pending_ms - call->pending_ms);
   call->pending_ms = 0;
   front_health_answered (&call->server->health, play->clock.now_ms, attempt_ms, call->predicted_ms);
   front_lag_add (&play->lags[call->front], late_ms, play->clock.now_ms);
-  if (asks_larger (play, call))
+  step = next_step (play, call);
+  if (step != CASCADE_KEEP)
     {
       engine->running--;
       free_server (call);
-      call->model = MODELS - 1;
+      call->model = step_model (step);
       send_call (play, number);
       return;
     }
--- a/bench/front_policies.c
+++ b/bench/front_policies.c
@@ -41,31 +41,26 @@
   return answer;
 }
 
-static bool
+static CascadeStep
 never (const CascadeCase *c)
 {
   (void)c;
-  return false;
+  return CASCADE_KEEP;
 }
 
 /* One bar for all requests, whatever the largest model's queue. */
-static bool
+static CascadeStep
 below_bar (const CascadeCase *c)
 {
-  return c->confidence < 56;
+  return c->confidence < 56 ? CASCADE_LARGEST : CASCADE_KEEP;
 }
 
 const Policy model_policies[] = {
-  { .name = "product", .pick = pick_product, .wants_larger = front_cascade_wants_larger },
-  { .name = "one-bar", .pick = pick_product, .wants_larger = below_bar },
-  { .name = "smallest-only", .pick = pick_product, .wants_larger = never },
-  { .name = "largest-only",
-    .first_model = MODELS - 1,
-    .pick = pick_product,
-    .wants_larger = never },
-  { .name = "random-server", .pick = pick_random, .wants_larger = front_cascade_wants_larger },
-  { .name = "least-running",
-    .pick = pick_least_running,
-    .wants_larger = front_cascade_wants_larger },
+  { .name = "product", .pick = pick_product, .step = front_cascade_step },
+  { .name = "one-bar", .pick = pick_product, .step = below_bar },
+  { .name = "smallest-only", .pick = pick_product, .step = never },
+  { .name = "largest-only", .first_model = MODELS - 1, .pick = pick_product, .step = never },
+  { .name = "random-server", .pick = pick_random, .step = front_cascade_step },
+  { .name = "least-running", .pick = pick_least_running, .step = front_cascade_step },
 };
 const unsigned model_policy_count = sizeof model_policies / sizeof model_policies[0];
--- a/src/front_cascade.c
+++ b/src/front_cascade.c
@@ -1,41 +1,64 @@
 #include "front_cascade.h"
 #include <math.h>
 
-/* The smallest model's answer is kept if it trusts it at least so much, of 100. Bars of 20 to 80
- * were played: below, poor answers are kept; above, the largest model, which reads ten times as
- * slowly and costs fifteen times as much, does work that the smallest had done well. For the least
- * urgent routes the largest model's answer is worth less than its cost earlier. Beside one bar of
- * 60 for all this buys 0.02 of worth on average, 0.06 on the busiest days of the large sites. */
-#define CONFIDENCE_KEPT       56.0
-#define CONFIDENCE_KEPT_LOW   36.0
+/* An answer is kept if its model trusts it at least so much, of 100. */
+typedef struct
+{
+  double urgent;
+  double least_urgent; /* whose better answers are worth less beside a larger model's cost */
+} KeptBar;
+
+/* A middle model costs half of the largest and reads faster, so more answers are worth it. */
+static const KeptBar bar_with_middle = { .urgent = 66, .least_urgent = 50 };
+static const KeptBar bar_two_models = { .urgent = 56, .least_urgent = 36 };
 #define LEAST_URGENT_PRIORITY 2
-/* The bar falls by so much as the largest model's answer takes the whole objective to begin: a long
- * prompt read by it holds up all streams on its server. */
+
+/* Requests that the smallest model is less sure of than this are mostly too hard for a middle one
+ * as well; below the second bar nearly all are. */
+#define LARGEST_BELOW 40
+#define MIDDLE_FROM   30
+/* The bar falls by so much as the larger model's answer takes the whole objective to begin. */
 #define CONFIDENCE_FOR_WAIT 80.0
 /* The lag weighs more than a prediction: it shows a queue that still grows, in front of the
- * smallest model, too. In a burst of four times the usual this earns 0.70 of what could be earned,
- * where 1.0 earns 0.62 and no lag 0.53; on other days it costs up to 0.01 (model of a site,
- * bench_front). */
+ * smallest model, too. */
 #define LAG_TIMES 3.0
-/* Milliseconds by which answers are late without any queue, as predictions are rough: taken for a
- * queue they cost 0.008 of worth at a site of six fronts. */
+/* Milliseconds by which answers are late without any queue, as predictions are rough. */
 #define LAG_USUAL_MS 35.0
 /* A larger model is tried only while this part of the time to the first event is left. */
 #define LATEST 0.6
+/* Milliseconds. While a prompt is read all streams of its server stand still; longer than this they
+ * would pause for more than callers accept. */
+#define READING_MOST_MS 1000.0
 
 static double
-confidence_kept (const CascadeCase *c)
+confidence_kept (const CascadeCase *c, double first_ms)
 {
+  const KeptBar *bar = c->has_middle ? &bar_with_middle : &bar_two_models;
   double lag_ms = fmax (c->lag_ms - LAG_USUAL_MS, 0);
-  double wait = (c->larger_ms + LAG_TIMES * lag_ms) / (double)c->objective_ms;
+  double wait = (first_ms + LAG_TIMES * lag_ms) / (double)c->objective_ms;
 
-  return (c->priority >= LEAST_URGENT_PRIORITY ? CONFIDENCE_KEPT_LOW : CONFIDENCE_KEPT)
+  return (c->priority >= LEAST_URGENT_PRIORITY ? bar->least_urgent : bar->urgent)
          - CONFIDENCE_FOR_WAIT * wait;
 }
 
-bool
-front_cascade_wants_larger (const CascadeCase *c)
+CascadeStep
+front_cascade_step (const CascadeCase *c)
 {
-  return c->confidence >= 0 && c->confidence < confidence_kept (c)
-         && (double)c->passed_ms < (double)c->objective_ms * LATEST;
+  bool middle_first = c->has_middle && c->confidence >= LARGEST_BELOW;
+  CascadeStep step = middle_first ? CASCADE_MIDDLE : CASCADE_LARGEST;
+  CascadeForecast forecast;
+
+  if (c->confidence < 0 || (double)c->passed_ms >= (double)c->objective_ms * LATEST)
+    return CASCADE_KEEP;
+  forecast = c->forecast (c->user, step);
+  if (step == CASCADE_LARGEST && forecast.reading_ms > READING_MOST_MS && c->has_middle
+      && c->confidence >= MIDDLE_FROM)
+    {
+      step = CASCADE_MIDDLE;
+      forecast = c->forecast (c->user, step);
+    }
+  if (forecast.reading_ms > READING_MOST_MS
+      || c->confidence >= confidence_kept (c, forecast.first_ms))
+    return CASCADE_KEEP;
+  return step;
 }
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -6,6 +6,7 @@
 
 #include "front_attempt.h"
 #include "front_call.h"
+#include "front_cascade.h"
 #include "front_events.h"
 #include "front_pick.h"
 #include "front_request.h"
@@ -59,8 +60,8 @@
 /* front_request_send.c */
 void request_send (FrontRequest *request);
 void request_drop_attempt (FrontRequest *request);
-/* Milliseconds after which the largest model's answer is predicted to begin. */
-double request_larger_ms (const FrontRequest *request);
+/* What is predicted if a larger model is asked now. */
+CascadeForecast request_forecast (const FrontRequest *request, uint32_t model);
 void request_arm (FrontRequest *request);
 /* The attempt's answer has begun so long after the sending. */
 void request_learn_speed (FrontRequest *request, double first_ms, int64_t now_ms);
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -7,6 +7,9 @@
 #include "wire_call.h"
 #include <string.h>
 
+/* A route with so many models has one between the smallest and the largest. */
+#define MODELS_WITH_MIDDLE 3
+
 #define STATUS_OK           200
 #define STATUS_REDIRECT     300
 #define STATUS_MISDIRECTED  421
@@ -82,44 +85,68 @@
   request_add_evidence (request, failed, now_ms);
 }
 
-static bool
-wants_larger (const FrontRequest *request, const ReplyFacts *facts)
+static uint32_t
+step_model (const FrontRequest *request, CascadeStep step)
+{
+  return step == CASCADE_MIDDLE ? request->route->model_count / 2 : request->route->model_count - 1;
+}
+
+static CascadeForecast
+forecast (void *user, CascadeStep step)
+{
+  const FrontRequest *request = user;
+
+  return request_forecast (request, step_model (request, step));
+}
+
+static CascadeStep
+cascade_step (FrontRequest *request, const ReplyFacts *facts)
 {
   int64_t now_ms = clock_boot_ms ();
   CascadeCase c = {
     .confidence = facts->confidence,
+    .has_middle = request->route->model_count >= MODELS_WITH_MIDDLE,
     .priority = request->route->priority,
     .passed_ms = now_ms - request->arrived_ms,
     .objective_ms = request->route->objective_ms,
+    .lag_ms = front_lag_now (&request->front->lag, now_ms),
+    .forecast = forecast,
+    .user = request,
   };
 
   if (request->model == NO_MODEL || request->model + 1 >= request->route->model_count
       || request->cascade_done || request->head_sent
       || request->attempts >= request->route->attempts_max)
-    return false;
-  c.larger_ms = request_larger_ms (request);
-  c.lag_ms = front_lag_now (&request->front->lag, now_ms);
-  return front_cascade_wants_larger (&c);
+    return CASCADE_KEEP;
+  return front_cascade_step (&c);
 }
 
-/* Drops the answer for the largest model's; false if the budget doesn't allow it. */
+/* Drops the answer for a larger model's; false if that isn't wanted, or the budget doesn't allow
+ * it. */
 static bool
 cascade (FrontRequest *request, const ReplyFacts *facts)
 {
-  bool allowed = front_budget_take (request->front->budget, request->service, BUDGET_CASCADE,
-                                    clock_boot_ms ());
-  FrontLine *line = front_log_begin (FRONT_EVENT_CASCADE);
+  CascadeStep step = cascade_step (request, facts);
+  uint32_t model = step_model (request, step);
+  FrontLine *line;
+  bool allowed;
 
+  if (step == CASCADE_KEEP)
+    return false;
+  allowed = front_budget_take (request->front->budget, request->service, BUDGET_CASCADE,
+                               clock_boot_ms ());
   request->cascade_done = true;
+  line = front_log_begin (FRONT_EVENT_CASCADE);
   front_log_span (line, "request", request->call.id);
   front_log_text (line, "model", request->route->models[request->model]);
   front_log_number (line, "confidence", facts->confidence);
+  front_log_text (line, "next", request->route->models[model]);
   front_log_text (line, "verdict", allowed ? "larger" : "no_budget");
   front_log_end (line);
   if (!allowed)
     return false;
   front_counter_add (FRONT_COUNTER_CASCADES);
-  request->model = request->route->model_count - 1;
+  request->model = model;
   request->tried_count = 0; /* the same server may well run the larger model */
   request->may_have_run = true;
   request_drop_attempt (request);
@@ -298,7 +325,7 @@
       return;
     case REPLY_STREAM:
       account_first (request, false);
-      if (wants_larger (request, &facts) && cascade (request, &facts))
+      if (cascade (request, &facts))
         return;
       request->relaying = true;
       stream_progress (request);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -230,14 +230,15 @@
   request_arm (request);
 }
 
-double
-request_larger_ms (const FrontRequest *request)
+CascadeForecast
+request_forecast (const FrontRequest *request, uint32_t model)
 {
-  uint32_t largest = request->route->model_count - 1;
-  PickQuery query = pick_query (request, largest, request->version[0] ? request->version : NULL);
+  PickQuery query = pick_query (request, model, request->version[0] ? request->version : NULL);
+  PickAnswer pick;
 
   query.tried_count = 0;
-  return front_pick (request->front->servers, &query, clock_boot_ms ()).predicted_ms;
+  pick = front_pick (request->front->servers, &query, clock_boot_ms ());
+  return (CascadeForecast){ .first_ms = pick.predicted_ms, .reading_ms = pick.prompt_ms };
 }
 
 void
--- a/tests/test_front_cascade.c
+++ b/tests/test_front_cascade.c
@@ -7,20 +7,44 @@
 
 /* Answers begin as predicted but for this. */
 static double lag_ms;
+static bool has_middle;
+static double reading_ms[CASCADE_LARGEST + 1]; /* of the prompt, by step */
 
-static bool
-wants (int confidence, int64_t priority, double larger_ms, int64_t passed_ms)
+typedef struct
+{
+  double larger_ms;
+} Wait;
+
+static CascadeForecast
+forecast (void *user, CascadeStep step)
 {
+  const Wait *wait = user;
+
+  return (CascadeForecast){ .first_ms = wait->larger_ms, .reading_ms = reading_ms[step] };
+}
+
+static CascadeStep
+step_of (int confidence, int64_t priority, double larger_ms, int64_t passed_ms)
+{
+  Wait wait = { .larger_ms = larger_ms };
   CascadeCase c = {
     .confidence = confidence,
+    .has_middle = has_middle,
     .priority = priority,
-    .larger_ms = larger_ms,
     .lag_ms = lag_ms,
     .passed_ms = passed_ms,
     .objective_ms = 1500,
+    .forecast = forecast,
+    .user = &wait,
   };
 
-  return front_cascade_wants_larger (&c);
+  return front_cascade_step (&c);
+}
+
+static bool
+wants (int confidence, int64_t priority, double larger_ms, int64_t passed_ms)
+{
+  return step_of (confidence, priority, larger_ms, passed_ms) == CASCADE_LARGEST;
 }
 
 static void
@@ -80,12 +104,50 @@
   CU_ASSERT (!wants (20, URGENT, 50, 900));
 }
 
+/* Three models: what the smallest is fairly sure of goes to the middle one, at half of the price
+   and of the reading that holds up all streams; what is too hard for both, to the largest at once.
+ */
+static void
+test_middle_model (void)
+{
+  has_middle = true;
+  CU_ASSERT_EQUAL (step_of (90, URGENT, 50, 100), CASCADE_KEEP);
+  CU_ASSERT_EQUAL (step_of (60, URGENT, 50, 100), CASCADE_MIDDLE);
+  CU_ASSERT_EQUAL (step_of (45, URGENT, 50, 100), CASCADE_MIDDLE);
+  CU_ASSERT_EQUAL (step_of (39, URGENT, 50, 100), CASCADE_LARGEST);
+  CU_ASSERT_EQUAL (step_of (60, LEAST, 50, 100), CASCADE_KEEP);
+  CU_ASSERT_EQUAL (step_of (45, LEAST, 50, 100), CASCADE_MIDDLE);
+  CU_ASSERT_EQUAL (step_of (45, URGENT, 600, 100), CASCADE_KEEP);
+  CU_ASSERT_EQUAL (step_of (-1, URGENT, 50, 100), CASCADE_KEEP);
+  has_middle = false;
+}
+
+/* Load pattern: long drafts beside many short streams. A prompt that the largest model reads for
+   seconds stops all streams of its server for as long; the middle one reads it if that may help. */
+static void
+test_long_drafts_beside_short_streams (void)
+{
+  reading_ms[CASCADE_LARGEST] = 1200;
+  reading_ms[CASCADE_MIDDLE] = 500;
+  CU_ASSERT_EQUAL (step_of (10, URGENT, 50, 100), CASCADE_KEEP);
+  has_middle = true;
+  CU_ASSERT_EQUAL (step_of (10, URGENT, 50, 100), CASCADE_KEEP);
+  CU_ASSERT_EQUAL (step_of (35, URGENT, 50, 100), CASCADE_MIDDLE);
+  reading_ms[CASCADE_MIDDLE] = 1100;
+  CU_ASSERT_EQUAL (step_of (35, URGENT, 50, 100), CASCADE_KEEP);
+  CU_ASSERT_EQUAL (step_of (45, URGENT, 50, 100), CASCADE_KEEP);
+  reading_ms[CASCADE_LARGEST] = reading_ms[CASCADE_MIDDLE] = 0;
+  has_middle = false;
+}
+
 static const SuiteCase cases[] = {
   { "by_confidence", test_by_confidence },
   { "least_urgent", test_least_urgent },
   { "burst", test_burst },
   { "burst_of_all_fronts", test_burst_of_all_fronts },
   { "late_answer", test_late_answer },
+  { "middle_model", test_middle_model },
+  { "long_drafts_beside_short_streams", test_long_drafts_beside_short_streams },
 };
 
 int
