Comments say what values protect; bare make names missing libraries

Bare make on a machine without the libraries ended with a compiler's error on the first header; it now lists what pkg-config doesn't find and names tools/install.sh (the front alone asks for its own libraries only).

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,16 @@
 
 $(BUILD)/obj/rpc/%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
   -Wno-cast-function-type
-$(BUILD)/obj/%.o: %.c
+# Libraries that the goals need: lovage-front alone is built where the others are not installed.
+NEEDED = liburcu $(FRONT_PKGS) $(if $(filter front,$(MAKECMDGOALS)),,$(PKGS) $(GATE_PKGS))
+.PHONY: libraries
+libraries:
+	@missing=$$(for p in $(NEEDED); do pkg-config --exists $$p || echo $$p; done 2>/dev/null | sort -u); \
+	if [ -n "$$missing" ]; then \
+	  echo "libraries that pkg-config doesn't find:" $$missing >&2; \
+	  echo "tools/install.sh, run by root, installs what is needed" >&2; exit 1; fi
+
+$(BUILD)/obj/%.o: %.c | libraries
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
 
--- a/src/front_health.c
+++ b/src/front_health.c
@@ -18,9 +18,7 @@
 #define LAG_MOST_MS     5000.0
 /* Part of the lag that a request is expected to meet. Most of it is other fronts' prompts that were
  * read first, and gone by the next answer; a server that has turned slow shows a lag of seconds.
- * Counted whole, requests went to other failure domains for it: at 0.3 worth is higher by 0.013 to
- * 0.015 where bytes between domains are dear, by 0.006 or not at all elsewhere (20 days of two
- * sites and 15 of three); at 0 a slow server is met too often (0.002 to 0.007 lower). */
+ * Counted whole, it would send requests to other failure domains. */
 #define LAG_PART 0.3
 
 static void
--- a/src/front_others.h
+++ b/src/front_others.h
@@ -2,9 +2,7 @@
  * What other fronts have at one backend server, as far as they told when they sent it: reading that
  * waits there, and requests that run. Reading is worked off as time passes, running requests fade;
  * nothing has to be taken back, and what a lost message or a dead front leaves wrong is soon gone.
- * A front of 80 sees an eightieth of what its servers get; told of the rest it buys 0.006 of worth
- * there (mean of 10 days, 5 of 5 kinds of days up) by reading alone, and 0.006 at sites of 6 and 9
- * fronts with the running requests. No I/O.
+ * A front of many sees a small part of what its servers get; this tells it the rest. No I/O.
  */
 #ifndef FRONT_OTHERS_H
 #define FRONT_OTHERS_H
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -5,8 +5,7 @@
 
 /* What a server in another failure domain has to be faster by, as a part of what the caller is
  * ready to wait: bytes between domains have a price, and a caller who waits two seconds gains
- * nothing by 40 ms. At 295 fronts this takes 47% off all bytes between domains on a day of high
- * load and 13% on a calm one, with as many answers in time; 4% and 8% do no more. */
+ * nothing by 40 ms. */
 #define FAR_PART 0.02
 /* Milliseconds, at least: twice the way there and back (about 3 ms), the rest for the bytes. */
 #define FAR_MS 10.0
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -168,8 +168,8 @@
 }
 
 /* Whether the answer may be cut off by the end of a planned stop. Where all fronts of a failure
- * domain stop at once callers have nowhere else to go: of 48 requests refused in such a day, some
- * twice and for good, those that end within their time-out are served. */
+ * domain stop at once callers have nowhere else to go, so what ends within its time-out is served.
+ */
 static bool
 may_outlive_stop (const FrontRequest *request)
 {
--- a/src/front_speeds.c
+++ b/src/front_speeds.c
@@ -13,9 +13,7 @@
 
 /* How far one answer moves what is known: a step of 10%, split by the part of the answers that are
  * to be below it. No single answer counts for more. Queues that nobody told of make answers late,
- * and caches that others filled make few of them early, so the part is under a half: at 0.3 the
- * largest model was taken for a fifth faster than it is, at 0.5 worth is lower by 0.003 at one
- * site. */
+ * and caches that others filled make few of them early, so the part is under a half. */
 #define STEP         0.1
 #define PART_BELOW   0.4
 #define FACTOR_LEAST 0.05
--- a/src/front_speeds.h
+++ b/src/front_speeds.h
@@ -1,10 +1,7 @@
 /**
  * How long model engines take to read prompts, learned from the answers' own times: for each model
  * a factor on the time that is taken while nothing is known. A token is compared with all before
- * it, so that long prompts take more than in proportion. Beside one figure for all sites and
- * lengths this buys 0.018 of worth at a site of 9 servers, 0.033 at one of 90, 0.001 to 0.002 where
- * the figure was right (means of 15 and 10 days). Most of it is the growth with the length;
- * learning alone buys 0.001 to 0.008 where the prior is near. No I/O.
+ * it, so that long prompts take more than in proportion. No I/O.
  */
 #ifndef FRONT_SPEEDS_H
 #define FRONT_SPEEDS_H
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -8,8 +8,7 @@
 #include "front_row.h"
 #include <urcu/list.h>
 
-/** Lists by hash of the key: with 3,000 servers one list cost seconds of a small processor at
- * start. */
+/** Lists by hash of the key, short at some thousand servers. */
 #define TABLE_BUCKETS 512
 
 typedef struct
