--- a/src/front_cascade.c
+++ b/src/front_cascade.c
@@ -10,7 +10,7 @@
 } KeptBar;
 
 /* A middle model costs half of the largest and reads faster, so more answers are worth it. */
-static const KeptBar bar_with_middle = { .urgent = 66, .least_urgent = 50, .for_wait = 60 };
+static const KeptBar bar_with_middle = { .urgent = 66, .least_urgent = 50, .for_wait = 70 };
 static const KeptBar bar_two_models = { .urgent = 56, .least_urgent = 36, .for_wait = 80 };
 #define LEAST_URGENT_PRIORITY 2
 
@@ -27,7 +27,7 @@
 #define LATEST 0.6
 /* Milliseconds. While a prompt is read all streams of its server stand still; longer than this they
  * would pause for more than callers accept. */
-#define READING_MOST_MS 1200.0
+#define READING_MOST_MS 1000.0
 
 static double
 confidence_kept (const CascadeCase *c, double first_ms)
--- a/src/front_cold.c
+++ b/src/front_cold.c
@@ -43,7 +43,7 @@
   rule->fronts = at_least (rule->fronts, LARGE_FRONTS);
 }
 
-/* The same at all times, 0 to 1. */
+/* 0 to 1, the same whenever it is asked. */
 static double
 ownership (const ColdRule *rule, uint64_t server)
 {
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -18,7 +18,8 @@
 #define SERVICE_QUEUED_MS  60.0
 #define COLD_MS            40.0
 #define SLOTS_DEFAULT      8
-/* Between an evacuation's end as we learn it and the moment at which its servers were cold. */
+/* Milliseconds by which the entries of servers that turned cold may be later than the news that
+ * their evacuation was taken back. */
 #define RETURN_MARGIN_MS 500
 /* Tokens of shared prompt from which fronts agree on a server for it: 500 are 4 ms of reading. */
 #define HOME_LEAST_TOKENS 500
@@ -51,8 +52,7 @@
 
 /* The near server that all fronts of the failure domain agree on for a shared prompt, by rendezvous
  * hash: each sees only its own requests, so without this a prompt that all of them get is read by
- * every server. NULL: the prompt is too short to
- * matter, or too rare to be kept. */
+ * every server. NULL: the prompt is too short to matter, or too rare to be kept. */
 static const FrontServer *
 home_of (FrontServers *servers, const PickQuery *query, int64_t now_ms)
 {
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -56,12 +56,12 @@
   return span_hash (model == NO_MODEL ? request->call.model : model_name (request, model));
 }
 
-/* What the settings add to a service's rate is the tolerance of the bound that the users watch. */
+/* The configuration gives a rate that cold servers bear; the settings say how far it may be
+ * exceeded. */
 static ColdRule
 cold_rule (const Front *front, const FrontService *service)
 {
   const SettingsFront *settings = &front->settings;
-
   ColdRule rule = { 0 };
 
   if (!service || service->cold_per_s <= 0)
