--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -1,6 +1,7 @@
 /** Choosing a server: src/front_pick.c, front_servers.c, front_health.c, front_prompts.c. */
 #include "front_pick.h"
 #include "suite.h"
+#include <stdlib.h>
 #include <string.h>
 
 #define NOW 100000
@@ -390,6 +391,82 @@
   CU_ASSERT_STRING_NOT_EQUAL (picked (&query, NOW + 200), "none");
 }
 
+#define DOMAIN_FRONTS 17
+#define DOMAIN_COLD   15
+#define PLAYED_MS     3000
+#define SECOND_MS     1000
+
+/* One front's own view of a failure domain that has come back cold, beside one that is warm. */
+static FrontServers *
+view_of_cold_domain (void)
+{
+  FrontServers *view = front_servers_new ("here");
+  bool changed;
+
+  for (unsigned i = 0; i < 2 * DOMAIN_COLD; i++)
+    {
+      char id[SERVER_TEXT_MAX];
+      ServerEntry entry;
+
+      snprintf (id, sizeof id, "%c%02u", i < DOMAIN_COLD ? 'c' : 'w', i);
+      entry = entry_of (id, i < DOMAIN_COLD ? "here" : "there", "v1");
+      entry.cold_ms = i < DOMAIN_COLD ? PLAYED_MS : 0;
+      front_servers_set (view, &entry, NOW, &changed);
+    }
+  return view;
+}
+
+/* Failure: a domain comes back cold beside a hot prompt and a burst. Its idle servers, and the home
+   of the prompt first, draw all requests of all fronts at once, and crash again. */
+static void
+test_domain_back_cold_beside_a_hot_prompt (void)
+{
+  static FrontServers *views[DOMAIN_FRONTS];
+  static unsigned arrivals[2 * DOMAIN_COLD][PLAYED_MS];
+  PickQuery query = query_of ("v1");
+  unsigned cold = 0, refused = 0;
+
+  begin ();
+  query.home_tokens = 5000;
+  for (unsigned i = 0; i < DOMAIN_FRONTS; i++)
+    views[i] = view_of_cold_domain ();
+  for (unsigned ms = 0; ms < PLAYED_MS; ms++)
+    {
+      unsigned front = ms % DOMAIN_FRONTS; /* 1,000 requests a second */
+      PickAnswer answer;
+      unsigned number;
+
+      query.cold = (ColdRule){ .most_per_s = 32, .start_ms = PLAYED_MS };
+      query.cold.self = front + 1;
+      cold_rule_count (&query.cold, &(ColdView){ .neighbours = DOMAIN_FRONTS, .fronts = 66 });
+      answer = front_pick (views[front], &query, NOW + ms);
+      refused += answer.server == NULL;
+      if (!answer.server)
+        continue;
+      number = (unsigned)strtoul (answer.server->entry.id + 1, NULL, 10);
+      cold_sent (&answer.server->cold_sends, NOW + ms);
+      cold_connected (&answer.server->cold_sends, NOW + ms, NOW + ms);
+      answer.server->pending_ms += number < DOMAIN_COLD ? 0 : answer.prompt_ms;
+      arrivals[number][ms]++;
+      cold += number < DOMAIN_COLD;
+    }
+  for (unsigned i = 0; i < DOMAIN_COLD; i++)
+    {
+      unsigned in_second = 0;
+
+      for (unsigned ms = 0; ms < PLAYED_MS; ms++)
+        {
+          in_second += arrivals[i][ms];
+          in_second -= ms >= SECOND_MS ? arrivals[i][ms - SECOND_MS] : 0;
+          CU_ASSERT (in_second <= 32);
+        }
+    }
+  CU_ASSERT (cold > PLAYED_MS / 10); /* it takes over a part of its work meanwhile */
+  CU_ASSERT_EQUAL (refused, 0);
+  for (unsigned i = 0; i < DOMAIN_FRONTS; i++)
+    front_servers_free (views[i]);
+}
+
 static void
 test_removed_while_used (void)
 {
@@ -422,6 +499,7 @@
   { "draining_is_final", test_draining_is_final },
   { "lapsed_entries", test_lapsed_entries },
   { "domain_evacuated_in_a_burst", test_domain_evacuated_in_a_burst },
+  { "domain_back_cold_beside_a_hot_prompt", test_domain_back_cold_beside_a_hot_prompt },
   { "removed_while_used", test_removed_while_used },
 };
 
