A version whose only known answer failed is not completed

Callers of the old version lost its servers to a version that fails everything. The order came 1.9 s late over the slow link, seven requests went to the version, five of them to a server behind a path that had gone dark; the front that judged knew one answer, and it had failed. In doubt two bad answers were needed, so when the time was over the version was completed.

In doubt one failed answer is enough if no other is known. It is asked over all routes together: a plain service whose own answers fail one time in seven would otherwise be rolled back for the first of a rare route. Ruled out: the bound of cold servers (eight requests a second and front were allowed there).

Test: only_answer_failed, failing before. With two answers or more nothing changes.

--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -105,6 +105,8 @@
       count_sum (&all[EVIDENCE_NEW], fresh);
       count_sum (&all[EVIDENCE_OLD], old);
     }
+  if (bar == EVIDENCE_DOUBT && all[EVIDENCE_NEW].answers == 1 && all[EVIDENCE_NEW].failed == 1)
+    return true;
   return count_is_bad (&all[EVIDENCE_NEW], &all[EVIDENCE_OLD], bar);
 }
 
--- a/src/front_evidence.h
+++ b/src/front_evidence.h
@@ -44,7 +44,8 @@
 typedef enum
 {
   EVIDENCE_CERTAIN, /**< beyond chance: while the roll-out can still bring more answers */
-  EVIDENCE_DOUBT,   /**< two bad answers are enough: before the old version is given up for good */
+  EVIDENCE_DOUBT,   /**< two bad answers are enough, or one if it is the only one: before the
+                       old version is given up for good */
 } EvidenceBar;
 
 /** True if the new version is worse than the old one, on all routes or on one. */
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -189,6 +189,24 @@
   CU_ASSERT (front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN));
 }
 
+/* Failure: of a version that fails everything only one answer is known when its time is over, as
+   the rest hangs behind a dead path, and it is completed. */
+static void
+test_only_answer_failed (void)
+{
+  FrontEvidence evidence = { 0 };
+
+  for (unsigned i = 0; i < 100; i++)
+    front_evidence_add (&evidence, EVIDENCE_OLD, i % 2, false, 70, 60);
+  CU_ASSERT (!front_evidence_is_bad (&evidence, EVIDENCE_DOUBT));
+  front_evidence_add (&evidence, EVIDENCE_NEW, 0, true, 70, 60);
+  CU_ASSERT (front_evidence_is_bad (&evidence, EVIDENCE_DOUBT));
+  CU_ASSERT (!front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN));
+  /* A good answer on any route tells that it works. */
+  front_evidence_add (&evidence, EVIDENCE_NEW, 1, false, 70, 60);
+  CU_ASSERT (!front_evidence_is_bad (&evidence, EVIDENCE_DOUBT));
+}
+
 /* Story: engines crash during a good roll-out, and requests of both versions fail alike. */
 static void
 test_good_version_in_trouble (void)
@@ -456,6 +474,7 @@
   { "session_lasts_from_its_end", test_session_lasts_from_its_end },
   { "sessions_never_go_back", test_sessions_never_go_back },
   { "bad_versions", test_bad_versions },
+  { "only_answer_failed", test_only_answer_failed },
   { "good_version_in_trouble", test_good_version_in_trouble },
   { "evidence_of_all", test_evidence_of_all },
   { "evidence_of_domains", test_evidence_of_domains },
