The soak's check of evacuations can fail

It now looks at each evacuation before it is taken back, at fronts to which nothing was done since shortly before it; the bound of 2 s is unchanged. A request's front is known by whom it was sent to (the engines see one source address for all).

--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -48,13 +48,19 @@
     return faults
 
 
+def evacuation_faults(site, domain, since, is_calm):
+    """Work that a failure domain got though it has been evacuated since then; is_calm(front's number) tells
+    whether nothing was in that front's way."""
+    return [
+        f"{run.request}: sent {run.at - since:.2f} s after {domain} was evacuated"
+        for run in site.runs
+        if run.engine.domain == domain and run.executed and run.at > since + EVACUATED_S and is_calm(site.front_of.get(run.request))
+    ]
+
+
 def site_faults(site, calm_since):
     """Promises over the whole site; calm_since(moment) tells since when nothing was in the way."""
     faults = cold_faults(site)
-    for run in site.runs:
-        order = site.evacuations.get(run.engine.domain)
-        if order and run.executed and run.at > order + EVACUATED_S and calm_since(run.at) < order:
-            faults.append(f"{run.request}: sent {run.at - order:.2f} s after {run.engine.domain} was evacuated")
     for run in site.runs:
         left_at = run.engine.left_at
         if left_at and run.executed and run.at > left_at + LEAVING_S and calm_since(run.at) < left_at:
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -155,6 +155,7 @@
         self.config_acked = {}  # version -> when
         self.routes = [dict(route) for route in ROUTES]
         self.keys = [KEY]
+        self.front_of = {}  # request -> number of the front that it was sent to
         self.evacuations = {}  # failure domain -> when its evacuation was acknowledged; it is in force
         self.cold_per_s = None  # that an engine bears when it has just started; None: the configuration says nothing
         self.ids = itertools.count(1)
@@ -240,6 +241,7 @@
 
     async def call(self, front, path, body=b"", keep=None, timeout=WAIT_S, **more):
         data, answer = self.request(path, body, **more)
+        self.front_of[answer.request] = front.number
         return await exchange((front.ip, CALLERS), data, answer, keep, timeout)
 
     def runs_of(self, answer):
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from check import attempt_faults, site_faults
+from check import attempt_faults, evacuation_faults, site_faults
 from relay_tcp import Relay
 from site_front import CALLERS, COLD_START_S, Site, add_routes
 
@@ -162,13 +162,19 @@
         for gone in old[:-1]:
             self.revoked[gone] = time.monotonic()
 
+    def calm_front(self, since):
+        """Tells of a front's number whether nothing was done to it shortly before or since then."""
+        return lambda number: number is not None and self.calm_since(number) + CALM_S < since
+
     async def evacuate(self):
         """Never both failure domains at once; what it has been is made cold as it comes back."""
         domain = self.random.choice("ab")
         if self.site.evacuations:
             return
         await self.site.evacuate(domain)
+        since = self.site.evacuations[domain]
         await self.pause(1, 6)
+        self.faults += evacuation_faults(self.site, domain, since + self.slack, self.calm_front(since))
         await self.site.take_back(domain)
 
     async def forget(self):
