One constant says when a front knows the others

STORE_SETTLED_MS and SETTLED_MS of front_peers_rank.c said the same twice. And a comment of the cascade named one deployment's ratio of prices. No behaviour changes.

--- a/src/front_cascade.c
+++ b/src/front_cascade.c
@@ -9,7 +9,7 @@
   double for_wait;     /* less as the larger model's answer takes the whole objective to begin */
 } KeptBar;
 
-/* A middle model costs half of the largest and reads faster, so more answers are worth it. */
+/* A middle model costs less than the largest and reads faster, so more answers are worth it. */
 static const KeptBar bar_with_middle = { .urgent = 66, .least_urgent = 50, .for_wait = 70 };
 static const KeptBar bar_two_models = { .urgent = 56, .least_urgent = 36, .for_wait = 80 };
 #define LEAST_URGENT_PRIORITY 2
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -8,6 +8,10 @@
 
 #include "front.h"
 
+/** Milliseconds after the start in which a front knows too few others to count them, or to know its
+ *  rank among them. */
+#define FRONT_SETTLED_MS 4000
+
 /** NULL if the port can't be bound. */
 FrontPeers *front_peers_new (Front *front);
 void front_peers_free (FrontPeers *peers);
--- a/src/front_peers_rank.c
+++ b/src/front_peers_rank.c
@@ -10,8 +10,6 @@
 /* Sets the order of collectors apart from those of followers. */
 #define COLLECTOR_SUBJECT 0x636f6c6cu
 
-/* Milliseconds after the start in which word of all others has come. */
-#define SETTLED_MS 4000
 /* Milliseconds: longer than a failure domain is cut off, or a VM takes to come back. */
 #define REMEMBERED_MS 60000
 unsigned
@@ -28,7 +26,8 @@
 front_peers_count (const FrontPeers *peers, int64_t now_ms, ColdView *view)
 {
   *view = (ColdView){ .neighbours = 1, .registered = peers->is_registered, .fronts = 1 };
-  view->is_new = now_ms - peers->started_ms < SETTLED_MS || front_peers_alive (peers, now_ms) == 1;
+  view->is_new
+      = now_ms - peers->started_ms < FRONT_SETTLED_MS || front_peers_alive (peers, now_ms) == 1;
   for (unsigned i = 0; i < peers->count; i++)
     {
       const Peer *peer = &peers->list[i];
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -49,7 +49,7 @@
 void
 store_settle (FrontStore *store, int64_t now_ms)
 {
-  if (store->settled || now_ms - store->started_ms < STORE_SETTLED_MS)
+  if (store->settled || now_ms - store->started_ms < FRONT_SETTLED_MS)
     return;
   store->settled = true;
   for (unsigned i = 0; i < STORE_TABLES; i++)
--- a/src/front_store_aim.c
+++ b/src/front_store_aim.c
@@ -17,7 +17,7 @@
 static bool
 is_settled (const FrontStore *store, int64_t now_ms)
 {
-  return now_ms - store->started_ms >= STORE_SETTLED_MS;
+  return now_ms - store->started_ms >= FRONT_SETTLED_MS;
 }
 
 bool
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -13,10 +13,6 @@
 /** After the store's return living servers are listed again within two seconds. */
 #define STORE_RELIST_MS 2200
 
-/** Milliseconds after the start in which a front knows too few others to know its rank among them,
- *  and would take itself for a sentinel. */
-#define STORE_SETTLED_MS 4000
-
 #define STORE_GOOD     200
 #define STORE_CONFLICT 412
 #define STORE_GONE     410
@@ -54,7 +50,7 @@
   FrontRollout *writing; /* the roll-out whose status is being written; NULL: none */
   FrontRolloutState writing_state;
   int64_t writing_started_ms;
-  bool settled;     /* STORE_SETTLED_MS are over */
+  bool settled;     /* FRONT_SETTLED_MS are over */
   bool registering; /* our address is being written */
   int64_t clock_ms; /* the store's clock less ours */
   int64_t write_again_ms;
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -197,7 +197,7 @@
 static void
 test_place_found_meanwhile (void)
 {
-  Node *node = node_new (2 * (int64_t)STORE_SETTLED_MS);
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
 
   ask_and_receive (node);
   node->watch->asked_peer = true;
