Log and count each call to the store by its cause

Operators could see how many calls a front makes, not why: only complete reads were logged, and only their first page. A line store_asked names the cause (list, first_read, read_again, follow, sentinel), and five counters split store_calls. No behaviour changes.

--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -263,6 +263,45 @@
   buffer_free (&path);
 }
 
+typedef struct
+{
+  const char *name; /* in the log */
+  FrontCounterId counter;
+} CallCause;
+
+static const CallCause *
+call_cause (const Watch *watch)
+{
+  static const CallCause list = { "list", FRONT_COUNTER_STORE_LIST_CALLS };
+  static const CallCause first = { "first_read", FRONT_COUNTER_STORE_READ_CALLS };
+  static const CallCause again = { "read_again", FRONT_COUNTER_STORE_READ_CALLS };
+  static const CallCause sentinel = { "sentinel", FRONT_COUNTER_STORE_SENTINEL_CALLS };
+  static const CallCause follow = { "follow", FRONT_COUNTER_STORE_POLL_CALLS };
+
+  if (watch->id == STORE_MEMBERS)
+    return &list;
+  if (!watch->loaded)
+    return watch->table.version == 0 ? &first : &again;
+  return watch->is_short_poll ? &sentinel : &follow;
+}
+
+/* Shows why this front calls the store and not another front. */
+static void
+count_store_call (const Watch *watch)
+{
+  const CallCause *cause = call_cause (watch);
+  FrontLine *line = front_log_begin (FRONT_EVENT_STORE_ASKED);
+
+  front_log_text (line, "table", kinds[watch->id].name);
+  front_log_text (line, "cause", cause->name);
+  front_log_number (line, "known", watch->table.version);
+  front_log_number (line, "peer_failures", watch->peer_failures);
+  front_log_number (line, "peers", front_peers_alive (watch->store->front->peers, watch->asked_ms));
+  front_log_end (line);
+  front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  front_counter_add (cause->counter);
+}
+
 static void
 poll_store (Watch *watch)
 {
@@ -272,7 +311,7 @@
   watch->is_short_poll = store_is_sentinel (watch, watch->asked_ms);
   wait_ms = watch->is_short_poll ? SENTINEL_WAIT_MS : FRONT_LONG_POLL_MS;
   answer_ms = watch->is_short_poll ? SENTINEL_ANSWER_TIMEOUT_MS : STORE_ANSWER_TIMEOUT_MS;
-  front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  count_store_call (watch);
   front_channel_set_address (watch->channel, &watch->store->address);
   front_channel_set_connect_timeout (watch->channel, 0);
   if (watch->loaded)
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -29,6 +29,7 @@
 
   wire_write_body (&body, &write);
   front_counter_add (FRONT_COUNTER_STORE_CALLS);
+  front_counter_add (FRONT_COUNTER_STORE_WRITE_CALLS);
   front_channel_request (store->writer, wire_write_path, &body, STORE_ANSWER_TIMEOUT_MS);
   buffer_free (&body);
 }
