Fetch rows from peers only for a change that is lacking for 350 ms

While servers register or are replaced by hundreds a second some peer is always ahead. The time that a peer may be ahead was counted from the first moment at which any was, so after 350 ms each front fetched rows from a peer and restarted its own poll, again and again, though each change arrived in time; four restarts of a poll to a peer also sent the front to the store.

Now the time counts for one change: the version that was the peer's newest when this front first lacked it. Once that version is here, the next lacking change starts a new time. A change that never arrives is fetched as before, also while the peer's newest version keeps rising.

--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -4,8 +4,9 @@
 #include "util_clock.h"
 #include "util_id.h"
 
-/* Milliseconds that a peer may be ahead, as the store doesn't answer all fronts at one moment. */
-#define AHEAD_MS 350
+/* Milliseconds that a change known to a peer may be lacking here, as the store doesn't answer all
+ * fronts at one moment. */
+#define LACKED_MS 350
 /* Milliseconds until a peer's answer begins; another peer is asked after that. */
 #define FETCH_TIMEOUT_MS 800
 /* Milliseconds after the start in which a front requests missing rows from its own failure domain
@@ -94,8 +95,30 @@
   return same_domain_peer ? same_domain_peer : find_peer_ahead (peers, table, false, now_ms);
 }
 
-/* Fetches rows if a peer is ahead for longer than the store takes to report a change: this front is
- * cut off from the store, or its connection is dead. */
+/* True if one and the same change is lacking for longer than the store takes to report it. While
+ * hundreds of servers register each second some peer is always ahead, though each change arrives in
+ * time: that alone is no reason to fetch anything. */
+static bool
+lacks_change_too_long (FrontPeers *peers, StoreTable table, const Peer *ahead, int64_t now_ms)
+{
+  int64_t *since_ms = &peers->lacked_since_ms[table];
+  int64_t *version = &peers->lacked_version[table];
+
+  if (!ahead)
+    {
+      *since_ms = 0;
+      return false;
+    }
+  if (*since_ms == 0 || !front_store_is_behind (peers->front->store, table, *version))
+    {
+      *since_ms = now_ms;
+      *version = ahead->newest[table];
+    }
+  return now_ms - *since_ms >= LACKED_MS;
+}
+
+/* Fetches rows if a change is lacking for too long: this front is cut off from the store, or its
+ * connection is dead. */
 void
 peers_fetch_missing (FrontPeers *peers, StoreTable table, int64_t now_ms)
 {
@@ -108,11 +131,7 @@
   if (front_store_is_loading (peers->front->store, table)
       && now_ms - peers->started_ms < LOCAL_ONLY_MS)
     return;
-  if (!ahead)
-    peers->ahead_since_ms[table] = 0;
-  else if (peers->ahead_since_ms[table] == 0)
-    peers->ahead_since_ms[table] = now_ms;
-  if (!ahead || now_ms - peers->ahead_since_ms[table] < AHEAD_MS)
+  if (!lacks_change_too_long (peers, table, ahead, now_ms))
     return;
   front_store_hint (peers->front->store, table, ahead->newest[table], now_ms);
   if (!peers->fetches[table].channel)
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -62,7 +62,9 @@
   int64_t round_ms;           /* last round of messages */
   int64_t started_ms;
   bool is_registered;                  /* this front is on the store's list */
-  int64_t ahead_since_ms[PEER_TABLES]; /* since when some peer is ahead; 0: none is */
+  int64_t lacked_version[PEER_TABLES]; /* version of a change that a peer knows and this front
+                                          lacks */
+  int64_t lacked_since_ms[PEER_TABLES]; /* since when it lacks that change; 0: it lacks none */
   Fetch fetches[PEER_TABLES];
 };
 
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -23,7 +23,7 @@
 /* Milliseconds between an answer of the store and the next poll for changes of servers. A roll-out
  * or a release changes them several times a second, each call has a cost, and a leaving server
  * continues to serve for two seconds. With a longer delay a front would get reports of a change
- * from others first and fetch it from another failure domain (AHEAD_MS of front_peers_fetch.c). */
+ * from others first and fetch it from another failure domain (LACKED_MS of front_peers_fetch.c). */
 #define SERVERS_POLL_DELAY_MS 300
 /* Milliseconds until the answer with a complete table begins, from another front and from the
  * store: a starting front loses this time if an answer is lost. The store may take a second when it
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -192,6 +192,47 @@
   node_free (node);
 }
 
+/* Servers register by hundreds a second, and another front is always some changes ahead, while each
+ * change arrives here within 300 ms. No front may fetch rows for that: each of a thousand did, for
+ * as long as servers registered. */
+static void
+test_changes_in_time_are_not_fetched (void)
+{
+  Node *node = node_new (0);
+  Peer *peer = peer_find (&node->peers, htonl (INADDR_LOOPBACK));
+  int64_t now_ms = clock_boot_ms ();
+
+  ask (node);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      peers_fetch_missing (&node->peers, STORE_OPERATOR, now_ms + (int64_t)i * 200);
+      node->watch->table.version = peer->newest[STORE_OPERATOR];
+      peer->newest[STORE_OPERATOR] += 100;
+    }
+  CU_ASSERT_PTR_NULL (node->peers.fetches[STORE_OPERATOR].channel);
+  CU_ASSERT_EQUAL (node->watch->peer_failures, 0);
+  node_free (node);
+}
+
+/* The same stream of changes, and one that never arrives: it has to be fetched, although the peer's
+ * newest change is another one each time. */
+static void
+test_change_lacked_too_long_is_fetched (void)
+{
+  Node *node = node_new (0);
+  Peer *peer = peer_find (&node->peers, htonl (INADDR_LOOPBACK));
+  int64_t now_ms = clock_boot_ms ();
+
+  ask (node);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      peers_fetch_missing (&node->peers, STORE_OPERATOR, now_ms + (int64_t)i * 200);
+      peer->newest[STORE_OPERATOR] += 100;
+    }
+  CU_ASSERT_PTR_NOT_NULL (node->peers.fetches[STORE_OPERATOR].channel);
+  node_free (node);
+}
+
 /* A front that learns which fronts are alive while rows arrive, and so has another source now or
  * has become a sentinel, must not cancel the transfer. */
 static void
@@ -214,6 +255,8 @@
   { "hint_restarts_unanswered_poll", test_hint_restarts_unanswered_poll },
   { "no_second_transfer", test_no_second_transfer },
   { "stalled_transfer_is_fetched_elsewhere", test_stalled_transfer_is_fetched_elsewhere },
+  { "changes_in_time_are_not_fetched", test_changes_in_time_are_not_fetched },
+  { "change_lacked_too_long_is_fetched", test_change_lacked_too_long_is_fetched },
   { "new_role_keeps_transfer", test_new_role_keeps_transfer },
 };
 
