Know the latest start of each server, not of 2,048 slots

Starts are now kept by id (util_index), in the order of their last reports; the oldest are dropped beyond four for each listed server, 2,048 at least. A server of the table is found by the same index (512 chains before).

Tests: starts_of_10000_servers_are_known (before, by arithmetic: some 7,970 of 10,000 ids share a slot with a later one), memory_for_starts_is_bounded.

--- a/src/front_server.h
+++ b/src/front_server.h
@@ -10,8 +10,8 @@
 #include "front_peer_load.h"
 #include "front_prompts.h"
 #include "front_server_entry.h"
+#include "util_index.h"
 #include <netinet/in.h>
-#include <urcu/list.h>
 
 /** From best to worst. Requests go to a server in a better state first; READY and COLD servers are
  *  compared by predicted time. */
@@ -31,7 +31,8 @@
 typedef struct FrontServer
 {
   struct cds_list_head node;
-  struct cds_list_head bucket; /**< hash chain, by id */
+  IndexEntry by_id;
+  struct FrontServers *owner;
   ServerEntry entry;
   struct sockaddr_in address;
   uint64_t hash;       /**< of the id and the start time, the same on every VM */
--- a/src/front_server_starts.h
+++ b/src/front_server_starts.h
@@ -1,30 +1,39 @@
 /**
  * Records the latest known start of each backend server id, also after its entry is removed:
- * reports may arrive late, and an old one must not restore a process that has ended. A fixed-size
- * table in which a newer id replaces an older one with the same slot. No I/O.
+ * reports may arrive late, and an old one must not restore a process that has ended. Ids that were
+ * reported longest ago are dropped first, once there are far more than listed servers. No I/O.
  */
 #ifndef FRONT_SERVER_STARTS_H
 #define FRONT_SERVER_STARTS_H
 
 #include "front_server_entry.h"
+#include "util_index.h"
 
-/** A power of two, three times the 660 servers of the largest planned site; 48 KiB. */
-#define SERVER_STARTS_SLOTS 2048
+/** Ids kept at least; 80 bytes each. */
+#define SERVER_STARTS_MIN 2048
+/** Ids kept for each listed server: several releases replace all servers within minutes. */
+#define SERVER_STARTS_PER_SERVER 4
 
 typedef struct
 {
-  uint64_t id; /**< hash; 0: empty */
+  IndexEntry by_id; /**< hash */
+  struct cds_list_head node;
   int64_t born_ms;
   bool drained; /**< this start was reported as draining; it takes no work again */
 } ServerStart;
 
 typedef struct
 {
-  ServerStart slots[SERVER_STARTS_SLOTS];
+  Index by_id;
+  struct cds_list_head list; /**< ServerStart by node, the one reported longest ago first */
 } FrontServerStarts;
 
+void front_server_starts_init (FrontServerStarts *starts);
+void front_server_starts_clear (FrontServerStarts *starts);
 /** False if the entry belongs to a start that is over: a later one is known, or this one was
- *  draining and the entry says that it is ready. Otherwise records the entry. */
-bool front_server_starts_accept (FrontServerStarts *starts, const ServerEntry *entry);
+ *  draining and the entry says that it is ready. Otherwise records the entry. listed: number of
+ *  servers that are listed now. */
+bool
+front_server_starts_accept (FrontServerStarts *starts, const ServerEntry *entry, unsigned listed);
 
 #endif
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -8,12 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BUCKETS 512 /* short chains with several thousand servers */
-
 struct FrontServers
 {
   struct cds_list_head list;
-  struct cds_list_head buckets[BUCKETS];
+  Index by_id;
   char failure_domain[SERVER_TEXT_MAX];
   unsigned count;
   FrontServerStarts starts;
@@ -26,18 +24,17 @@
   FrontServers *servers = memory_alloc (sizeof *servers);
 
   CDS_INIT_LIST_HEAD (&servers->list);
-  for (unsigned i = 0; i < BUCKETS; i++)
-    CDS_INIT_LIST_HEAD (&servers->buckets[i]);
+  front_server_starts_init (&servers->starts);
   front_evacuations_init (&servers->evacuations);
   strncpy (servers->failure_domain, failure_domain, SERVER_TEXT_MAX - 1);
   return servers;
 }
 
 static void
-server_free (FrontServer *server)
+server_free (FrontServers *servers, FrontServer *server)
 {
   cds_list_del (&server->node);
-  cds_list_del (&server->bucket);
+  index_remove (&servers->by_id, &server->by_id);
   front_prompts_clear (&server->prompts);
   free (server);
 }
@@ -47,27 +44,25 @@
 {
   FrontServer *server, *next;
 
-  cds_list_for_each_entry_safe (server, next, &servers->list, node) server_free (server);
+  cds_list_for_each_entry_safe (server, next, &servers->list, node) server_free (servers, server);
+  index_clear (&servers->by_id);
+  front_server_starts_clear (&servers->starts);
   front_evacuations_clear (&servers->evacuations);
   free (servers);
 }
 
-static struct cds_list_head *
-bucket_of (FrontServers *servers, const char *id)
-{
-  return &servers->buckets[span_hash (span_of (id)) % BUCKETS];
-}
-
 FrontServer *
 front_servers_find (FrontServers *servers, const char *id)
 {
-  FrontServer *server;
+  IndexEntry *at = index_first (&servers->by_id, span_hash (span_of (id)));
 
-  cds_list_for_each_entry (server, bucket_of (servers, id), bucket)
-  {
-    if (server->listed && strcmp (server->entry.id, id) == 0)
-      return server;
-  }
+  for (; at; at = index_next (&servers->by_id, at))
+    {
+      FrontServer *server = cds_list_entry (at, FrontServer, by_id);
+
+      if (server->listed && strcmp (server->entry.id, id) == 0)
+        return server;
+    }
   return NULL;
 }
 
@@ -81,7 +76,8 @@
   server->is_same_domain = strcmp (entry->failure_domain, servers->failure_domain) == 0;
   server->listed = true;
   cds_list_add_tail (&server->node, &servers->list);
-  cds_list_add (&server->bucket, bucket_of (servers, entry->id));
+  index_add (&servers->by_id, &server->by_id, span_hash (span_of (entry->id)));
+  server->owner = servers;
   servers->count++;
   return server;
 }
@@ -93,7 +89,7 @@
   server->leaving = true;
   servers->count--;
   if (server->references == 0)
-    server_free (server);
+    server_free (servers, server);
 }
 
 bool
@@ -105,7 +101,7 @@
   *changed = false;
   if (!front_socket_parse_address (entry->address, &address))
     return false;
-  if (!front_server_starts_accept (&servers->starts, entry))
+  if (!front_server_starts_accept (&servers->starts, entry, servers->count))
     return true;
   /* A restarted server has an empty cache, may have another address, and reports anew how long it
    * drains or stays cold: the old record would deny it work or send work to its old address. */
@@ -201,5 +197,5 @@
 {
   server->references--;
   if (server->references == 0 && !server->listed)
-    server_free (server);
+    server_free (server->owner, server);
 }
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -1,4 +1,5 @@
 /** States of a backend server: src/front_server.c, front_servers.c, front_health.c. */
+#include "front_server_starts.h"
 #include "front_servers.h"
 #include "suite.h"
 #include <arpa/inet.h>
@@ -402,7 +403,58 @@
     }
 }
 
+/* At a site of 10,000 servers each id's latest start is known, not only that of the id that was
+ * reported last of those with the same slot: a late report of an earlier start must not restore a
+ * process that has ended. */
+static void
+test_starts_of_10000_servers_are_known (void)
+{
+  enum
+  {
+    SERVERS = 10000
+  };
+  FrontServerStarts starts;
+  unsigned restored = 0;
+
+  front_server_starts_init (&starts);
+  for (unsigned round = 0; round < 2; round++)
+    {
+      for (unsigned i = 0; i < SERVERS; i++)
+        {
+          ServerEntry entry = { .born_ms = FIRST_START_MS + 1 - round };
+
+          snprintf (entry.id, sizeof entry.id, "server-%u", i);
+          if (front_server_starts_accept (&starts, &entry, SERVERS))
+            restored += round;
+        }
+    }
+  CU_ASSERT_EQUAL (restored, 0);
+  front_server_starts_clear (&starts);
+}
+
+/* Servers come and go under new ids all the time. */
+static void
+test_memory_for_starts_is_bounded (void)
+{
+  FrontServerStarts starts;
+  unsigned accepted = 0;
+
+  front_server_starts_init (&starts);
+  for (unsigned i = 0; i < 100000; i++)
+    {
+      ServerEntry entry = { .born_ms = FIRST_START_MS };
+
+      snprintf (entry.id, sizeof entry.id, "server-%u", i);
+      accepted += front_server_starts_accept (&starts, &entry, 1000);
+    }
+  CU_ASSERT_EQUAL (accepted, 100000);
+  CU_ASSERT (starts.by_id.count <= 4 * 1000);
+  front_server_starts_clear (&starts);
+}
+
 static const SuiteCase cases[] = {
+  { "starts_of_10000_servers_are_known", test_starts_of_10000_servers_are_known },
+  { "memory_for_starts_is_bounded", test_memory_for_starts_is_bounded },
   { "later_start_replaces_earlier", test_later_start_replaces_earlier },
   { "late_report_does_not_revive", test_late_report_does_not_revive },
   { "reports_in_any_order", test_reports_in_any_order },
