Log callers that don't read their answer or send too slowly; cases for slow peers

Event caller_lost says the reason, the unread bytes and the time. Cases: unread_answers_are_given_up and body_a_byte_a_second failed for want of the line, engine_that_stops_reading passed before as well.

--- /dev/null
+++ b/regress/front/cases_slow.py
@@ -0,0 +1,103 @@
+"""Callers and engines that read or send slowly: cases_slow.py PROGRAM [CASE...]. See cases.py.
+
+Each must end at a known time, and what a front holds for them must fit a VM's memory.
+"""
+
+import asyncio
+import socket
+import sys
+import time
+
+from cases import check, equal, main
+from site_front import CALLERS_PORT
+
+MEMORY_MAX_KB = 88_000  # of the smallest VM
+CALLERS = 20
+RECEIVE_BYTES = 4096  # receive buffer of a caller that does not read
+UNREAD_MAX_S = 12  # until an answer that is not read is given up: the time-out of 6 s twice
+BODY_MAX_S = 30  # until a request that arrives a byte a second is given up
+
+
+def resident_kb(front):
+    with open(f"/proc/{front.process.pid}/status", encoding="utf-8") as lines:
+        return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS:"))
+
+
+def open_sockets(front):
+    """Number of the front's connections with callers."""
+    port = f":{CALLERS_PORT:04X}"
+    with open("/proc/net/tcp", encoding="utf-8") as lines:
+        rows = [line.split() for line in lines][1:]
+    ip = "".join(f"{int(part):02X}" for part in reversed(front.ip.split(".")))
+    return sum(row[1] == ip + port and row[3] not in ("0A", "06") for row in rows)
+
+
+async def connect_deaf(front):
+    """Opens a connection whose receive buffer is small and is never read."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    caller.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(caller, (front.ip, CALLERS_PORT))
+    return caller
+
+
+async def unread_answers_are_given_up(site):
+    """Callers ask for long answers and read nothing. Guards against connections that are held as long as the
+    callers like, each with its answer in memory."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.mode = "long"
+    callers = [await connect_deaf(front) for _ in range(CALLERS)]
+    for caller in callers:
+        await asyncio.get_running_loop().sock_sendall(caller, site.request("/again/a")[0])
+    began = time.monotonic()
+    largest_kb = 0
+    while open_sockets(front) > 0 and time.monotonic() - began < UNREAD_MAX_S:
+        largest_kb = max(largest_kb, resident_kb(front))
+        await asyncio.sleep(0.1)
+    equal(open_sockets(front), 0, f"connections after {UNREAD_MAX_S} s")
+    equal(largest_kb < MEMORY_MAX_KB, True, f"{largest_kb} KB resident")
+    equal(len(front.events("caller_lost")) > 0, True, "logged")
+    for caller in callers:
+        caller.close()
+    for engine in site.engines:
+        engine.mode = "ok"
+    check(site, await site.call(front, "/again/b"))
+
+
+async def engine_that_stops_reading(site):
+    """Engines accept a long request and read one byte of it. Guards against a request without an answer: it must
+    end at its route's time-out, and the front must serve the next one."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.mode = "deaf"
+    began = time.monotonic()
+    answer = await site.call(front, "/again/a", b"x" * 60000)
+    equal(answer.status in (502, 504), True, answer)
+    equal(time.monotonic() - began < 4, True, "answered by the route's time-out")
+    for engine in site.engines:
+        engine.mode = "ok"
+    check(site, await site.call(front, "/again/b"))
+
+
+async def body_a_byte_a_second(site):
+    """A caller sends a long body a byte a second. Guards against a connection held for as long as it likes."""
+    front = site.fronts[0]
+    reader, writer = await asyncio.open_connection(front.ip, CALLERS_PORT)
+    data, _ = site.request("/again/a", b"x" * 60000)
+    writer.write(data[:-59000])
+    began = time.monotonic()
+    closed = asyncio.ensure_future(reader.read())
+    while not closed.done() and time.monotonic() - began < BODY_MAX_S:
+        writer.write(b"x")
+        await asyncio.wait([closed], timeout=1)
+    equal(closed.done(), True, f"ended within {BODY_MAX_S} s")
+    equal(len(front.events("caller_lost")) > 0, True, "logged")
+    writer.close()
+    check(site, await site.call(front, "/again/b"))
+
+
+CASES = [unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second]
+
+if __name__ == "__main__":
+    sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -14,6 +14,7 @@
 
 EVENTS = 12  # events of a streamed answer
 EVENT_INTERVAL_S = 0.004
+LONG_BYTES = 3_000_000  # of the answer in mode long
 NOT_RUN = {"Lovagehub_Not_Executed": 1}
 
 
@@ -52,7 +53,8 @@
     mode: ok; mute (accepts the request and does not answer), half (closes the connection within the answer),
     cut (resets it within the answer), full (refuses without running the request), error (runs it and answers
     500), unsigned (no signature), foreign (answers with another request's id), unframed (no Content-Length),
-    lost (runs it and resets the connection). A request whose body equals crash_body crashes the engine, which
+    lost (runs it and resets the connection), long (a plain answer of LONG_BYTES), deaf (stops reading after the
+    first byte). A request whose body equals crash_body crashes the engine, which
     listens again after a second.
     """
 
@@ -126,9 +128,13 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
-            if request := await read_request(reader):
+            if self.mode == "deaf":
+                await reader.readexactly(1)
+                while self.mode == "deaf":
+                    await asyncio.sleep(0.1)
+            elif request := await read_request(reader):
                 await self.handle(request, reader, writer)
-        except (OSError, ConnectionError):
+        except (OSError, ConnectionError, asyncio.CancelledError):  # cancelled as the site stops
             pass
         finally:
             self.writers.discard(writer)
@@ -181,6 +187,8 @@
 
     async def plain(self, request, writer):
         body = plain_answer(request.method, request.target, request.body)
+        if self.mode == "long":
+            body = body[:1] * LONG_BYTES
         text = answer(200, body, **self.head(request))
         if self.mode in ("half", "cut"):
             writer.write(text[:-10])
--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -293,10 +293,26 @@
     front_request_drained (conn->request);
 }
 
+static void
+log_lost (const FrontConn *conn, const char *reason)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_CALLER_LOST);
+
+  front_log_text (line, "reason", reason);
+  front_log_number (line, "unread",
+                    (int64_t)evbuffer_get_length (bufferevent_get_output (conn->bev)));
+  front_log_number (line, "for_ms", clock_boot_ms () - conn->since_ms);
+  front_log_end (line);
+}
+
 static void
 on_event (struct bufferevent *bev UNUSED, short what UNUSED, void *user)
 {
-  conn_free (user);
+  FrontConn *conn = user;
+
+  if (!conn->request && evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    log_lost (conn, "answer_not_read");
+  conn_free (conn);
 }
 
 void
@@ -339,7 +355,10 @@
       if (!conn->request_parser.in_body && passed_ms > header_ms + header_ms / 2)
         refuse_request (conn, 408);
       else if (passed_ms > 2 * conn->idle_timeout_ms)
-        conn_free (conn);
+        {
+          log_lost (conn, "request_too_slow");
+          conn_free (conn);
+        }
     }
   else if (!written)
     return;
