A starting front waits for a peer that is still reading a table

Since parts were introduced a front that had no rows yet asked without waiting, so that one that was reading the table itself refused it (503) instead of answering once it had the rows.

Only later parts are asked for without waiting: they are there, or have to be requested elsewhere. Test: starting_front_waits_for_peer (failed before).

--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -270,7 +270,9 @@
 static void
 poll_peer (Watch *watch)
 {
-  RowsRequest request = { .table = watch->id, .wait = watch->loaded };
+  /* Another front that is reading the table itself answers once it has the rows. A later part is
+   * there already, or has to be requested elsewhere. */
+  RowsRequest request = { .table = watch->id, .wait = watch->parts_version == 0 };
   Buffer path = { 0 };
 
   if (watch->loaded)
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -250,6 +250,29 @@
   node_free (node);
 }
 
+/* A starting front asks another one that is still reading the table. If it didn't ask that front to
+ * wait, it would be refused at once and, after a few others, read the table at the store: so did all
+ * fronts of a site that start at one moment. */
+static void
+test_starting_front_waits_for_peer (void)
+{
+  Node *node = node_new (0);
+  char text[256] = { 0 };
+
+  node->watch->loaded = false;
+  node->watch->table.version = 0;
+  ask (node);
+  while (!strstr (text, "\r\n"))
+    {
+      event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+      if (read (node->connection, text, sizeof text - 1) == 0)
+        break;
+    }
+  CU_ASSERT (node->watch->asked_peer);
+  CU_ASSERT_EQUAL (strncmp (text, "GET /rows/0/0/0/wait ", 21), 0);
+  node_free (node);
+}
+
 static const SuiteCase cases[] = {
   { "hint_keeps_transfer", test_hint_keeps_transfer },
   { "hint_restarts_unanswered_poll", test_hint_restarts_unanswered_poll },
@@ -257,6 +280,7 @@
   { "stalled_transfer_is_fetched_elsewhere", test_stalled_transfer_is_fetched_elsewhere },
   { "changes_in_time_are_not_fetched", test_changes_in_time_are_not_fetched },
   { "change_lacked_too_long_is_fetched", test_change_lacked_too_long_is_fetched },
+  { "starting_front_waits_for_peer", test_starting_front_waits_for_peer },
   { "new_role_keeps_transfer", test_new_role_keeps_transfer },
 };
 
