--- a/src/front_peers_source.c
+++ b/src/front_peers_source.c
@@ -1,11 +1,17 @@
 /* Chooses the front that rows are requested from. */
 #include "front_peers_private.h"
+#include "util_memory.h"
+#include <stdlib.h>
 
-/* Fronts of each failure domain that follow a table at the store; the others ask one of these. If
- * one of the two is frozen or cut off, the half of the domain that asks the other one receives a
- * change at once and announces it to the rest. Each additional follower costs one more call to the
- * store for each change. */
+/* Fronts of each failure domain that follow a table at the store; the others ask one of these, or
+ * one that asks them. If one of the two is frozen or cut off, the half of the domain that depends
+ * on the other one receives a change at once and announces it to the rest. Each additional follower
+ * costs one more call to the store for each change. */
 #define FOLLOWERS 2
+/* Fronts that ask one front for changes. With 165 fronts in a failure domain that ask two
+ * followers, these would send 9 Mbit/s while hundreds of servers register each second, and encode
+ * for longer than the others wait. */
+#define ASKERS_PER_FRONT 12
 /* Milliseconds until a front whose request failed is asked again; it may be frozen for seconds.
  * While all fronts start, one that refuses connections is about to listen. */
 #define FAILED_RETRY_MS       3000
@@ -23,12 +29,27 @@
   return peers_is_domain_peer (peers, peer, now_ms) && !has_failed (peer, FAILED_RETRY_MS, now_ms);
 }
 
-/* The hash that a front must reach to be one of the first FOLLOWERS of the domain that can be
- * asked, this one left out; 0: there are fewer. */
-static uint64_t
-follower_hash (const FrontPeers *peers, uint64_t table, int64_t now_ms)
+/* A front of the domain that can be asked. */
+typedef struct
+{
+  uint64_t hash;
+  const Peer *peer;
+} Ranked;
+
+static int
+compare_ranked (const void *a, const void *b)
+{
+  uint64_t first = ((const Ranked *)a)->hash, second = ((const Ranked *)b)->hash;
+
+  return (first < second) - (first > second);
+}
+
+/* Those that come before this front, in the order of their ranks; their number is its own rank. */
+static unsigned
+ranked_before (const FrontPeers *peers, uint64_t table, Ranked *out, int64_t now_ms)
 {
-  uint64_t first[FOLLOWERS] = { 0 };
+  uint64_t own = peers_rank_hash (&peers->own, table);
+  unsigned count = 0;
 
   for (unsigned i = 0; i < peers->count; i++)
     {
@@ -37,17 +58,27 @@
       if (!is_usable (peers, peers->list[i], now_ms))
         continue;
       hash = peers_rank_hash (&peers->list[i]->address, table);
-      for (unsigned j = 0; j < FOLLOWERS; j++)
-        {
-          uint64_t next = first[j];
-
-          if (hash <= next)
-            continue;
-          first[j] = hash;
-          hash = next;
-        }
+      if (hash > own)
+        out[count++] = (Ranked){ .hash = hash, .peer = peers->list[i] };
     }
-  return first[FOLLOWERS - 1];
+  qsort (out, count, sizeof *out, compare_ranked);
+  return count;
+}
+
+/* Rank of the front that the one with this rank asks: the followers are the first level of a tree,
+ * and each level has ASKERS_PER_FRONT times as many fronts as the one before. */
+static unsigned
+asked_rank (unsigned rank)
+{
+  unsigned above = 0, level = FOLLOWERS, size = FOLLOWERS;
+
+  while (rank >= level + size * ASKERS_PER_FRONT)
+    {
+      size *= ASKERS_PER_FRONT;
+      above = level;
+      level += size;
+    }
+  return above + (rank - level) % size;
 }
 
 /* Each front's own address decides which of several fronts it asks, so that they share the load. */
@@ -75,26 +106,14 @@
                            int64_t now_ms,
                            struct sockaddr_in *address)
 {
-  uint64_t least = follower_hash (peers, table, now_ms);
-  const Peer *best = NULL;
-  uint64_t best_hash = 0;
-
-  if (least == 0 || peers_rank_hash (&peers->own, table) > least)
-    return false;
-  for (unsigned i = 0; i < peers->count; i++)
-    {
-      const Peer *peer = peers->list[i];
-      uint64_t hash;
-
-      if (!is_usable (peers, peer, now_ms) || peers_rank_hash (&peer->address, table) < least)
-        continue;
-      hash = choice_hash (peers, peer, table);
-      if (best && hash <= best_hash)
-        continue;
-      best = peer;
-      best_hash = hash;
-    }
-  return source_set (peers, best, address);
+  Ranked *before = memory_array (peers->count + 1, sizeof *before);
+  unsigned rank = ranked_before (peers, table, before, now_ms);
+  bool asks_front = rank >= FOLLOWERS;
+
+  if (asks_front)
+    source_set (peers, before[asked_rank (rank)].peer, address);
+  free (before);
+  return asks_front;
 }
 
 /* True if the peer reported rows of the table; or if it is registered and not known to be dead
--- a/src/front_peers_table.c
+++ b/src/front_peers_table.c
@@ -126,7 +126,7 @@
 {
   Peer *peer = memory_alloc (sizeof *peer);
 
-  peers->list = memory_grow (peers->list, peers->count + 1, sizeof *peers->list);
+  peers->list = memory_grow (peers->list, peers->count + 1, sizeof (Peer *));
   peers->list[peers->count++] = peer;
   return peer;
 }
--- a/src/front_peers_work.c
+++ b/src/front_peers_work.c
@@ -98,16 +98,11 @@
 static void
 apply_report (Front *front, const WorkReport *report, int64_t now_ms)
 {
-  FrontServer *server;
+  FrontServer *server = front_servers_find_hash (front->servers, report->server);
 
-  cds_list_for_each_entry (server, front_servers_list (front->servers), node)
-  {
-    if (server->hash != report->server)
-      continue;
+  if (server)
     front_peer_load_add (&server->peer_load, report->read_ms, report->running / WEIGHT_SCALE,
                          now_ms);
-    return;
-  }
 }
 
 bool
--- a/src/front_rows_cache.h
+++ b/src/front_rows_cache.h
@@ -7,8 +7,8 @@
 
 #include "front_store.h"
 
-/** Answers that are kept: the parts of a table of 12,000 rows, some 15 KB each. */
-#define ROWS_CACHE_SLOTS 24
+/** Answers that are kept: the parts of a table of 20,000 rows, some 10 KB each. */
+#define ROWS_CACHE_SLOTS 64
 
 typedef struct
 {
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -32,6 +32,7 @@
 {
   struct cds_list_head node;
   IndexEntry by_id;
+  IndexEntry by_hash;
   struct FrontServers *owner;
   ServerEntry entry;
   struct sockaddr_in address;
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -12,6 +12,8 @@
 {
   struct cds_list_head list;
   Index by_id;
+  Index by_hash;
+  unsigned unconfirmed; /* servers whose grace period runs */
   char failure_domain[SERVER_TEXT_MAX];
   unsigned count;
   FrontServerStarts starts;
@@ -35,6 +37,7 @@
 {
   cds_list_del (&server->node);
   index_remove (&servers->by_id, &server->by_id);
+  index_remove (&servers->by_hash, &server->by_hash);
   front_prompts_clear (&server->prompts);
   free (server);
 }
@@ -46,6 +49,7 @@
 
   cds_list_for_each_entry_safe (server, next, &servers->list, node) server_free (servers, server);
   index_clear (&servers->by_id);
+  index_clear (&servers->by_hash);
   front_server_starts_clear (&servers->starts);
   front_evacuations_clear (&servers->evacuations);
   free (servers);
@@ -66,6 +70,22 @@
   return NULL;
 }
 
+FrontServer *
+front_servers_find_hash (FrontServers *servers, uint64_t hash)
+{
+  IndexEntry *found = index_first (&servers->by_hash, hash);
+
+  return found ? cds_list_entry (found, FrontServer, by_hash) : NULL;
+}
+
+static void
+set_unconfirmed (FrontServers *servers, FrontServer *server, bool unconfirmed)
+{
+  servers->unconfirmed += unconfirmed;
+  servers->unconfirmed -= server->unconfirmed;
+  server->unconfirmed = unconfirmed;
+}
+
 static FrontServer *
 server_add (FrontServers *servers, const ServerEntry *entry, const struct sockaddr_in *address)
 {
@@ -77,6 +97,7 @@
   server->listed = true;
   cds_list_add_tail (&server->node, &servers->list);
   index_add (&servers->by_id, &server->by_id, span_hash (span_of (entry->id)));
+  index_add (&servers->by_hash, &server->by_hash, server->hash);
   server->owner = servers;
   servers->count++;
   return server;
@@ -87,6 +108,7 @@
 {
   server->listed = false;
   server->leaving = true;
+  set_unconfirmed (servers, server, false);
   servers->count--;
   if (server->references == 0)
     server_free (servers, server);
@@ -124,7 +146,7 @@
   server->entry = *entry;
   server->cold_until_ms = now_ms + entry->cold_ms;
   server->evacuated = front_evacuations_has (&servers->evacuations, entry->failure_domain);
-  server->unconfirmed = false;
+  set_unconfirmed (servers, server, false);
   return true;
 }
 
@@ -157,7 +179,7 @@
     server_remove (servers, server);
   else if (!server->unconfirmed)
     {
-      server->unconfirmed = true;
+      set_unconfirmed (servers, server, true);
       server->unconfirmed_until_ms = now_ms + grace_ms;
     }
 }
@@ -167,6 +189,8 @@
 {
   FrontServer *server, *next;
 
+  if (servers->unconfirmed == 0)
+    return;
   cds_list_for_each_entry_safe (server, next, &servers->list, node)
   {
     if (server->listed && server->unconfirmed && now_ms >= server->unconfirmed_until_ms)
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -28,6 +28,8 @@
 void front_servers_expire (FrontServers *servers, int64_t now_ms);
 /** NULL if it is not listed. */
 FrontServer *front_servers_find (FrontServers *servers, const char *id);
+/** The server with this FrontServer.hash, listed or not; NULL: there is none. */
+FrontServer *front_servers_find_hash (FrontServers *servers, uint64_t hash);
 /** All servers, linked by FrontServer.node; those with listed false are only waiting to be
  *  freed. */
 struct cds_list_head *front_servers_list (FrontServers *servers);
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -432,6 +432,30 @@
   front_server_starts_clear (&starts);
 }
 
+/* Work messages name a server by its hash; each of some twenty a second would walk 10,000 servers
+ * otherwise. A start that is over must not be found once it is freed. */
+static void
+test_server_is_found_by_hash (void)
+{
+  FrontServers *servers = front_servers_new ("here");
+  static const Report first = { FIRST_START_MS + 1, false, false },
+                      second = { FIRST_START_MS + 2, false, false };
+  uint64_t hash;
+
+  apply_report (servers, &first, NOW);
+  hash = front_servers_find (servers, "a")->hash;
+  CU_ASSERT_PTR_EQUAL (front_servers_find_hash (servers, hash), front_servers_find (servers, "a"));
+  apply_report (servers, &second, NOW);
+  CU_ASSERT_PTR_NULL (front_servers_find_hash (servers, hash));
+  hash = front_servers_find (servers, "a")->hash;
+  front_servers_remove (servers, "a", NOW, 500);
+  front_servers_expire (servers, NOW + 499);
+  CU_ASSERT_PTR_NOT_NULL (front_servers_find_hash (servers, hash));
+  front_servers_expire (servers, NOW + 500);
+  CU_ASSERT_PTR_NULL (front_servers_find_hash (servers, hash));
+  front_servers_free (servers);
+}
+
 /* Servers come and go under new ids all the time. */
 static void
 test_memory_for_starts_is_bounded (void)
@@ -454,6 +478,7 @@
 
 static const SuiteCase cases[] = {
   { "starts_of_10000_servers_are_known", test_starts_of_10000_servers_are_known },
+  { "server_is_found_by_hash", test_server_is_found_by_hash },
   { "memory_for_starts_is_bounded", test_memory_for_starts_is_bounded },
   { "later_start_replaces_earlier", test_later_start_replaces_earlier },
   { "late_report_does_not_revive", test_late_report_does_not_revive },
--- a/tests/test_front_store_source.c
+++ b/tests/test_front_store_source.c
@@ -9,11 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NOW        1000000 /* milliseconds */
-#define FIRST_IP   0x0a000001u
-#define STARTED_MS 1000  /* age of fronts that have just started */
-#define SETTLED_MS 60000 /* age of fronts that know each other */
-#define VERSION    50    /* of the store, as known to all fronts */
+#define NOW                 1000000 /* milliseconds */
+#define FIRST_IP            0x0a000001u
+#define STARTED_MS          1000  /* age of fronts that have just started */
+#define SETTLED_MS          60000 /* age of fronts that know each other */
+#define FLEET_DOMAIN_FRONTS 333   /* one of six failure domains of 2,000 fronts */
+#define VERSION             50    /* of the store, as known to all fronts */
 
 typedef struct
 {
@@ -137,6 +138,33 @@
   site_free (site);
 }
 
+/* In a failure domain of 333 fronts no front is asked by more than a dozen for each table, and a
+ * change passes two fronts at most on its way. If all asked the two followers, these would have to
+ * send each change to 166 fronts. */
+static void
+test_askers_of_a_front_are_few (void)
+{
+  Site *site = site_new (FLEET_DOMAIN_FRONTS, 1, SETTLED_MS);
+  unsigned askers[FLEET_DOMAIN_FRONTS + 1] = { 0 };
+  unsigned most = 0, longest = 0;
+
+  for (unsigned i = 0; i < site->count; i++)
+    {
+      unsigned hops = 0;
+
+      askers[polled_by (site, i)]++;
+      for (unsigned at = polled_by (site, i); at < site->count; at = polled_by (site, at))
+        hops++;
+      longest = hops > longest ? hops : longest;
+    }
+  for (unsigned i = 0; i < site->count; i++)
+    most = askers[i] > most ? askers[i] : most;
+  CU_ASSERT (most <= 13);
+  CU_ASSERT (longest <= 3);
+  CU_ASSERT_EQUAL (askers[site->count], 3); /* two followers, and a third sentinel */
+  site_free (site);
+}
+
 /* Fronts that start together must not poll each other in a circle. If each of 300 fronts that have
  * just got their rows polls any front known to have them, some poll each other: no change arrives
  * until they have run for four seconds, and a quarter of the requests is refused as the servers
@@ -283,6 +311,7 @@
 
 static const SuiteCase cases[] = {
   { "two_followers_per_domain", test_two_followers_per_domain },
+  { "askers_of_a_front_are_few", test_askers_of_a_front_are_few },
   { "starting_fronts_form_no_cycle", test_starting_fronts_form_no_cycle },
   { "both_of_two_fronts_poll_store", test_both_of_two_fronts_poll_store },
   { "all_poll_store_after_lost_history", test_all_poll_store_after_lost_history },
