A new front learns the size of its failure domain from the first message

By arithmetic: a front that has just started at the fleet assumed 75 fronts in its failure domain for its share of a cold server's limit, of 165 that there are: 2.2 times its share for 4 s. The first message of another front of the domain says how many there are; it counts for 60 s like what is seen. Open: all fronts start at one moment, and none knows.

--- a/src/front_peers_domains.c
+++ b/src/front_peers_domains.c
@@ -50,6 +50,8 @@
 {
   PeerDomain *entry;
 
+  if (domain == peers->own_domain)
+    count_raise (&peers->own_lately, fronts, at_ms, COLD_COUNT_MS);
   if (domain == 0 || domain == peers->own_domain || fronts == 0)
     return;
   entry = peers_domain_get (peers, domain);
@@ -134,8 +136,13 @@
 void
 front_peers_fill_cold_view (const FrontPeers *peers, int64_t now_ms, ColdView *view)
 {
-  *view = (ColdView){ .domain_fronts = 1 + count_lately (peers, peers->own_domain, now_ms),
-                      .registered = peers->is_registered };
+  /* A front that has just started knows few others, but the first message of one that doesn't tells
+   * it how many there are. */
+  *view = (ColdView){
+    .domain_fronts = larger (1 + count_lately (peers, peers->own_domain, now_ms),
+                             count_fresh (&peers->own_lately, COLD_COUNT_MS, now_ms)),
+    .registered = peers->is_registered,
+  };
   view->is_new
       = now_ms - peers->started_ms < FRONT_SETTLED_MS || front_peers_is_alone (peers, now_ms);
   view->fronts = view->domain_fronts + count_lately (peers, 0, now_ms);
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -69,6 +69,7 @@
   unsigned count;
   Peer **list;
   Index by_ip;
+  FrontCount own_lately; /* fronts of the own failure domain, as others of it counted them */
   unsigned domain_count;
   PeerDomain domains[FRONT_DOMAINS_MAX];
   unsigned next_count;        /* first of these in the next message */
--- a/tests/test_front_peers.c
+++ b/tests/test_front_peers.c
@@ -9,11 +9,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FRONTS_MAX     1000
-#define ROUND_MS       400     /* interval of messages at a large site during a roll-out */
-#define NOW            1000000 /* milliseconds */
-#define HOLDING_FRONTS 300     /* fronts that exchange held sessions */
-#define SESSION_MS     9500
+#define FRONTS_MAX 1000
+#define ROUND_MS   400     /* interval of messages at a large site during a roll-out */
+#define NOW        1000000 /* milliseconds */
+#define SESSION_MS 9500
 /* Most milliseconds since the last known request on the old version: three rounds. */
 #define AGE_MAX_MS 1200
 
@@ -342,7 +341,7 @@
   for (unsigned i = 0; i < count; i++)
     {
       SessionUpdate update = { .session = session_of (i) };
-      Node *node = &net->nodes[i * 7 % HOLDING_FRONTS];
+      Node *node = &net->nodes[i * 7 % net->count];
 
       front_rollouts_hold_session (node->rollouts, node->rollout, &update, NOW);
     }
@@ -369,9 +368,9 @@
  * new version 2.5 s after the order, four to five sessions did so at low load. At most three may:
  * 0.016 of the 186, if each sends one request. */
 static void
-test_sessions_are_held_at_300_fronts (void)
+check_sessions_are_held (unsigned fronts)
 {
-  Net *net = net_new (HOLDING_FRONTS, 6, 10);
+  Net *net = net_new (fronts, 6, 10);
   unsigned count = hold_sessions (net, 186);
 
   for (unsigned round = 1; round <= 4000 / ROUND_MS; round++)
@@ -383,6 +382,19 @@
   net_free (net);
 }
 
+static void
+test_sessions_are_held_at_300_fronts (void)
+{
+  check_sessions_are_held (300);
+}
+
+/* As many sessions as at 300 fronts: a larger site with the same load. */
+static void
+test_sessions_are_held_at_1000_fronts (void)
+{
+  check_sessions_are_held (1000);
+}
+
 /* Two services with eight routes each are rolled out at once over three failure domains, which is
  * more than fits one packet. A message that can't be encoded would not be sent, and no front would
  * learn of any other. */
@@ -424,6 +436,7 @@
   { "old_version_reports_are_recent", test_old_version_reports_are_recent },
   { "bad_version_is_known_within_three_rounds", test_bad_version_is_known_within_three_rounds },
   { "sessions_are_held_at_300_fronts", test_sessions_are_held_at_300_fronts },
+  { "sessions_are_held_at_1000_fronts", test_sessions_are_held_at_1000_fronts },
   { "oversized_message_is_shortened", test_oversized_message_is_shortened },
 };
 
--- a/tests/test_front_peers_table.c
+++ b/tests/test_front_peers_table.c
@@ -126,6 +126,8 @@
   CU_ASSERT_EQUAL (view.fronts, 166);
   peers_domain_report (peers, OWN_DOMAIN, 500, NOW + 6000);
   CU_ASSERT_EQUAL (front_peers_alive (peers, NOW + 6000), 81);
+  front_peers_fill_cold_view (peers, NOW + 6000, &view);
+  CU_ASSERT_EQUAL (view.domain_fronts, 500);
   CU_ASSERT_EQUAL (front_peers_alive (peers, NOW + MINUTE_MS), 1);
   peers_delete (peers);
 }
