--- a/src/front_peers_send.c
+++ b/src/front_peers_send.c
@@ -23,8 +23,8 @@
  * known here has just started. */
 #define STARTING_FRACTION  4
 #define SAME_DOMAIN_FANOUT 4 /* peers of the own failure domain per round, collectors included */
-/* The same for a collector, at least; and the rounds in which it sends to its whole domain. What any
- * front knows of a request on the old version of a roll-out may be three rounds old. */
+/* The same for a collector, at least; and the rounds in which it sends to its whole domain. What
+ * any front knows of a request on the old version of a roll-out may be three rounds old. */
 #define COLLECTOR_FANOUT       20
 #define COLLECTOR_ROUNDS       2
 #define COLLECTOR_OTHER_FANOUT 6 /* other failure domains to which a collector sends per round */
