--- a/src/front_control.c
+++ b/src/front_control.c
@@ -14,6 +14,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Milliseconds after which a front that asked for all rows learns that they are still being read,
+ * at a VM with a slow link for seconds: less than it waits for an answer. */
+#define PENDING_MS 700
+
 /* A long-poll request of another front, held until there are changes. */
 typedef struct
 {
@@ -135,15 +139,25 @@
 }
 
 static void
-poll_answer (HeldPoll *poll)
+poll_answer (HeldPoll *poll, bool pending)
 {
   struct evhttp_request *http = poll->http;
 
   evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL, NULL);
-  send_rows (poll->control, http, &poll->request);
+  if (pending)
+    send_reply (http, FRONT_ROWS_PENDING, NULL);
+  else
+    send_rows (poll->control, http, &poll->request);
   poll_free (poll);
 }
 
+static bool
+is_pending (const HeldPoll *poll, int64_t now_ms)
+{
+  return poll->request.since == 0 && now_ms - poll->received_ms >= PENDING_MS
+         && front_store_is_loading (poll->control->front->store, poll->request.table);
+}
+
 /* There are changes, or the long poll has timed out. */
 static bool
 is_due (const HeldPoll *poll, int64_t now_ms)
@@ -160,8 +174,10 @@
 
   cds_list_for_each_entry_safe (poll, next, &control->held_polls, node)
   {
-    if (is_due (poll, now_ms))
-      poll_answer (poll);
+    bool pending = is_pending (poll, now_ms);
+
+    if (pending || is_due (poll, now_ms))
+      poll_answer (poll, pending);
   }
 }
 
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -32,6 +32,8 @@
 bool front_store_is_lost (const FrontStore *store, StoreTable table);
 /** Version up to which all changes are known; 0: none are. */
 int64_t front_store_version (const FrontStore *store, StoreTable table);
+/** Status of an answer without rows: they are being read, ask again. */
+#define FRONT_ROWS_PENDING 202
 /** True until the rows of a table are known, except while the store doesn't answer. */
 bool front_store_is_loading (const FrontStore *store, StoreTable table);
 /** True while rows of the table arrive at a sufficient rate. */
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -221,6 +221,12 @@
       store_watch_poll (watch);
       return;
     }
+  if (status == FRONT_ROWS_PENDING && watch->asked_peer)
+    {
+      watch->peer_failures = 0;
+      store_watch_poll (watch);
+      return;
+    }
   if (status != STORE_HTTP_OK || !answer_decode (watch, text, len, &answer))
     {
       if (watch->asked_peer || front_channel_received (watch->channel) > 0)
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -251,8 +251,8 @@
 }
 
 /* A starting front asks another one that is still reading the table. If it didn't ask that front to
- * wait, it would be refused at once and, after a few others, read the table at the store: so did all
- * fronts of a site that start at one moment. */
+ * wait, it would be refused at once and, after a few others, read the table at the store: so did
+ * all fronts of a site that start at one moment. */
 static void
 test_starting_front_waits_for_peer (void)
 {
@@ -273,6 +273,41 @@
   node_free (node);
 }
 
+static bool
+is_asked_again (void *user)
+{
+  Node *node = user;
+  char text[512];
+  ssize_t len;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  len = read (node->connection, text, sizeof text);
+  return len > 0 && memmem (text, (size_t)len, "GET /rows/", 10);
+}
+
+/* All fronts start at one moment, and the one that is asked reads 10,000 rows from the store over a
+ * slow link, for seconds. If each second of that counted as a failure, all others would read the
+ * table at the store as well after six of them. */
+static void
+test_pending_rows_are_no_failure (void)
+{
+  static const char pending[] = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+  Node *node = node_new (0);
+
+  node->watch->loaded = false;
+  node->watch->table.version = 0;
+  ask (node);
+  CU_ASSERT (suite_wait (is_asked_again, node));
+  for (unsigned i = 0; i < 10; i++)
+    {
+      CU_ASSERT_EQUAL (write (node->connection, pending, sizeof pending - 1), sizeof pending - 1);
+      CU_ASSERT (suite_wait (is_asked_again, node));
+      CU_ASSERT (node->watch->asked_peer);
+      CU_ASSERT_EQUAL (node->watch->peer_failures, 0);
+    }
+  node_free (node);
+}
+
 static const SuiteCase cases[] = {
   { "hint_keeps_transfer", test_hint_keeps_transfer },
   { "hint_restarts_unanswered_poll", test_hint_restarts_unanswered_poll },
@@ -281,6 +316,7 @@
   { "changes_in_time_are_not_fetched", test_changes_in_time_are_not_fetched },
   { "change_lacked_too_long_is_fetched", test_change_lacked_too_long_is_fetched },
   { "starting_front_waits_for_peer", test_starting_front_waits_for_peer },
+  { "pending_rows_are_no_failure", test_pending_rows_are_no_failure },
   { "new_role_keeps_transfer", test_new_role_keeps_transfer },
 };
 
