--- a/src/front_peers_table.c
+++ b/src/front_peers_table.c
@@ -18,10 +18,10 @@
 #define UNKNOWN_DOMAIN_PEERS_MAX 16
 /* Milliseconds after a peer's last message from which it counts as dead. */
 #define ALIVE_MS 3500
-/* Added to that for each further peer of the own failure domain: a front receives three messages per
- * round, each of which reports 80 of them at most. With n peers each misses one of them in a round
- * with the probability (1 - 80 / n)^3, so that the rounds until one in a thousand million is missed
- * grow with n. */
+/* Added to that for each further peer of the own failure domain: a front receives three messages
+ * per round, each of which reports 80 of them at most. With n peers each misses one of them in a
+ * round with the probability (1 - 80 / n)^3, so that the rounds until one in a thousand million is
+ * missed grow with n. */
 #define LARGE_DOMAIN_PEERS 50
 #define ALIVE_EXTRA_MS     30
 /* The same for peers of other failure domains, of which a message reports 16 at least. */
--- a/src/front_store_source.c
+++ b/src/front_store_source.c
@@ -7,12 +7,12 @@
  * domain may have died at one moment. */
 #define PEER_FAILURES_MAX 4
 
-/* Followers, the first by rank, that use short polls for the tables that callers depend on; of three,
- * one may be stopped and another frozen. A store that hangs may keep its connections open, and
- * never answers the requests from before its return; keep-alive doesn't show this, and long polls
- * time out late. Sentinels learn of a change within SENTINEL_WAIT_MS + SENTINEL_ANSWER_TIMEOUT_MS
- * and announce it in their next message; the other fronts then restart their polls. Each sentinel
- * makes two calls per second, however many fronts there are. */
+/* Followers, the first by rank, that use short polls for the tables that callers depend on; of
+ * three, one may be stopped and another frozen. A store that hangs may keep its connections open,
+ * and never answers the requests from before its return; keep-alive doesn't show this, and long
+ * polls time out late. Sentinels learn of a change within SENTINEL_WAIT_MS +
+ * SENTINEL_ANSWER_TIMEOUT_MS and announce it in their next message; the other fronts then restart
+ * their polls. Each sentinel makes two calls per second, however many fronts there are. */
 #define SENTINELS 3
 
 static bool
