A front that has no rows and no store says so at once

A held request for all rows is now refused as soon as the front's own request to the store has failed.

--- a/src/front_control.c
+++ b/src/front_control.c
@@ -151,17 +151,24 @@
   poll_free (poll);
 }
 
+static FrontRowsState
+rows_state (const HeldPoll *poll)
+{
+  return front_store_rows_state (poll->control->front->store, poll->request.table);
+}
+
 static bool
 is_pending (const HeldPoll *poll, int64_t now_ms)
 {
-  return poll->request.since == 0 && now_ms - poll->received_ms >= PENDING_MS
-         && front_store_is_loading (poll->control->front->store, poll->request.table);
+  return now_ms - poll->received_ms >= PENDING_MS && rows_state (poll) == FRONT_ROWS_BEING_READ;
 }
 
-/* There are changes, or the long poll has timed out. */
+/* There are changes, there will be none, or the long poll has timed out. */
 static bool
 is_due (const HeldPoll *poll, int64_t now_ms)
 {
+  if (rows_state (poll) == FRONT_ROWS_OUT_OF_REACH)
+    return true;
   return front_store_has_changes (poll->control->front->store, poll->request.table,
                                   poll->request.since)
          || now_ms - poll->received_ms >= FRONT_LONG_POLL_MS;
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -99,6 +99,16 @@
   return !watch->loaded && !watch->lost;
 }
 
+FrontRowsState
+front_store_rows_state (const FrontStore *store, StoreTable table)
+{
+  const Watch *watch = &store->watches[table];
+
+  if (watch->table.version != 0)
+    return FRONT_ROWS_KNOWN;
+  return watch->lost ? FRONT_ROWS_OUT_OF_REACH : FRONT_ROWS_BEING_READ;
+}
+
 bool
 front_store_is_receiving (const FrontStore *store, StoreTable table)
 {
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -32,6 +32,15 @@
 bool front_store_is_lost (const FrontStore *store, StoreTable table);
 /** Version up to which all changes are known; 0: none are. */
 int64_t front_store_version (const FrontStore *store, StoreTable table);
+/** What another front that asks for a table's rows has to expect. */
+typedef enum
+{
+  FRONT_ROWS_KNOWN,
+  FRONT_ROWS_BEING_READ,
+  FRONT_ROWS_OUT_OF_REACH /**< the store doesn't answer this front */
+} FrontRowsState;
+
+FrontRowsState front_store_rows_state (const FrontStore *store, StoreTable table);
 /** Status of an answer without rows: they are being read, ask again. */
 #define FRONT_ROWS_PENDING 202
 /** True until the rows of a table are known, except while the store doesn't answer. */
--- a/tests/test_front_rows.c
+++ b/tests/test_front_rows.c
@@ -300,6 +300,23 @@
   giver_free (giver);
 }
 
+/* A front that is cut off from the store is asked for rows by others of its domain, which start as
+ * well. It must refuse at once: if it let them wait until they give up, a second for each try, the
+ * domain would have no rows for six seconds. One that has rows gives them, cut off or not. */
+static void
+test_state_of_rows_for_askers (void)
+{
+  Giver *giver = giver_new (0);
+  Watch *watch = &giver->store.watches[STORE_SERVERS];
+
+  CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_BEING_READ);
+  watch->lost = true;
+  CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_OUT_OF_REACH);
+  change_row (giver, 1, false);
+  CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_KNOWN);
+  giver_free (giver);
+}
+
 static void
 test_invalid_paths_are_refused (void)
 {
@@ -333,6 +350,7 @@
   { "parts_are_encoded_once", test_parts_are_encoded_once },
   { "readers_meet_at_the_same_parts", test_readers_meet_at_the_same_parts },
   { "removals_of_half_of_the_servers_are_kept", test_removals_of_half_of_the_servers_are_kept },
+  { "state_of_rows_for_askers", test_state_of_rows_for_askers },
   { "invalid_paths_are_refused", test_invalid_paths_are_refused },
 };
 
