--- a/tests/test_front_peers.c
+++ b/tests/test_front_peers.c
@@ -325,6 +325,8 @@
 static unsigned
 hold_sessions (Net *net, unsigned count)
 {
+  unsigned fronts = net->count > 0 ? net->count : 1;
+
   for (unsigned i = 0; i < net->count; i++)
     {
       Node *node = &net->nodes[i];
@@ -341,7 +343,7 @@
   for (unsigned i = 0; i < count; i++)
     {
       SessionUpdate update = { .session = session_of (i) };
-      Node *node = &net->nodes[i * 7 % net->count];
+      Node *node = &net->nodes[i * 7 % fronts];
 
       front_rollouts_hold_session (node->rollouts, node->rollout, &update, NOW);
     }
