All registered fronts of a domain read a table again; who waits for a peer is not reading

And a front that was itself waiting for another one answered 202, which is no failure: two could wait for each other until they heard of rows elsewhere.

--- a/src/front_peers_source.c
+++ b/src/front_peers_source.c
@@ -116,36 +116,9 @@
   return asks_front;
 }
 
-static bool
-may_be_starting (const Peer *peer, int64_t now_ms)
-{
-  return peer->seen_ms == 0 || peer_is_alive (peer, now_ms);
-}
-
-/* True if this front reads the table at the store when nobody has it: one of the first registered
- * fronts of the domain that can be asked. If all registered ones did, a start of all fronts would
- * cost as many complete reads more. */
-static bool
-reads_for_domain (const FrontPeers *peers, uint64_t table, int64_t now_ms)
-{
-  uint64_t own = peers_rank_hash (&peers->own, table);
-  unsigned before = 0;
-
-  for (unsigned i = 0; i < peers->count; i++)
-    {
-      const Peer *peer = peers->list[i];
-
-      before += peer->is_registered && peer->domain == peers->own_domain
-                && may_be_starting (peer, now_ms)
-                && !has_failed (peer, FAILED_RETRY_START_MS, now_ms)
-                && peers_rank_hash (&peer->address, table) > own;
-    }
-  return before < FOLLOWERS;
-}
-
 /* True if the peer reported rows of the table; or if it is registered and not known to be dead
- * (alive, or no message from it since this front started), as it then gets the rows before this
- * front. */
+ * (alive, or no message from it since this front started), as it then requests the rows from the
+ * store if it has none. */
 static bool
 is_informed (const FrontPeers *peers, const Peer *peer, uint64_t table, int64_t now_ms)
 {
@@ -153,11 +126,8 @@
     return false;
   if (peer_is_alive (peer, now_ms) && peer->newest[table] > 0)
     return true;
-  if (!peer->is_registered || !may_be_starting (peer, now_ms))
-    return false;
-  return !peers->is_registered
-         || (!reads_for_domain (peers, table, now_ms)
-             && peers_rank_hash (&peer->address, table) > peers_rank_hash (&peers->own, table));
+  return peer->is_registered && !peers->is_registered
+         && (peer->seen_ms == 0 || peer_is_alive (peer, now_ms));
 }
 
 /* Of the informed fronts of the domain with at least this hash, the one that this front's address
--- a/src/front_store.c
+++ b/src/front_store.c
@@ -106,7 +106,9 @@
 
   if (watch->table.version != 0)
     return FRONT_ROWS_KNOWN;
-  return watch->lost ? FRONT_ROWS_OUT_OF_REACH : FRONT_ROWS_BEING_READ;
+  if (watch->lost)
+    return FRONT_ROWS_OUT_OF_REACH;
+  return watch->asked_ms != 0 && !watch->asked_peer ? FRONT_ROWS_BEING_READ : FRONT_ROWS_AWAITED;
 }
 
 bool
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -36,7 +36,8 @@
 typedef enum
 {
   FRONT_ROWS_KNOWN,
-  FRONT_ROWS_BEING_READ,
+  FRONT_ROWS_BEING_READ,  /**< at the store */
+  FRONT_ROWS_AWAITED,     /**< from another front, which may wait for the asker in turn */
   FRONT_ROWS_OUT_OF_REACH /**< the store doesn't answer this front */
 } FrontRowsState;
 
--- a/tests/test_front_rows.c
+++ b/tests/test_front_rows.c
@@ -302,14 +302,20 @@
 
 /* A front that is cut off from the store is asked for rows by others of its domain, which start as
  * well. It must refuse at once: if it let them wait until they give up, a second for each try, the
- * domain would have no rows for six seconds. One that has rows gives them, cut off or not. */
+ * domain would have no rows for six seconds. One that has rows gives them, cut off or not. Only one
+ * that reads at the store may say that it does: two that wait for each other would do so for ever.
+ */
 static void
 test_state_of_rows_for_askers (void)
 {
   Giver *giver = giver_new (0);
   Watch *watch = &giver->store.watches[STORE_SERVERS];
 
+  CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_AWAITED);
+  watch->asked_ms = 1;
   CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_BEING_READ);
+  watch->asked_peer = true;
+  CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_AWAITED);
   watch->lost = true;
   CU_ASSERT_EQUAL (front_store_rows_state (&giver->store, STORE_SERVERS), FRONT_ROWS_OUT_OF_REACH);
   change_row (giver, 1, false);
