Log the limit that a backend server names in its answers

The head of every answer is now read for it, once and before anything is decided on the answer: refusals, streams, server errors and answers whose rest is spoiled. Not read are answers of another server at the address and late bytes with another request's id.

The event server_limit tells when a limit is named, changes, ends or can't be read; request_sent has 'limited'; a metric counts the servers. A limit ends with an answer that names none to a request sent after the last answer that named one, as answers overtake each other. The time of the attempt is kept beside sent_ms, which silence restarts.

The choice of a server is as before.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -65,6 +65,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_body = None
+        self.limit = None  # requests per second, named in all its answers; None: no limit
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_until = 0.0
@@ -144,10 +145,10 @@
         run = Run(request.fields.get("lovagehub-request-id", ""), self, request.fields, time.monotonic())
         self.site.runs.append(run)
         if request.fields.get("lovagehub-target-instance") != self.name:
-            writer.write(answer(421, Lovagehub_Instance_Id=self.name))
+            writer.write(answer(421, Lovagehub_Instance_Id=self.name, **self.notices()))
             return
         if self.mode == "full":
-            writer.write(answer(503, **NOT_RUN))
+            writer.write(answer(503, **NOT_RUN, **self.notices()))
             return
         run.executed = True
         run.cold = self.cold_left_ms() > 0
@@ -160,10 +161,14 @@
             task.cancel()
         run.ended = time.monotonic()
 
+    def notices(self):
+        """Header fields in which it states something about itself."""
+        return {} if self.limit is None else {"Server_Limit": self.limit}
+
     def head(self, request, **more):
         """Header fields of an answer."""
         asked = request.fields.get("lovagehub-request-id", "")
-        fields = {"Lovagehub_Request_Id": "other" if self.mode == "foreign" else asked, **more}
+        fields = {"Lovagehub_Request_Id": "other" if self.mode == "foreign" else asked, **self.notices(), **more}
         if self.mode != "unsigned":
             fields["Lovagehub_Server_Signature"] = f"sig.{self.name}"
         return fields
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -16,6 +16,7 @@
   const Buffer *body;
   HttpReply reply;
   bool sent;
+  bool has_head; /* the head callback was called */
   const AttemptCallbacks *callbacks;
   void *user;
 };
@@ -36,6 +37,11 @@
   FrontAttempt *attempt = user;
 
   front_socket_feed_reply (bev, &attempt->reply);
+  if (attempt->reply.status && !attempt->has_head)
+    {
+      attempt->has_head = true;
+      attempt->callbacks->head (attempt->user);
+    }
   if (attempt->reply.broken)
     attempt->callbacks->cut (attempt->user);
   else if (attempt->reply.status)
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -20,6 +20,9 @@
 {
   /** The connection is open; the request is being sent and may run from here on. */
   void (*sent) (void *user);
+  /** The head of the answer has arrived; the rest may be missing or spoiled. Must not free the
+   *  attempt. */
+  void (*head) (void *user);
   /** More of the answer has arrived, or it is complete. */
   void (*progress) (void *user);
   /** The connection ended before the answer was complete, or the bytes are no valid answer. */
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -43,6 +43,14 @@
   int64_t after_event;   /**< -1: none */
 } CallHeaders;
 
+/** Whether a backend server's answer names a limit on requests. */
+typedef enum
+{
+  REPLY_LIMIT_ABSENT,
+  REPLY_LIMIT_NAMED,
+  REPLY_LIMIT_UNREADABLE, /**< not a decimal number */
+} ReplyLimit;
+
 /** What the headers of a backend server's answer say. */
 typedef struct
 {
@@ -50,8 +58,11 @@
   bool not_executed; /**< the server guarantees that the request did not run */
   bool other_server; /**< the address now belongs to another server */
   bool is_encoded;   /**< the body has a content encoding, so it is not the server's own bytes */
-  int confidence;    /**< the model's confidence in its answer, 0 to 100; -1: not given */
-  Span request_id;   /**< id of the request that is answered */
+  ReplyLimit limit;
+  double limit_per_s; /**< requests per second that the server takes from all fronts together, with
+                         REPLY_LIMIT_NAMED */
+  int confidence;     /**< the model's confidence in its answer, 0 to 100; -1: not given */
+  Span request_id;    /**< id of the request that is answered */
 } ReplyInfo;
 
 #endif
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -60,13 +60,18 @@
 server_metrics (const Front *front, Buffer *out)
 {
   unsigned counts[FRONT_SERVER_STATES] = { 0 };
+  unsigned limited = 0;
   FrontServer *server;
 
   cds_list_for_each_entry (server, front_servers_list (front->servers), node)
-      counts[front_server_state (server, clock_boot_ms ())]++;
+  {
+    counts[front_server_state (server, clock_boot_ms ())]++;
+    limited += server->listed && server->limit.is_named;
+  }
   for (unsigned i = 0; i < FRONT_SERVER_STATES; i++)
     buffer_printf (out, "lovage_front_servers_in_state{state=\"%s\"} %u\n",
                    front_server_state_name ((FrontServerState)i), counts[i]);
+  buffer_printf (out, "lovage_front_servers_limited %u\n", limited);
 }
 
 static void
--- /dev/null
+++ b/src/front_request_notice.c
@@ -0,0 +1,61 @@
+/* Records what a backend server's answer says of the server itself. */
+#include "front_log.h"
+#include "front_request_private.h"
+#include "util_clock.h"
+#include "wire_call.h"
+#include <stdio.h>
+
+#define NUMBER_TEXT_MAX 32
+
+static void
+log_limit (const FrontServer *server, const char *state)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_SERVER_LIMIT);
+  char per_s[NUMBER_TEXT_MAX];
+
+  snprintf (per_s, sizeof per_s, "%g", server->limit.per_s);
+  front_log_text (line, "server", server->entry.id);
+  front_log_text (line, "state", state);
+  front_log_text (line, "per_s", per_s);
+  front_log_end (line);
+}
+
+static void
+handle_limit (const FrontRequest *request, const ReplyInfo *info)
+{
+  FrontServer *server = request->server;
+
+  switch (info->limit)
+    {
+    case REPLY_LIMIT_NAMED:
+      if (server_limit_named (&server->limit, info->limit_per_s, clock_boot_ms ()))
+        log_limit (server, "named");
+      return;
+    case REPLY_LIMIT_ABSENT:
+      if (server_limit_absent (&server->limit, request->attempt_ms))
+        log_limit (server, "ended");
+      return;
+    case REPLY_LIMIT_UNREADABLE:
+      log_limit (server, "unreadable");
+      return;
+    }
+}
+
+/* False for an answer that another server gave at this address, and for late bytes that belong to
+ * another request. */
+static bool
+is_from_server (const FrontRequest *request, const ReplyInfo *info)
+{
+  return !info->other_server
+         && (!info->request_id.text || span_equal (info->request_id, request->call.id));
+}
+
+void
+request_handle_head (FrontRequest *request)
+{
+  ReplyInfo info;
+
+  wire_reply_decode (front_attempt_reply (request->attempt), request->server->entry.id, &info);
+  if (is_from_server (request, &info))
+    handle_limit (request, &info);
+}
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -46,7 +46,8 @@
   int64_t prompt_tokens; /* prompt tokens that the server had to read, as far as known */
   double running_weight; /* what the attempt adds to the server's running_weight */
   double pending_ms;     /* what the attempt adds to the server's pending_ms */
-  int64_t sent_ms;       /* start of the current attempt */
+  int64_t attempt_ms;    /* start of the current attempt */
+  int64_t sent_ms;       /* the same, but restarted when the attempt has been silent for too long */
   int64_t event_ms;      /* time of its last event */
   int64_t relayed_ms;    /* time of the last event relayed on any attempt; 0: none */
   int64_t pause_ms;      /* longest pause between two relayed events, over all attempts */
@@ -79,6 +80,10 @@
 /* Handles a server that has been silent for too long. */
 void request_handle_silence (FrontRequest *request);
 
+/* front_request_notice.c */
+/* Records what the head of the answer says of its server, whatever becomes of the answer. */
+void request_handle_head (FrontRequest *request);
+
 /* front_request_relay.c */
 /* Evaluates what has arrived of the answer. May free the request. */
 void request_handle_progress (FrontRequest *request);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -26,12 +26,14 @@
 #define PLAIN_FIRST_MS 60.0
 
 static void on_sent (void *user);
+static void on_head (void *user);
 static void on_progress (void *user);
 static void on_cut (void *user);
 static void on_timer (evutil_socket_t fd, short what, void *user);
 
 static const AttemptCallbacks attempt_callbacks = {
   .sent = on_sent,
+  .head = on_head,
   .progress = on_progress,
   .cut = on_cut,
 };
@@ -152,6 +154,7 @@
   front_log_number (line, "prompt_ms", (int64_t)pick->prompt_ms);
   front_log_number (line, "avoided", pick->avoided);
   front_log_number (line, "attempt", request->attempts);
+  front_log_number (line, "limited", pick->server->limit.is_named);
   front_log_end (line);
 }
 
@@ -176,6 +179,7 @@
   request->prompt_tokens = pick->prompt_tokens;
   request->pending_ms = pick->prompt_ms;
   pick->server->pending_ms += pick->prompt_ms;
+  request->attempt_ms = now_ms;
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
@@ -368,6 +372,12 @@
   request_arm_timer (request);
 }
 
+static void
+on_head (void *user)
+{
+  request_handle_head (user);
+}
+
 static void
 on_progress (void *user)
 {
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -7,6 +7,7 @@
 
 #include "front_cold.h"
 #include "front_health.h"
+#include "front_limit.h"
 #include "front_peer_load.h"
 #include "front_prompts.h"
 #include "front_server_entry.h"
@@ -47,6 +48,7 @@
   int64_t cold_until_ms;
   int64_t returned_ms; /**< when the evacuation of its failure domain ended; 0: never */
   ColdSends cold_sends;
+  ServerLimit limit;
   unsigned references; /**< number of attempts that use it */
   unsigned running;    /**< our requests in progress there */
   double pending_ms;   /**< predicted reading of the prompts that we sent and whose answers have not
--- a/src/util_span.c
+++ b/src/util_span.c
@@ -84,6 +84,23 @@
   return true;
 }
 
+bool
+span_decimal (Span span, double *out)
+{
+  Span whole = span_cut (&span, '.');
+  int64_t units, fraction = 0;
+  double scale = 1;
+
+  if (!span_number (whole, &units) || whole.len + span.len > DIGITS_MAX)
+    return false;
+  if (span.text && !span_number (span, &fraction))
+    return false;
+  for (size_t i = 0; i < span.len; i++)
+    scale *= DECIMAL;
+  *out = (double)units + (double)fraction / scale;
+  return true;
+}
+
 char *
 span_dup (Span span)
 {
--- a/src/util_span.h
+++ b/src/util_span.h
@@ -25,6 +25,9 @@
 Span span_cut (Span *rest, char separator);
 /** Parses an unsigned decimal number of at most 18 digits; false if the span is anything else. */
 bool span_number (Span span, int64_t *out);
+/** Parses an unsigned decimal number, "3" or "1.75", with at most 18 digits; false if the span is
+ *  anything else. */
+bool span_decimal (Span span, double *out);
 /** NUL-terminated copy, freed with free; NULL for an absent span. */
 char *span_dup (Span span);
 /** 64-bit hash, equal in every process. */
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -233,6 +233,53 @@
   buffer_free (&out);
 }
 
+typedef struct
+{
+  const char *field; /**< a header line */
+  ReplyLimit limit;
+  double per_s;
+} LimitExample;
+
+static const LimitExample limit_examples[] = {
+  { "Server-Limit: 3", REPLY_LIMIT_NAMED, 3 },
+  { "server-limit: 1.75", REPLY_LIMIT_NAMED, 1.75 },
+  { "Server-Limit: 0", REPLY_LIMIT_NAMED, 0 },
+  { "Server-Limit: 0.05", REPLY_LIMIT_NAMED, 0.05 },
+  { "X-Server-Limit: 3", REPLY_LIMIT_ABSENT, 0 },
+  { "Server-Limit:", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: -1", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: 1e3", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: 3.", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: .5", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: 1.2.3", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: nan", REPLY_LIMIT_UNREADABLE, 0 },
+  { "Server-Limit: 1234567890.123456789", REPLY_LIMIT_UNREADABLE, 0 },
+};
+
+/* A server's limit is a decimal number; anything else is reported as unreadable, not taken for a
+ * limit or for its end. */
+static void
+test_server_limit_is_decoded (void)
+{
+  for (size_t i = 0; i < SUITE_COUNT (limit_examples); i++)
+    {
+      const LimitExample *example = &limit_examples[i];
+      HttpReply reply;
+      ReplyInfo info;
+      Buffer text = { 0 };
+
+      buffer_printf (&text, "HTTP/1.1 503 x\r\n%s\r\nContent-Length: 0\r\n\r\n", example->field);
+      http_reply_init (&reply);
+      http_reply_feed (&reply, text.data, text.len);
+      wire_reply_decode (&reply, "i-1", &info);
+      CU_ASSERT_EQUAL (info.limit, example->limit);
+      if (example->limit == REPLY_LIMIT_NAMED)
+        CU_ASSERT_EQUAL (info.limit_per_s, example->per_s);
+      http_reply_clear (&reply);
+      buffer_free (&text);
+    }
+}
+
 static void
 test_rollout (void)
 {
@@ -478,6 +525,7 @@
   { "call_is_decoded", test_call_is_decoded },
   { "call_is_encoded_without_forged_fields", test_call_is_encoded_without_forged_fields },
   { "reply_and_refusal_heads_are_translated", test_reply_and_refusal_heads_are_translated },
+  { "server_limit_is_decoded", test_server_limit_is_decoded },
   { "rollout", test_rollout },
   { "server_entry_is_decoded", test_server_entry_is_decoded },
   { "invalid_server_entries_are_rejected", test_invalid_server_entries_are_rejected },
