Failing cases: fronts exceed the limit that an engine names

The incident in small, on loopback: engines that name a limit of 1.7 or 3 requests a second get 111 to 7,824 in 4 s from three fronts that they have told (15 and 23 are allowed).

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -12,7 +12,7 @@
 import time
 import traceback
 
-from check import attempt_violations, cold_violations, site_violations
+from check import attempt_violations, cold_violations, limit_violations, site_violations
 from engines import complete_stream, digest
 from site_front import CALLERS_PORT, CONTROL_PORT, KEY, MODELS, Site, exchange
 
@@ -670,15 +670,16 @@
     await wait_for_work_in_domain(site, "a")
 
 
-async def call_concurrently(site, callers, seconds):
-    """Runs so many concurrent callers over all fronts for so many seconds; returns the answers."""
+async def call_concurrently(site, callers, seconds, paths=("/again/",)):
+    """Runs so many concurrent callers over all fronts, and over the paths, for so many seconds; returns the answers."""
     until = time.monotonic() + seconds
 
     async def caller(number):
         answers = []
         while time.monotonic() < until:
             front = site.fronts[number % len(site.fronts)]
-            answers.append(await site.call(front, f"/again/{number}", b"c%d.%d" % (number, len(answers))))
+            path = paths[number // len(site.fronts) % len(paths)]
+            answers.append(await site.call(front, f"{path}{number}", b"c%d.%d" % (number, len(answers))))
         return answers
 
     return [answer for answers in await asyncio.gather(*map(caller, range(callers))) for answer in answers]
@@ -721,6 +722,47 @@
         raise AssertionError("the failure domain got no work after its evacuation ended")
 
 
+async def limited_engines(site):
+    """Engines name a limit in their answers. Once told, all fronts together keep to it, also with larger models' runs
+    and retries; what no engine takes is refused without running, with Retry-After."""
+    await site.start_engine("texts")
+    for number, engine in enumerate(site.engines):
+        engine.limit, engine.confidence = (1.7, 3)[number % 2], 20
+    site.engines[0].mode, site.engines[2].mode = "full", "error"
+    paths = ("/text/", "/once/", "/again/")
+    await call_concurrently(site, 18, 1, paths)
+    await asyncio.sleep(0.5)
+    site.runs.clear()
+    answers = await call_concurrently(site, 27, 6, paths)
+    equal(limit_violations(site), [], "violations of the engines' limits")
+    check(site, *answers)
+    refused = [answer for answer in answers if answer.status == 503]
+    if not refused or len(refused) == len(answers):
+        raise AssertionError(f"{len(refused)} of {len(answers)} refused")
+    if any(float(answer.fields["retry-after"]) <= 0 for answer in refused):
+        raise AssertionError("a refusal without Retry-After")
+
+
+async def unlimited_engines_take_over(site):
+    """One of two engines of each service names a limit. The requests that exceed it go to the other one, and none is
+    refused. When the limit has ended, the engine gets more again."""
+    limited = site.engines[2]
+    limited.limit = 1.7
+    await call_concurrently(site, 6, 1)
+    site.runs.clear()
+    answers = await call_concurrently(site, 6, 4)
+    equal({answer.status for answer in answers}, {200}, "answers")
+    equal(limit_violations(site), [], "violations of the engines' limits")
+    limited.limit = None
+
+    async def busy_again():
+        before = len(site.runs)
+        await call_concurrently(site, 6, 1)
+        return sum(run.engine is limited for run in site.runs[before:]) > 20
+
+    await site.wait(busy_again, "work for an engine whose limit has ended")
+
+
 async def invalid_cold_rates(site):
     """Invalid limits for cold engines in the configuration are ignored, and requests are served."""
     for rate in (0, -1, 1e300, "many", None):
@@ -758,7 +800,7 @@
     good_rollout, bad_rollout, slow_rollout, crashing_request_is_refused, lost_answers_do_not_quarantine,
     leaving_engine, engine_restarts_at_new_address, invalid_server_rows, evacuated_domain,
     evacuation_with_dropped_history, all_domains_evacuated, invalid_evacuations, cold_engines,
-    cold_engines_after_evacuation, invalid_cold_rates, metrics_and_logs,
+    cold_engines_after_evacuation, limited_engines, unlimited_engines_take_over, invalid_cold_rates, metrics_and_logs,
 ]  # fmt: skip
 
 
--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -3,6 +3,9 @@
 from site_front import COLD_OVERAGE, COLD_SLACK
 
 EVACUATED_S = 2.0  # after this, engines of an evacuated failure domain get no new work
+# Requests that an engine which names a limit of N a second may get within LIMIT_WINDOW_S from fronts that it told:
+# N * LIMIT_WINDOW_S * LIMIT_OVERAGE + LIMIT_SLACK.
+LIMIT_WINDOW_S, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
 LEAVING_S = 2.0  # after this, an engine that leaves gets no new work
 
 
@@ -48,6 +51,22 @@
     return violations
 
 
+def limit_violations(site, counts=lambda run: True):
+    """Checks that no engine got more requests within LIMIT_WINDOW_S than the limit that it names allows. Only runs for
+    which counts(run) is true count; the others are of fronts that may not have been told, or were disturbed."""
+    arrivals = {}
+    for run in site.runs:
+        if run.limit is not None and counts(run):
+            arrivals.setdefault((run.engine.name, run.limit), []).append(run.at)
+    violations = []
+    for (name, limit), at in arrivals.items():
+        peak = max(sum(begin <= moment < begin + LIMIT_WINDOW_S for moment in at) for begin in at)
+        allowed = LIMIT_OVERAGE * limit * LIMIT_WINDOW_S + LIMIT_SLACK
+        if peak > allowed:
+            violations.append(f"{name} got {peak} requests in {LIMIT_WINDOW_S} s; with a limit of {limit} a second {allowed} are allowed")
+    return violations
+
+
 def evacuation_violations(site, domain, since, is_undisturbed):
     """Checks that a failure domain evacuated at the time since gets no new work. Only fronts for whose number
     is_undisturbed is true count; the others may not have learned of the evacuation because of a fault."""
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -44,6 +44,7 @@
     at: float
     executed: bool = False
     cold: bool = False  # the engine was cold when the request arrived
+    limit: object = None  # the limit that the engine named then; None: none
     ended: float = 0.0
 
 
@@ -143,6 +144,7 @@
 
     async def handle(self, request, reader, writer):
         run = Run(request.fields.get("lovagehub-request-id", ""), self, request.fields, time.monotonic())
+        run.limit = self.limit
         self.site.runs.append(run)
         if request.fields.get("lovagehub-target-instance") != self.name:
             writer.write(answer(421, Lovagehub_Instance_Id=self.name, **self.notices()))
