--- a/src/front.h
+++ b/src/front.h
@@ -12,6 +12,7 @@
 #include "front_rollouts.h"
 #include "front_servers.h"
 #include "front_sessions.h"
+#include "front_share.h"
 #include "front_speeds.h"
 #include "settings_front.h"
 #include <event2/event.h>
@@ -30,7 +31,7 @@
   FrontConfig *config;  /**< NULL until one is known */
   FrontServers *servers;
   uint64_t vm_hash;   /**< of this VM's name */
-  ColdView fronts;    /**< estimate of the number of fronts */
+  FrontsView fronts;  /**< estimate of the number of fronts */
   bool servers_known; /**< the complete list was read at least once */
   FrontSessions *sessions;
   FrontRollouts *rollouts;
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -95,7 +95,7 @@
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
   front_budget_set_fronts (self->front.budget, front_peers_alive (self->front.peers, now_ms));
-  front_peers_fill_cold_view (self->front.peers, now_ms, &self->front.fronts);
+  front_peers_fill_view (self->front.peers, now_ms, &self->front.fronts);
   front_control_tick (self->control, now_ms);
   settings_check (self, now_ms);
   stop_check (self, now_ms);
@@ -221,7 +221,7 @@
   if (!front->peers)
     return "peers";
   front->vm_hash = id_hash_string (settings->vm, 0);
-  front_peers_fill_cold_view (front->peers, front->started_ms, &front->fronts);
+  front_peers_fill_view (front->peers, front->started_ms, &front->fronts);
   front->store = front_store_new (front);
   if (!front->store)
     return "store";
--- a/src/front_peers_domains.c
+++ b/src/front_peers_domains.c
@@ -134,11 +134,11 @@
 }
 
 void
-front_peers_fill_cold_view (const FrontPeers *peers, int64_t now_ms, ColdView *view)
+front_peers_fill_view (const FrontPeers *peers, int64_t now_ms, FrontsView *view)
 {
   /* A front that has just started knows few others, but the first message of one that doesn't tells
    * it how many there are. */
-  *view = (ColdView){
+  *view = (FrontsView){
     .domain_fronts = larger (1 + count_lately (peers, peers->own_domain, now_ms),
                              count_fresh (&peers->own_lately, COLD_COUNT_MS, now_ms)),
     .registered = peers->is_registered,
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -155,8 +155,9 @@
 {
   if (query->cold.max_per_s <= 0 || !is_cold (query, server, now_ms))
     return 0;
-  return cold_wait_ms (&server->cold_sends,
-                       cold_slots (&query->cold, server->hash, server->is_same_domain), now_ms);
+  return cold_wait_ms (
+      &server->cold_sends,
+      cold_slots (&query->cold, &query->share, server->hash, server->is_same_domain), now_ms);
 }
 
 /* True if the server may get no request now; the reason is added to the answer. */
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -24,6 +24,7 @@
   unsigned slots;          /**< of a server whose entry gives none; 0: default */
   bool is_model;           /**< a model engine, not a plain service */
   ColdRule cold;           /**< limit for cold servers of the service */
+  FrontShare share;        /**< this front's share of what a server may get from all fronts */
   int64_t affinity_tokens; /**< tokens of the prompt's shared parts that are requested often enough
                               for all fronts of the failure domain to agree on a server that keeps
                               them cached */
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -66,17 +66,13 @@
 cold_rule (const Front *front, const FrontService *service)
 {
   const SettingsFront *settings = &front->settings;
-  ColdRule rule = { 0 };
 
   if (!service || service->cold_per_s <= 0)
-    return rule;
-  rule = (ColdRule){
+    return (ColdRule){ 0 };
+  return (ColdRule){
     .max_per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack,
     .start_ms = service->cold_start_ms,
-    .self = front->vm_hash,
   };
-  cold_rule_set_fronts (&rule, &front->fronts);
-  return rule;
 }
 
 /* Each of the n fronts of a failure domain gets about one of n requests. A shared part that was
@@ -113,8 +109,10 @@
     .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
     .tried_count = request->tried_count,
     .cold = cold_rule (request->front, service),
+    .share.self = request->front->vm_hash,
   };
 
+  front_share_set (&query.share, &request->front->fronts);
   memcpy (query.tried, request->tried, sizeof query.tried);
   return query;
 }
--- a/tests/test_front_cold.c
+++ b/tests/test_front_cold.c
@@ -19,7 +19,7 @@
   const char *name;
   unsigned domain_fronts; /**< in the server's failure domain */
   unsigned other_fronts;
-  ColdView view;
+  FrontsView view;
 } Site;
 
 static const Site sites[] = {
@@ -34,14 +34,15 @@
   { "a domain that gets messages from nobody else", 75, 225, { 75, 5, 75, false } },
 };
 
-static ColdRule
-rule_of (const Site *site, unsigned front)
+static const ColdRule rule = { .max_per_s = RATE_MAX, .start_ms = 3000 };
+
+static FrontShare
+share_of (const Site *site, unsigned front)
 {
-  ColdRule rule = { .max_per_s = RATE_MAX, .start_ms = 3000 };
+  FrontShare share = { .self = id_hash (&front, sizeof front, 7) };
 
-  rule.self = id_hash (&front, sizeof front, 7);
-  cold_rule_set_fronts (&rule, &site->view);
-  return rule;
+  front_share_set (&share, &site->view);
+  return share;
 }
 
 /* Maximum arrivals in any second if each front sends as soon as it may. */
@@ -60,8 +61,8 @@
     {
       for (unsigned front = 0; front < fronts; front++)
         {
-          ColdRule rule = rule_of (site, front);
-          unsigned slots = cold_slots (&rule, server, front < site->domain_fronts);
+          FrontShare share = share_of (site, front);
+          unsigned slots = cold_slots (&rule, &share, server, front < site->domain_fronts);
 
           if (cold_wait_ms (&sends[front], slots, NOW + ms) != 0)
             continue;
@@ -138,12 +139,14 @@
 test_zero_slots_allow_no_request (void)
 {
   ColdSends sends = { 0 };
-  ColdRule rule = { .max_per_s = 0.5, .domain_fronts = 400, .fronts = 1000000 };
+  ColdRule low = { .max_per_s = 0.5 };
+  ColdRule high = { .max_per_s = 1e6 };
+  FrontShare large = { .domain_fronts = 400, .fronts = 1000000 };
+  FrontShare unknown = { 0 };
 
   CU_ASSERT_EQUAL (cold_wait_ms (&sends, 0, NOW), INT64_MAX);
-  CU_ASSERT_EQUAL (cold_slots (&rule, 3, false), 0);
-  rule = (ColdRule){ .max_per_s = 1e6, .domain_fronts = 0, .fronts = 0 };
-  CU_ASSERT_EQUAL (cold_slots (&rule, 3, true), COLD_SLOTS_MAX);
+  CU_ASSERT_EQUAL (cold_slots (&low, &large, 3, false), 0);
+  CU_ASSERT_EQUAL (cold_slots (&high, &unknown, 3, true), COLD_SLOTS_MAX);
 }
 
 /* Of more sends than are remembered, only the latest count. */
--- a/tests/test_front_peers_table.c
+++ b/tests/test_front_peers_table.c
@@ -113,7 +113,7 @@
 test_size_of_site_is_steady (void)
 {
   FrontPeers *peers = peers_new ();
-  ColdView view;
+  FrontsView view;
 
   add_living (peers, 1, 2, NOW);
   peers_domain_report (peers, 2, 165, NOW);
@@ -122,11 +122,11 @@
   peers_domain_report (peers, 2, 80, NOW + 6000);
   peers_domain_report (peers, 2, 165, NOW + 900);
   CU_ASSERT_EQUAL (front_peers_alive (peers, NOW + 6000), 81);
-  front_peers_fill_cold_view (peers, NOW + 6000, &view);
+  front_peers_fill_view (peers, NOW + 6000, &view);
   CU_ASSERT_EQUAL (view.fronts, 166);
   peers_domain_report (peers, OWN_DOMAIN, 500, NOW + 6000);
   CU_ASSERT_EQUAL (front_peers_alive (peers, NOW + 6000), 81);
-  front_peers_fill_cold_view (peers, NOW + 6000, &view);
+  front_peers_fill_view (peers, NOW + 6000, &view);
   CU_ASSERT_EQUAL (view.domain_fronts, 500);
   CU_ASSERT_EQUAL (front_peers_alive (peers, NOW + MINUTE_MS), 1);
   peers_delete (peers);
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -443,9 +443,8 @@
       unsigned number;
 
       query.cold = (ColdRule){ .max_per_s = 32, .start_ms = SIMULATED_MS };
-      query.cold.self = front + 1;
-      cold_rule_set_fronts (&query.cold,
-                            &(ColdView){ .domain_fronts = DOMAIN_FRONTS, .fronts = 66 });
+      query.share.self = front + 1;
+      front_share_set (&query.share, &(FrontsView){ .domain_fronts = DOMAIN_FRONTS, .fronts = 66 });
       answer = front_pick (views[front], &query, NOW + ms);
       refused += answer.server == NULL;
       if (!answer.server)
