Keep to the limits that backend servers name in their answers

Cause: fronts chose a server by its entry in the store and by what its answers took, and read nothing in the answers that the server says of itself.

The choice of a server, which each send goes through (first attempts, retries, larger models, resumed streams, roll-outs), now leaves out a server for which this front has used its share. Fronts don't ask each other; a front's share follows from the number of fronts, as for cold servers.

What no server may get is refused at once with reason servers_limited; the retry-after time is when this or another front may send the next. A limited server is no longer the one that all fronts prefer for a popular prompt.

--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -72,7 +72,7 @@
     uint64_t hash = id_hash (&server->hash, sizeof server->hash, prompt);
 
     if (!server->is_same_domain || !matches_query (query, server)
-        || front_server_state (server, now_ms) >= FRONT_SERVER_AVOIDED
+        || front_server_state (server, now_ms) >= FRONT_SERVER_AVOIDED || server->limit.is_named
         || (affinity && hash <= best))
       continue;
     affinity = server;
@@ -160,26 +160,47 @@
       cold_slots (&query->cold, &query->share, server->hash, server->is_same_domain), now_ms);
 }
 
+/* Keeps the shorter of two waits; 0: none. */
+static void
+add_wait (int64_t *shortest_ms, int64_t wait_ms)
+{
+  if (*shortest_ms == 0 || wait_ms < *shortest_ms)
+    *shortest_ms = wait_ms;
+}
+
+static int64_t
+named_limit_wait_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  return server_limit_wait_ms (&server->limit, &query->share, server->hash, server->is_same_domain,
+                               now_ms);
+}
+
+static int64_t
+shorter (int64_t a_ms, int64_t b_ms)
+{
+  return a_ms < b_ms ? a_ms : b_ms;
+}
+
 /* True if the server may get no request now; the reason is added to the answer. */
 static bool
 is_excluded (PickAnswer *answer, const PickQuery *query, const FrontServer *server, int64_t now_ms)
 {
   FrontServerState state = front_server_state (server, now_ms);
-  int64_t wait_ms;
+  int64_t cold_ms, limit_ms;
 
   if (state >= FRONT_SERVER_EVACUATED)
     {
       answer->evacuated |= state == FRONT_SERVER_EVACUATED;
       return true;
     }
-  wait_ms = cold_limit_wait_ms (query, server, now_ms);
-  if (wait_ms == 0)
-    return false;
-  if (wait_ms > query->cold.start_ms)
-    wait_ms = query->cold.start_ms;
-  if (answer->cold_wait_ms == 0 || wait_ms < answer->cold_wait_ms)
-    answer->cold_wait_ms = wait_ms;
-  return true;
+  cold_ms = cold_limit_wait_ms (query, server, now_ms);
+  limit_ms = named_limit_wait_ms (query, server, now_ms);
+  if (cold_ms > 0)
+    add_wait (&answer->cold_wait_ms, shorter (cold_ms, query->cold.start_ms));
+  if (limit_ms > 0)
+    add_wait (&answer->limit_wait_ms,
+              shorter (limit_ms, server_limit_interval_ms (&server->limit)));
+  return cold_ms > 0 || limit_ms > 0;
 }
 
 PickAnswer
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -41,6 +41,8 @@
   int64_t prompt_tokens; /**< prompt tokens that it has to read, as far as known */
   int64_t cold_wait_ms;  /**< until a cold server that was excluded by its limit may get a request;
                             0: none was excluded */
+  int64_t limit_wait_ms; /**< until a server that was excluded by the limit that it names may get a
+                            request, from this front or another; 0: none was excluded */
   bool evacuated;        /**< servers were excluded because their failure domain is evacuated */
   bool avoided;          /**< the server is in an avoided state; there was no better one */
 } PickAnswer;
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -170,6 +170,7 @@
   request->server = pick->server;
   front_server_ref (pick->server);
   cold_sent (&pick->server->cold_sends, now_ms);
+  server_limit_sent (&pick->server->limit, now_ms);
   request->predicted_ms
       = pick->predicted_ms
         + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
@@ -215,11 +216,22 @@
 static const char *
 no_server_reason (const PickAnswer *pick)
 {
+  if (pick->limit_wait_ms > 0)
+    return "servers_limited";
   if (pick->cold_wait_ms > 0)
     return "servers_cold";
   return pick->evacuated ? "evacuated" : "no_server";
 }
 
+/* Milliseconds until the first excluded server may get a request; 0: not known. */
+static int64_t
+no_server_wait_ms (const PickAnswer *pick)
+{
+  if (pick->limit_wait_ms == 0 || pick->cold_wait_ms == 0)
+    return pick->limit_wait_ms + pick->cold_wait_ms;
+  return pick->limit_wait_ms < pick->cold_wait_ms ? pick->limit_wait_ms : pick->cold_wait_ms;
+}
+
 void
 request_send (FrontRequest *request)
 {
@@ -237,7 +249,7 @@
     }
   if (!pick.server)
     {
-      request_give_up (request, no_server_reason (&pick), pick.cold_wait_ms);
+      request_give_up (request, no_server_reason (&pick), no_server_wait_ms (&pick));
       return;
     }
   version_set (request, version, now_ms);
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -400,6 +400,47 @@
 #define SIMULATED_MS  3000
 #define SECOND_MS     1000
 
+/* Guards against requests beyond the limit that a server names: they go to another server, and
+ * without one the answer tells when a front may send the next. */
+static void
+test_named_limit_excludes_server (void)
+{
+  PickQuery query = query_of ("v1");
+  PickAnswer answer;
+
+  setup ();
+  query.share = (FrontShare){ .self = 1, .domain_fronts = 2, .fronts = 4 };
+  add ("near", "here", "v1");
+  add ("far", "there", "v1");
+  server_limit_sent (&front_servers_find (servers, "near")->limit, NOW);
+  server_limit_named (&front_servers_find (servers, "near")->limit, 2, NOW);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1), "far");
+  front_servers_remove (servers, "far", NOW, 0);
+  answer = front_pick (servers, &query, NOW + 1);
+  CU_ASSERT_PTR_NULL (answer.server);
+  CU_ASSERT_EQUAL (answer.limit_wait_ms, 500);
+  CU_ASSERT_EQUAL (answer.cold_wait_ms, 0);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "near");
+}
+
+/* A server that names a limit must not attract all requests with a popular prompt: most would be
+ * sent elsewhere, to a different server by each front. */
+static void
+test_limited_server_attracts_no_prompt (void)
+{
+  PickQuery query = query_of ("v1");
+  const char *preferred;
+
+  setup ();
+  query.affinity_tokens = 5000;
+  query.share = (FrontShare){ .self = 1, .domain_fronts = 1, .fronts = 1 };
+  add ("a", "here", "v1");
+  add ("bb", "here", "v1");
+  preferred = picked (&query, NOW);
+  server_limit_named (&front_servers_find (servers, preferred)->limit, 100, NOW);
+  CU_ASSERT_STRING_NOT_EQUAL (picked (&query, NOW + 1000), preferred);
+}
+
 /* One front's table of a failure domain that has restarted cold, and of another one that is
  * warm. */
 static FrontServers *
@@ -505,6 +546,8 @@
   { "draining_is_final", test_draining_is_final },
   { "lapsed_entries_have_grace", test_lapsed_entries_have_grace },
   { "evacuated_domain_gets_nothing", test_evacuated_domain_gets_nothing },
+  { "named_limit_excludes_server", test_named_limit_excludes_server },
+  { "limited_server_attracts_no_prompt", test_limited_server_attracts_no_prompt },
   { "cold_domain_rate_is_limited", test_cold_domain_rate_is_limited },
   { "removed_server_lives_while_referenced", test_removed_server_lives_while_referenced },
 };
