Keep an answer or attempt where no server could take the next one

Cause: with no server the forecast of the larger model had times of 0, which the cascade took for an idle one; and the silent attempt was given up before a server was sought.

The forecast says whether there is a server; a silent attempt is kept, as when the budget denies a retry, with verdict no_server. Nothing is chosen otherwise where a server is free. The tests answer_is_kept_without_server and answers_are_kept_without_another_engine failed before.

--- a/bench/front_simulation.c
+++ b/bench/front_simulation.c
@@ -280,7 +280,9 @@
   PickQuery query = query_of (context->call, step_model (step));
   PickAnswer pick = front_pick (sim->views[context->call->front], &query, sim->clock.now_ms);
 
-  return (CascadeForecast){ .first_ms = pick.predicted_ms, .reading_ms = pick.prompt_ms };
+  return (CascadeForecast){ .has_server = pick.server != NULL,
+                            .first_ms = pick.predicted_ms,
+                            .reading_ms = pick.prompt_ms };
 }
 
 static CascadeStep
--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -743,6 +743,21 @@
         raise AssertionError("a refusal without Retry-After")
 
 
+async def answers_are_kept_without_another_engine(site):
+    """All engines name limits, so that no other one may get a request. A small model's answer of low confidence is
+    relayed, and an engine that is late is waited for: neither is dropped for an attempt that can't be made."""
+    for engine in site.engines:
+        engine.limit, engine.confidence, engine.delay = 2, 20, 0.6
+    paths = ("/text/", "/again/")
+    await call_concurrently(site, 12, 5, paths)  # beyond the first seconds, in which a front takes a small share
+    answers = await call_concurrently(site, 12, 4, paths)
+    equal({answer.status for answer in answers}, {200, 503}, "answers")
+    for path in paths:
+        if not any(answer.status == 200 and answer.path.startswith(path) for answer in answers):
+            raise AssertionError(f"no answer to {path}")
+    check(site, *answers)
+
+
 async def unlimited_engines_take_over(site):
     """One of two engines of each service names a limit. The requests that exceed it go to the other one, and none is
     refused. When the limit has ended, the engine gets more again."""
@@ -800,7 +815,8 @@
     good_rollout, bad_rollout, slow_rollout, crashing_request_is_refused, lost_answers_do_not_quarantine,
     leaving_engine, engine_restarts_at_new_address, invalid_server_rows, evacuated_domain,
     evacuation_with_dropped_history, all_domains_evacuated, invalid_evacuations, cold_engines,
-    cold_engines_after_evacuation, limited_engines, unlimited_engines_take_over, invalid_cold_rates, metrics_and_logs,
+    cold_engines_after_evacuation, limited_engines,
+    answers_are_kept_without_another_engine, unlimited_engines_take_over, invalid_cold_rates, metrics_and_logs,
 ]  # fmt: skip
 
 
--- a/src/front_cascade.c
+++ b/src/front_cascade.c
@@ -60,7 +60,7 @@
       step = CASCADE_MIDDLE;
       forecast = c->forecast (c->user, step);
     }
-  if (forecast.reading_ms > READING_MAX_MS
+  if (!forecast.has_server || forecast.reading_ms > READING_MAX_MS
       || c->confidence >= keep_threshold (c, forecast.first_ms))
     return CASCADE_KEEP;
   return step;
--- a/src/front_cascade.h
+++ b/src/front_cascade.h
@@ -19,6 +19,7 @@
 /** Prediction for a request to a larger model. */
 typedef struct
 {
+  bool has_server;   /**< a server may get it; if not, the times mean nothing */
   double first_ms;   /**< milliseconds until its answer begins */
   double reading_ms; /**< part of first_ms spent reading the prompt */
 } CascadeForecast;
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -61,6 +61,8 @@
 /* front_request_send.c */
 /* Chooses a server and sends the request there; gives up if there is none. May free the request. */
 void request_send (FrontRequest *request);
+/* True if a server may get the request now, besides the current attempt. */
+bool request_has_server (const FrontRequest *request);
 /* Ends the current attempt, if there is one, and releases its server. */
 void request_drop_attempt (FrontRequest *request);
 /* Predicts the times of a request sent to this model now. */
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -16,7 +16,8 @@
   RETRY_ATTEMPTS,
   RETRY_DEADLINE,
   RETRY_NO_BUDGET,
-  RETRY_UNSENT, /* now, as nothing was sent */
+  RETRY_NO_SERVER, /* no server may get it, and the attempt may still be answered */
+  RETRY_UNSENT,    /* now, as nothing was sent */
 } RetryVerdict;
 
 static const char *const verdict_names[] = {
@@ -25,6 +26,7 @@
   [RETRY_ATTEMPTS] = "attempts",
   [RETRY_DEADLINE] = "deadline",
   [RETRY_NO_BUDGET] = "no_budget",
+  [RETRY_NO_SERVER] = "no_server",
   [RETRY_UNSENT] = "unsent",
 };
 
@@ -112,7 +114,8 @@
 request_handle_silence (FrontRequest *request)
 {
   const char *reason = request->relaying ? "stream_silent" : "answer_late";
-  RetryVerdict verdict = retry_verdict (request, true);
+  RetryVerdict verdict
+      = request_has_server (request) ? retry_verdict (request, true) : RETRY_NO_SERVER;
   int64_t now_ms = clock_boot_ms ();
 
   log_retry (request, reason, verdict);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -232,6 +232,27 @@
   return pick->limit_wait_ms < pick->cold_wait_ms ? pick->limit_wait_ms : pick->cold_wait_ms;
 }
 
+/* A server that failed this request is better than none. */
+static PickAnswer
+pick_server (const FrontRequest *request, PickQuery *query, int64_t now_ms)
+{
+  PickAnswer pick = front_pick (request->front->servers, query, now_ms);
+
+  if (pick.server || request->tried_count == 0)
+    return pick;
+  query->tried_count = 0;
+  return front_pick (request->front->servers, query, now_ms);
+}
+
+bool
+request_has_server (const FrontRequest *request)
+{
+  PickQuery query
+      = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+
+  return pick_server (request, &query, clock_boot_ms ()).server != NULL;
+}
+
 void
 request_send (FrontRequest *request)
 {
@@ -240,13 +261,8 @@
   const char *version = front_rollouts_choose (front->rollouts, front->servers, request->service,
                                                request->session, now_ms);
   PickQuery query = pick_query (request, request->model, version);
-  PickAnswer pick = front_pick (front->servers, &query, now_ms);
+  PickAnswer pick = pick_server (request, &query, now_ms);
 
-  if (!pick.server && request->tried_count > 0)
-    {
-      query.tried_count = 0; /* a server that failed this request is better than none */
-      pick = front_pick (front->servers, &query, now_ms);
-    }
   if (!pick.server)
     {
       request_give_up (request, no_server_reason (&pick), no_server_wait_ms (&pick));
@@ -272,7 +288,9 @@
 
   query.tried_count = 0;
   pick = front_pick (request->front->servers, &query, clock_boot_ms ());
-  return (CascadeForecast){ .first_ms = pick.predicted_ms, .reading_ms = pick.prompt_ms };
+  return (CascadeForecast){ .has_server = pick.server != NULL,
+                            .first_ms = pick.predicted_ms,
+                            .reading_ms = pick.prompt_ms };
 }
 
 void
--- a/tests/test_front_cascade.c
+++ b/tests/test_front_cascade.c
@@ -8,6 +8,7 @@
 /* Lag of answers against their prediction. */
 static double lag_ms;
 static bool has_middle;
+static bool is_out;                            /* no server may run a larger model now */
 static double reading_ms[CASCADE_LARGEST + 1]; /* of the prompt, by step */
 
 typedef struct
@@ -20,7 +21,9 @@
 {
   const Forecasts *forecasts = user;
 
-  return (CascadeForecast){ .first_ms = forecasts->larger_ms, .reading_ms = reading_ms[step] };
+  return (CascadeForecast){ .has_server = !is_out,
+                            .first_ms = forecasts->larger_ms,
+                            .reading_ms = reading_ms[step] };
 }
 
 static CascadeStep
@@ -55,6 +58,18 @@
   CU_ASSERT (!escalates (-1, URGENT, 50, 100)); /* an engine that gives no confidence */
 }
 
+/* Guards against dropping a ready answer for a larger model that no server may run now: its caller
+ * would get none. */
+static void
+test_answer_is_kept_without_server (void)
+{
+  is_out = true;
+  CU_ASSERT (!escalates (20, URGENT, 0, 100));
+  CU_ASSERT (!escalates (0, LEAST_URGENT, 0, 100));
+  is_out = false;
+  CU_ASSERT (escalates (20, URGENT, 0, 100));
+}
+
 /* The least urgent requests are many and small. For them the largest model's price exceeds the
  * value of its better answer, unless the smallest model's confidence is very low. */
 static void
@@ -143,6 +158,7 @@
 }
 
 static const SuiteCase cases[] = {
+  { "answer_is_kept_without_server", test_answer_is_kept_without_server },
   { "low_confidence_escalates", test_low_confidence_escalates },
   { "least_urgent_escalates_less", test_least_urgent_escalates_less },
   { "long_wait_lowers_threshold", test_long_wait_lowers_threshold },
