Soak: engines name limits

A front counts once it has passed on an answer with the limit, until it is stopped, killed or frozen.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -45,6 +45,7 @@
     executed: bool = False
     cold: bool = False  # the engine was cold when the request arrived
     limit: object = None  # the limit that the engine named then; None: none
+    limit_since: float = 0.0  # since when it names that limit
     ended: float = 0.0
 
 
@@ -66,7 +67,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_body = None
-        self.limit = None  # requests per second, named in all its answers; None: no limit
+        self.limit, self.limit_since = None, 0.0  # requests per second, named in all its answers; None: no limit
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_until = 0.0
@@ -144,7 +145,7 @@
 
     async def handle(self, request, reader, writer):
         run = Run(request.fields.get("lovagehub-request-id", ""), self, request.fields, time.monotonic())
-        run.limit = self.limit
+        run.limit, run.limit_since = self.limit, self.limit_since
         self.site.runs.append(run)
         if request.fields.get("lovagehub-target-instance") != self.name:
             writer.write(answer(421, Lovagehub_Instance_Id=self.name, **self.notices()))
@@ -163,6 +164,9 @@
             task.cancel()
         run.ended = time.monotonic()
 
+    def set_limit(self, per_s):
+        self.limit, self.limit_since = per_s, time.monotonic()
+
     def notices(self):
         """Header fields in which it states something about itself."""
         return {} if self.limit is None else {"Server_Limit": self.limit}
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -14,12 +14,15 @@
 import sys
 import time
 
-from check import attempt_violations, evacuation_violations, site_violations
+from check import attempt_violations, evacuation_violations, limit_violations, site_violations
 from relay_tcp import Relay
 from site_front import CALLERS_PORT, COLD_START_S, Site, add_routes
 
 UNDISTURBED_S = 3.0  # checks with a time limit apply to a front without a fault for so long
 APPLY_S = 2.0  # a new configuration is in force at a front after this
+TOLD_S = 0.5  # a front that has passed on an answer with a limit keeps to it after this
+LIMIT_APPLY_S = 3.0  # an engine's limit holds from so long after it was first named
+LIMITS_PER_S = [0, 0.7, 1.7, 3, 8]
 RELAY_PORT = 8200  # port of the relay before a front's callers' port
 COLD_PER_S = 12  # requests per second that a cold engine may get
 NARROW_ROUTES = 2000  # the store's answer with these has 0.6 MB
@@ -32,11 +35,13 @@
 class Soak:
     def __init__(self, args):
         self.site = Site(args.program, fronts=args.fronts, engines=args.engines, seed=args.seed)
-        self.random = random.Random(args.seed)
+        self.random, self.notice_random = random.Random(args.seed), random.Random(~args.seed)
         self.seconds, self.slack = args.seconds, args.slack
         self.narrow = args.narrow
         self.violations = []
         self.answers = []
+        self.told = []  # (front number, engine, time) of each answer with a limit that a front passed on
+        self.interruptions = {}  # front number -> times of its stops, kills and freezes, and of their ends
         self.disturbed = {}  # front number, or "engines", or "store" -> time of the last fault
         self.graceful_stops = {}  # front number -> time of the last SIGTERM
         self.revoked = {}  # key -> when the store acknowledged its removal
@@ -51,6 +56,10 @@
         for name in what:
             self.disturbed[name] = time.monotonic()
 
+    def interrupt(self, front):
+        self.disturb(front.number)
+        self.interruptions.setdefault(front.number, []).append(time.monotonic())
+
     def undisturbed_since(self, *names):
         """Time of the last fault of any of these; 0 if there was none."""
         return max((self.disturbed.get(name, 0) for name in names), default=0)
@@ -73,26 +82,27 @@
 
     async def stop(self, front):
         self.graceful_stops[front.number] = time.monotonic()
+        self.interruptions.setdefault(front.number, []).append(time.monotonic())
         status = await front.stop()
         if status != 0:
             self.violations.append(f"front {front.number} ended with {status} when it was stopped")
-        self.disturb(front.number)
+        self.interrupt(front)
         await front.start()
-        self.disturb(front.number)
+        self.interrupt(front)
 
     async def kill(self, front):
-        self.disturb(front.number)
+        self.interrupt(front)
         await front.kill()
         await self.pause(0, 1)
         await front.start()
-        self.disturb(front.number)
+        self.interrupt(front)
 
     async def freeze(self, front):
-        self.disturb(front.number)
+        self.interrupt(front)
         front.signal(signal.SIGSTOP)
         await self.pause()
         front.signal(signal.SIGCONT)
-        self.disturb(front.number)
+        self.interrupt(front)
 
     async def fault_store_endpoint(self, front):
         self.disturb(front.number, "store")
@@ -140,6 +150,31 @@
         relay.set("ok")
         self.disturb("engines")
 
+    async def limit_engine(self):
+        """An engine names a limit in its answers for some seconds."""
+        engine = self.notice_random.choice([engine for engine in self.site.engines if not engine.left_at])
+        if engine.limit is None:
+            engine.set_limit(self.notice_random.choice(LIMITS_PER_S))
+            self.count("limits named")
+            await asyncio.sleep(self.notice_random.uniform(5, 10))
+            engine.set_limit(None)
+        await asyncio.sleep(self.notice_random.uniform(0.1, 1))
+
+    async def inject_notices(self):
+        """Lets engines state things about themselves, beside the other faults and with draws of its own, so that the
+        schedule of a seed stays the same."""
+        while time.monotonic() < self.until:
+            await self.limit_engine()
+
+    def was_told(self, run):
+        """Whether the front that sent the run had passed on an answer with the engine's limit, and was neither stopped
+        nor frozen since."""
+        front = self.site.front_of.get(run.request)
+        since = max([run.limit_since, *(at for at in self.interruptions.get(front, []) if at <= run.at)])
+        return run.at > run.limit_since + LIMIT_APPLY_S and any(
+            told == front and engine == run.engine.name and since < at < run.at - TOLD_S for told, engine, at in self.told
+        )
+
     async def replace_engine(self):
         living = [engine for engine in self.site.engines if engine.left_at is None]
         leaving = self.random.choice(living)
@@ -257,6 +292,8 @@
         self.count(f"answers {answer.status}{'' if answer.complete else ' cut'}")
         self.violations += attempt_violations(self.site, answer)
         name = answer.front.number
+        if "server-limit" in answer.fields:
+            self.told.append((name, answer.fields["lovagehub-server-signature"].removeprefix("sig."), answer.ended_at))
         undisturbed_since = self.undisturbed_since(name)
         revoked_at = self.revoked.get(answer.key)
         limit = APPLY_S + self.slack
@@ -303,6 +340,7 @@
     async def clear_faults(self):
         for engine in self.site.engines:
             engine.mode = "ok"
+            engine.set_limit(None)
         for front in self.site.fronts:
             front.store_endpoint.set("ok")
             front.signal(signal.SIGCONT)
@@ -327,7 +365,7 @@
 
     async def run(self, callers):
         await self.start()
-        tasks = [self.caller(number) for number in range(callers)] + [self.inject() for _ in range(4)]
+        tasks = [self.caller(number) for number in range(callers)] + [self.inject() for _ in range(4)] + [self.inject_notices()]
         results = await asyncio.gather(*tasks, return_exceptions=True)
         self.violations += [f"exception in the soak: {error!r}" for error in results if isinstance(error, Exception)]
         await self.clear_faults()
@@ -337,6 +375,8 @@
             self.violations.append(str(error))
         undisturbed = lambda at: self.undisturbed_since("store", *range(len(self.site.fronts))) + UNDISTURBED_S + self.slack
         self.violations += site_violations(self.site, undisturbed)
+        self.violations += limit_violations(self.site, self.was_told)
+        self.count(f"runs within a limit {sum(run.limit is not None and self.was_told(run) for run in self.site.runs)}")
 
 
 async def main():
