Log that an answer says its server leaves

The event server_leaving tells the first such answer, and whether the store's list had said so before. The choice of a server is as before.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -71,6 +71,7 @@
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_until = 0.0
+        self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
 
     @property
@@ -169,7 +170,8 @@
 
     def notices(self):
         """Header fields in which it states something about itself."""
-        return {} if self.limit is None else {"Server_Limit": self.limit}
+        fields = {"Server_Limit": self.limit} if self.limit is not None else {}
+        return {**fields, "Server_Leaving": 1} if self.says_leaving else fields
 
     def head(self, request, **more):
         """Header fields of an answer."""
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -57,6 +57,7 @@
   bool is_signed;    /**< sent by a backend server, not by an intermediary */
   bool not_executed; /**< the server guarantees that the request did not run */
   bool other_server; /**< the address now belongs to another server */
+  bool leaving;      /**< the server is going to end and wants no new work */
   bool is_encoded;   /**< the body has a content encoding, so it is not the server's own bytes */
   ReplyLimit limit;
   double limit_per_s; /**< requests per second that the server takes from all fronts together, with
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -41,6 +41,22 @@
     }
 }
 
+static void
+handle_leaving (const FrontRequest *request)
+{
+  FrontServer *server = request->server;
+  FrontLine *line;
+
+  if (server->said_leaving)
+    return;
+  server->said_leaving = true;
+  line = front_log_begin (FRONT_EVENT_SERVER_LEAVING);
+  front_log_text (line, "server", server->entry.id);
+  front_log_span (line, "request", request->call.id);
+  front_log_number (line, "known", server->leaving);
+  front_log_end (line);
+}
+
 /* False for an answer that another server gave at this address, and for late bytes that belong to
  * another request. */
 static bool
@@ -56,6 +72,9 @@
   ReplyInfo info;
 
   wire_reply_decode (front_attempt_reply (request->attempt), request->server->entry.id, &info);
-  if (is_from_server (request, &info))
-    handle_limit (request, &info);
+  if (!is_from_server (request, &info))
+    return;
+  handle_limit (request, &info);
+  if (info.leaving)
+    handle_leaving (request);
 }
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -40,6 +40,7 @@
   uint64_t hash;       /**< of the id and the start time, the same on every VM */
   bool is_same_domain; /**< in our own failure domain */
   bool leaving;        /**< draining, or its address belongs to another server: no new work */
+  bool said_leaving;   /**< one of its answers said that it leaves */
   bool evacuated;      /**< its failure domain gets no work for now */
   bool listed;         /**< false: freed with the last reference */
   bool restarted;   /**< a later start of the same id is known: requests that ran here are lost */
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -280,6 +280,34 @@
     }
 }
 
+/* Only "1" tells that a server leaves: a front that took another value for it would lose a server
+ * for good. */
+static void
+test_leaving_is_decoded (void)
+{
+  static const char *const others[] = { "0", "", "11", "true" };
+  HttpReply reply;
+  ReplyInfo info;
+  Buffer text = { 0 };
+
+  http_reply_init (&reply);
+  http_reply_feed (&reply, "HTTP/1.1 503 x\r\nserver-leaving: 1\r\n\r\n", 37);
+  wire_reply_decode (&reply, "i-1", &info);
+  CU_ASSERT (info.leaving);
+  http_reply_clear (&reply);
+  for (size_t i = 0; i < SUITE_COUNT (others); i++)
+    {
+      text.len = 0;
+      buffer_printf (&text, "HTTP/1.1 200 x\r\nServer-Leaving: %s\r\n\r\n", others[i]);
+      http_reply_init (&reply);
+      http_reply_feed (&reply, text.data, text.len);
+      wire_reply_decode (&reply, "i-1", &info);
+      CU_ASSERT (!info.leaving);
+      http_reply_clear (&reply);
+    }
+  buffer_free (&text);
+}
+
 static void
 test_rollout (void)
 {
@@ -526,6 +554,7 @@
   { "call_is_encoded_without_forged_fields", test_call_is_encoded_without_forged_fields },
   { "reply_and_refusal_heads_are_translated", test_reply_and_refusal_heads_are_translated },
   { "server_limit_is_decoded", test_server_limit_is_decoded },
+  { "leaving_is_decoded", test_leaving_is_decoded },
   { "rollout", test_rollout },
   { "server_entry_is_decoded", test_server_entry_is_decoded },
   { "invalid_server_entries_are_rejected", test_invalid_server_entries_are_rejected },
