Failing cases: requests to engines that said that they leave

The incident in small, on loopback: no store answers, a model engine and a plain service say in their answers that they leave, and the fronts that passed these on send them as much as before. The second case has the only engine of a service, whose refusals say so.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -548,6 +548,63 @@
     equal(violations, [], "violations")
 
 
+async def engine_says_that_it_leaves(site):
+    """No store answers. A model engine and a plain service say in their answers that they leave; the fronts that passed
+    on such an answer send them nothing more, also after their entries expired and they are listed as ready again."""
+    for front in site.fronts:
+        front.store_endpoint.set("silent")
+    leaving = [site.engines[0], site.engines[2]]
+    for engine in leaving:
+        engine.says_leaving = True
+    answers = await call_concurrently(site, 12, 1, ("/text/", "/again/"))
+    told = {
+        (site.front_of[answer.request], answer.fields["lovagehub-server-signature"].removeprefix("sig."))
+        for answer in answers
+        if "server-leaving" in answer.fields
+    }
+    equal({engine for _, engine in told}, {engine.name for engine in leaving}, "engines that said so")
+    await asyncio.sleep(0.5)
+    site.runs.clear()
+
+    async def expect_no_work(when):
+        answers = await call_concurrently(site, 12, 1, ("/text/", "/again/", "/once/"))
+        late = [run.request for run in site.runs if (site.front_of[run.request], run.engine.name) in told]
+        equal(len(late), 0, f"requests to engines that leave {when}")
+        equal({answer.status for answer in answers}, {200}, "answers")
+        check(site, *answers)
+
+    await expect_no_work("without a store")
+    for engine in leaving:
+        await site.store.put("servers", engine.name, None)
+        await engine.report()
+    for front in site.fronts:
+        front.store_endpoint.set("ok")
+    await asyncio.sleep(3)
+    await expect_no_work("and are listed again")
+
+
+async def last_engine_says_that_it_leaves(site):
+    """The only engine of a service turns a request away and says that it leaves. Requests are refused at once as not
+    run, and served again as soon as another engine is listed."""
+    orders = [engine for engine in site.engines if engine.service == "orders"]
+    await orders[1].leave()
+    await asyncio.sleep(3)
+    orders[0].says_leaving, orders[0].mode = True, "full"
+    front = site.fronts[0]
+    await site.call(front, "/once/a", b"first")
+    site.runs.clear()
+    answer = await site.call(front, "/once/a", b"second")
+    equal((answer.status, len(site.runs)), (503, 0), "refusal")
+    if float(answer.fields["retry-after"]) <= 0 or answer.ended_at - answer.sent_at > 1:
+        raise AssertionError("refusal without Retry-After, or after more than 1 s")
+    await site.start_engine("orders")
+
+    async def served():
+        return (await site.call(front, "/once/a", b"third")).status == 200
+
+    await site.wait(served, "an answer of the new engine")
+
+
 async def engine_restarts_at_new_address(site):
     """An engine stops answering and restarts with the same id at another address; the connections to the old
     process hang. A request that ran there is sent again as soon as the restart is known, new work goes to the
@@ -813,7 +870,7 @@
     key_replaced_after_store_hung, start_without_store, all_fronts_restart, restart_with_wrong_seeds,
     requests_wait_for_configuration, refused_without_configuration, dropped_history, lost_answer_to_status_write,
     good_rollout, bad_rollout, slow_rollout, crashing_request_is_refused, lost_answers_do_not_quarantine,
-    leaving_engine, engine_restarts_at_new_address, invalid_server_rows, evacuated_domain,
+    leaving_engine, engine_says_that_it_leaves, last_engine_says_that_it_leaves, engine_restarts_at_new_address, invalid_server_rows, evacuated_domain,
     evacuation_with_dropped_history, all_domains_evacuated, invalid_evacuations, cold_engines,
     cold_engines_after_evacuation, limited_engines,
     answers_are_kept_without_another_engine, unlimited_engines_take_over, invalid_cold_rates, metrics_and_logs,
