Send nothing to a server that said in an answer that it leaves

Cause: a front knew that a server leaves only by the store's list, and the store did not answer (the server's own report was accepted 12.6 s later). The answer's field was not read.

The first answer that says so, of whatever kind, ends the server's work at this front, as the list would. Its start is recorded as over: entries of the same start that still say ready, or that come back after they expired, give it no work, and a later start of the id does. The answer may also belong to an entry that was removed meanwhile; then the same start, if listed again, leaves as well, and a later one doesn't.

Unit tests: said_leaving_outlasts_the_list, late_answer_says_leaving.

--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -45,15 +45,15 @@
 handle_leaving (const FrontRequest *request)
 {
   FrontServer *server = request->server;
+  bool known = server->leaving;
   FrontLine *line;
 
-  if (server->said_leaving)
+  if (!front_servers_said_leaving (server))
     return;
-  server->said_leaving = true;
   line = front_log_begin (FRONT_EVENT_SERVER_LEAVING);
   front_log_text (line, "server", server->entry.id);
   front_log_span (line, "request", request->call.id);
-  front_log_number (line, "known", server->leaving);
+  front_log_number (line, "known", known);
   front_log_end (line);
 }
 
--- a/src/front_server_starts.c
+++ b/src/front_server_starts.c
@@ -42,22 +42,47 @@
   return start;
 }
 
-bool
-front_server_starts_accept (FrontServerStarts *starts, const ServerEntry *entry, unsigned listed)
+static ServerStart *
+start_find (const FrontServerStarts *starts, uint64_t id)
 {
-  uint64_t id = id_hash_string (entry->id, 0);
   IndexEntry *found = index_first (&starts->by_id, id);
-  ServerStart *start = found ? cds_list_entry (found, ServerStart, by_id) : NULL;
 
-  if (start && entry->born_ms < start->born_ms)
-    return false;
-  if (start && entry->born_ms == start->born_ms && start->drained && !entry->draining)
-    return false;
+  return found ? cds_list_entry (found, ServerStart, by_id) : NULL;
+}
+
+/* Adds or updates the start as the one reported last. */
+static void
+start_record (FrontServerStarts *starts, const ServerEntry *entry, bool drained, unsigned listed)
+{
+  uint64_t id = id_hash_string (entry->id, 0);
+  ServerStart *start = start_find (starts, id);
+
   if (!start)
     start = start_add (starts, id, listed);
   cds_list_del (&start->node);
   cds_list_add_tail (&start->node, &starts->list);
   start->born_ms = entry->born_ms;
-  start->drained = entry->draining;
+  start->drained = drained;
+}
+
+bool
+front_server_starts_accept (FrontServerStarts *starts, const ServerEntry *entry, unsigned listed)
+{
+  const ServerStart *start = start_find (starts, id_hash_string (entry->id, 0));
+
+  if (start && entry->born_ms < start->born_ms)
+    return false;
+  if (start && entry->born_ms == start->born_ms && start->drained && !entry->draining)
+    return false;
+  start_record (starts, entry, entry->draining, listed);
   return true;
 }
+
+void
+front_server_starts_end (FrontServerStarts *starts, const ServerEntry *entry, unsigned listed)
+{
+  const ServerStart *start = start_find (starts, id_hash_string (entry->id, 0));
+
+  if (!start || entry->born_ms >= start->born_ms)
+    start_record (starts, entry, true, listed);
+}
--- a/src/front_server_starts.h
+++ b/src/front_server_starts.h
@@ -19,7 +19,7 @@
   IndexEntry by_id; /**< hash */
   struct cds_list_head node;
   int64_t born_ms;
-  bool drained; /**< this start was reported as draining; it takes no work again */
+  bool drained; /**< this start was reported as draining, or said so; it takes no work again */
 } ServerStart;
 
 typedef struct
@@ -36,4 +36,7 @@
 bool
 front_server_starts_accept (FrontServerStarts *starts, const ServerEntry *entry, unsigned listed);
 
+/** The start is over: it takes no work again, whatever entries say of it. */
+void front_server_starts_end (FrontServerStarts *starts, const ServerEntry *entry, unsigned listed);
+
 #endif
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -168,6 +168,23 @@
   return true;
 }
 
+bool
+front_servers_said_leaving (FrontServer *server)
+{
+  FrontServers *servers = server->owner;
+  FrontServer *listed = front_servers_find (servers, server->entry.id);
+
+  if (server->said_leaving)
+    return false;
+  server->said_leaving = true;
+  server->leaving = true;
+  front_server_starts_end (&servers->starts, &server->entry, servers->count);
+  /* Its entry may have expired and come back while the answer was on its way. */
+  if (listed && listed->hash == server->hash)
+    listed->leaving = true;
+  return true;
+}
+
 void
 front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms)
 {
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -24,6 +24,9 @@
  *  True if that changes anything. Servers that are listed later are affected, too. */
 bool
 front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered, int64_t now_ms);
+/** The server says in an answer that it leaves, which ends its work for good: the list may tell it
+ *  late, or as ready once more. True if no answer said so before. */
+bool front_servers_said_leaving (FrontServer *server);
 /** Removes the servers whose grace period has ended. */
 void front_servers_expire (FrontServers *servers, int64_t now_ms);
 /** NULL if it is not listed. */
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -358,6 +358,59 @@
   front_servers_free (servers);
 }
 
+/* Guards against work for a server that said in an answer that it leaves: the list may say ready
+ * for long, lose the entry and get it back, but a later start of the id takes work again. */
+static void
+test_said_leaving_outlasts_the_list (void)
+{
+  static const Report ready = { FIRST_START_MS + 1, false, false }, removal = { .removed = true },
+                      second_start = { FIRST_START_MS + 2, false, false };
+  FrontServers *servers = front_servers_new ("here");
+  FrontServer *server;
+
+  apply_report (servers, &ready, NOW);
+  server = front_servers_find (servers, "a");
+  CU_ASSERT (front_servers_said_leaving (server));
+  CU_ASSERT_FALSE (front_servers_said_leaving (server));
+  CU_ASSERT_EQUAL (front_server_state (server, NOW), FRONT_SERVER_LEAVING);
+  apply_report (servers, &ready, NOW);
+  CU_ASSERT_EQUAL (front_server_state (server, NOW), FRONT_SERVER_LEAVING);
+  apply_report (servers, &removal, NOW);
+  apply_report (servers, &ready, NOW);
+  CU_ASSERT_PTR_NULL (front_servers_find (servers, "a"));
+  apply_report (servers, &second_start, NOW);
+  CU_ASSERT_EQUAL (front_server_state (front_servers_find (servers, "a"), NOW), FRONT_SERVER_READY);
+  front_servers_free (servers);
+}
+
+/* The answer that says so arrives after the entry was removed: from the same start, which is listed
+ * again, or from an earlier one, of which the later start knows nothing. */
+static void
+test_late_answer_says_leaving (void)
+{
+  static const Report ready = { FIRST_START_MS + 1, false, false }, removal = { .removed = true },
+                      second_start = { FIRST_START_MS + 2, false, false };
+  FrontServers *servers = front_servers_new ("here");
+  FrontServer *first, *again;
+
+  apply_report (servers, &ready, NOW);
+  first = front_servers_find (servers, "a");
+  front_server_ref (first);
+  apply_report (servers, &removal, NOW);
+  apply_report (servers, &ready, NOW);
+  again = front_servers_find (servers, "a");
+  CU_ASSERT_PTR_NOT_EQUAL (again, first);
+  CU_ASSERT (front_servers_said_leaving (first));
+  CU_ASSERT_EQUAL (front_server_state (again, NOW), FRONT_SERVER_LEAVING);
+  front_server_ref (again);
+  apply_report (servers, &second_start, NOW);
+  CU_ASSERT (front_servers_said_leaving (again));
+  CU_ASSERT_EQUAL (front_server_state (front_servers_find (servers, "a"), NOW), FRONT_SERVER_READY);
+  front_server_unref (again);
+  front_server_unref (first);
+  front_servers_free (servers);
+}
+
 /* Reports of three starts in any order, some lost, some repeated. The server in use must never be
  * of an earlier start than one that was reported, must be leaving exactly if that start has
  * reported that it drains, and must have the address of its own start. */
@@ -482,6 +535,8 @@
   { "memory_for_starts_is_bounded", test_memory_for_starts_is_bounded },
   { "later_start_replaces_earlier", test_later_start_replaces_earlier },
   { "late_report_does_not_revive", test_late_report_does_not_revive },
+  { "said_leaving_outlasts_the_list", test_said_leaving_outlasts_the_list },
+  { "late_answer_says_leaving", test_late_answer_says_leaving },
   { "reports_in_any_order", test_reports_in_any_order },
   { "state_transitions", test_state_transitions },
   { "every_state_is_reached_and_named", test_every_state_is_reached_and_named },
