Log that a server which turns a request away asks for rest

For the incident of servers that asked for rest: logs had the refusals (server_full), not what they asked for. The event server_rest tells it, also where it can't be read. The choice of a server is as before.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -45,6 +45,7 @@
     executed: bool = False
     cold: bool = False  # the engine was cold when the request arrived
     limit: object = None  # the limit that the engine named then; None: none
+    rest: object = None  # seconds of rest that its refusal asked for; None: none
     limit_since: float = 0.0  # since when it names that limit
     ended: float = 0.0
 
@@ -53,7 +54,7 @@
     """An engine or plain service, and the fault injected there.
 
     mode: ok; mute (accepts the request and does not answer), half (closes the connection within the answer),
-    cut (resets it within the answer), full (refuses without running the request), error (runs it and answers
+    cut (resets it within the answer), full (refuses without running the request, and asks for rest if rest is set), error (runs it and answers
     500), unsigned (no signature), foreign (answers with another request's id), unframed (no Content-Length),
     lost (runs it and resets the connection), long (a plain answer of LONG_BYTES), deaf (stops reading after the
     first byte). A request whose body equals crash_body crashes the engine, which
@@ -71,6 +72,7 @@
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_until = 0.0
+        self.rest = None  # seconds, asked for by its refusals
         self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
 
@@ -152,7 +154,9 @@
             writer.write(answer(421, Lovagehub_Instance_Id=self.name, **self.notices()))
             return
         if self.mode == "full":
-            writer.write(answer(503, **NOT_RUN, **self.notices()))
+            rest = {"Retry_After": self.rest} if self.rest else {}
+            run.rest = self.rest
+            writer.write(answer(503, **NOT_RUN, **rest, **self.notices()))
             return
         run.executed = True
         run.cold = self.cold_left_ms() > 0
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -51,6 +51,8 @@
   REPLY_LIMIT_UNREADABLE, /**< not a decimal number */
 } ReplyLimit;
 
+#define REPLY_REST_UNREADABLE (-1)
+
 /** What the headers of a backend server's answer say. */
 typedef struct
 {
@@ -59,6 +61,8 @@
   bool other_server; /**< the address now belongs to another server */
   bool leaving;      /**< the server is going to end and wants no new work */
   bool is_encoded;   /**< the body has a content encoding, so it is not the server's own bytes */
+  int64_t rest_ms;   /**< the server turned the request away and wants none from this front for so
+                        long; 0: it doesn't say so; REPLY_REST_UNREADABLE */
   ReplyLimit limit;
   double limit_per_s; /**< requests per second that the server takes from all fronts together, with
                          REPLY_LIMIT_NAMED */
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -57,6 +57,20 @@
   front_log_end (line);
 }
 
+static void
+handle_rest (const FrontRequest *request, int64_t rest_ms)
+{
+  FrontLine *line;
+
+  if (rest_ms == 0)
+    return;
+  line = front_log_begin (FRONT_EVENT_SERVER_REST);
+  front_log_text (line, "server", request->server->entry.id);
+  front_log_span (line, "request", request->call.id);
+  front_log_number (line, "rest_ms", rest_ms);
+  front_log_end (line);
+}
+
 /* False for an answer that another server gave at this address, and for late bytes that belong to
  * another request. */
 static bool
@@ -75,6 +89,7 @@
   if (!is_from_server (request, &info))
     return;
   handle_limit (request, &info);
+  handle_rest (request, info.rest_ms);
   if (info.leaving)
     handle_leaving (request);
 }
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -308,6 +308,43 @@
   buffer_free (&text);
 }
 
+typedef struct
+{
+  const char *text;
+  int64_t rest_ms;
+} RestExample;
+
+/* The length of rest that a server asks for is read only where it turns a request away. */
+static void
+test_rest_is_decoded (void)
+{
+  static const RestExample examples[] = {
+    { "HTTP/1.1 503 x\r\nRetry-After: 3\r\n\r\n", 3000 },
+    { "HTTP/1.1 503 x\r\nretry-after: 0.25\r\n\r\n", 250 },
+    { "HTTP/1.1 429 x\r\nRetry-After: 1.0001\r\n\r\n", 1001 },
+    { "HTTP/1.1 503 x\r\nRetry-After: 0\r\n\r\n", 0 },
+    { "HTTP/1.1 503 x\r\n\r\n", 0 },
+    { "HTTP/1.1 500 x\r\nRetry-After: 3\r\n\r\n", 0 },
+    { "HTTP/1.1 200 x\r\nRetry-After: 3\r\n\r\n", 0 },
+    { "HTTP/1.1 503 x\r\nRetry-After: Fri, 31 Dec 1999 23:59:59 GMT\r\n\r\n",
+      REPLY_REST_UNREADABLE },
+    { "HTTP/1.1 503 x\r\nRetry-After: 86401\r\n\r\n", REPLY_REST_UNREADABLE },
+    { "HTTP/1.1 503 x\r\nRetry-After: -1\r\n\r\n", REPLY_REST_UNREADABLE },
+  };
+
+  for (size_t i = 0; i < SUITE_COUNT (examples); i++)
+    {
+      HttpReply reply;
+      ReplyInfo info;
+
+      http_reply_init (&reply);
+      http_reply_feed (&reply, examples[i].text, strlen (examples[i].text));
+      wire_reply_decode (&reply, "i-1", &info);
+      CU_ASSERT_EQUAL (info.rest_ms, examples[i].rest_ms);
+      http_reply_clear (&reply);
+    }
+}
+
 static void
 test_rollout (void)
 {
@@ -555,6 +592,7 @@
   { "reply_and_refusal_heads_are_translated", test_reply_and_refusal_heads_are_translated },
   { "server_limit_is_decoded", test_server_limit_is_decoded },
   { "leaving_is_decoded", test_leaving_is_decoded },
+  { "rest_is_decoded", test_rest_is_decoded },
   { "rollout", test_rollout },
   { "server_entry_is_decoded", test_server_entry_is_decoded },
   { "invalid_server_entries_are_rejected", test_invalid_server_entries_are_rejected },
