Failing cases: requests to engines that asked for rest

The incident in small, on loopback: an engine turns requests away with 503 and a retry-after time of 2.5 s, and gets 34 requests from one front in that time where 2 are allowed, though the other engine of the service takes all. Its requests follow each other at the 150 ms for which a front avoids a full server, whatever the server asks for (1). The second case has no other engine.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -12,7 +12,7 @@
 import time
 import traceback
 
-from check import attempt_violations, cold_violations, limit_violations, site_violations
+from check import attempt_violations, cold_violations, limit_violations, rest_violations, site_violations
 from engines import complete_stream, digest
 from site_front import CALLERS_PORT, CONTROL_PORT, KEY, MODELS, Site, exchange
 
@@ -835,6 +835,43 @@
     await site.wait(busy_again, "work for an engine whose limit has ended")
 
 
+async def engine_asks_for_rest(site):
+    """One of two engines of a service turns requests away and asks for rest. Each front that it turned away leaves it
+    alone for so long, the other engine serves all requests, and when it takes requests again it gets some."""
+    tired = site.engines[2]
+    tired.mode, tired.rest = "full", 2.5
+    answers = await call_concurrently(site, 9, 6)
+    equal(rest_violations(site), [], "requests to the engine that rests")
+    equal({answer.status for answer in answers}, {200}, "answers")
+    check(site, *answers)
+    tired.mode = "ok"
+
+    async def works():
+        await call_concurrently(site, 9, 0.5)
+        return any(run.engine is tired and run.executed for run in site.runs)
+
+    await site.wait(works, "work for the engine after its rest")
+
+
+async def all_engines_ask_for_rest(site):
+    """All engines of a service ask for rest. Requests are refused at once, as not run and with the time until the rest
+    ends, without being sent to them."""
+    for engine in site.engines:
+        engine.mode, engine.rest = "full", 3
+    front = site.fronts[0]
+    await site.call(front, "/once/a", b"first")
+    await asyncio.sleep(0.6)
+    site.runs.clear()
+    answers = [await site.call(front, "/once/a", b"%d" % number) for number in range(20)]
+    equal(({answer.status for answer in answers}, len(site.runs)), ({503}, 0), "refusals and arrivals")
+    if any(not 0.5 < float(answer.fields["retry-after"]) <= 3 for answer in answers):
+        raise AssertionError("a Retry-After that isn't the time until the rest ends")
+    if any(answer.ended_at - answer.sent_at > 1 for answer in answers):
+        raise AssertionError("a refusal took more than 1 s")
+    reasons = {event["reason"] for event in log_events(site, "request_refused")}
+    equal(reasons, {"server_full", "servers_resting"}, "reasons")
+
+
 async def invalid_cold_rates(site):
     """Invalid limits for cold engines in the configuration are ignored, and requests are served."""
     for rate in (0, -1, 1e300, "many", None):
@@ -873,7 +910,8 @@
     leaving_engine, engine_says_that_it_leaves, last_engine_says_that_it_leaves, engine_restarts_at_new_address, invalid_server_rows, evacuated_domain,
     evacuation_with_dropped_history, all_domains_evacuated, invalid_evacuations, cold_engines,
     cold_engines_after_evacuation, limited_engines,
-    answers_are_kept_without_another_engine, unlimited_engines_take_over, invalid_cold_rates, metrics_and_logs,
+    answers_are_kept_without_another_engine, unlimited_engines_take_over,
+    engine_asks_for_rest, all_engines_ask_for_rest, invalid_cold_rates, metrics_and_logs,
 ]  # fmt: skip
 
 
--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -6,6 +6,7 @@
 # Requests that an engine which names a limit of N a second may get within LIMIT_WINDOW_S from fronts that it told:
 # N * LIMIT_WINDOW_S * LIMIT_OVERAGE + LIMIT_SLACK.
 LIMIT_WINDOW_S, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
+REST_APPLY_S, REST_SLACK = 0.5, 2
 LEAVING_S = 2.0  # after this, an engine that leaves gets no new work
 
 
@@ -67,6 +68,25 @@
     return violations
 
 
+def rest_violations(site, counts=lambda front, run, turned_away: True):
+    """Checks that an engine which turned a front's request away and asked for rest got no more than REST_SLACK requests
+    from it between REST_APPLY_S later and the end of that rest. counts(front, run, turned_away) is false for runs of a
+    front that was disturbed since it was turned away."""
+    by_sender = {}
+    for run in site.runs:
+        by_sender.setdefault((site.front_of.get(run.request), run.engine.name), []).append(run)
+    violations = []
+    for (front, engine), runs in by_sender.items():
+        for refusal in runs:
+            if not refusal.rest:
+                continue
+            begin, end = refusal.at + REST_APPLY_S, refusal.at + refusal.rest
+            number = sum(begin < run.at < end and counts(front, run, refusal.at) for run in runs)
+            if number > REST_SLACK:
+                violations.append(f"{engine} asked front {front} for {refusal.rest} s of rest, and got {number} requests in that time")
+    return violations
+
+
 def evacuation_violations(site, domain, since, is_undisturbed):
     """Checks that a failure domain evacuated at the time since gets no new work. Only fronts for whose number
     is_undisturbed is true count; the others may not have learned of the evacuation because of a fault."""
