front_pick: one wait with its reason in place of one field for each

A server that is cold and limited waits for the longer of the two; the answer has the shortest wait of any server. A cold server whose service doesn't say how long it stays cold was excluded with a wait of 0, which now would mean that it isn't excluded: it has at least 1 ms, with a test.

--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -160,25 +160,42 @@
       cold_slots (&query->cold, &query->share, server->hash, server->is_same_domain), now_ms);
 }
 
-/* Keeps the shorter of two waits; 0: none. */
-static void
-add_wait (int64_t *shortest_ms, int64_t wait_ms)
+/* A wait that is told to callers as at most max_ms. Remains a wait: with a maximum of 0 the server
+ * is still excluded. */
+static int64_t
+told_wait_ms (int64_t wait_ms, int64_t max_ms)
 {
-  if (*shortest_ms == 0 || wait_ms < *shortest_ms)
-    *shortest_ms = wait_ms;
+  if (wait_ms <= max_ms)
+    return wait_ms;
+  return max_ms > 0 ? max_ms : 1;
 }
 
 static int64_t
 named_limit_wait_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
 {
-  return server_limit_wait_ms (&server->limit, &query->share, server->hash, server->is_same_domain,
-                               now_ms);
+  int64_t wait_ms = server_limit_wait_ms (&server->limit, &query->share, server->hash,
+                                          server->is_same_domain, now_ms);
+
+  return told_wait_ms (wait_ms, server_limit_interval_ms (&server->limit));
 }
 
+/* Milliseconds until the server may get the request, and the reason for most of them. */
 static int64_t
-shorter (int64_t a_ms, int64_t b_ms)
+server_wait_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms, PickWait *reason)
 {
-  return a_ms < b_ms ? a_ms : b_ms;
+  int64_t waits_ms[PICK_WAITS] = {
+    [PICK_WAIT_COLD]
+    = told_wait_ms (cold_limit_wait_ms (query, server, now_ms), query->cold.start_ms),
+    [PICK_WAIT_LIMITED] = named_limit_wait_ms (query, server, now_ms),
+  };
+
+  *reason = PICK_WAIT_NONE;
+  for (unsigned i = 0; i < PICK_WAITS; i++)
+    {
+      if (waits_ms[i] > waits_ms[*reason])
+        *reason = (PickWait)i;
+    }
+  return waits_ms[*reason];
 }
 
 /* True if the server may get no request now; the reason is added to the answer. */
@@ -186,21 +203,23 @@
 is_excluded (PickAnswer *answer, const PickQuery *query, const FrontServer *server, int64_t now_ms)
 {
   FrontServerState state = front_server_state (server, now_ms);
-  int64_t cold_ms, limit_ms;
+  PickWait reason;
+  int64_t wait_ms;
 
   if (state >= FRONT_SERVER_EVACUATED)
     {
       answer->evacuated |= state == FRONT_SERVER_EVACUATED;
       return true;
     }
-  cold_ms = cold_limit_wait_ms (query, server, now_ms);
-  limit_ms = named_limit_wait_ms (query, server, now_ms);
-  if (cold_ms > 0)
-    add_wait (&answer->cold_wait_ms, shorter (cold_ms, query->cold.start_ms));
-  if (limit_ms > 0)
-    add_wait (&answer->limit_wait_ms,
-              shorter (limit_ms, server_limit_interval_ms (&server->limit)));
-  return cold_ms > 0 || limit_ms > 0;
+  wait_ms = server_wait_ms (query, server, now_ms, &reason);
+  if (wait_ms == 0)
+    return false;
+  if (answer->wait == PICK_WAIT_NONE || wait_ms < answer->wait_ms)
+    {
+      answer->wait = reason;
+      answer->wait_ms = wait_ms;
+    }
+  return true;
 }
 
 PickAnswer
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -33,16 +33,24 @@
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
 
+/** Why a server may not get the request now, but later. */
+typedef enum
+{
+  PICK_WAIT_NONE,
+  PICK_WAIT_COLD,    /**< it has started recently, and got this front's share */
+  PICK_WAIT_LIMITED, /**< it names a limit, and got this front's share */
+  PICK_WAITS
+} PickWait;
+
 typedef struct
 {
   FrontServer *server;   /**< NULL: none */
   double predicted_ms;   /**< milliseconds until the answer begins */
   double prompt_ms;      /**< part of predicted_ms spent reading the prompt */
   int64_t prompt_tokens; /**< prompt tokens that it has to read, as far as known */
-  int64_t cold_wait_ms;  /**< until a cold server that was excluded by its limit may get a request;
-                            0: none was excluded */
-  int64_t limit_wait_ms; /**< until a server that was excluded by the limit that it names may get a
-                            request, from this front or another; 0: none was excluded */
+  PickWait wait;         /**< why the server was excluded that may get a request first */
+  int64_t wait_ms;       /**< milliseconds until then, from this front or another; 0: none was
+                            excluded that may get one later */
   bool evacuated;        /**< servers were excluded because their failure domain is evacuated */
   bool avoided;          /**< the server is in an avoided state; there was no better one */
 } PickAnswer;
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -216,20 +216,14 @@
 static const char *
 no_server_reason (const PickAnswer *pick)
 {
-  if (pick->limit_wait_ms > 0)
-    return "servers_limited";
-  if (pick->cold_wait_ms > 0)
-    return "servers_cold";
-  return pick->evacuated ? "evacuated" : "no_server";
-}
+  static const char *const reasons[PICK_WAITS] = {
+    [PICK_WAIT_COLD] = "servers_cold",
+    [PICK_WAIT_LIMITED] = "servers_limited",
+  };
 
-/* Milliseconds until the first excluded server may get a request; 0: not known. */
-static int64_t
-no_server_wait_ms (const PickAnswer *pick)
-{
-  if (pick->limit_wait_ms == 0 || pick->cold_wait_ms == 0)
-    return pick->limit_wait_ms + pick->cold_wait_ms;
-  return pick->limit_wait_ms < pick->cold_wait_ms ? pick->limit_wait_ms : pick->cold_wait_ms;
+  if (pick->wait != PICK_WAIT_NONE)
+    return reasons[pick->wait];
+  return pick->evacuated ? "evacuated" : "no_server";
 }
 
 /* A server that failed this request is better than none. */
@@ -265,7 +259,7 @@
 
   if (!pick.server)
     {
-      request_give_up (request, no_server_reason (&pick), no_server_wait_ms (&pick));
+      request_give_up (request, no_server_reason (&pick), pick.wait_ms);
       return;
     }
   version_set (request, version, now_ms);
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -418,11 +418,32 @@
   front_servers_remove (servers, "far", NOW, 0);
   answer = front_pick (servers, &query, NOW + 1);
   CU_ASSERT_PTR_NULL (answer.server);
-  CU_ASSERT_EQUAL (answer.limit_wait_ms, 500);
-  CU_ASSERT_EQUAL (answer.cold_wait_ms, 0);
+  CU_ASSERT_EQUAL (answer.wait_ms, 500);
+  CU_ASSERT_EQUAL (answer.wait, PICK_WAIT_LIMITED);
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "near");
 }
 
+/* Guards against treating a wait of unknown length as none: a cold server stays excluded although
+ * the configuration doesn't say how long it is cold. */
+static void
+test_cold_server_without_duration_is_excluded (void)
+{
+  PickQuery query = query_of ("v1");
+  PickAnswer answer;
+
+  setup ();
+  query.cold = (ColdRule){ .max_per_s = 2 };
+  query.share = (FrontShare){ .self = 1, .domain_fronts = 100, .fronts = 100 };
+  add ("near", "here", "v1");
+  front_servers_find (servers, "near")->cold_until_ms = NOW + 1000;
+  for (unsigned i = 0; i < COLD_SLOTS_MAX; i++)
+    cold_sent (&front_servers_find (servers, "near")->cold_sends, NOW);
+  answer = front_pick (servers, &query, NOW);
+  CU_ASSERT_PTR_NULL (answer.server);
+  CU_ASSERT_EQUAL (answer.wait, PICK_WAIT_COLD);
+  CU_ASSERT (answer.wait_ms > 0);
+}
+
 /* A server that names a limit must not attract all requests with a popular prompt: most would be
  * sent elsewhere, to a different server by each front. */
 static void
@@ -547,6 +568,7 @@
   { "lapsed_entries_have_grace", test_lapsed_entries_have_grace },
   { "evacuated_domain_gets_nothing", test_evacuated_domain_gets_nothing },
   { "named_limit_excludes_server", test_named_limit_excludes_server },
+  { "cold_server_without_duration_is_excluded", test_cold_server_without_duration_is_excluded },
   { "limited_server_attracts_no_prompt", test_limited_server_attracts_no_prompt },
   { "cold_domain_rate_is_limited", test_cold_domain_rate_is_limited },
   { "removed_server_lives_while_referenced", test_removed_server_lives_while_referenced },
