Send nothing to a server for as long as it asks for rest

Cause: the time that a refusal asks for was not read; a front avoided a full server for a fixed 150 ms, and even that only while it had a better one.

A server that turns a request away with 503 or 429 and a retry-after time gets nothing from this front until then: state resting, which the choice leaves out for first attempts, retries, larger models and resumed streams alike. A shorter time in a later refusal doesn't end a longer one, nor does an answer to a request sent before. With no other server the request is refused at once, reason servers_resting, with the time until the first rest ends.

Unit tests: resting_server_is_excluded and four sequences of states.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -869,7 +869,7 @@
     if any(answer.ended_at - answer.sent_at > 1 for answer in answers):
         raise AssertionError("a refusal took more than 1 s")
     reasons = {event["reason"] for event in log_events(site, "request_refused")}
-    equal(reasons, {"server_full", "servers_resting"}, "reasons")
+    equal(reasons, {"servers_resting"}, "reasons")
 
 
 async def invalid_cold_rates(site):
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -186,6 +186,7 @@
   int64_t waits_ms[PICK_WAITS] = {
     [PICK_WAIT_COLD]
     = told_wait_ms (cold_limit_wait_ms (query, server, now_ms), query->cold.start_ms),
+    [PICK_WAIT_RESTING] = server->rest_until_ms > now_ms ? server->rest_until_ms - now_ms : 0,
     [PICK_WAIT_LIMITED] = named_limit_wait_ms (query, server, now_ms),
   };
 
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -39,6 +39,7 @@
   PICK_WAIT_NONE,
   PICK_WAIT_COLD,    /**< it has started recently, and got this front's share */
   PICK_WAIT_LIMITED, /**< it names a limit, and got this front's share */
+  PICK_WAIT_RESTING, /**< it asked this front for rest */
   PICK_WAITS
 } PickWait;
 
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -64,6 +64,8 @@
 
   if (rest_ms == 0)
     return;
+  if (rest_ms != REPLY_REST_UNREADABLE)
+    front_server_rest (request->server, rest_ms, clock_boot_ms ());
   line = front_log_begin (FRONT_EVENT_SERVER_REST);
   front_log_text (line, "server", request->server->entry.id);
   front_log_span (line, "request", request->call.id);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -219,6 +219,7 @@
   static const char *const reasons[PICK_WAITS] = {
     [PICK_WAIT_COLD] = "servers_cold",
     [PICK_WAIT_LIMITED] = "servers_limited",
+    [PICK_WAIT_RESTING] = "servers_resting",
   };
 
   if (pick->wait != PICK_WAIT_NONE)
--- a/src/front_server.c
+++ b/src/front_server.c
@@ -1,10 +1,10 @@
 #include "front_server.h"
 
 static const char *const names[FRONT_SERVER_STATES] = {
-  [FRONT_SERVER_READY] = "ready",         [FRONT_SERVER_COLD] = "cold",
-  [FRONT_SERVER_AVOIDED] = "avoided",     [FRONT_SERVER_UNCONFIRMED] = "unconfirmed",
-  [FRONT_SERVER_EVACUATED] = "evacuated", [FRONT_SERVER_LEAVING] = "leaving",
-  [FRONT_SERVER_GONE] = "gone",
+  [FRONT_SERVER_READY] = "ready",     [FRONT_SERVER_COLD] = "cold",
+  [FRONT_SERVER_AVOIDED] = "avoided", [FRONT_SERVER_UNCONFIRMED] = "unconfirmed",
+  [FRONT_SERVER_RESTING] = "resting", [FRONT_SERVER_EVACUATED] = "evacuated",
+  [FRONT_SERVER_LEAVING] = "leaving", [FRONT_SERVER_GONE] = "gone",
 };
 
 void
@@ -13,6 +13,14 @@
   server->leaving = true;
 }
 
+/* A shorter rest that a later answer asks for doesn't end a longer one. */
+void
+front_server_rest (FrontServer *server, int64_t rest_ms, int64_t now_ms)
+{
+  if (now_ms + rest_ms > server->rest_until_ms)
+    server->rest_until_ms = now_ms + rest_ms;
+}
+
 bool
 front_server_takes_work (const FrontServer *server)
 {
@@ -30,6 +38,8 @@
     return FRONT_SERVER_LEAVING;
   if (server->evacuated)
     return FRONT_SERVER_EVACUATED;
+  if (now_ms < server->rest_until_ms)
+    return FRONT_SERVER_RESTING;
   if (server->unconfirmed)
     return FRONT_SERVER_UNCONFIRMED;
   if (front_health_avoided (&server->health, now_ms))
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -23,9 +23,10 @@
   FRONT_SERVER_AVOIDED, /**< unreachable, failing or full: used only if there is no better one */
   FRONT_SERVER_UNCONFIRMED, /**< removed from the list shortly after an outage of the store, which
                                may have let the entry expire: used only if there is no better one */
-  FRONT_SERVER_EVACUATED,   /**< in a failure domain that gets no work for now */
-  FRONT_SERVER_LEAVING,     /**< draining, or its address belongs to another server: no new work */
-  FRONT_SERVER_GONE,        /**< no longer listed */
+  FRONT_SERVER_RESTING, /**< turned a request of ours away and asked for rest: no work until then */
+  FRONT_SERVER_EVACUATED, /**< in a failure domain that gets no work for now */
+  FRONT_SERVER_LEAVING,   /**< draining, or its address belongs to another server: no new work */
+  FRONT_SERVER_GONE,      /**< no longer listed */
   FRONT_SERVER_STATES
 } FrontServerState;
 
@@ -47,7 +48,8 @@
   bool unconfirmed; /**< removed from the list shortly after an outage of the store */
   int64_t unconfirmed_until_ms; /**< removed for good unless it is listed again by then */
   int64_t cold_until_ms;
-  int64_t returned_ms; /**< when the evacuation of its failure domain ended; 0: never */
+  int64_t returned_ms;   /**< when the evacuation of its failure domain ended; 0: never */
+  int64_t rest_until_ms; /**< end of the rest that it asked this front for; 0: it asked for none */
   ColdSends cold_sends;
   ServerLimit limit;
   unsigned references; /**< number of attempts that use it */
@@ -67,6 +69,8 @@
 void front_server_lost_address (FrontServer *server);
 /** False in the states from EVACUATED on, in which it gets no work whatever its health. */
 bool front_server_takes_work (const FrontServer *server);
+/** The server turned a request away and asks this front for rest. */
+void front_server_rest (FrontServer *server, int64_t rest_ms, int64_t now_ms);
 /** State by its entry, the list and the results of its requests. */
 FrontServerState front_server_state (const FrontServer *server, int64_t now_ms);
 /** Lower-case name, as in logs and metrics. */
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -423,6 +423,27 @@
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2000), "near");
 }
 
+/* Guards against requests to a server that asked for rest: others get them, and without one the
+ * answer tells when the first rest ends. */
+static void
+test_resting_server_is_excluded (void)
+{
+  PickQuery query = query_of ("v1");
+  PickAnswer answer;
+
+  setup ();
+  add ("near", "here", "v1");
+  add ("far", "there", "v1");
+  front_server_rest (front_servers_find (servers, "near"), 3000, NOW);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 2999), "far");
+  front_server_rest (front_servers_find (servers, "far"), 1000, NOW);
+  answer = front_pick (servers, &query, NOW + 400);
+  CU_ASSERT_PTR_NULL (answer.server);
+  CU_ASSERT_EQUAL (answer.wait, PICK_WAIT_RESTING);
+  CU_ASSERT_EQUAL (answer.wait_ms, 600);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 1000), "far");
+}
+
 /* Guards against treating a wait of unknown length as none: a cold server stays excluded although
  * the configuration doesn't say how long it is cold. */
 static void
@@ -568,6 +589,7 @@
   { "lapsed_entries_have_grace", test_lapsed_entries_have_grace },
   { "evacuated_domain_gets_nothing", test_evacuated_domain_gets_nothing },
   { "named_limit_excludes_server", test_named_limit_excludes_server },
+  { "resting_server_is_excluded", test_resting_server_is_excluded },
   { "cold_server_without_duration_is_excluded", test_cold_server_without_duration_is_excluded },
   { "limited_server_attracts_no_prompt", test_limited_server_attracts_no_prompt },
   { "cold_domain_rate_is_limited", test_cold_domain_rate_is_limited },
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -24,7 +24,10 @@
   UNREACHABLE,
   EVACUATED, /* its failure domain */
   EVACUATION_ENDED,
-  NOTHING, /* only time passes */
+  ASKS_REST,       /* of 3,000 ms, when it turns a request away */
+  ASKS_SHORT_REST, /* of 500 ms */
+  SAYS_LEAVING,    /* in an answer */
+  NOTHING,         /* only time passes */
 } Event;
 
 typedef struct
@@ -130,6 +133,31 @@
       { LISTED, 10, FRONT_SERVER_EVACUATED },
       { DRAINS, 20, FRONT_SERVER_LEAVING },
       { EVACUATION_ENDED, 30, FRONT_SERVER_LEAVING } } },
+  { "asks for rest",
+    5,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { ASKS_REST, 10, FRONT_SERVER_RESTING },
+      { ANSWERED, 20, FRONT_SERVER_RESTING }, /* to a request sent before */
+      { LISTED, 3009, FRONT_SERVER_RESTING },
+      { NOTHING, 3010, FRONT_SERVER_READY } } },
+  { "asks for a shorter rest within a longer one",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { ASKS_REST, 10, FRONT_SERVER_RESTING },
+      { ASKS_SHORT_REST, 20, FRONT_SERVER_RESTING },
+      { NOTHING, 3009, FRONT_SERVER_RESTING } } },
+  { "rests while it is not confirmed",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { LAPSED, 100, FRONT_SERVER_UNCONFIRMED },
+      { ASKS_SHORT_REST, 200, FRONT_SERVER_RESTING },
+      { NOTHING, 700, FRONT_SERVER_UNCONFIRMED } } },
+  { "says in an answer that it leaves",
+    4,
+    { { LISTED, 0, FRONT_SERVER_READY },
+      { SAYS_LEAVING, 10, FRONT_SERVER_LEAVING },
+      { LISTED, 20, FRONT_SERVER_LEAVING }, /* the list tells it later */
+      { REMOVED, 30, FRONT_SERVER_GONE } } },
   { "is avoided and leaves",
     4,
     { { LISTED, 0, FRONT_SERVER_READY },
@@ -199,6 +227,13 @@
     case EVACUATION_ENDED:
       front_servers_evacuate (servers, "hall", event == EVACUATED, now_ms);
       break;
+    case ASKS_REST:
+    case ASKS_SHORT_REST:
+      front_server_rest (server, event == ASKS_REST ? 3000 : 500, now_ms);
+      break;
+    case SAYS_LEAVING:
+      front_servers_said_leaving (server);
+      break;
     case NOTHING:
       break;
     }
