Soak: engines ask for rest, and say in answers that they leave

Beside the other faults, with draws of its own. A front counts as told until it is stopped, killed or frozen; an engine behind a relay isn't counted for rest, as its refusal may not have reached the front.

--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -87,6 +87,19 @@
     return violations
 
 
+def leaving_violations(site, told, was_interrupted):
+    """Checks that an engine which said in an answer that it leaves got nothing later than LEAVING_S from the front that
+    passed the answer on. told: (front number, engine, time) of each such answer. was_interrupted(front, since, until):
+    whether the front was stopped or frozen between these times."""
+    return [
+        f"{run.request}: sent to {engine} {run.at - at:.2f} s after an answer told front {front} that it leaves"
+        for front, engine, at in told
+        for run in site.runs
+        if run.engine.name == engine and site.front_of.get(run.request) == front and run.at > at + LEAVING_S
+        and not was_interrupted(front, at, run.at)
+    ]  # fmt: skip
+
+
 def evacuation_violations(site, domain, since, is_undisturbed):
     """Checks that a failure domain evacuated at the time since gets no new work. Only fronts for whose number
     is_undisturbed is true count; the others may not have learned of the evacuation because of a fault."""
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -72,7 +72,7 @@
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_until = 0.0
-        self.rest = None  # seconds, asked for by its refusals
+        self.turns_away, self.rest = False, None  # as in mode full; seconds that its refusals ask for
         self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
 
@@ -153,7 +153,7 @@
         if request.fields.get("lovagehub-target-instance") != self.name:
             writer.write(answer(421, Lovagehub_Instance_Id=self.name, **self.notices()))
             return
-        if self.mode == "full":
+        if self.mode == "full" or self.turns_away:
             rest = {"Retry_After": self.rest} if self.rest else {}
             run.rest = self.rest
             writer.write(answer(503, **NOT_RUN, **rest, **self.notices()))
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from check import attempt_violations, evacuation_violations, limit_violations, site_violations
+from check import attempt_violations, evacuation_violations, leaving_violations, limit_violations, rest_violations, site_violations
 from relay_tcp import Relay
 from site_front import CALLERS_PORT, COLD_START_S, Site, add_routes
 
@@ -40,7 +40,8 @@
         self.narrow = args.narrow
         self.violations = []
         self.answers = []
-        self.told = []  # (front number, engine, time) of each answer with a limit that a front passed on
+        # (front number, engine, time) of each answer that a front passed on with a limit, or that says the engine leaves
+        self.told_limits, self.told_leaving = [], []
         self.interruptions = {}  # front number -> times of its stops, kills and freezes, and of their ends
         self.disturbed = {}  # front number, or "engines", or "store" -> time of the last fault
         self.graceful_stops = {}  # front number -> time of the last SIGTERM
@@ -165,15 +166,29 @@
         schedule of a seed stays the same."""
         while time.monotonic() < self.until:
             await self.limit_engine()
+            await self.turn_away()
 
     def was_told(self, run):
         """Whether the front that sent the run had passed on an answer with the engine's limit, and was neither stopped
         nor frozen since."""
         front = self.site.front_of.get(run.request)
-        since = max([run.limit_since, *(at for at in self.interruptions.get(front, []) if at <= run.at)])
         return run.at > run.limit_since + LIMIT_APPLY_S and any(
-            told == front and engine == run.engine.name and since < at < run.at - TOLD_S for told, engine, at in self.told
-        )
+            told == front and engine == run.engine.name and run.limit_since < at < run.at - TOLD_S
+            and not self.was_interrupted(front, at, run.at)
+            for told, engine, at in self.told_limits
+        )  # fmt: skip
+
+    def was_interrupted(self, front, since, until):
+        """Whether the front was stopped, killed or frozen between these times."""
+        return any(since <= at <= until for at in self.interruptions.get(front, []))
+
+    async def turn_away(self):
+        """An engine turns all requests away for some seconds, and asks each front for rest."""
+        engine = self.notice_random.choice([engine for engine in self.site.engines if not engine.left_at])
+        engine.turns_away, engine.rest = True, self.notice_random.uniform(1, 4)
+        self.count("engines that ask for rest")
+        await asyncio.sleep(self.notice_random.uniform(1, 5))
+        engine.turns_away, engine.rest = False, None
 
     async def replace_engine(self):
         living = [engine for engine in self.site.engines if engine.left_at is None]
@@ -185,6 +200,7 @@
             await leaving.crash()
             await self.pause()
         elif self.random.random() < 0.7:
+            leaving.says_leaving = True
             await leaving.drain()
             await self.pause(2.5, 5)
         await leaving.leave()
@@ -292,8 +308,11 @@
         self.count(f"answers {answer.status}{'' if answer.complete else ' cut'}")
         self.violations += attempt_violations(self.site, answer)
         name = answer.front.number
+        told = (name, answer.fields.get("lovagehub-server-signature", "").removeprefix("sig."), answer.ended_at)
         if "server-limit" in answer.fields:
-            self.told.append((name, answer.fields["lovagehub-server-signature"].removeprefix("sig."), answer.ended_at))
+            self.told_limits.append(told)
+        if "server-leaving" in answer.fields:
+            self.told_leaving.append(told)
         undisturbed_since = self.undisturbed_since(name)
         revoked_at = self.revoked.get(answer.key)
         limit = APPLY_S + self.slack
@@ -339,7 +358,7 @@
 
     async def clear_faults(self):
         for engine in self.site.engines:
-            engine.mode = "ok"
+            engine.mode, engine.turns_away = "ok", False
             engine.set_limit(None)
         for front in self.site.fronts:
             front.store_endpoint.set("ok")
@@ -376,6 +395,9 @@
         undisturbed = lambda at: self.undisturbed_since("store", *range(len(self.site.fronts))) + UNDISTURBED_S + self.slack
         self.violations += site_violations(self.site, undisturbed)
         self.violations += limit_violations(self.site, self.was_told)
+        self.violations += leaving_violations(self.site, self.told_leaving, self.was_interrupted)
+        self.violations += rest_violations(self.site, lambda front, run, refused_at: not run.engine.public and not self.was_interrupted(front, refused_at, run.at))
+        self.count(f"answers that say an engine leaves {len(self.told_leaving)}")
         self.count(f"runs within a limit {sum(run.limit is not None and self.was_told(run) for run in self.site.runs)}")
 
 
