Only an answer ends a server's limit, not a refusal without it

A server in need may turn requests away in refusals that don't name its limit. Now a signed success has to come without the limit.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -835,6 +835,20 @@
     await site.wait(busy_again, "work for an engine whose limit has ended")
 
 
+async def refusals_do_not_end_a_limit(site):
+    """An engine that names a limit also turns requests away, in refusals that don't name it. Only an answer tells that
+    the limit has ended, so the fronts keep to it."""
+    limited = site.engines[2]
+    limited.limit, limited.refuses_without_notices = 3, True
+    await call_concurrently(site, 6, 1)
+    await asyncio.sleep(0.5)
+    site.runs.clear()
+    limited.mode = "full"
+    answers = await call_concurrently(site, 9, 5)
+    equal(limit_violations(site), [], "violations of the engine's limit")
+    equal({answer.status for answer in answers}, {200}, "answers")
+
+
 async def engine_asks_for_rest(site):
     """One of two engines of a service turns requests away and asks for rest. Each front that it turned away leaves it
     alone for so long, the other engine serves all requests, and when it takes requests again it gets some."""
@@ -911,6 +925,7 @@
     evacuation_with_dropped_history, all_domains_evacuated, invalid_evacuations, cold_engines,
     cold_engines_after_evacuation, limited_engines,
     answers_are_kept_without_another_engine, unlimited_engines_take_over,
+    refusals_do_not_end_a_limit,
     engine_asks_for_rest, all_engines_ask_for_rest, invalid_cold_rates, metrics_and_logs,
 ]  # fmt: skip
 
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -68,6 +68,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_body = None
+        self.refuses_without_notices = False  # its refusals don't name its limit
         self.limit, self.limit_since = None, 0.0  # requests per second, named in all its answers; None: no limit
         self.writers = set()
         self.born_ms = time.time_ns() // 1_000_000
@@ -156,7 +157,8 @@
         if self.mode == "full" or self.turns_away:
             rest = {"Retry_After": self.rest} if self.rest else {}
             run.rest = self.rest
-            writer.write(answer(503, **NOT_RUN, **rest, **self.notices()))
+            notices = {} if self.refuses_without_notices else self.notices()
+            writer.write(answer(503, **NOT_RUN, **rest, **notices))
             return
         run.executed = True
         run.cold = self.cold_left_ms() > 0
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -20,6 +20,14 @@
   front_log_end (line);
 }
 
+/* A refusal need not name the limit, and an intermediary's answer doesn't know it. */
+static bool
+tells_of_limit (const FrontRequest *request, const ReplyInfo *info)
+{
+  return info->is_signed
+         && front_attempt_reply (request->attempt)->status < HTTP_STATUS_MULTIPLE_CHOICES;
+}
+
 static void
 handle_limit (const FrontRequest *request, const ReplyInfo *info)
 {
@@ -32,7 +40,8 @@
         log_limit (server, "named");
       return;
     case REPLY_LIMIT_ABSENT:
-      if (server_limit_absent (&server->limit, request->attempt_ms))
+      if (tells_of_limit (request, info)
+          && server_limit_absent (&server->limit, request->attempt_ms))
         log_limit (server, "ended");
       return;
     case REPLY_LIMIT_UNREADABLE:
