A server's limit outlasts its entry in the list

Where a server's entry is removed and comes back, as after it could not reach the store for a while, the front made a new record for the same start, which knew of no limit: all fronts that had been told sent as before until the next answer. The record of a removed server that names a limit is kept for a minute, and the next record of the same start takes the limit over.

--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -29,10 +29,8 @@
 }
 
 static void
-handle_limit (const FrontRequest *request, const ReplyInfo *info)
+handle_limit (const FrontRequest *request, FrontServer *server, const ReplyInfo *info)
 {
-  FrontServer *server = request->server;
-
   switch (info->limit)
     {
     case REPLY_LIMIT_NAMED:
@@ -51,9 +49,8 @@
 }
 
 static void
-handle_leaving (const FrontRequest *request)
+handle_leaving (const FrontRequest *request, FrontServer *server)
 {
-  FrontServer *server = request->server;
   bool known = server->leaving;
   FrontLine *line;
 
@@ -67,16 +64,16 @@
 }
 
 static void
-handle_rest (const FrontRequest *request, int64_t rest_ms)
+handle_rest (const FrontRequest *request, FrontServer *server, int64_t rest_ms)
 {
   FrontLine *line;
 
   if (rest_ms == 0)
     return;
   if (rest_ms != REPLY_REST_UNREADABLE)
-    front_server_rest (request->server, rest_ms, clock_boot_ms ());
+    front_server_rest (server, rest_ms, clock_boot_ms ());
   line = front_log_begin (FRONT_EVENT_SERVER_REST);
-  front_log_text (line, "server", request->server->entry.id);
+  front_log_text (line, "server", server->entry.id);
   front_log_span (line, "request", request->call.id);
   front_log_number (line, "rest_ms", rest_ms);
   front_log_end (line);
@@ -94,13 +91,14 @@
 void
 request_handle_head (FrontRequest *request)
 {
+  FrontServer *server = front_servers_current (request->server);
   ReplyInfo info;
 
   wire_reply_decode (front_attempt_reply (request->attempt), request->server->entry.id, &info);
   if (!is_from_server (request, &info))
     return;
-  handle_limit (request, &info);
-  handle_rest (request, info.rest_ms);
+  handle_limit (request, server, &info);
+  handle_rest (request, server, info.rest_ms);
   if (info.leaving)
-    handle_leaving (request);
+    handle_leaving (request, server);
 }
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -8,12 +8,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Milliseconds for which a removed server that asked for something is remembered, in case its entry
+ * comes back: as after a while in which it could not reach the store. */
+#define KEEP_MS 60000
+
 struct FrontServers
 {
   struct cds_list_head list;
   Index by_id;
   Index by_hash;
   unsigned unconfirmed; /* servers whose grace period runs */
+  unsigned kept;        /* servers that are not listed, with kept_until_ms set */
   char failure_domain[SERVER_TEXT_MAX];
   unsigned count;
   FrontServerStarts starts;
@@ -73,9 +78,12 @@
 FrontServer *
 front_servers_find_hash (FrontServers *servers, uint64_t hash)
 {
-  IndexEntry *found = index_first (&servers->by_hash, hash);
+  IndexEntry *at = index_first (&servers->by_hash, hash);
+  FrontServer *found = NULL;
 
-  return found ? cds_list_entry (found, FrontServer, by_hash) : NULL;
+  for (; at && !(found && found->listed); at = index_next (&servers->by_hash, at))
+    found = cds_list_entry (at, FrontServer, by_hash);
+  return found;
 }
 
 static void
@@ -86,6 +94,21 @@
   server->unconfirmed = unconfirmed;
 }
 
+/* Takes over what records of the same start were told while it was listed before. */
+static void
+server_inherit (const FrontServers *servers, FrontServer *server)
+{
+  IndexEntry *at = index_first (&servers->by_hash, server->hash);
+
+  for (; at; at = index_next (&servers->by_hash, at))
+    {
+      const FrontServer *before = cds_list_entry (at, FrontServer, by_hash);
+
+      if (before->limit.heard_ms > server->limit.heard_ms)
+        server->limit = before->limit;
+    }
+}
+
 static FrontServer *
 server_add (FrontServers *servers, const ServerEntry *entry, const struct sockaddr_in *address)
 {
@@ -95,6 +118,7 @@
   server->hash = id_hash_string (entry->id, (uint64_t)entry->born_ms);
   server->is_same_domain = strcmp (entry->failure_domain, servers->failure_domain) == 0;
   server->listed = true;
+  server_inherit (servers, server);
   cds_list_add_tail (&server->node, &servers->list);
   index_add (&servers->by_id, &server->by_id, span_hash (span_of (entry->id)));
   index_add (&servers->by_hash, &server->by_hash, server->hash);
@@ -104,14 +128,25 @@
 }
 
 static void
-server_remove (FrontServers *servers, FrontServer *server)
+server_free_unused (FrontServer *server)
+{
+  if (server->references == 0 && !server->listed && server->kept_until_ms == 0)
+    server_free (server->owner, server);
+}
+
+static void
+server_remove (FrontServers *servers, FrontServer *server, int64_t now_ms)
 {
   server->listed = false;
   server->leaving = true;
   set_unconfirmed (servers, server, false);
   servers->count--;
-  if (server->references == 0)
-    server_free (servers, server);
+  if (!server->restarted && server->limit.is_named)
+    {
+      server->kept_until_ms = now_ms + KEEP_MS;
+      servers->kept++;
+    }
+  server_free_unused (server);
 }
 
 bool
@@ -130,7 +165,7 @@
   if (server && entry->born_ms > server->entry.born_ms)
     {
       server->restarted = true;
-      server_remove (servers, server);
+      server_remove (servers, server, now_ms);
       server = NULL;
     }
   if (!server)
@@ -168,20 +203,22 @@
   return true;
 }
 
+FrontServer *
+front_servers_current (FrontServer *server)
+{
+  return front_servers_find_hash (server->owner, server->hash);
+}
+
 bool
 front_servers_said_leaving (FrontServer *server)
 {
   FrontServers *servers = server->owner;
-  FrontServer *listed = front_servers_find (servers, server->entry.id);
 
   if (server->said_leaving)
     return false;
   server->said_leaving = true;
   server->leaving = true;
   front_server_starts_end (&servers->starts, &server->entry, servers->count);
-  /* Its entry may have expired and come back while the answer was on its way. */
-  if (listed && listed->hash == server->hash)
-    listed->leaving = true;
   return true;
 }
 
@@ -193,7 +230,7 @@
   if (!server)
     return;
   if (grace_ms <= 0)
-    server_remove (servers, server);
+    server_remove (servers, server, now_ms);
   else if (!server->unconfirmed)
     {
       set_unconfirmed (servers, server, true);
@@ -206,12 +243,18 @@
 {
   FrontServer *server, *next;
 
-  if (servers->unconfirmed == 0)
+  if (servers->unconfirmed == 0 && servers->kept == 0)
     return;
   cds_list_for_each_entry_safe (server, next, &servers->list, node)
   {
     if (server->listed && server->unconfirmed && now_ms >= server->unconfirmed_until_ms)
-      server_remove (servers, server);
+      server_remove (servers, server, now_ms);
+    else if (server->kept_until_ms != 0 && now_ms >= server->kept_until_ms)
+      {
+        server->kept_until_ms = 0;
+        servers->kept--;
+        server_free_unused (server);
+      }
   }
 }
 
@@ -237,6 +280,5 @@
 front_server_unref (FrontServer *server)
 {
   server->references--;
-  if (server->references == 0 && !server->listed)
-    server_free (server->owner, server);
+  server_free_unused (server);
 }
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -24,6 +24,9 @@
  *  True if that changes anything. Servers that are listed later are affected, too. */
 bool
 front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered, int64_t now_ms);
+/** The record of this start: its entry may have expired and come back since a request was sent, and
+ *  is another record then. */
+FrontServer *front_servers_current (FrontServer *server);
 /** The server says in an answer that it leaves, which ends its work for good: the list may tell it
  *  late, or as ready once more. True if no answer said so before. */
 bool front_servers_said_leaving (FrontServer *server);
@@ -31,7 +34,7 @@
 void front_servers_expire (FrontServers *servers, int64_t now_ms);
 /** NULL if it is not listed. */
 FrontServer *front_servers_find (FrontServers *servers, const char *id);
-/** The server with this FrontServer.hash, listed or not; NULL: there is none. */
+/** The server with this FrontServer.hash, the listed one if there is one; NULL: there is none. */
 FrontServer *front_servers_find_hash (FrontServers *servers, uint64_t hash);
 /** All servers, linked by FrontServer.node; those with listed false are only waiting to be
  *  freed. */
