--- a/src/front_server.h
+++ b/src/front_server.h
@@ -47,8 +47,7 @@
   bool restarted;   /**< a later start of the same id is known: requests that ran here are lost */
   bool unconfirmed; /**< removed from the list shortly after an outage of the store */
   int64_t unconfirmed_until_ms; /**< removed for good unless it is listed again by then */
-  int64_t
-      kept_until_ms; /**< not listed, but kept until then with the limit it named; 0: not kept */
+  int64_t kept_until_ms; /**< not listed, but kept until then with what it asked for; 0: not kept */
   int64_t cold_until_ms;
   int64_t returned_ms;   /**< when the evacuation of its failure domain ended; 0: never */
   int64_t rest_until_ms; /**< end of the rest that it asked this front for; 0: it asked for none */
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -485,6 +485,28 @@
   front_servers_free (servers);
 }
 
+/* Guards against a rest that is cut short when the server's entry goes and comes back. */
+static void
+test_rest_outlasts_the_entry (void)
+{
+  static const Report ready = { FIRST_START_MS + 1, false, false }, removal = { .removed = true },
+                      second_start = { FIRST_START_MS + 2, false, false };
+  FrontServers *servers = front_servers_new ("here");
+
+  apply_report (servers, &ready, NOW);
+  front_server_rest (front_servers_find (servers, "a"), 3000, NOW);
+  apply_report (servers, &removal, NOW + 100);
+  apply_report (servers, &ready, NOW + 200);
+  CU_ASSERT_EQUAL (front_server_state (front_servers_find (servers, "a"), NOW + 2999),
+                   FRONT_SERVER_RESTING);
+  CU_ASSERT_EQUAL (front_server_state (front_servers_find (servers, "a"), NOW + 3000),
+                   FRONT_SERVER_READY);
+  apply_report (servers, &second_start, NOW + 300);
+  CU_ASSERT_EQUAL (front_server_state (front_servers_find (servers, "a"), NOW + 300),
+                   FRONT_SERVER_READY);
+  front_servers_free (servers);
+}
+
 /* Reports of three starts in any order, some lost, some repeated. The server in use must never be
  * of an earlier start than one that was reported, must be leaving exactly if that start has
  * reported that it drains, and must have the address of its own start. */
@@ -612,6 +634,7 @@
   { "said_leaving_outlasts_the_list", test_said_leaving_outlasts_the_list },
   { "late_answer_says_leaving", test_late_answer_says_leaving },
   { "limit_outlasts_the_entry", test_limit_outlasts_the_entry },
+  { "rest_outlasts_the_entry", test_rest_outlasts_the_entry },
   { "reports_in_any_order", test_reports_in_any_order },
   { "state_transitions", test_state_transitions },
   { "every_state_is_reached_and_named", test_every_state_is_reached_and_named },
