--- a/src/front_call.h
+++ b/src/front_call.h
@@ -51,6 +51,7 @@
   REPLY_LIMIT_UNREADABLE, /**< not a decimal number */
 } ReplyLimit;
 
+/** ReplyInfo.rest_ms of an answer that asks for rest, but not for how many seconds. */
 #define REPLY_REST_UNREADABLE (-1)
 
 /** What the headers of a backend server's answer say. */
--- a/src/front_limit.c
+++ b/src/front_limit.c
@@ -70,7 +70,7 @@
 /* Milliseconds until the next turn; 0 during one. Turns of different fronts are spread evenly over
  * a period by a hash. */
 static double
-turn_wait_ms (const ServerLimit *limit, double period, double draw, int64_t now_ms)
+next_turn_ms (const ServerLimit *limit, double period, double draw, int64_t now_ms)
 {
   double since_first = (double)(now_ms - limit->named_ms) - draw * period;
   double since_turn = since_first - floor (since_first / period) * period;
@@ -78,6 +78,18 @@
   return since_first >= 0 && since_turn < TURN_MS ? 0 : period - since_turn;
 }
 
+static double
+turn_wait_ms (const ServerLimit *limit, double period, double draw, int64_t now_ms)
+{
+  double wait = next_turn_ms (limit, period, draw, now_ms);
+
+  if (limit->sent_ms < limit->named_ms)
+    return wait;
+  /* Half a period keeps to one request a turn also while the number of fronts changes, which moves
+   * the turns. */
+  return fmax (wait, period / 2 - (double)(now_ms - limit->sent_ms));
+}
+
 int64_t
 server_limit_wait_ms (const ServerLimit *limit,
                       const FrontShare *share,
@@ -85,22 +97,15 @@
                       bool is_same_domain,
                       int64_t now_ms)
 {
-  double period, since_sent, wait, turn_wait;
+  double period, wait;
 
   if (!limit->is_named)
     return 0;
   period = period_ms (limit, share, is_same_domain);
-  since_sent = (double)(now_ms - limit->sent_ms);
   if (period <= PACED_MAX_MS)
-    wait = period - since_sent;
+    wait = period - (double)(now_ms - limit->sent_ms);
   else
-    {
-      turn_wait = turn_wait_ms (limit, period, front_share_draw (share, server), now_ms);
-      /* Half a period keeps to one request a turn also while the number of fronts changes, which
-       * moves the turns. */
-      wait = limit->sent_ms < limit->named_ms ? turn_wait
-                                              : fmax (turn_wait, period / 2 - since_sent);
-    }
+    wait = turn_wait_ms (limit, period, front_share_draw (share, server), now_ms);
   return wait > 0 ? (int64_t)ceil (wait) : 0;
 }
 
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -7,14 +7,23 @@
 
 #define NUMBER_TEXT_MAX 32
 
+static FrontLine *
+log_begin (FrontEventId id, const FrontRequest *request, const FrontServer *server)
+{
+  FrontLine *line = front_log_begin (id);
+
+  front_log_text (line, "server", server->entry.id);
+  front_log_span (line, "request", request->call.id);
+  return line;
+}
+
 static void
-log_limit (const FrontServer *server, const char *state)
+log_limit (const FrontRequest *request, const FrontServer *server, const char *state)
 {
-  FrontLine *line = front_log_begin (FRONT_EVENT_SERVER_LIMIT);
+  FrontLine *line = log_begin (FRONT_EVENT_SERVER_LIMIT, request, server);
   char per_s[NUMBER_TEXT_MAX];
 
   snprintf (per_s, sizeof per_s, "%g", server->limit.per_s);
-  front_log_text (line, "server", server->entry.id);
   front_log_text (line, "state", state);
   front_log_text (line, "per_s", per_s);
   front_log_end (line);
@@ -35,15 +44,15 @@
     {
     case REPLY_LIMIT_NAMED:
       if (server_limit_named (&server->limit, info->limit_per_s, clock_boot_ms ()))
-        log_limit (server, "named");
+        log_limit (request, server, "named");
       return;
     case REPLY_LIMIT_ABSENT:
       if (tells_of_limit (request, info)
           && server_limit_absent (&server->limit, request->attempt_ms))
-        log_limit (server, "ended");
+        log_limit (request, server, "ended");
       return;
     case REPLY_LIMIT_UNREADABLE:
-      log_limit (server, "unreadable");
+      log_limit (request, server, "unreadable");
       return;
     }
 }
@@ -56,9 +65,7 @@
 
   if (!front_servers_said_leaving (server))
     return;
-  line = front_log_begin (FRONT_EVENT_SERVER_LEAVING);
-  front_log_text (line, "server", server->entry.id);
-  front_log_span (line, "request", request->call.id);
+  line = log_begin (FRONT_EVENT_SERVER_LEAVING, request, server);
   front_log_number (line, "known", known);
   front_log_end (line);
 }
@@ -72,9 +79,7 @@
     return;
   if (rest_ms != REPLY_REST_UNREADABLE)
     front_server_rest (server, rest_ms, clock_boot_ms ());
-  line = front_log_begin (FRONT_EVENT_SERVER_REST);
-  front_log_text (line, "server", server->entry.id);
-  front_log_span (line, "request", request->call.id);
+  line = log_begin (FRONT_EVENT_SERVER_REST, request, server);
   front_log_number (line, "rest_ms", rest_ms);
   front_log_end (line);
 }
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -23,10 +23,11 @@
   FRONT_SERVER_AVOIDED, /**< unreachable, failing or full: used only if there is no better one */
   FRONT_SERVER_UNCONFIRMED, /**< removed from the list shortly after an outage of the store, which
                                may have let the entry expire: used only if there is no better one */
-  FRONT_SERVER_RESTING, /**< turned a request of ours away and asked for rest: no work until then */
-  FRONT_SERVER_EVACUATED, /**< in a failure domain that gets no work for now */
-  FRONT_SERVER_LEAVING,   /**< draining, or its address belongs to another server: no new work */
-  FRONT_SERVER_GONE,      /**< no longer listed */
+  FRONT_SERVER_RESTING,     /**< turned away a request of this front and asked for rest: no work
+                               meanwhile */
+  FRONT_SERVER_EVACUATED,   /**< in a failure domain that gets no work for now */
+  FRONT_SERVER_LEAVING,     /**< draining, or its address belongs to another server: no new work */
+  FRONT_SERVER_GONE,        /**< no longer listed */
   FRONT_SERVER_STATES
 } FrontServerState;
 
