Stand-in store: no lock around waiting feeds

One play of some 150 beside load hung for nine minutes after its fronts had ended, in the stand-ins' shutdown (no child, no connection open). The cause is not proved. A feed waited under a condition's lock, which a cancelled waiter takes again before it ends; now it waits for an event, without a lock.

--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -89,21 +89,21 @@
         self.changes = []  # (version, table, key, value or None)
         self.version = 1
         self.history_start = 0  # feeds from before this version are answered 410
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # set by the next change, which replaces it by a new one
         self.calls = 0
 
     async def put(self, table, key, value):
         """Writes a row, or removes it if value is None. Returns the version of the change."""
-        async with self.changed:
-            self.version += 1
-            if value is None:
-                self.rows.pop((table, key), None)
-            else:
-                self.rows[table, key] = (value, self.version)
-            self.changes.append((self.version, table, key, value))
-            del self.changes[:-HISTORY_MAX]
-            self.changed.notify_all()
-            return self.version
+        self.version += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = (value, self.version)
+        self.changes.append((self.version, table, key, value))
+        del self.changes[:-HISTORY_MAX]
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
 
     def drop_history(self):
         """Drops all changes kept; feeds from an earlier version are answered 410."""
@@ -157,19 +157,18 @@
     async def rows_feed(self, args):
         table, since = args["Table"], int(args["SinceRev"])
         until = time.monotonic() + int(args.get("WaitMs", 0)) / 1000
-        async with self.changed:
-            while since >= self.history_start and not self.rows_since(table, since):
-                left = until - time.monotonic()
-                if left <= 0:
-                    break
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    break
-            if since < self.history_start:
-                return 410, {}
-            found = self.rows_since(table, since)
-            return self.reply([self.row(table, key, value, version) for version, key, value in found])
+        while since >= self.history_start and not self.rows_since(table, since):
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                break
+        if since < self.history_start:
+            return 410, {}
+        found = self.rows_since(table, since)
+        return self.reply([self.row(table, key, value, version) for version, key, value in found])
 
     async def rows_tx(self, body):
         for want in body["ExpectedRev"]:
