--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -55,10 +55,10 @@
     """An engine or plain service, and the fault injected there.
 
     mode: ok; mute (accepts the request and does not answer), half (closes the connection within the answer),
-    cut (resets it within the answer), full (refuses without running the request, and asks for rest if rest is set), error (runs it and answers
-    500), unsigned (no signature), foreign (answers with another request's id), unframed (no Content-Length),
-    lost (runs it and resets the connection), long (a plain answer of LONG_BYTES), deaf (stops reading after the
-    first byte). A request whose body equals crash_body crashes the engine, which
+    cut (resets it within the answer), full (refuses without running the request, and asks for rest if rest is
+    set), error (runs it and answers 500), unsigned (no signature), foreign (answers with another request's id),
+    unframed (no Content-Length), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
+    deaf (stops reading after the first byte). A request whose body equals crash_body crashes the engine, which
     listens again after a second.
     """
 
