--- a/tests/test_front_cold.c
+++ b/tests/test_front_cold.c
@@ -148,6 +148,7 @@
 {
   ColdSends sends = { 0 };
 
+  CU_ASSERT (COLD_SLOT_MS >= SECOND_MS + LATE_MAX_MS);
   CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW), 0);
   cold_sent (&sends, NOW);
   CU_ASSERT_EQUAL (cold_wait_ms (&sends, 1, NOW), COLD_SLOT_MS + FRONT_CONNECT_TIMEOUT_MS);
