Log what is known of a server's death, and of a request that was at several

The log told only that a request is refused from now on, and only at the front that saw the death itself. It couldn't tell whether a front that still sends such a request lacks reports, knows deaths without it, or dropped it from a full list. Now: server_died with the requests of this front that ran there, quarantine for each report that adds to a death, with the deaths that include the request and those that don't, and counters of deaths seen and told.

--- a/src/choose_quarantine.c
+++ b/src/choose_quarantine.c
@@ -64,21 +64,30 @@
   return id_hash (body, len, id_hash_string (team, 0)) | 1;
 }
 
-bool
-quarantine_contains (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+static bool
+is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
 {
-  bool found = false;
   unsigned i;
 
-  if (atomic_load (&quarantine->held_count) == 0)
-    return false;
-  pthread_mutex_lock (&quarantine->lock);
-  for (i = 0; i < QUARANTINE_HELD_MAX && !found; i++)
+  for (i = 0; i < QUARANTINE_HELD_MAX; i++)
     {
       const QuarantineEntry *held = &quarantine->held[i];
 
-      found = held->fingerprint == fingerprint && held->until_ms > now_ms;
+      if (held->fingerprint == fingerprint && held->until_ms > now_ms)
+        return true;
     }
+  return false;
+}
+
+bool
+quarantine_contains (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+  bool found;
+
+  if (atomic_load (&quarantine->held_count) == 0)
+    return false;
+  pthread_mutex_lock (&quarantine->lock);
+  found = is_held (quarantine, fingerprint, now_ms);
   pthread_mutex_unlock (&quarantine->lock);
   return found;
 }
@@ -149,6 +158,23 @@
   return counts;
 }
 
+QuarantineEvidence
+quarantine_evidence (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+  QuarantineEvidence evidence;
+  DeathCounts counts;
+
+  pthread_mutex_lock (&quarantine->lock);
+  counts = count_deaths (quarantine, fingerprint);
+  evidence = (QuarantineEvidence){
+    .servers = counts.servers,
+    .others = counts.others,
+    .is_held = is_held (quarantine, fingerprint, now_ms),
+  };
+  pthread_mutex_unlock (&quarantine->lock);
+  return evidence;
+}
+
 /** True if another fingerprint was in flight at as many of the deaths: either may be the cause, so
  *  neither is quarantined until another death tells them apart. */
 static bool
--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -32,6 +32,14 @@
   uint64_t flights[QUARANTINE_FLIGHT_MAX]; /**< fingerprints of the requests in flight there */
 } QuarantineDeath;
 
+/** What the known deaths say of a fingerprint. */
+typedef struct
+{
+  unsigned servers; /**< different servers that died while running it */
+  unsigned others;  /**< deaths around the latest of these that don't include it */
+  bool is_held;     /**< requests with it are to be refused */
+} QuarantineEvidence;
+
 typedef struct Quarantine Quarantine;
 
 /** Thread-safe. */
@@ -46,6 +54,8 @@
  *  this VM or reported by another one. True if it added any fingerprint; adding the same death
  *  again changes nothing. */
 bool quarantine_add (Quarantine *quarantine, const QuarantineDeath *death, int64_t now_ms);
+QuarantineEvidence
+quarantine_evidence (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /** Copies up to max deaths to report to other VMs, newest first; returns their number. */
 size_t
 quarantine_recent_deaths (Quarantine *quarantine, QuarantineDeath *out, size_t max, int64_t now_ms);
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -1,4 +1,5 @@
 #include "front_deaths.h"
+#include "front_counter.h"
 #include "front_log.h"
 #include "front_socket.h"
 #include "util_clock.h"
@@ -37,26 +38,67 @@
   free (probe);
 }
 
+const QuarantineSettings front_quarantine_settings = {
+  .servers = 3,          /* two may die by coincidence during one caller's retries */
+  .retention_ms = 60000, /* callers retry such a request within seconds */
+  .outage_ms = 1000,     /* servers of one rack die together */
+  .same_death_ms = 3000, /* a dead server restarts within seconds, under another id */
+  .hold_ms = 60000,
+};
+
+/* Deaths of a request from which it is logged: one death has many requests of no interest. */
+#define LOGGED_DEATHS_MIN 2
+
+/* Shows for each request of the death that was at others, too, how many of the deaths this front
+ * knows to include it. */
 static void
-record_death (Probe *probe)
+log_suspects (const Front *front, const QuarantineDeath *death, int64_t now_ms)
 {
-  int64_t now_ms = clock_boot_ms ();
-
-  front_health_unreachable (&probe->server->health, now_ms);
-  quarantine_add (probe->front->quarantine, &probe->death, now_ms);
-  for (uint32_t i = 0; i < probe->death.count; i++)
+  for (uint32_t i = 0; i < death->count; i++)
     {
+      QuarantineEvidence evidence
+          = quarantine_evidence (front->quarantine, death->flights[i], now_ms);
       FrontLine *line;
 
-      if (!quarantine_contains (probe->front->quarantine, probe->death.flights[i], now_ms))
+      if (evidence.servers < LOGGED_DEATHS_MIN)
         continue;
       line = front_log_begin (FRONT_EVENT_QUARANTINE);
-      front_log_number (line, "fingerprint", (int64_t)probe->death.flights[i]);
-      front_log_text (line, "server", probe->server->entry.id);
+      front_log_text (line, "state", evidence.is_held ? "refused" : "suspected");
+      front_log_number (line, "fingerprint", (int64_t)death->flights[i]);
+      front_log_number (line, "server", (int64_t)death->server);
+      front_log_number (line, "with", evidence.servers);
+      front_log_number (line, "without", evidence.others);
       front_log_end (line);
     }
 }
 
+static void
+record_death (Probe *probe)
+{
+  int64_t now_ms = clock_boot_ms ();
+  FrontLine *line = front_log_begin (FRONT_EVENT_SERVER_DIED);
+
+  front_log_text (line, "server", probe->server->entry.id);
+  front_log_number (line, "hash", (int64_t)probe->server->hash);
+  front_log_number (line, "requests", probe->death.count);
+  front_log_end (line);
+  front_counter_add (FRONT_COUNTER_DEATHS_SEEN);
+  front_health_unreachable (&probe->server->health, now_ms);
+  if (quarantine_add (probe->front->quarantine, &probe->death, now_ms))
+    log_suspects (probe->front, &probe->death, now_ms);
+}
+
+void
+front_deaths_told (Front *front, const QuarantineDeath *death)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  if (!quarantine_add (front->quarantine, death, now_ms))
+    return;
+  front_counter_add (FRONT_COUNTER_DEATHS_TOLD);
+  log_suspects (front, death, now_ms);
+}
+
 static void
 on_event (struct bufferevent *bev UNUSED, short what, void *user)
 {
--- a/src/front_deaths.h
+++ b/src/front_deaths.h
@@ -7,6 +7,10 @@
 
 #include "front.h"
 
+extern const QuarantineSettings front_quarantine_settings;
+
+/** Adds what another front knows of a server's death. */
+void front_deaths_told (Front *front, const QuarantineDeath *death);
 /** Checks a server that has cut the connection on which it was running this request. */
 void front_deaths_check (Front *front, FrontServer *server, uint64_t fingerprint);
 
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -3,6 +3,7 @@
 #include "front.h"
 #include "front_conn.h"
 #include "front_control.h"
+#include "front_deaths.h"
 #include "front_log.h"
 #include "front_peers.h"
 #include "front_socket.h"
@@ -47,14 +48,6 @@
 
 const char *argp_program_version = "lovage-front 0.1";
 
-static const QuarantineSettings quarantine_settings = {
-  .servers = 3,          /* two may die by coincidence during one caller's retries */
-  .retention_ms = 60000, /* callers retry such a request within seconds */
-  .outage_ms = 1000,     /* servers of one rack die together */
-  .same_death_ms = 3000, /* a dead server restarts within seconds, under another id */
-  .hold_ms = 60000,
-};
-
 static void
 on_accept (struct evconnlistener *listener UNUSED,
            evutil_socket_t fd,
@@ -216,7 +209,7 @@
       .extra = settings->retry_extra,
       .window_ms = (int64_t)(settings->retry_window_s * MS_PER_S),
   });
-  front->quarantine = quarantine_new (&quarantine_settings);
+  front->quarantine = quarantine_new (&front_quarantine_settings);
   front->peers = front_peers_new (front);
   if (!front->peers)
     return "peers";
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -1,4 +1,5 @@
 /* Applies messages of other fronts. */
+#include "front_deaths.h"
 #include "front_log.h"
 #include "front_peers_private.h"
 #include <arpa/inet.h>
@@ -109,7 +110,7 @@
   for (uint32_t i = 0; i < message->rollout_count; i++)
     receive_rollout (peers, message, &message->rollouts[i], now_ms);
   for (uint32_t i = 0; i < message->death_count; i++)
-    quarantine_add (front->quarantine, &message->deaths[i], now_ms);
+    front_deaths_told (front, &message->deaths[i]);
   for (uint32_t i = 0; i < message->member_count; i++)
     receive_member (peers, &message->members[i], now_ms);
 }
