Test: fronts don't agree on a request that crashes servers

Without a network: nine copies reach fronts within 1.2 s, a server ends every 150 ms at each of them, and a share of all fronts was running other requests there. Three seconds after the third death all fronts have to refuse the request.

--- /dev/null
+++ b/tests/test_front_deaths.c
@@ -0,0 +1,276 @@
+/** How fast all fronts refuse a request that crashes servers: src/choose_quarantine.c and the
+ *  deaths in messages between fronts, without a network. */
+#include "front_deaths.h"
+#include "front_peers_private.h"
+#include "suite.h"
+#include "util_id.h"
+#include "util_memory.h"
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define FRONTS_MAX   2000
+#define ROUND_MS     500 /* interval of messages */
+#define STEP_MS      10  /* of simulated time */
+#define NOW          1000000
+#define CRASHER      0x1001
+#define ATTEMPTS_MAX 3
+#define CRASH_MS     150  /* from the sending of the crashing request to the server's end */
+#define WAVE_MS      1200 /* within which it reaches the fronts that it is sent to */
+/* Milliseconds after the third death, or after a front's start or return, from which it sends the
+ * request to no server. */
+#define APPLY_MS 3000
+#define COPIES   9  /* fronts that the request is sent to in a wave */
+#define LOSS     10 /* one of so many messages is lost */
+
+typedef struct
+{
+  Front front;
+  FrontPeers peers;
+  int64_t copy_ms;   /* when the crashing request arrives; 0: it doesn't */
+  int64_t death_ms;  /* when the server that it was sent to ends; 0: it is at none */
+  unsigned attempts; /* at servers, of this copy */
+  bool is_cut;       /* messages from and to it are lost */
+} Node;
+
+typedef struct
+{
+  unsigned count;
+  unsigned domains;
+  unsigned
+      bystanders; /* of a hundred fronts, those that run other requests at a server that ends */
+  unsigned sent;  /* messages */
+  unsigned deaths;
+  int64_t third_ms; /* of the third death; 0: not yet */
+  Node nodes[FRONTS_MAX];
+} Net;
+
+static uint32_t
+address_of (unsigned number)
+{
+  return htonl (0x0a000001u + number);
+}
+
+static unsigned
+number_of (const Peer *peer)
+{
+  return ntohl (peer->address.sin_addr.s_addr) - 0x0a000001u;
+}
+
+static uint32_t
+domain_of (const Net *net, unsigned number)
+{
+  return 1 + number % net->domains;
+}
+
+static void
+node_start (Net *net, unsigned number, int64_t now_ms)
+{
+  Node *node = &net->nodes[number];
+
+  node->front.quarantine = quarantine_new (&front_quarantine_settings);
+  node->peers.front = &node->front;
+  node->peers.own.sin_addr.s_addr = address_of (number);
+  node->peers.own_domain = domain_of (net, number);
+  node->peers.round_ms = now_ms - (int64_t)(id_hash (&number, sizeof number, 7) % ROUND_MS);
+  for (unsigned i = 0; i < net->count; i++)
+    peer_add (&node->peers, address_of (i), domain_of (net, i), now_ms);
+}
+
+static void
+node_stop (Node *node)
+{
+  quarantine_free (node->front.quarantine);
+  peers_clear (&node->peers);
+  *node = (Node){ 0 };
+}
+
+static Net *
+net_new (unsigned count, unsigned domains, unsigned bystanders)
+{
+  Net *net = memory_alloc (sizeof *net);
+
+  *net = (Net){ .count = count, .domains = domains, .bystanders = bystanders };
+  for (unsigned i = 0; i < count; i++)
+    node_start (net, i, NOW);
+  return net;
+}
+
+static void
+net_free (Net *net)
+{
+  for (unsigned i = 0; i < net->count; i++)
+    node_stop (&net->nodes[i]);
+  free (net);
+}
+
+static uint64_t
+draw (const Net *net, unsigned number)
+{
+  uint64_t key[] = { net->deaths, number };
+
+  return id_hash (key, sizeof key, 3);
+}
+
+/* Each front that ran requests at the server has found it dead. Its other requests there are its
+ * own, and one that it sends on to the next server that ends. */
+static void
+server_ends (Net *net, unsigned sender, int64_t now_ms)
+{
+  net->deaths++;
+  if (net->deaths == 3)
+    net->third_ms = now_ms;
+  for (unsigned i = 0; i < net->count; i++)
+    {
+      QuarantineDeath death = { .server = net->deaths };
+
+      if (i != sender && draw (net, i) % 100 >= net->bystanders)
+        continue;
+      for (unsigned j = 0; j < 3; j++)
+        death.flights[death.count++] = draw (net, i * 3 + j) | 1;
+      death.flights[death.count++] = id_hash (&i, sizeof i, net->deaths / ATTEMPTS_MAX) | 1;
+      if (i == sender)
+        death.flights[death.count++] = CRASHER;
+      quarantine_add (net->nodes[i].front.quarantine, &death, now_ms);
+    }
+}
+
+static bool
+refuses (const Node *node, int64_t now_ms)
+{
+  return quarantine_contains (node->front.quarantine, CRASHER, now_ms);
+}
+
+static void
+node_step (Net *net, unsigned number, int64_t now_ms)
+{
+  Node *node = &net->nodes[number];
+
+  if (node->death_ms != 0 && now_ms >= node->death_ms)
+    {
+      node->death_ms = node->attempts < ATTEMPTS_MAX ? now_ms + CRASH_MS : 0;
+      node->attempts++;
+      server_ends (net, number, now_ms);
+    }
+  if (node->copy_ms == 0 || now_ms < node->copy_ms)
+    return;
+  node->copy_ms = 0;
+  if (refuses (node, now_ms))
+    return;
+  node->attempts = 1;
+  node->death_ms = now_ms + CRASH_MS;
+}
+
+static void
+deliver (Net *net, unsigned from, unsigned to, int64_t now_ms)
+{
+  QuarantineDeath deaths[PEER_DEATHS_MAX];
+  size_t count = quarantine_recent_deaths (net->nodes[from].front.quarantine, deaths,
+                                           PEER_DEATHS_MAX, now_ms);
+
+  for (size_t i = 0; i < count; i++)
+    quarantine_add (net->nodes[to].front.quarantine, &deaths[i], now_ms);
+}
+
+static void
+send_messages (Net *net, unsigned from, int64_t now_ms)
+{
+  Node *node = &net->nodes[from];
+  Peer *chosen[PEERS_PER_ROUND_MAX];
+  unsigned count;
+
+  for (unsigned i = 0; i < node->peers.count; i++)
+    node->peers.list[i]->seen_ms = now_ms;
+  count = peers_choose_recipients (&node->peers, chosen, now_ms);
+  for (unsigned i = 0; i < count; i++)
+    {
+      unsigned to = number_of (chosen[i]);
+
+      if (++net->sent % LOSS != 0 && !node->is_cut && !net->nodes[to].is_cut)
+        deliver (net, from, to, now_ms);
+    }
+}
+
+static void
+simulate (Net *net, int64_t from_ms, int64_t until_ms)
+{
+  for (int64_t now_ms = from_ms; now_ms < until_ms; now_ms += STEP_MS)
+    {
+      for (unsigned i = 0; i < net->count; i++)
+        {
+          Node *node = &net->nodes[i];
+
+          node_step (net, i, now_ms);
+          if (now_ms - node->peers.round_ms < ROUND_MS)
+            continue;
+          node->peers.round_ms = now_ms;
+          send_messages (net, i, now_ms);
+        }
+    }
+}
+
+/* The crashing request is sent to COPIES fronts within WAVE_MS. */
+static void
+wave (Net *net, int64_t now_ms)
+{
+  for (unsigned i = 0; i < COPIES; i++)
+    net->nodes[i * net->count / COPIES].copy_ms = now_ms + (int64_t)(i * WAVE_MS / COPIES);
+}
+
+static unsigned
+fronts_that_send (const Net *net, int64_t now_ms)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < net->count; i++)
+    count += !refuses (&net->nodes[i], now_ms);
+  return count;
+}
+
+typedef struct
+{
+  unsigned fronts, domains;
+} SiteSize;
+
+static const SiteSize sizes[] = { { 3, 3 }, { 9, 4 }, { 70, 3 }, { 300, 6 }, { 985, 6 } };
+
+static void
+check_all_refuse (const SiteSize *size, unsigned bystanders)
+{
+  Net *net = net_new (size->fronts, size->domains, bystanders);
+  unsigned sending;
+
+  wave (net, NOW);
+  simulate (net, NOW, NOW + WAVE_MS);
+  simulate (net, NOW + WAVE_MS, net->third_ms + APPLY_MS);
+  sending = fronts_that_send (net, net->third_ms + APPLY_MS);
+  printf ("%u fronts, %u%% bystanders: %u servers ended, %u fronts still send the request\n",
+          size->fronts, bystanders, net->deaths, sending);
+  CU_ASSERT (net->deaths >= 3);
+  CU_ASSERT_EQUAL (sending, 0);
+  net_free (net);
+}
+
+/* Copies of a request that crashes servers reach nine fronts within a second. Guards against
+ * fronts that know others' deaths by their own requests only, and take them for deaths without
+ * that request. */
+static void
+test_all_fronts_refuse_after_a_wave (void)
+{
+  for (size_t i = 0; i < SUITE_COUNT (sizes); i++)
+    {
+      check_all_refuse (&sizes[i], 10);
+      check_all_refuse (&sizes[i], 50);
+      check_all_refuse (&sizes[i], 95);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const SuiteCase cases[] = {
+    { "all_fronts_refuse_after_a_wave", test_all_fronts_refuse_after_a_wave },
+  };
+
+  return suite_main (argc, argv, "front_deaths", cases, SUITE_COUNT (cases));
+}
