Test: the store comes back from a copy, and changes after it are missed

The stand-in of the store names its era in all its answers, refuses reads from versions that it doesn't have, and can come back from a copy.

--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -69,17 +69,18 @@
         if self.mode == "silent":
             await asyncio.sleep(3600)
         if self.mode in ("busy", "many"):
-            writer.write(answer(503 if self.mode == "busy" else 429))
+            writer.write(answer(503 if self.mode == "busy" else 429, Store_Era=self.store.era))
             return True
         if self.mode == "slow":
             await asyncio.sleep(1)
         hold_count, held = self.hold_count, self.mode == "hold"
         status, body = await self.store.call(request)
+        era = {"Store_Era": self.store.era}
         if held or self.hold_count != hold_count:
             await asyncio.sleep(3600)
         if self.mode in ("lost", "reset"):
             return False
-        await write_at_rate(writer, answer(status, body), self.rate)
+        await write_at_rate(writer, answer(status, body, **era), self.rate)
         return True
 
 
@@ -91,6 +92,7 @@
         self.history_start = 0  # feeds from before this version are answered 410
         self.changed = asyncio.Event()  # set by the next change, which replaces it by a new one
         self.calls = 0
+        self.era = 1  # rises each time it comes back from a copy
 
     async def put(self, table, key, value):
         """Writes a row, or removes it if value is None. Returns the version of the change."""
@@ -110,6 +112,18 @@
         self.changes.clear()
         self.history_start = self.version
 
+    def copy(self):
+        """Returns what restore takes."""
+        return dict(self.rows), list(self.changes), self.version, self.history_start
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone, and its versions are given out again."""
+        rows, changes, self.version, self.history_start = copy
+        self.rows, self.changes = dict(rows), list(changes)
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def get(self, table, key):
         """Returns a row's value parsed as JSON, or None if there is no row."""
         found = self.rows.get((table, key))
@@ -157,7 +171,7 @@
     async def rows_feed(self, args):
         table, since = args["Table"], int(args["SinceRev"])
         until = time.monotonic() + int(args.get("WaitMs", 0)) / 1000
-        while since >= self.history_start and not self.rows_since(table, since):
+        while self.history_start <= since <= self.version and not self.rows_since(table, since):
             left = until - time.monotonic()
             if left <= 0:
                 break
@@ -165,7 +179,7 @@
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 break
-        if since < self.history_start:
+        if since < self.history_start or since > self.version:
             return 410, {}
         found = self.rows_since(table, since)
         return self.reply([self.row(table, key, value, version) for version, key, value in found])
