--- a/regress/front/cases_copy.py
+++ b/regress/front/cases_copy.py
@@ -5,16 +5,19 @@
 """
 
 import asyncio
+import json
 import sys
 import time
 
-from cases import equal, main, traffic
-from check import LEAVING_S
+from cases import BUSY_TIMEOUT_S, check, equal, main, traffic
+from check import LEAVING_S, evacuation_violations
+from site_front import Front
 
 POLL_S = 1.5  # within which fronts learn the store's newest version, also without changes
 AWAY_S = 1.0  # how long the store doesn't answer before it comes back
 SETTLED_S = 3.2  # from the store's return until changes have to be in force in the usual time
 APPLY_S = 2.0  # until a configuration is in force
+READERS_MAX = 7  # of a table at the store: two in each of two failure domains, and three that poll it at short intervals
 CALLS_MAX_PER_S = 20  # of one front at the store, while nothing changes there
 
 
@@ -33,9 +36,8 @@
     await asyncio.sleep(AWAY_S)
 
 
-async def come_back(site, copy):
-    """The store comes back from the copy, and the engines and the operator write again. Returns its calls until
-    changes are in force in the usual time again."""
+async def answer_again(site, copy):
+    """The store comes back from the copy, and the engines and the operator write their rows again."""
     site.store.restore(copy)
     for front in site.fronts:
         front.store_endpoint.set("ok")
@@ -43,6 +45,11 @@
         if not engine.left_at:
             await engine.report()
     await site.configure()
+
+
+async def come_back(site, copy):
+    """As answer_again; returns the store's calls until changes are in force in the usual time again."""
+    await answer_again(site, copy)
     calls = site.store.calls
     await asyncio.sleep(SETTLED_S)
     return site.store.calls - calls
@@ -92,7 +99,137 @@
         raise AssertionError(f"{calls} calls to the store in {2 * SETTLED_S} s")
 
 
-CASES = [store_returns_from_copy]
+async def check_changes(site):
+    """An engine says that it leaves and a route is added; checks that all fronts apply both in time."""
+    leaving = next(engine for engine in site.engines if engine.service == "texts" and not engine.left_at)
+    await leaving.drain()
+    await asyncio.gather(add_route(site, f"added{len(site.routes)}"), traffic(site, time.monotonic() + 4))
+    number = sum(run.engine is leaving and run.at > leaving.left_at + LEAVING_S for run in site.runs)
+    equal(number, 0, f"requests that reached an engine later than {LEAVING_S} s after it left")
+
+
+async def add_fronts(site, number):
+    for _ in range(number):
+        front = Front(site, len(site.fronts))
+        site.fronts.append(front)
+        await front.store_endpoint.start()
+        await front.start()
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+
+
+async def fronts_that_follow_others(site):
+    """Most of nine fronts get rows from other fronts. Guards against those keeping versions that the store no longer
+    has, and against all of them reading the whole tables at the store."""
+    await add_fronts(site, 6)
+    await site.start_engine("texts")
+    await wait_settled(site)
+    for lost in (rewritten(site) + 1, 2 * rewritten(site)):
+        for front in site.fronts:
+            front.store_endpoint.pages.clear()
+        await lose_changes(site, lost)
+        readers = sum(any("Table=servers" in page for page in front.store_endpoint.pages) for front in site.fronts)
+        if readers > READERS_MAX:
+            raise AssertionError(f"{readers} of {len(site.fronts)} fronts read the servers' table at the store")
+        await check_changes(site)
+
+
+async def front_without_store(site):
+    """One front can't reach the store before, while and after it comes back from a copy. It learns of later changes
+    from the others."""
+    await wait_settled(site)
+    for lost in (rewritten(site) + 1, 2 * rewritten(site)):
+        copy = site.store.copy()
+        for _ in range(lost):
+            await site.configure()
+        await asyncio.sleep(POLL_S)
+        await go_away(site)
+        await answer_again(site, copy)
+        site.fronts[0].store_endpoint.set("reset")
+        await asyncio.sleep(SETTLED_S)
+        await site.start_engine("texts")
+        await check_changes(site)
+        site.fronts[0].store_endpoint.set("ok")
+        await asyncio.sleep(POLL_S)
+
+
+async def front_that_starts_meanwhile(site):
+    """A front restarts while the store is away, and another one just after it came back."""
+    await wait_settled(site)
+    copy = site.store.copy()
+    for _ in range(2 * rewritten(site)):
+        await site.configure()
+    await asyncio.sleep(POLL_S)
+    await go_away(site)
+    await site.fronts[0].kill()
+    await site.fronts[0].start()
+    await answer_again(site, copy)
+    await site.fronts[1].kill()
+    await site.fronts[1].start()
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+    await asyncio.sleep(SETTLED_S)
+    await check_changes(site)
+
+
+async def order_rollout(site, seconds):
+    await site.store.put("op", "rollout/texts", json.dumps({"Service": "texts", "Target": "v2", "RampS": seconds}))
+
+
+async def rollout_goes_on(site):
+    """The store loses the order and the status of a running roll-out, and then its final status. The operator gives
+    the order again. Guards against a roll-out that begins anew, and a status that is not written again."""
+    for _ in range(2):
+        await site.add_engine("texts", "v2").start()
+    await wait_settled(site)
+    copy = site.store.copy()
+    await order_rollout(site, 16)
+    answers = asyncio.ensure_future(traffic(site, time.monotonic() + 15))
+    await asyncio.sleep(4)
+    started = site.store.get("status", "rollout/texts")["StartedMs"]
+    await go_away(site)
+    await answer_again(site, copy)
+    await asyncio.sleep(0.5)
+    await order_rollout(site, 16)
+
+    def status():
+        return site.store.get("status", "rollout/texts") or {}
+
+    async def has_state(state):
+        return status().get("State") == state
+
+    await site.wait(lambda: has_state("running"), "the running status again", BUSY_TIMEOUT_S)
+    if abs(status()["StartedMs"] - started) > 500:
+        raise AssertionError(f"began anew: {started}, {status()}")
+    copy = site.store.copy()
+    await site.wait(lambda: has_state("completed"), "the final status", 12)
+    check(site, *await answers)
+    await go_away(site)
+    await answer_again(site, copy)
+    await site.wait(lambda: has_state("completed"), "the final status again", BUSY_TIMEOUT_S)
+
+
+async def evacuation_goes_on(site):
+    """The store loses the order to evacuate a failure domain, and the operator gives it again a second later. Guards
+    against work for the domain meanwhile."""
+    await wait_settled(site)
+    copy = site.store.copy()
+    await site.evacuate("b")
+    since = site.evacuations["b"]
+    load = asyncio.ensure_future(traffic(site, time.monotonic() + 9))
+    await asyncio.sleep(3)
+    await go_away(site)
+    await answer_again(site, copy)
+    await asyncio.sleep(1)
+    await site.evacuate("b")
+    await load
+    equal(evacuation_violations(site, "b", since, lambda front: True), [], "work for the evacuated domain")
+
+
+CASES = [
+    store_returns_from_copy, fronts_that_follow_others, front_without_store, front_that_starts_meanwhile, rollout_goes_on,
+    evacuation_goes_on,
+]  # fmt: skip
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/src/front_channel.c
+++ b/src/front_channel.c
@@ -37,6 +37,7 @@
   struct bufferevent *bev; /* NULL: not connected */
   struct event *timer;
   HttpReply reply;
+  const HttpReply *answered; /* during the callback: the answer */
   bool pending;
   int connect_timeout_ms;   /* time-out of a new connection; 0: answer_timeout_ms */
   int answer_timeout_ms;    /* until the answer to the pending request begins */
@@ -107,8 +108,12 @@
   if (!http_should_keep_alive (&reply.parser) || reply.surplus)
     disconnect (channel);
   if (channel->pending)
-    complete_request (channel, reply.status, reply.body.data ? reply.body.data : "",
-                      reply.body.len);
+    {
+      channel->answered = &reply;
+      complete_request (channel, reply.status, reply.body.data ? reply.body.data : "",
+                        reply.body.len);
+      channel->answered = NULL;
+    }
   http_reply_clear (&reply);
 }
 
@@ -246,6 +251,12 @@
   disconnect (channel);
 }
 
+const HttpReply *
+front_channel_answer (const FrontChannel *channel)
+{
+  return channel->answered;
+}
+
 bool
 front_channel_is_pending (const FrontChannel *channel)
 {
--- a/src/front_channel.h
+++ b/src/front_channel.h
@@ -21,6 +21,8 @@
                                  ChannelCallback answer,
                                  void *user);
 void front_channel_free (FrontChannel *channel);
+/** Within the callback: the answer with its head; NULL if none arrived. */
+const HttpReply *front_channel_answer (const FrontChannel *channel);
 /** Sends a request; no other may be pending. body NULL: a GET. The request fails if no answer
  *  begins within timeout_ms, if an answer that has begun makes no progress, or if it is larger than
  *  any answer of the store. */
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -102,11 +102,14 @@
 static void
 send_rows (FrontControl *control, struct evhttp_request *http, const RowsRequest *request)
 {
-  const Buffer *text = rows_cache_get (&control->rows, control->front->store, request);
+  const FrontStore *store = control->front->store;
+  const Buffer *text = rows_cache_get (&control->rows, store, request);
 
   if (!text)
     {
-      send_reply (http, HTTP_SERVUNAVAIL, NULL);
+      bool has_rows = front_store_rows_state (store, request->table) == FRONT_ROWS_KNOWN;
+
+      send_reply (http, has_rows ? HTTP_STATUS_GONE : HTTP_SERVUNAVAIL, NULL);
       return;
     }
   front_counter_add (FRONT_COUNTER_ROWS_GIVEN);
--- a/src/front_peers.c
+++ b/src/front_peers.c
@@ -72,9 +72,9 @@
 }
 
 void
-front_peers_set_registered (FrontPeers *peers)
+front_peers_set_registered (FrontPeers *peers, bool registered)
 {
-  peers->is_registered = true;
+  peers->is_registered = registered;
 }
 
 static void
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -22,7 +22,7 @@
 bool front_peers_add_registered (FrontPeers *peers, const char *address, uint32_t domain);
 /** True if this front is on the store's list. */
 bool front_peers_is_registered (const FrontPeers *peers);
-void front_peers_set_registered (FrontPeers *peers);
+void front_peers_set_registered (FrontPeers *peers, bool registered);
 /** True if other fronts of the same failure domain are on the store's list. */
 bool front_peers_has_registered (const FrontPeers *peers);
 /** True if this front is one of those that register for their failure domain. */
--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -51,7 +51,7 @@
     {
       fetch->done = true;
       /* The peer no longer has the removals since this front's version. */
-      fetch->needs_all = status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+      fetch->needs_all = status == HTTP_STATUS_SERVICE_UNAVAILABLE || status == HTTP_STATUS_GONE;
       front_store_log_rows_failed (store, fetch->table, &fetch->source, fetch->asked_ms,
                                    fetch->channel);
       return;
@@ -77,9 +77,11 @@
   int64_t since = fetch->needs_all ? 0 : front_store_version (peers->front->store, table);
 
   front_log_number (line, "table", table);
-  front_log_number (line, "known", front_store_newest (peers->front->store, table));
-  front_log_number (line, "peer_knows", peer->newest[table]);
-  front_log_number (line, "since", since);
+  front_log_number (line, "known",
+                    store_version_number (front_store_newest (peers->front->store, table)));
+  front_log_number (line, "peer_knows", store_version_number (peer->newest[table]));
+  front_log_number (line, "peer_era", store_version_era (peer->newest[table]));
+  front_log_number (line, "since", store_version_number (since));
   front_log_number (line, "same_domain", peer->domain == peers->own_domain);
   front_log_end (line);
   source.sin_port = peers->control_port;
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -135,6 +135,28 @@
   return true;
 }
 
+bool
+front_rollouts_repeat_order (FrontRollouts *rollouts, const RolloutOrder *order)
+{
+  FrontRollout *rollout = front_rollouts_get (rollouts, order->service);
+
+  if (!rollout->ordered || strcmp (rollout->order.target, order->target) != 0
+      || rollout->order.duration_ms != order->duration_ms)
+    return false;
+  if (order->row_version <= rollout->order.row_version)
+    return true;
+  rollout->order.row_version = order->row_version;
+  /* Fronts that start take a status from before the order for that of an earlier one. */
+  rollout->status_version = 0;
+  return true;
+}
+
+void
+front_rollouts_status_removed (FrontRollouts *rollouts, const char *service)
+{
+  front_rollouts_get (rollouts, service)->status_version = 0;
+}
+
 void
 front_rollouts_order_removed (FrontRollouts *rollouts, const char *service)
 {
@@ -159,8 +181,13 @@
   rollout->has_verdict = false;
   if (started_ms != 0 && started_ms < rollout->started_ms)
     rollout->started_ms = started_ms;
+  /* A final state does not change. If the status says otherwise, the store lost the final one. */
   if (rollout->state != FRONT_ROLLOUT_RUNNING)
-    return false; /* a final state does not change; a late "running" is ignored */
+    {
+      if (state != rollout->state)
+        rollout->status_version = 0;
+      return false;
+    }
   changed = state != rollout->state;
   rollout->state = state;
   if (state == FRONT_ROLLOUT_COMPLETED)
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -88,6 +88,11 @@
                                  FrontServers *servers,
                                  const RolloutOrder *order,
                                  int64_t now_ms);
+/** The order was read after the store came back from a copy. True if it is the known one, read or
+ *  written again, whose status then has to be written again if it was lost. */
+bool front_rollouts_repeat_order (FrontRollouts *rollouts, const RolloutOrder *order);
+/** The status that was reported is lost. */
+void front_rollouts_status_removed (FrontRollouts *rollouts, const char *service);
 /** The order's row was removed. */
 void front_rollouts_order_removed (FrontRollouts *rollouts, const char *service);
 /** Applies a status that this front read or wrote, or received from another one. A status older
--- a/src/front_rollouts_verdict.c
+++ b/src/front_rollouts_verdict.c
@@ -101,6 +101,8 @@
   FrontEvidence all = { 0 };
   bool done;
 
+  if (rollout->ordered && rollout->state != FRONT_ROLLOUT_RUNNING && rollout->status_version == 0)
+    verdict_set (rollout, rollout->state, now_ms);
   if (!front_rollout_is_running (rollout))
     return;
   front_rollout_sum_domain (rollout);
--- a/src/front_row.c
+++ b/src/front_row.c
@@ -3,6 +3,34 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define NUMBER_MASK (((int64_t)1 << STORE_ERA_SHIFT) - 1)
+
+int64_t
+store_version (int64_t era, int64_t number)
+{
+  return era << STORE_ERA_SHIFT | (number & NUMBER_MASK);
+}
+
+int64_t
+store_version_number (int64_t version)
+{
+  return version & NUMBER_MASK;
+}
+
+int64_t
+store_version_era (int64_t version)
+{
+  return version >> STORE_ERA_SHIFT;
+}
+
+void
+store_answer_set_era (StoreAnswer *answer, int64_t era)
+{
+  for (unsigned i = 0; i < answer->count; i++)
+    answer->rows[i].version = store_version (era, answer->rows[i].version);
+  answer->version = store_version (era, answer->version);
+}
+
 void
 store_answer_clear (StoreAnswer *answer)
 {
--- a/src/front_row.h
+++ b/src/front_row.h
@@ -1,17 +1,26 @@
 /**
  * Rows of the platform's store.
+ *
+ * The store may come back from a copy; its versions then go back and are given out again, and the
+ * era that it names in its answers rises. Here a version includes its era, in the high bits, so
+ * that any version of a later era is newer.
  */
 #ifndef FRONT_ROW_H
 #define FRONT_ROW_H
 
 #include "util_span.h"
 
+#define STORE_ERA_SHIFT                                                                            \
+  40 /**< bits of a version within an era: 10,000 writes a second for years                        \
+      */
+
 typedef struct
 {
   char *key;
   char *value; /**< NUL-terminated; NULL if the row was removed */
   size_t value_len;
-  int64_t version; /**< of the transaction that wrote the row; increases over the whole store */
+  int64_t version; /**< of the transaction that wrote the row, with its era; increases over the
+                      whole store */
   bool removed;
 } StoreRow;
 
@@ -28,6 +37,13 @@
   int64_t clock_ms;     /**< the store's monotonic clock; 0: not given */
 } StoreAnswer;
 
+/** Version of a row or table in an era of the store. */
+int64_t store_version (int64_t era, int64_t number);
+/** The version as the store gives it. */
+int64_t store_version_number (int64_t version);
+int64_t store_version_era (int64_t version);
+/** Adds the era to all versions of an answer of the store. */
+void store_answer_set_era (StoreAnswer *answer, int64_t era);
 void store_answer_clear (StoreAnswer *answer);
 /** Moves the rows of a part to the end of those read before it. */
 void store_answer_append (StoreAnswer *all, StoreAnswer *part);
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -37,50 +37,69 @@
   front->config = config;
   line = front_log_begin (FRONT_EVENT_CONFIG_APPLIED);
   front_log_number (line, "config", config->version);
-  front_log_number (line, "row_version", row->version);
+  front_log_number (line, "row_version", store_version_number (row->version));
   front_log_number (line, "routes", config->route_count);
   front_log_end (line);
 }
 
+/* After the store came back from a copy, its orders may be older than those known here, or missing,
+ * until they were written again. What differs is applied after that. */
+static bool
+is_deferred (const FrontStore *store)
+{
+  return store_era_is_settling (&store->watches[STORE_OPERATOR]);
+}
+
 static void
-apply_order (Front *front, const StoreRow *row)
+apply_order (FrontStore *store, const StoreRow *row)
 {
+  Front *front = store->front;
   RolloutOrder order;
   FrontLine *line;
 
   if (row->removed)
     {
-      front_rollouts_order_removed (front->rollouts, row->key + strlen (wire_key_rollout));
+      if (!is_deferred (store))
+        front_rollouts_order_removed (front->rollouts, row->key + strlen (wire_key_rollout));
       return;
     }
   if (!wire_rollout_decode ((Span){ .text = row->value, .len = row->value_len }, row->version,
-                            &order)
-      || !front_rollouts_apply_order (front->rollouts, front->servers, &order, clock_boot_ms ()))
+                            &order))
+    return;
+  if (is_deferred (store))
+    {
+      front_rollouts_repeat_order (front->rollouts, &order);
+      return;
+    }
+  if (!front_rollouts_apply_order (front->rollouts, front->servers, &order, clock_boot_ms ()))
     return;
   line = front_log_begin (FRONT_EVENT_ORDER);
   front_log_text (line, "service", order.service);
   front_log_text (line, "target", order.target);
   front_log_number (line, "duration_ms", order.duration_ms);
-  front_log_number (line, "row_version", order.row_version);
+  front_log_number (line, "row_version", store_version_number (order.row_version));
   front_log_end (line);
 }
 
 /* The row's existence is the order, whatever its value: an unreadable value must not send work to a
  * failure domain that is being evacuated. */
 static void
-apply_evacuation (Front *front, const StoreRow *row)
+apply_evacuation (FrontStore *store, const StoreRow *row)
 {
+  Front *front = store->front;
   const char *domain = row->key + strlen (wire_key_evacuation);
   bool is_name = domain[0] && strlen (domain) < SERVER_TEXT_MAX;
   const char *state = row->removed ? "taken_back" : "ordered";
   FrontLine *line;
 
+  if (row->removed && is_deferred (store))
+    return;
   if (is_name && !front_servers_evacuate (front->servers, domain, !row->removed, clock_boot_ms ()))
     return;
   line = front_log_begin (FRONT_EVENT_EVACUATION);
   front_log_text (line, "domain", domain);
   front_log_text (line, "state", is_name ? state : "refused");
-  front_log_number (line, "row_version", row->version);
+  front_log_number (line, "row_version", store_version_number (row->version));
   front_log_end (line);
 }
 
@@ -98,9 +117,9 @@
   if (strcmp (row->key, wire_key_config) == 0 && !row->removed)
     apply_config (store->front, row);
   else if (has_prefix (row->key, wire_key_rollout))
-    apply_order (store->front, row);
+    apply_order (store, row);
   else if (has_prefix (row->key, wire_key_evacuation))
-    apply_evacuation (store->front, row);
+    apply_evacuation (store, row);
 }
 
 static void
@@ -110,7 +129,7 @@
 
   front_log_text (line, "server", id);
   front_log_text (line, "state", state);
-  front_log_number (line, "row_version", row_version);
+  front_log_number (line, "row_version", store_version_number (row_version));
   if (entry)
     {
       front_log_text (line, "service", entry->service);
@@ -160,9 +179,15 @@
   FrontRollout *rollout;
   int64_t started_ms;
 
-  if (row->removed || !has_prefix (row->key, wire_key_rollout)
-      || !wire_rollout_status_decode ((Span){ .text = row->value, .len = row->value_len }, target,
-                                      &state, &started_ms))
+  if (!has_prefix (row->key, wire_key_rollout))
+    return;
+  if (row->removed)
+    {
+      front_rollouts_status_removed (store->front->rollouts, row->key + strlen (wire_key_rollout));
+      return;
+    }
+  if (!wire_rollout_status_decode ((Span){ .text = row->value, .len = row->value_len }, target,
+                                   &state, &started_ms))
     return;
   rollout = front_rollouts_get (store->front->rollouts, row->key + strlen (wire_key_rollout));
   if (started_ms != 0 && store->clock_offset_ms != 0)
@@ -176,7 +201,7 @@
       front_log_text (line, "service", rollout->service);
       front_log_text (line, "target", target);
       front_log_number (line, "state", state);
-      front_log_number (line, "row_version", row->version);
+      front_log_number (line, "row_version", store_version_number (row->version));
       front_log_end (line);
     }
 }
@@ -197,7 +222,7 @@
     return;
   line = front_log_begin (FRONT_EVENT_MEMBER_REFUSED);
   front_log_text (line, "key", row->key);
-  front_log_number (line, "row_version", row->version);
+  front_log_number (line, "row_version", store_version_number (row->version));
   front_log_end (line);
 }
 
@@ -208,7 +233,20 @@
   TableEntry *entry;
 
   cds_list_for_each_entry (entry, &store->watches[STORE_STATUS].table.entries, node)
+  {
+    if (!entry->row.removed)
       store_apply_status (store, &entry->row);
+  }
+}
+
+void
+store_apply_deferred (FrontStore *store)
+{
+  TableEntry *entry;
+
+  cds_list_for_each_entry (entry, &store->watches[STORE_OPERATOR].table.entries, node)
+      store_apply_operator (store, &entry->row);
+  store_apply_end (store, STORE_OPERATOR);
 }
 
 void
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -16,7 +16,7 @@
 
 #define STORE_HTTP_OK       200
 #define STORE_HTTP_CONFLICT 412 /* the row has another version than expected */
-#define STORE_HTTP_GONE     410 /* the changes since the version were dropped */
+#define STORE_HTTP_GONE     410 /* changes since the version were dropped, or there is none such */
 
 /** Follows one table: reads all rows, then polls for changes. */
 typedef struct Watch
@@ -33,8 +33,14 @@
   bool loaded;               /* all rows were read; changes are polled for */
   bool lost;                 /* the last request to the store failed */
   unsigned failures;         /* failed requests to the store in a row */
-  int64_t recovered_ms;      /* when the store answered again after an error */
+  int64_t recovered_ms;      /* when the store answered again after an error, or in a new era */
+  int64_t era_began_ms;      /* when rows of a new era were read, until what was lost was written
+                                again; 0: not */
+  int64_t read_ms;           /* when all rows were last read at the store; 0: never */
+  bool reads_again_at_peers; /* the front that was asked lacks the changes since this one's version:
+                                all rows are read from such fronts */
   int64_t asked_ms;          /* when the last request was sent */
+  int64_t asked_version;     /* version that the last request is to continue from; 0: none */
   bool asked_peer;           /* the last request went to another front */
   bool is_short_poll;        /* the pending request is a sentinel's short poll */
   struct sockaddr_in source; /* the front that was asked last */
@@ -48,6 +54,7 @@
   Watch watches[STORE_TABLES];
   FrontChannel *writer;
   int64_t started_ms;
+  int64_t era;              /* newest that the store named; 0: none */
   int64_t next_list_at_ms;  /* when the list of fronts is read again if no other is known */
   int64_t list_interval_ms; /* until the read after that */
   FrontRollout *writing;    /* roll-out whose status is being written; NULL: none */
@@ -64,6 +71,8 @@
 void store_apply_server (void *user, const StoreRow *row);
 void store_apply_status (void *user, const StoreRow *row);
 void store_apply_member (void *user, const StoreRow *row);
+/* Applies the operator's orders and their removals that were left while the era was settling. */
+void store_apply_deferred (FrontStore *store);
 /* Updates what depends on the table as a whole, after its changed rows were applied. */
 void store_apply_end (FrontStore *store, StoreTable id);
 
@@ -77,9 +86,21 @@
 void store_watch_hint (Watch *watch, int64_t version, int64_t now_ms);
 /* Applies rows from another front: all, or those changed since a version that is known here. */
 void store_watch_apply_peer_rows (Watch *watch, bool all, StoreAnswer *answer);
+/* Name of the table, as in logs. */
+const char *store_watch_name (const Watch *watch);
 /* Polls after a delay in milliseconds. */
 void store_watch_schedule_poll (Watch *watch, int64_t ms);
 
+/* front_store_era.c: the store may come back from a copy some seconds old. */
+/* Notes the era that an answer of the store names. False if the answer is of an earlier one. */
+bool store_era_note (FrontStore *store, int64_t era);
+/* To be called before rows of this version are applied. */
+void store_era_begin (Watch *watch, int64_t version);
+/* True while the operator may still write again what the store has lost. */
+bool store_era_is_settling (const Watch *watch);
+/* Applies what was left until then, once there was time to write again. */
+void store_era_tick (Watch *watch, int64_t now_ms);
+
 /* front_store.c */
 /* The list of fronts was read: polls the tables that waited for it. */
 void store_poll_waiting (FrontStore *store);
--- a/src/front_store_source.c
+++ b/src/front_store_source.c
@@ -90,8 +90,12 @@
 StoreSource
 store_choose_source (Watch *watch, int64_t now_ms)
 {
-  if (watch->id == STORE_MEMBERS || watch->last_key || is_history_lost (watch))
+  if (watch->id == STORE_MEMBERS || watch->last_key)
     return SOURCE_STORE;
+  if (is_history_lost (watch))
+    return watch->reads_again_at_peers && watch->peer_failures < PEER_FAILURES_MAX
+               ? choose_by_rank (watch, now_ms)
+               : SOURCE_STORE;
   if (!watch->loaded)
     return choose_at_start (watch, now_ms);
   if (store_is_sentinel (watch, now_ms) || watch->peer_failures >= PEER_FAILURES_MAX)
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -38,6 +38,7 @@
  * after that. */
 #define SENTINEL_WAIT_MS           1000
 #define SENTINEL_ANSWER_TIMEOUT_MS 500
+#define READ_AGAIN_MS              500 /* minimum milliseconds between two reads of a whole table */
 
 typedef struct
 {
@@ -67,7 +68,7 @@
   line = front_log_begin (lost ? FRONT_EVENT_STORE_LOST : FRONT_EVENT_STORE_BACK);
   front_log_text (line, "table", kinds[watch->id].name);
   front_log_number (line, "status", status);
-  front_log_number (line, "known", watch->table.version);
+  front_log_number (line, "known", store_version_number (watch->table.version));
   front_log_end (line);
 }
 
@@ -143,9 +144,13 @@
     store_page_add (watch, answer);
   if (more)
     return;
+  store_era_begin (watch, watch->pages.version);
   front_table_apply_snapshot (&watch->table, &watch->pages, kinds[watch->id].change, watch->store);
   pages_clear (watch);
   watch->loaded = true;
+  watch->reads_again_at_peers = false;
+  if (!watch->asked_peer)
+    watch->read_ms = clock_boot_ms ();
   store_apply_end (watch->store, watch->id);
 }
 
@@ -178,7 +183,7 @@
   front_log_text (line, "table", kinds[table].name);
   log_source (line, source);
   front_log_number (line, "waited_ms", clock_boot_ms () - asked_ms);
-  front_log_number (line, "known", store->watches[table].table.version);
+  front_log_number (line, "known", store_version_number (store->watches[table].table.version));
   front_log_number (line, "received", (int64_t)front_channel_received (channel));
   front_log_end (line);
   if (front_channel_received (channel) > 0)
@@ -204,8 +209,47 @@
 static bool
 answer_decode (const Watch *watch, const char *text, size_t len, StoreAnswer *answer)
 {
-  return watch->asked_peer ? front_store_decode_peer_answer (text, len, answer)
-                           : wire_store_decode (text, len, answer);
+  if (watch->asked_peer)
+    return front_store_decode_peer_answer (text, len, answer);
+  if (!wire_store_decode (text, len, answer))
+    return false;
+  store_answer_set_era (answer, watch->store->era);
+  return true;
+}
+
+/* The source lacks the changes since this front's version: reads all rows. A store that gives this
+ * answer again and again must not be read without pause. */
+static void
+read_again (Watch *watch)
+{
+  bool was_just_read = clock_boot_ms () - watch->read_ms < READ_AGAIN_MS;
+
+  watch->loaded = false;
+  if (watch->asked_peer)
+    watch->reads_again_at_peers = true;
+  if (!watch->asked_peer && was_just_read)
+    store_watch_schedule_poll (watch, READ_AGAIN_MS);
+  else
+    store_watch_poll (watch);
+}
+
+/* True if the answer is of another era of the store than the version that was asked with, and so
+ * doesn't follow it. */
+static bool
+is_era_mixed (const Watch *watch, const StoreAnswer *answer)
+{
+  return watch->asked_version != 0
+         && store_version_era (answer->version) != store_version_era (watch->asked_version);
+}
+
+/* Notes the era that the store names in its answer. False if the answer is of an earlier one, and
+ * the request has to be sent again. */
+static bool
+note_era (const Watch *watch)
+{
+  const HttpReply *reply = front_channel_answer (watch->channel);
+
+  return watch->asked_peer || !reply || store_era_note (watch->store, wire_store_era (reply));
 }
 
 static void
@@ -214,11 +258,14 @@
   Watch *watch = user;
   StoreAnswer answer;
 
-  if (status == STORE_HTTP_GONE && !watch->asked_peer)
+  if (!note_era (watch))
     {
-      /* The store no longer has the changes since this front's version: read all rows. */
-      watch->loaded = false;
-      store_watch_poll (watch);
+      handle_store_failure (watch, status);
+      return;
+    }
+  if (status == STORE_HTTP_GONE && (!watch->asked_peer || watch->loaded))
+    {
+      read_again (watch);
       return;
     }
   if (status == FRONT_ROWS_PENDING && watch->asked_peer)
@@ -232,7 +279,8 @@
       if (watch->asked_peer || front_channel_received (watch->channel) > 0)
         log_rows_failed (watch);
       /* That front no longer knows all removals since the first part: it is read again. */
-      if (watch->asked_peer && status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+      if (watch->asked_peer
+          && (status == HTTP_STATUS_SERVICE_UNAVAILABLE || status == STORE_HTTP_GONE))
         pages_clear (watch);
       if (watch->asked_peer)
         handle_peer_failure (watch);
@@ -246,10 +294,18 @@
     lost_set (watch, false, status);
   if (answer.clock_ms != 0)
     watch->store->clock_offset_ms = answer.clock_ms - clock_boot_ms ();
+  if (!watch->asked_peer && is_era_mixed (watch, &answer))
+    {
+      pages_clear (watch);
+      store_answer_clear (&answer);
+      read_again (watch);
+      return;
+    }
   if (!watch->loaded)
     load_page (watch, &answer);
   else
     {
+      store_era_begin (watch, answer.version);
       front_table_apply_changes (&watch->table, &answer, kinds[watch->id].change, watch->store);
       store_apply_end (watch->store, watch->id);
     }
@@ -328,7 +384,7 @@
 
   front_log_text (line, "table", kinds[watch->id].name);
   front_log_text (line, "cause", cause->name);
-  front_log_number (line, "known", watch->table.version);
+  front_log_number (line, "known", store_version_number (watch->table.version));
   front_log_number (line, "peer_failures", watch->peer_failures);
   front_log_number (line, "peers", front_peers_alive (watch->store->front->peers, watch->asked_ms));
   front_log_end (line);
@@ -351,7 +407,8 @@
   front_channel_set_address (watch->channel, &watch->store->address);
   front_channel_set_connect_timeout (watch->channel, 0);
   if (watch->loaded)
-    wire_changes_path (&path, kinds[watch->id].name, watch->table.version, wait_ms);
+    wire_changes_path (&path, kinds[watch->id].name, store_version_number (watch->table.version),
+                       wait_ms);
   else
     wire_snapshot_path (&path, kinds[watch->id].name, watch->last_key);
   front_channel_request (watch->channel, path.data, NULL,
@@ -372,6 +429,11 @@
     }
   watch->asked_ms = now_ms;
   watch->asked_peer = source == SOURCE_PEER;
+  /* A poll from a version of an earlier era may wait for what was written before. */
+  if (!watch->asked_peer && watch->table.version != 0
+      && store_version_era (watch->table.version) < watch->store->era)
+    watch->loaded = false;
+  watch->asked_version = watch->loaded ? watch->table.version : watch->pages.version;
   watch->is_short_poll = false;
   if (!watch->loaded)
     log_rows_asked (watch);
@@ -423,6 +485,7 @@
 load_cancel (Watch *watch)
 {
   watch->loaded = true;
+  watch->reads_again_at_peers = false;
   pages_clear (watch);
   front_channel_cancel (watch->channel);
   store_watch_schedule_poll (watch, 0);
@@ -434,6 +497,7 @@
 {
   if (answer->version <= watch->table.version)
     return;
+  store_era_begin (watch, answer->version);
   if (all)
     front_table_apply_snapshot (&watch->table, answer, kinds[watch->id].change, watch->store);
   else
@@ -462,3 +526,9 @@
   event_free (watch->poll_timer);
   front_table_clear (&watch->table);
 }
+
+const char *
+store_watch_name (const Watch *watch)
+{
+  return kinds[watch->id].name;
+}
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -47,9 +47,11 @@
   FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
   Buffer key = { 0 }, value = { 0 };
   const StoreRow *row;
+  int64_t expected;
 
   rollout_key (rollout, &key);
   row = front_table_find (table, key.data);
+  expected = row ? store_version_number (row->version) : 0;
   store->writing = rollout;
   store->writing_state = rollout->verdict;
   store->writing_started_ms = rollout->started_ms;
@@ -57,9 +59,9 @@
                               rollout->started_ms + store->clock_offset_ms);
   front_log_text (line, "key", key.data);
   front_log_text (line, "value", value.data);
-  front_log_number (line, "expected", row ? row->version : 0);
+  front_log_number (line, "expected", expected);
   front_log_end (line);
-  write_row (store, wire_table_status, key.data, &value, row ? row->version : 0);
+  write_row (store, wire_table_status, key.data, &value, expected);
   buffer_free (&key);
   buffer_free (&value);
 }
@@ -68,13 +70,17 @@
 store_on_written (void *user, int status, const char *text, size_t len)
 {
   FrontStore *store = user;
+  const HttpReply *reply = front_channel_answer (store->writer);
   StoreAnswer answer;
 
+  if (reply)
+    store_era_note (store, wire_store_era (reply));
   if ((status == STORE_HTTP_OK || status == STORE_HTTP_CONFLICT)
       && wire_store_decode (text, len, &answer))
     {
+      store_answer_set_era (&answer, store->era);
       if (store->registering && status == STORE_HTTP_OK)
-        front_peers_set_registered (store->front->peers);
+        front_peers_set_registered (store->front->peers, true);
       else if (status == STORE_HTTP_OK && store->writing)
         front_rollouts_apply_status (store->writing, store->writing->order.target,
                                      store->writing_state, answer.version, 0);
@@ -114,7 +120,10 @@
   store_member_list_tick (store, now_ms);
   store_settle_tick (store, now_ms);
   for (unsigned i = 0; i < STORE_TABLES; i++)
-    store_sentinel_tick (&store->watches[i], now_ms);
+    {
+      store_sentinel_tick (&store->watches[i], now_ms);
+      store_era_tick (&store->watches[i], now_ms);
+    }
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
       front_rollout_update_verdict (rollout, now_ms);
   if (front_channel_is_pending (store->writer) || now_ms < store->next_write_at_ms)
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -95,7 +95,8 @@
     table->removed_count--;
     entry_free (table, entry);
   }
-  table->removals_dropped_to = up_to;
+  if (up_to > table->removals_dropped_to)
+    table->removals_dropped_to = up_to;
 }
 
 /* Inserts the entry behind all of its version or an older one. Rows arrive in the order of their
@@ -133,12 +134,24 @@
   return entry;
 }
 
+/* True if the row was read again, as it was, after the store came back from a copy. */
+static bool
+is_unchanged (const TableEntry *entry, const StoreRow *row)
+{
+  return store_version_era (entry->row.version) < store_version_era (row->version)
+         && store_version_number (entry->row.version) == store_version_number (row->version)
+         && !entry->row.removed && !row->removed && entry->row.value_len == row->value_len
+         && memcmp (entry->row.value, row->value, row->value_len) == 0;
+}
+
 /* Returns the entry of the row's key. */
 static TableEntry *
 row_apply (FrontTable *table, StoreRow *row, TableChangeCallback change, void *user)
 {
   TableEntry *entry = find (table, row->key);
 
+  if (entry && is_unchanged (entry, row))
+    return entry;
   if (row->version > table->newest)
     table->newest = row->version;
   if (entry && row->version <= entry->row.version)
@@ -157,7 +170,28 @@
 bool
 front_table_keeps_changes_since (const FrontTable *table, int64_t since)
 {
-  return since >= table->removals_dropped_to;
+  bool is_known
+      = store_version_era (since) >= store_version_era (table->version) || since <= table->era_from;
+
+  return is_known && since >= table->removals_dropped_to;
+}
+
+bool
+front_table_is_new_era (const FrontTable *table, int64_t version)
+{
+  return store_version_era (version) > store_version_era (table->version);
+}
+
+/* What changed in the new era is known relative to what was known here before: to others only if
+ * they know no more than that. Of several eras only the last one's begin is remembered. */
+static void
+era_begin (FrontTable *table, int64_t version)
+{
+  if (table->version == 0 || !front_table_is_new_era (table, version))
+    return;
+  if (table->era_from != 0)
+    drop_removals (table, store_version (store_version_era (table->version), 0));
+  table->era_from = table->version;
 }
 
 static void
@@ -182,6 +216,7 @@
                            TableChangeCallback change,
                            void *user)
 {
+  era_begin (table, answer->version);
   for (unsigned i = 0; i < answer->count; i++)
     row_apply (table, &answer->rows[i], change, user);
   drop_old_removals (table);
@@ -217,8 +252,10 @@
                             TableChangeCallback change,
                             void *user)
 {
+  bool is_new_era = table->version != 0 && front_table_is_new_era (table, answer->version);
   TableEntry *entry, *next;
 
+  era_begin (table, answer->version);
   cds_list_for_each_entry (entry, &table->entries, node) entry->in_snapshot = false;
   qsort (answer->rows, answer->count, sizeof *answer->rows, compare_versions);
   for (unsigned i = 0; i < answer->count; i++)
@@ -229,7 +266,12 @@
         = { .key = memory_strdup (entry->row.key), .version = answer->version, .removed = true };
 
     if (!entry->row.removed && entry->row.version <= answer->version && !entry->in_snapshot)
-      row_remove (table, entry, &removal, change, user);
+      {
+        /* Other fronts are told of it as of a change: they ask for those since the last era. */
+        if (is_new_era)
+          table->newest = answer->version;
+        row_remove (table, entry, &removal, change, user);
+      }
     free (removal.key);
   }
   drop_old_removals (table);
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -25,6 +25,7 @@
                       version also rises without changes. */
   unsigned removed_count;
   int64_t removals_dropped_to; /**< removals up to this version were dropped */
+  int64_t era_from; /**< last version before the newest era began here; 0: there was none */
 } FrontTable;
 
 /** Called for each row that is new, changed or removed. */
@@ -38,11 +39,14 @@
                                 TableChangeCallback change,
                                 void *user);
 /** Applies a complete read of the table as of a version: rows missing in it are removed unless they
- *  are newer. Of several rows with one key the newest counts. */
+ *  are newer. Of several rows with one key the newest counts. In the first read of a new era, rows
+ *  that are as they were keep their version, so that other fronts need only the differences. */
 void front_table_apply_snapshot (FrontTable *table,
                                  StoreAnswer *answer,
                                  TableChangeCallback change,
                                  void *user);
+/** True if a version is of a later era of the store than the table. */
+bool front_table_is_new_era (const FrontTable *table, int64_t version);
 /** True if a change with this version, known elsewhere, is not known here. A complete read includes
  *  all changes up to its version, though it shows none of the removals. */
 bool front_table_is_behind (const FrontTable *table, int64_t newest_elsewhere);
--- /dev/null
+++ b/tests/test_front_era.c
@@ -0,0 +1,448 @@
+/** A store that comes back from a copy some seconds old: src/front_row.c, front_table.c,
+ *  front_store_era.c, front_store_watch.c, front_rollouts.c. */
+#include "front_peers_private.h"
+#include "front_socket.h"
+#include "front_store_private.h"
+#include "suite.h"
+#include "util_clock.h"
+#include "util_memory.h"
+#include "util_unused.h"
+#include "wire_store.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define KNOWN    50 /* version that is known when the store goes away */
+#define LISTEN   8  /* backlog */
+#define ROWS_MAX 500
+
+static char changes[400];
+
+static void
+record_change (void *user UNUSED, const StoreRow *row)
+{
+  size_t len = strlen (changes);
+
+  snprintf (changes + len, sizeof changes - len, "%s%s=%s ", row->removed ? "-" : "", row->key,
+            row->value ? row->value : "");
+}
+
+typedef struct
+{
+  const char *key;
+  const char *value; /* NULL: removed */
+  int64_t number;
+} Row;
+
+static StoreAnswer
+answer_of (int64_t era, int64_t number, const Row *rows, unsigned count)
+{
+  StoreAnswer answer = { .count = count, .version = number };
+
+  answer.rows = memory_array (count ? count : 1, sizeof *answer.rows);
+  for (unsigned i = 0; i < count; i++)
+    answer.rows[i] = (StoreRow){
+      .key = memory_strdup (rows[i].key),
+      .value = rows[i].value ? memory_strdup (rows[i].value) : NULL,
+      .value_len = rows[i].value ? strlen (rows[i].value) : 0,
+      .version = rows[i].number,
+      .removed = !rows[i].value,
+    };
+  store_answer_set_era (&answer, era);
+  return answer;
+}
+
+static void
+read_all (FrontTable *table, int64_t era, int64_t number, const Row *rows, unsigned count)
+{
+  StoreAnswer answer = answer_of (era, number, rows, count);
+
+  changes[0] = '\0';
+  front_table_apply_snapshot (table, &answer, record_change, NULL);
+  store_answer_clear (&answer);
+}
+
+static void
+read_changes (FrontTable *table, int64_t era, int64_t number, const Row *rows, unsigned count)
+{
+  StoreAnswer answer = answer_of (era, number, rows, count);
+
+  changes[0] = '\0';
+  front_table_apply_changes (table, &answer, record_change, NULL);
+  store_answer_clear (&answer);
+}
+
+static const Row before[] = { { "a", "1", 5 }, { "b", "1", 6 }, { "c", "1", 7 }, { "d", "1", 40 } };
+
+static void
+test_version_includes_era (void)
+{
+  int64_t version = store_version (3, 17);
+
+  CU_ASSERT_EQUAL (store_version_era (version), 3);
+  CU_ASSERT_EQUAL (store_version_number (version), 17);
+  CU_ASSERT (version > store_version (2, 900000000000));
+  CU_ASSERT_EQUAL (store_version (0, 17), 17);
+}
+
+/* A row that was written after the store's return has a version that was known before. It must not
+ * be taken for an old copy; a row that is as it was must not be applied again. */
+static void
+test_changes_of_new_era_are_newer (void)
+{
+  static const Row after[] = { { "a", "1", 5 }, { "b", "2", 6 }, { "c", "0", 3 }, { "e", "1", 8 } };
+  FrontTable table;
+
+  front_table_init (&table);
+  read_all (&table, 1, KNOWN, before, 4);
+  CU_ASSERT_STRING_EQUAL (changes, "a=1 b=1 c=1 d=1 ");
+  read_all (&table, 2, 8, after, 4);
+  CU_ASSERT_STRING_EQUAL (changes, "c=0 b=2 e=1 -d= ");
+  CU_ASSERT_EQUAL (table.version, store_version (2, 8));
+  read_changes (&table, 2, 9, &(Row){ "a", NULL, 9 }, 1);
+  CU_ASSERT_STRING_EQUAL (changes, "-a= ");
+  read_changes (&table, 1, KNOWN, &(Row){ "b", "old", 45 }, 1);
+  CU_ASSERT_STRING_EQUAL (changes, "");
+  front_table_clear (&table);
+}
+
+/* Other fronts get the differences only, if they knew no more than this one did before. Each of a
+ * thousand would read 10,000 rows otherwise. */
+static void
+test_differences_are_relayed (void)
+{
+  static const Row after[] = { { "a", "1", 5 }, { "b", "2", 6 }, { "c", "1", 7 } };
+  FrontTable table, other;
+  Buffer out = { 0 };
+  StoreAnswer answer;
+
+  front_table_init (&table);
+  front_table_init (&other);
+  read_all (&table, 1, KNOWN, before, 4);
+  read_all (&other, 1, KNOWN, before, 4);
+  read_all (&table, 2, 8, after, 3);
+  CU_ASSERT (table.newest > other.version);
+  CU_ASSERT (front_table_keeps_changes_since (&table, store_version (1, KNOWN)));
+  CU_ASSERT_FALSE (front_table_keeps_changes_since (&table, store_version (1, KNOWN + 1)));
+  wire_store_encode (&out, &table,
+                     &(StorePart){ .since = store_version (1, KNOWN), .rows_max = ROWS_MAX });
+  CU_ASSERT_FATAL (wire_store_decode (out.data, out.len, &answer));
+  changes[0] = '\0';
+  front_table_apply_changes (&other, &answer, record_change, NULL);
+  store_answer_clear (&answer);
+  CU_ASSERT_STRING_EQUAL (changes, "b=2 -d= ");
+  CU_ASSERT_EQUAL (other.version, table.version);
+  /* After one more era what was known in the first one no longer suffices. */
+  read_all (&table, 3, 8, after, 3);
+  CU_ASSERT (front_table_keeps_changes_since (&table, store_version (2, 8)));
+  CU_ASSERT_FALSE (front_table_keeps_changes_since (&table, store_version (2, 9)));
+  CU_ASSERT_FALSE (front_table_keeps_changes_since (&table, store_version (1, KNOWN)));
+  buffer_free (&out);
+  front_table_clear (&table);
+  front_table_clear (&other);
+}
+
+/* A front that follows the operator's table at a store on loopback. */
+typedef struct
+{
+  Front front;
+  FrontStore store;
+  FrontPeers peers;
+  Watch *watch;
+  int listener;
+  int connection;
+  char request[1024]; /* the last one that arrived */
+} Node;
+
+static Node *
+node_new (void)
+{
+  Node *node = memory_alloc (sizeof *node);
+  char text[32];
+
+  node->connection = -1;
+  node->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  snprintf (text, sizeof text, "127.0.0.1:%d", suite_free_port ());
+  CU_ASSERT_FATAL (front_socket_parse_address (text, &node->store.address));
+  CU_ASSERT_EQUAL_FATAL (
+      bind (node->listener, (struct sockaddr *)&node->store.address, sizeof node->store.address),
+      0);
+  CU_ASSERT_EQUAL_FATAL (listen (node->listener, LISTEN), 0);
+  node->front.base = event_base_new ();
+  node->front.store = &node->store;
+  node->front.peers = &node->peers;
+  node->front.rollouts = front_rollouts_new (NULL, 1);
+  node->front.servers = front_servers_new ("here");
+  node->peers.front = &node->front;
+  node->store.front = &node->front;
+  node->store.era = 1;
+  node->front.is_open = true;
+  for (unsigned i = 0; i < STORE_TABLES; i++)
+    front_table_init (&node->store.watches[i].table);
+  node->watch = &node->store.watches[STORE_OPERATOR];
+  store_watch_init (node->watch, &node->store, STORE_OPERATOR);
+  node->watch->loaded = true;
+  node->watch->table.version = store_version (1, KNOWN);
+  return node;
+}
+
+static void
+node_free (Node *node)
+{
+  store_watch_clear (node->watch);
+  front_rollouts_free (node->front.rollouts);
+  front_servers_free (node->front.servers);
+  event_base_free (node->front.base);
+  close (node->connection);
+  close (node->listener);
+  free (node);
+}
+
+static bool
+has_request (void *user)
+{
+  Node *node = user;
+  size_t len = strlen (node->request);
+  ssize_t got;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  if (node->connection < 0)
+    node->connection = accept4 (node->listener, NULL, NULL, SOCK_NONBLOCK);
+  got = read (node->connection, node->request + len, sizeof node->request - 1 - len);
+  if (got > 0)
+    node->request[len + (size_t)got] = '\0';
+  return strstr (node->request, "\r\n\r\n") != NULL;
+}
+
+static bool
+expect_request (Node *node, const char *part)
+{
+  bool found = suite_wait (has_request, node) && strstr (node->request, part);
+
+  if (!found)
+    printf ("no \"%s\" in \"%s\"\n", part, node->request);
+  node->request[0] = '\0';
+  return found;
+}
+
+static void
+answer (Node *node, int status, int64_t era, const char *body)
+{
+  char text[1024];
+  int len = snprintf (text, sizeof text,
+                      "HTTP/1.1 %d X\r\nStore-Era: %lld\r\nContent-Length: %zu\r\n\r\n%s", status,
+                      (long long)era, strlen (body), body);
+
+  CU_ASSERT_EQUAL (write (node->connection, text, (size_t)len), len);
+}
+
+/* The store has given out the known version again before the front asks, so that its answer is no
+ * 410. Its changes must not be applied to what was known before: those up to that version are
+ * missing in it. */
+static void
+test_answer_of_new_era_is_read_again (void)
+{
+  Node *node = node_new ();
+
+  store_watch_poll (node->watch);
+  CU_ASSERT (expect_request (node, "SinceRev=50"));
+  answer (node, 200, 2, "{\"Rows\":[],\"Ver\":55}");
+  CU_ASSERT (expect_request (node, "/v1/rows-get"));
+  CU_ASSERT_EQUAL (node->watch->table.version, store_version (1, KNOWN));
+  answer (node, 200, 2, "{\"Rows\":[{\"Key\":\"x\",\"Value\":\"MQ==\",\"Ver\":7}],\"Ver\":56}");
+  CU_ASSERT (expect_request (node, "SinceRev=56"));
+  CU_ASSERT_EQUAL (node->watch->table.version, store_version (2, 56));
+  CU_ASSERT (store_era_is_settling (node->watch));
+  node_free (node);
+}
+
+/* The era rises between two pages of a table, which must not be put together. */
+static void
+test_pages_of_two_eras_are_not_mixed (void)
+{
+  Node *node = node_new ();
+
+  node->watch->loaded = false;
+  store_watch_poll (node->watch);
+  CU_ASSERT (expect_request (node, "/v1/rows-get"));
+  answer (
+      node, 200, 1,
+      "{\"Rows\":[{\"Key\":\"x\",\"Value\":\"MQ==\",\"Ver\":7}],\"Ver\":60,\"MorePages\":true}");
+  CU_ASSERT (expect_request (node, "From=x"));
+  answer (node, 200, 2, "{\"Rows\":[{\"Key\":\"y\",\"Value\":\"MQ==\",\"Ver\":8}],\"Ver\":56}");
+  CU_ASSERT (expect_request (node, "Limit=500 HTTP"));
+  CU_ASSERT_EQUAL (node->watch->pages.count, 0);
+  node_free (node);
+}
+
+/* Another table's answer has shown the new era. A poll from a version of before would wait for
+ * seconds, without an answer that tells so. */
+static void
+test_no_poll_from_an_earlier_era (void)
+{
+  Node *node = node_new ();
+
+  node->store.era = 2;
+  store_watch_poll (node->watch);
+  CU_ASSERT (expect_request (node, "/v1/rows-get"));
+  node_free (node);
+}
+
+/* A store that answers 410 to each poll must not be read without pause: six fronts called it 1,300
+ * times a second. */
+static void
+test_reads_of_a_whole_table_have_a_pause (void)
+{
+  Node *node = node_new ();
+
+  store_watch_poll (node->watch);
+  CU_ASSERT (expect_request (node, "SinceRev=50"));
+  answer (node, 410, 1, "{}");
+  CU_ASSERT (expect_request (node, "/v1/rows-get"));
+  answer (node, 200, 1, "{\"Rows\":[],\"Ver\":50}");
+  CU_ASSERT (expect_request (node, "SinceRev=50"));
+  answer (node, 410, 1, "{}");
+  while (node->watch->loaded)
+    event_base_loop (node->front.base, EVLOOP_ONCE);
+  CU_ASSERT_FALSE (front_channel_is_pending (node->watch->channel));
+  CU_ASSERT (expect_request (node, "/v1/rows-get"));
+  node_free (node);
+}
+
+static void
+apply_operator (Node *node, const char *key, const char *value, int64_t version)
+{
+  StoreRow row = { .key = (char *)(uintptr_t)key,
+                   .value = (char *)(uintptr_t)value,
+                   .value_len = value ? strlen (value) : 0,
+                   .version = version,
+                   .removed = !value };
+
+  store_apply_operator (&node->store, &row);
+}
+
+static const char order_v2[] = "{\"Service\":\"drafts\",\"Target\":\"v2\",\"RampS\":20}";
+static const char order_v3[] = "{\"Service\":\"drafts\",\"Target\":\"v3\",\"RampS\":20}";
+
+/* Until the operator has written again, the store may lack an order or have an earlier one. A
+ * running roll-out must not end or begin anew for that; what the store has after that counts. */
+static void
+test_orders_are_kept_while_an_era_settles (void)
+{
+  Node *node = node_new ();
+  FrontRollout *rollout = front_rollouts_get (node->front.rollouts, "drafts");
+
+  apply_operator (node, "rollout/drafts", order_v3, store_version (1, 40));
+  rollout->started_ms = 7;
+  rollout->status_version = store_version (1, 41);
+  store_era_begin (node->watch, store_version (2, 30));
+  node->watch->table.version = store_version (2, 30);
+  apply_operator (node, "rollout/drafts", order_v2, store_version (2, 20));
+  apply_operator (node, "rollout/drafts", NULL, store_version (2, 30));
+  CU_ASSERT (rollout->ordered);
+  CU_ASSERT_STRING_EQUAL (rollout->order.target, "v3");
+  apply_operator (node, "rollout/drafts", order_v3, store_version (2, 31));
+  CU_ASSERT_EQUAL (rollout->started_ms, 7);
+  CU_ASSERT_EQUAL (rollout->order.row_version, store_version (2, 31));
+  CU_ASSERT_EQUAL (rollout->status_version, 0);
+  front_rollout_update_verdict (rollout, clock_boot_ms ());
+  CU_ASSERT (rollout->has_verdict);
+  store_era_tick (node->watch, node->watch->era_began_ms + STORE_RELIST_MS);
+  CU_ASSERT_FALSE (store_era_is_settling (node->watch));
+  apply_operator (node, "rollout/drafts", order_v2, store_version (2, 33));
+  CU_ASSERT_STRING_EQUAL (rollout->order.target, "v2");
+  apply_operator (node, "rollout/drafts", NULL, store_version (2, 34));
+  CU_ASSERT_FALSE (rollout->ordered);
+  node_free (node);
+}
+
+/* The store has lost the status of a finished roll-out, or has an earlier one. It must be written
+ * again: the operator waits for it, and a front that starts would begin the roll-out anew. */
+static void
+test_lost_final_status_is_written_again (void)
+{
+  Node *node = node_new ();
+  FrontRollout *rollout = front_rollouts_get (node->front.rollouts, "drafts");
+
+  apply_operator (node, "rollout/drafts", order_v2, store_version (1, 40));
+  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, store_version (1, 45), 0);
+  front_rollout_update_verdict (rollout, clock_boot_ms ());
+  CU_ASSERT_FALSE (rollout->has_verdict);
+  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, store_version (2, 41), 0);
+  front_rollout_update_verdict (rollout, clock_boot_ms ());
+  CU_ASSERT (rollout->has_verdict);
+  CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
+  CU_ASSERT_EQUAL (rollout->state, FRONT_ROLLOUT_COMPLETED);
+  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, store_version (2, 50), 0);
+  front_rollout_update_verdict (rollout, clock_boot_ms ());
+  CU_ASSERT_FALSE (rollout->has_verdict);
+  front_rollouts_status_removed (node->front.rollouts, "drafts");
+  front_rollout_update_verdict (rollout, clock_boot_ms ());
+  CU_ASSERT (rollout->has_verdict);
+  node_free (node);
+}
+
+/* The list of fronts may have lost this one, which has to register again. */
+static void
+test_front_registers_again (void)
+{
+  Node *node = node_new ();
+
+  front_peers_set_registered (&node->peers, true);
+  CU_ASSERT (store_era_note (&node->store, 1));
+  CU_ASSERT (front_peers_is_registered (&node->peers));
+  CU_ASSERT (store_era_note (&node->store, 2));
+  CU_ASSERT_FALSE (front_peers_is_registered (&node->peers));
+  CU_ASSERT_FALSE (store_era_note (&node->store, 1));
+  CU_ASSERT (store_era_note (&node->store, 0));
+  CU_ASSERT_EQUAL (node->store.era, 2);
+  node_free (node);
+}
+
+static int64_t
+era_of (const char *field)
+{
+  HttpReply reply;
+  char text[200];
+  int64_t era;
+
+  snprintf (text, sizeof text, "HTTP/1.1 410 Gone\r\n%s\r\nContent-Length: 0\r\n\r\n", field);
+  http_reply_init (&reply);
+  http_reply_feed (&reply, text, strlen (text));
+  era = wire_store_era (&reply);
+  http_reply_clear (&reply);
+  return era;
+}
+
+static void
+test_era_of_an_answer (void)
+{
+  CU_ASSERT_EQUAL (era_of ("Store-Era: 4"), 4);
+  CU_ASSERT_EQUAL (era_of ("store-era: 4"), 4);
+  CU_ASSERT_EQUAL (era_of ("X: 4"), 0);
+  CU_ASSERT_EQUAL (era_of ("Store-Era: -4"), 0);
+  CU_ASSERT_EQUAL (era_of ("Store-Era: many"), 0);
+  CU_ASSERT_EQUAL (era_of ("Store-Era: 900000000000000000"), 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const SuiteCase cases[] = {
+    { "version_includes_era", test_version_includes_era },
+    { "changes_of_new_era_are_newer", test_changes_of_new_era_are_newer },
+    { "differences_are_relayed", test_differences_are_relayed },
+    { "answer_of_new_era_is_read_again", test_answer_of_new_era_is_read_again },
+    { "pages_of_two_eras_are_not_mixed", test_pages_of_two_eras_are_not_mixed },
+    { "no_poll_from_an_earlier_era", test_no_poll_from_an_earlier_era },
+    { "reads_of_a_whole_table_have_a_pause", test_reads_of_a_whole_table_have_a_pause },
+    { "orders_are_kept_while_an_era_settles", test_orders_are_kept_while_an_era_settles },
+    { "lost_final_status_is_written_again", test_lost_final_status_is_written_again },
+    { "front_registers_again", test_front_registers_again },
+    { "era_of_an_answer", test_era_of_an_answer },
+  };
+
+  return suite_main (argc, argv, "front_era", cases, SUITE_COUNT (cases));
+}
