All running roll-outs are reported to other fronts, in turn

What callers would see: of three services or more that are rolled out at once, each front judges the new version of all but two by its own answers alone, so that a bad one reaches more callers.

A message held the first two running roll-outs of the list, always. It now begins at another one each time. Members, counts, sessions and failure domains already did. With six at once a report of a request on the old version is up to three rounds older than with two. all_rollouts_are_reported_in_turn failed before: three of five were never reported.

--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -13,7 +13,7 @@
 
 #define PEER_MESSAGE_MAX  1400 /**< bytes; fits one packet of any network */
 #define PEER_TABLES       3
-#define PEER_ROLLOUTS_MAX 2
+#define PEER_ROLLOUTS_MAX 2 /**< running ones in one message; others follow in the next ones */
 #define PEER_DEATHS_MAX   24
 #define PEER_FLIGHTS_MAX  32 /**< requests of all these deaths together */
 #define PEER_VERDICTS_MAX 8
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -79,6 +79,7 @@
   unsigned next_member;       /* first peer of the own failure domain in the next message's list */
   unsigned next_other_member; /* the same for other failure domains */
   unsigned next_domain;       /* first domain in the next message's list of sums */
+  unsigned next_rollout;      /* place of the first running roll-out in the next message */
   unsigned next_death;        /* turn of the next message's deaths and verdicts */
   double work_credit_bytes;   /* bytes that may be spent on work messages */
   int64_t work_ms;            /* time at which work_credit_bytes was computed */
@@ -178,6 +179,8 @@
 void peers_answer_starting (FrontPeers *peers, Peer *peer, int64_t now_ms);
 /* Adds the numbers of fronts of some failure domains in turn, and the own one's. */
 void peers_counts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
+/* Adds the running roll-outs, in turn if there are more than fit. */
+void peers_rollouts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
 /* Adds recent deaths of servers and the requests that are refused for them. */
 void peers_deaths_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
 /* Lists living fronts in turn, most of them of the own failure domain. */
--- a/src/front_peers_send.c
+++ b/src/front_peers_send.c
@@ -187,11 +187,31 @@
   peers->next_death++;
 }
 
+void
+peers_rollouts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
+{
+  struct cds_list_head *list = front_rollouts_list (peers->front->rollouts);
+  unsigned running = 0, place = 0;
+  FrontRollout *rollout;
+
+  cds_list_for_each_entry (rollout, list, node) running += front_rollout_is_running (rollout);
+  if (running <= PEER_ROLLOUTS_MAX)
+    peers->next_rollout = 0;
+  cds_list_for_each_entry (rollout, list, node)
+  {
+    if (!front_rollout_is_running (rollout))
+      continue;
+    if ((place + running - peers->next_rollout % running) % running < PEER_ROLLOUTS_MAX)
+      rollout_fill (peers, rollout, &message->rollouts[message->rollout_count++], now_ms);
+    place++;
+  }
+  peers->next_rollout += PEER_ROLLOUTS_MAX;
+}
+
 static void
 message_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
 {
   Front *front = peers->front;
-  FrontRollout *rollout;
 
   memset (message, 0, sizeof *message);
   message->incarnation = front->incarnation;
@@ -199,12 +219,7 @@
   for (unsigned i = 0; i < PEER_TABLES; i++)
     message->newest[i] = front_store_newest (front->store, (StoreTable)i);
   peers_counts_fill (peers, message, now_ms);
-  cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
-  {
-    if (!front_rollout_is_running (rollout) || message->rollout_count == PEER_ROLLOUTS_MAX)
-      continue;
-    rollout_fill (peers, rollout, &message->rollouts[message->rollout_count++], now_ms);
-  }
+  peers_rollouts_fill (peers, message, now_ms);
   peers_deaths_fill (peers, message, now_ms);
 }
 
--- a/tests/test_front_peers.c
+++ b/tests/test_front_peers.c
@@ -4,6 +4,7 @@
 #include "suite.h"
 #include "util_id.h"
 #include "util_memory.h"
+#include "util_span.h"
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -397,6 +398,47 @@
   check_sessions_are_held (1000);
 }
 
+/* More services are rolled out at once than a message has place for. Guards against messages with
+ * the first two of them only: a bad version of another service would be found by each front alone.
+ */
+static void
+test_all_rollouts_are_reported_in_turn (void)
+{
+  static const char *const services[] = { "drafts", "checks", "queries", "tags", "reports" };
+  Net *net = net_new (1, 1, 0);
+  FrontPeers *peers = &net->nodes[0].peers;
+  unsigned reports[SUITE_COUNT (services)] = { 0 };
+  Front front = { 0 };
+
+  hold_sessions (net, 0);
+  front.rollouts = net->nodes[0].rollouts;
+  CDS_INIT_LIST_HEAD (&front.requests);
+  peers->front = &front;
+  for (size_t i = 0; i < SUITE_COUNT (services); i++)
+    {
+      FrontRollout *rollout = front_rollouts_get (net->nodes[0].rollouts, services[i]);
+
+      rollout->ordered = true;
+      rollout->state = FRONT_ROLLOUT_RUNNING;
+    }
+  for (unsigned round = 0; round < 10; round++)
+    {
+      PeerMessage message = { 0 };
+
+      peers_rollouts_fill (peers, &message, NOW + (int64_t)round * ROUND_MS);
+      CU_ASSERT_EQUAL (message.rollout_count, PEER_ROLLOUTS_MAX);
+      for (uint32_t i = 0; i < message.rollout_count; i++)
+        {
+          for (size_t j = 0; j < SUITE_COUNT (services); j++)
+            reports[j] += message.rollouts[i].service == span_hash (span_of (services[j]));
+        }
+    }
+  for (size_t i = 0; i < SUITE_COUNT (services); i++)
+    CU_ASSERT (reports[i] >= 3);
+  front_sessions_free (net->nodes[0].sessions);
+  net_free (net);
+}
+
 /* Two services with eight routes each are rolled out at once over three failure domains, which is
  * more than fits one packet. A message that can't be encoded would not be sent, and no front would
  * learn of any other. */
@@ -439,6 +481,7 @@
   { "bad_version_is_known_within_three_rounds", test_bad_version_is_known_within_three_rounds },
   { "sessions_are_held_at_300_fronts", test_sessions_are_held_at_300_fronts },
   { "sessions_are_held_at_1000_fronts", test_sessions_are_held_at_1000_fronts },
+  { "all_rollouts_are_reported_in_turn", test_all_rollouts_are_reported_in_turn },
   { "oversized_message_is_shortened", test_oversized_message_is_shortened },
 };
 
