A server that became cold stays so while a new era of the store settles

What callers would see: a server that is cold again, as after an evacuation, is sent more than it takes, if the store then comes back from a copy of before: the entry in it says that the server is warm, until the server writes again. Found by reading what an older entry can undo; a configuration, a server that leaves and the orders were kept already.

cold_server_stays_cold_while_an_era_settles failed before. The soak now lets the store come back from copies of 0.5 to 6 s before, with draws of its own; the operator and the engines write again within a second.

--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -36,6 +36,7 @@
     def __init__(self, args):
         self.site = Site(args.program, fronts=args.fronts, engines=args.engines, seed=args.seed)
         self.random, self.notice_random = random.Random(args.seed), random.Random(~args.seed)
+        self.return_random = random.Random(f"returns {args.seed}")
         self.seconds, self.slack = args.seconds, args.slack
         self.narrow = args.narrow
         self.violations = []
@@ -168,6 +169,25 @@
             await self.limit_engine()
             await self.turn_away()
 
+    async def inject_returns(self):
+        """Lets the store come back from a copy, beside the other faults and with draws of its own."""
+        rng = self.return_random
+        while time.monotonic() < self.until:
+            copy = self.site.store.copy()
+            await asyncio.sleep(rng.uniform(0.5, 6))
+            names = [front.number for front in self.site.fronts] + ["store"]
+            self.disturb(*names)
+            for front in self.site.fronts:
+                front.store_endpoint.set("reset")
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            lost = self.site.store.restore(copy)
+            for front in self.site.fronts:
+                front.store_endpoint.set("ok")
+            await self.site.store.write_again(lost, rng.uniform(0, 1) / (len(lost) + 1))
+            self.disturb(*names)
+            self.count("returns of the store from a copy")
+            await asyncio.sleep(rng.uniform(4, 10))
+
     def was_told(self, run):
         """Whether the front that sent the run had passed on an answer with the engine's limit, and was neither stopped
         nor frozen since."""
@@ -384,7 +404,7 @@
 
     async def run(self, callers):
         await self.start()
-        tasks = [self.caller(number) for number in range(callers)] + [self.inject() for _ in range(4)] + [self.inject_notices()]
+        tasks = [self.caller(number) for number in range(callers)] + [self.inject() for _ in range(4)] + [self.inject_notices(), self.inject_returns()]
         results = await asyncio.gather(*tasks, return_exceptions=True)
         self.violations += [f"exception in the soak: {error!r}" for error in results if isinstance(error, Exception)]
         await self.clear_faults()
--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -117,12 +117,27 @@
         return dict(self.rows), list(self.changes), self.version, self.history_start
 
     def restore(self, copy):
-        """Comes back from a copy: what was written since is gone, and its versions are given out again."""
+        """Comes back from a copy: what was written since is gone, and its versions are given out again. Returns what the
+        operator and the engines have to write again: (table, key, value that is lost, value of the copy), None for no
+        row."""
         rows, changes, self.version, self.history_start = copy
+        lost = [
+            (*name, self.rows.get(name, (None,))[0], rows.get(name, (None,))[0])
+            for name in {**self.rows, **rows}
+            if name[0] in ("op", "servers") and self.rows.get(name, (None,))[0] != rows.get(name, (None,))[0]
+        ]  # fmt: skip
         self.rows, self.changes = dict(rows), list(changes)
         self.era += 1
         self.changed.set()
         self.changed = asyncio.Event()
+        return lost
+
+    async def write_again(self, lost, pause_s):
+        """Writes again what restore returned, with a pause before each row, unless it was written anew meanwhile."""
+        for table, key, value, copied in lost:
+            await asyncio.sleep(pause_s)
+            if self.rows.get((table, key), (None,))[0] == copied:
+                await self.put(table, key, value)
 
     def get(self, table, key):
         """Returns a row's value parsed as JSON, or None if there is no row."""
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -140,6 +140,28 @@
   front_log_end (line);
 }
 
+/* The entry may be of before the server became cold, until the server has written it again. */
+static void
+keep_cold (const FrontStore *store, ServerEntry *entry, int64_t now_ms)
+{
+  const FrontServer *known = front_servers_find (store->front->servers, entry->id);
+
+  if (store_era_is_settling (&store->watches[STORE_SERVERS]) && known
+      && known->cold_until_ms > now_ms + entry->cold_ms)
+    entry->cold_ms = known->cold_until_ms - now_ms;
+}
+
+static bool
+set_server (FrontStore *store, const StoreRow *row, ServerEntry *entry, bool *changed)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  if (!wire_server_decode (row->key, (Span){ .text = row->value, .len = row->value_len }, entry))
+    return false;
+  keep_cold (store, entry, now_ms);
+  return front_servers_set (store->front->servers, entry, now_ms, changed);
+}
+
 void
 store_apply_server (void *user, const StoreRow *row)
 {
@@ -155,9 +177,7 @@
       log_server (row->key, grace_ms > 0 ? "unconfirmed" : "gone", NULL, row->version);
       front_servers_remove (front->servers, row->key, now_ms, grace_ms);
     }
-  else if (!wire_server_decode (row->key, (Span){ .text = row->value, .len = row->value_len },
-                                &entry)
-           || !front_servers_set (front->servers, &entry, now_ms, &changed))
+  else if (!set_server (store, row, &entry, &changed))
     {
       /* Not written by the server itself. A living server's next report restores the entry. */
       log_server (row->key, "unreadable", NULL, row->version);
--- a/tests/test_front_era.c
+++ b/tests/test_front_era.c
@@ -311,6 +311,17 @@
   node_free (node);
 }
 
+static void
+apply_server (Node *node, const char *value, int64_t version)
+{
+  StoreRow row = { .key = (char *)(uintptr_t) "i-1",
+                   .value = (char *)(uintptr_t)value,
+                   .value_len = strlen (value),
+                   .version = version };
+
+  store_apply_server (&node->store, &row);
+}
+
 static void
 apply_operator (Node *node, const char *key, const char *value, int64_t version)
 {
@@ -323,6 +334,37 @@
   store_apply_operator (&node->store, &row);
 }
 
+/* A server that became cold again, as after an evacuation, has an entry of before that in the copy.
+ * It must stay cold until it has written again. */
+static void
+test_cold_server_stays_cold_while_an_era_settles (void)
+{
+  static const char entry[]
+      = "{\"Service\":\"drafts\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"here\","
+        "\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":%d,\"Seq\":1}";
+  Node *node = node_new ();
+  Watch *watch = &node->store.watches[STORE_SERVERS];
+  char cold[300], warm[300];
+  const FrontServer *server;
+
+  snprintf (cold, sizeof cold, entry, 20000);
+  snprintf (warm, sizeof warm, entry, 0);
+  CDS_INIT_LIST_HEAD (&node->front.requests);
+  watch->store = &node->store;
+  watch->id = STORE_SERVERS;
+  watch->table.version = store_version (1, KNOWN);
+  apply_server (node, cold, store_version (1, 40));
+  server = front_servers_find (node->front.servers, "i-1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  store_era_begin (watch, store_version (2, 30));
+  apply_server (node, warm, store_version (2, 30));
+  CU_ASSERT (server->cold_until_ms > clock_boot_ms () + 10000);
+  store_era_tick (watch, watch->era_began_ms + STORE_RELIST_MS);
+  apply_server (node, warm, store_version (2, 31));
+  CU_ASSERT (server->cold_until_ms <= clock_boot_ms ());
+  node_free (node);
+}
+
 static const char order_v2[] = "{\"Service\":\"drafts\",\"Target\":\"v2\",\"RampS\":20}";
 static const char order_v3[] = "{\"Service\":\"drafts\",\"Target\":\"v3\",\"RampS\":20}";
 
@@ -438,6 +480,8 @@
     { "pages_of_two_eras_are_not_mixed", test_pages_of_two_eras_are_not_mixed },
     { "no_poll_from_an_earlier_era", test_no_poll_from_an_earlier_era },
     { "reads_of_a_whole_table_have_a_pause", test_reads_of_a_whole_table_have_a_pause },
+    { "cold_server_stays_cold_while_an_era_settles",
+      test_cold_server_stays_cold_while_an_era_settles },
     { "orders_are_kept_while_an_era_settles", test_orders_are_kept_while_an_era_settles },
     { "lost_final_status_is_written_again", test_lost_final_status_is_written_again },
     { "front_registers_again", test_front_registers_again },
