Requests that crash servers stay refused although all fronts restart

What callers would see: all fronts are killed after servers died under a request, which then takes three more servers at each front that gets it.

Fronts told each other what they refuse, and no one else. A row of the status table, which all fronts follow anyway, now has the requests refused for a second or longer with the end of each by the store's clock, 32 at most; the first front by rank writes it, under a condition. A front that has no time of the store yet neither reads nor writes it; others tell it. If the store loses the row it is written again. The cases wait three seconds after a restart, as fronts are held to the bound only from then on.

--- a/regress/front/cases_crash.py
+++ b/regress/front/cases_crash.py
@@ -17,7 +17,7 @@
 ENGINE_DELAY_S = 1.5  # until an engine's answer begins: requests overlap many deaths
 CRASH_DELAY_S = 0.15  # until an engine has read the crashing request's prompt and crashes
 CALLS_PER_S = 120
-APPLY_S = 3.0  # after this from the third death, no front sends the request again
+APPLY_S = 3.0  # after this from the third death, or from its own start, no front sends the request again
 RETRIES_MAX = 3  # except so many
 
 
@@ -62,14 +62,14 @@
 
 async def send_in_waves(site, disturb):
     """The request reaches all fronts within a second, then disturb(site) is called, and it reaches all fronts again
-    five seconds after the first wave. Raises AssertionError if it was sent to servers again too often."""
+    five seconds after the first wave, or three after disturb returned. Raises AssertionError if it was sent to servers again too often."""
     await grow(site)
-    load = asyncio.ensure_future(background(site, time.monotonic() + 9))
+    load = asyncio.ensure_future(background(site, time.monotonic() + 11))
     await asyncio.sleep(2)
     await send_to_all(site, site.fronts, 1.0)
     await disturb(site)
     third = crash_times(site)[2]
-    await asyncio.sleep(third + 5 - time.monotonic())
+    await asyncio.sleep(max(third + 5 - time.monotonic(), APPLY_S))
     await send_to_all(site, site.fronts, 1.0)
     await load
     at = crash_times(site)
@@ -104,7 +104,26 @@
     await send_in_waves(site, restart_some)
 
 
-CASES = [fronts_agree_on_crashing_request, restarted_fronts_refuse_crashing_request]
+async def all_fronts_restart_and_refuse_crashing_request(site):
+    """All fronts are killed between two waves of the request, so that only the store knows of it. Guards against
+    fronts that forget it together."""
+
+    async def restart_all(_):
+        await asyncio.sleep(2)
+        for front in site.fronts:
+            await front.kill()
+        for front in site.fronts:
+            await front.start()
+        for front in site.fronts:
+            await site.wait(front.is_ready, f"front {front.number} ready")
+
+    await send_in_waves(site, restart_all)
+
+
+CASES = [
+    fronts_agree_on_crashing_request, restarted_fronts_refuse_crashing_request,
+    all_fronts_restart_and_refuse_crashing_request,
+]  # fmt: skip
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/src/front_peers_send.c
+++ b/src/front_peers_send.c
@@ -195,6 +195,8 @@
   FrontRollout *rollout;
 
   cds_list_for_each_entry (rollout, list, node) running += front_rollout_is_running (rollout);
+  if (running == 0)
+    return;
   if (running <= PEER_ROLLOUTS_MAX)
     peers->next_rollout = 0;
   cds_list_for_each_entry (rollout, list, node)
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -199,6 +199,8 @@
   FrontRollout *rollout;
   int64_t started_ms;
 
+  if (strcmp (row->key, wire_key_refused) == 0 && !row->removed)
+    store_refused_apply (store, row);
   if (!has_prefix (row->key, wire_key_rollout))
     return;
   if (row->removed)
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -62,6 +62,8 @@
   int64_t writing_started_ms;
   bool settled;             /* FRONT_SETTLED_MS have passed since the start */
   bool registering;         /* this front's address is being written */
+  bool writing_refused;     /* the row of refused requests is being written */
+  int64_t refused_since_ms; /* since when it lacks one that is refused here; 0: it lacks none */
   int64_t clock_offset_ms;  /* the store's clock minus this front's */
   int64_t next_write_at_ms; /* earliest time of a write after a failed one */
 };
@@ -125,6 +127,21 @@
 bool store_is_sentinel (const Watch *watch, int64_t now_ms);
 
 /* front_store_write.c */
+/* Milliseconds between two fronts' attempts at the same write, and from a failed write to the next
+ * one. */
+#define STORE_RANK_DELAY_MS 300
 void store_on_written (void *user, int status, const char *text, size_t len);
+/* Writes a row of the status table; row: as it is known here, NULL if it isn't there. */
+void store_write_status_row (FrontStore *store,
+                             const char *key,
+                             const Buffer *value,
+                             const StoreRow *row);
+
+/* front_store_refused.c */
+/* Refuses the requests that the row lists. */
+void store_refused_apply (FrontStore *store, const StoreRow *row);
+/* Writes the row if it lacks a request that is refused here, and this front's turn has come. True
+ * if a write has begun. */
+bool store_refused_write (FrontStore *store, int64_t now_ms);
 
 #endif
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -8,10 +8,6 @@
 #include "wire_rollout.h"
 #include "wire_store.h"
 
-/* Milliseconds between two fronts' attempts at the same write, and from a failed write to the next
- * one. */
-#define RANK_DELAY_MS 300
-
 static void
 write_row (FrontStore *store,
            const char *table,
@@ -34,6 +30,15 @@
   buffer_free (&body);
 }
 
+void
+store_write_status_row (FrontStore *store,
+                        const char *key,
+                        const Buffer *value,
+                        const StoreRow *row)
+{
+  write_row (store, wire_table_status, key, value, row ? store_version_number (row->version) : 0);
+}
+
 static void
 rollout_key (const FrontRollout *rollout, Buffer *out)
 {
@@ -47,11 +52,9 @@
   FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
   Buffer key = { 0 }, value = { 0 };
   const StoreRow *row;
-  int64_t expected;
 
   rollout_key (rollout, &key);
   row = front_table_find (table, key.data);
-  expected = row ? store_version_number (row->version) : 0;
   store->writing = rollout;
   store->writing_state = rollout->verdict;
   store->writing_started_ms = rollout->started_ms;
@@ -59,9 +62,9 @@
                               rollout->started_ms + store->clock_offset_ms);
   front_log_text (line, "key", key.data);
   front_log_text (line, "value", value.data);
-  front_log_number (line, "expected", expected);
+  front_log_number (line, "expected", row ? store_version_number (row->version) : 0);
   front_log_end (line);
-  write_row (store, wire_table_status, key.data, &value, expected);
+  store_write_status_row (store, key.data, &value, row);
   buffer_free (&key);
   buffer_free (&value);
 }
@@ -84,7 +87,8 @@
       else if (status == STORE_HTTP_OK && store->writing)
         front_rollouts_apply_status (store->writing, store->writing->order.target,
                                      store->writing_state, answer.version, 0);
-      else if (store->writing) /* another front wrote first; the answer contains its row */
+      else if (store->writing || store->writing_refused) /* another front wrote first; the answer
+                                                            contains its row */
         front_table_apply_changes (&store->watches[STORE_STATUS].table,
                                    &(StoreAnswer){ .count = answer.count, .rows = answer.rows },
                                    store_apply_status, store);
@@ -92,11 +96,12 @@
     }
   else
     {
-      store->next_write_at_ms = clock_boot_ms () + RANK_DELAY_MS;
+      store->next_write_at_ms = clock_boot_ms () + STORE_RANK_DELAY_MS;
       front_counter_add (FRONT_COUNTER_STORE_ERRORS);
     }
   store->registering = false;
   store->writing = NULL;
+  store->writing_refused = false;
 }
 
 static void
@@ -132,11 +137,13 @@
   {
     unsigned rank = front_peers_rank (front->peers, rollout->service_hash, now_ms);
 
-    if (!rollout->has_verdict || now_ms - rollout->verdict_ms < (int64_t)rank * RANK_DELAY_MS)
+    if (!rollout->has_verdict || now_ms - rollout->verdict_ms < (int64_t)rank * STORE_RANK_DELAY_MS)
       continue;
     write_status (store, rollout);
     return;
   }
+  if (store_refused_write (store, now_ms))
+    return;
   if (store->settled && front->config && !front_peers_is_registered (front->peers)
       && front_peers_is_registrar (front->peers, now_ms))
     register_self (store);
