--- a/src/choose_quarantine.c
+++ b/src/choose_quarantine.c
@@ -13,7 +13,7 @@
   .outage_ms = 120000,
   .same_death_ms = 5000,
   .hold_ms = 3600000,
-  .settle_ms = INT64_MAX,
+  .final_after_ms = INT64_MAX,
 };
 
 Quarantine *
@@ -219,7 +219,7 @@
 }
 
 void
-quarantine_settle (Quarantine *quarantine, int64_t now_ms)
+quarantine_make_final (Quarantine *quarantine, int64_t now_ms)
 {
   unsigned i;
 
@@ -227,8 +227,8 @@
     {
       QuarantineEntry *held = &quarantine->held[i];
 
-      held->settled
-          |= held->fingerprint != 0 && now_ms - held->since_ms >= quarantine->settings.settle_ms;
+      held->is_final |= held->fingerprint != 0
+                        && now_ms - held->since_ms >= quarantine->settings.final_after_ms;
     }
 }
 
@@ -249,7 +249,7 @@
       counts = count_deaths (quarantine, held->fingerprint);
       /* If all deaths that include it have expired, it stays refused until until_ms. */
       if (held->until_ms > now_ms
-          && (held->settled || counts.servers == 0 || counts.others < counts.servers))
+          && (held->is_final || counts.servers == 0 || counts.others < counts.servers))
         continue;
       *held = (QuarantineEntry){ .fingerprint = 0 };
       atomic_fetch_sub (&quarantine->held_count, 1);
@@ -368,7 +368,7 @@
       if (is_cause (quarantine, death->flights[i]))
         quarantine_request (quarantine, death->flights[i], now_ms);
     }
-  quarantine_settle (quarantine, now_ms);
+  quarantine_make_final (quarantine, now_ms);
   review_entries (quarantine, now_ms);
   pthread_mutex_unlock (&quarantine->lock);
   return changed;
--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -17,10 +17,10 @@
   unsigned servers;     /**< different servers that must have died while running a fingerprint */
   int64_t retention_ms; /**< how long deaths are kept */
   int64_t outage_ms; /**< deaths this close together may have a common cause other than a request */
-  int64_t same_death_ms; /**< reports of one server's death this close together are the same */
-  int64_t hold_ms;       /**< how long a fingerprint stays refused */
-  int64_t settle_ms; /**< after being refused for so long, a fingerprint is no longer released by
-                        deaths that don't include it; INT64_MAX: it always is */
+  int64_t same_death_ms;  /**< reports of one server's death this close together are the same */
+  int64_t hold_ms;        /**< how long a fingerprint stays refused */
+  int64_t final_after_ms; /**< after being refused for so long, a fingerprint is no longer released
+                        by deaths that don't include it; INT64_MAX: it always is */
 } QuarantineSettings;
 
 extern const QuarantineSettings quarantine_settings_default;
@@ -39,7 +39,7 @@
 {
   uint64_t fingerprint;
   uint32_t left_ms; /**< for how much longer */
-} QuarantineVerdict;
+} QuarantineRefusal;
 
 /** Limits of what one message reports of recent deaths. */
 typedef struct
@@ -47,7 +47,7 @@
   unsigned deaths;
   unsigned flights; /**< fingerprints of all these deaths together */
   int64_t age_ms;   /**< of the oldest death that is reported */
-} QuarantineNewsLimit;
+} QuarantineReportLimit;
 
 /** What the known deaths say of a fingerprint. */
 typedef struct
@@ -75,22 +75,22 @@
 quarantine_evidence (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /** Refuses a fingerprint that another VM does. */
 void
-quarantine_add_verdict (Quarantine *quarantine, const QuarantineVerdict *verdict, int64_t now_ms);
+quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms);
 /** Copies up to max fingerprints that are refused and no longer released; returns their number. If
  *  there are more, each turn begins at another one. */
-size_t quarantine_verdicts (Quarantine *quarantine,
-                            QuarantineVerdict *out,
+size_t quarantine_refusals (Quarantine *quarantine,
+                            QuarantineRefusal *out,
                             size_t max,
                             unsigned turn,
                             int64_t now_ms);
 /** Copies recent deaths to report to other VMs; returns their number. Deaths whose fingerprints
  *  were at the most deaths come first, and of each death these fingerprints. What exceeds the
  *  limit comes in other turns. */
-size_t quarantine_news (Quarantine *quarantine,
-                        QuarantineDeath *out,
-                        const QuarantineNewsLimit *limit,
-                        unsigned turn,
-                        int64_t now_ms);
+size_t quarantine_report (Quarantine *quarantine,
+                          QuarantineDeath *out,
+                          const QuarantineReportLimit *limit,
+                          unsigned turn,
+                          int64_t now_ms);
 /** Copies up to max deaths to report to other VMs, newest first; returns their number. */
 size_t
 quarantine_recent_deaths (Quarantine *quarantine, QuarantineDeath *out, size_t max, int64_t now_ms);
--- a/src/choose_quarantine_private.h
+++ b/src/choose_quarantine_private.h
@@ -21,7 +21,7 @@
   uint64_t fingerprint; /**< 0: free */
   int64_t until_ms;
   int64_t since_ms;
-  bool settled; /**< not released by other deaths any more */
+  bool is_final; /**< not released by other deaths any more */
 } QuarantineEntry;
 
 struct Quarantine
@@ -39,7 +39,7 @@
 /* Refuses the fingerprint from now on. */
 void quarantine_request (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /* Marks the entries that are no longer released. */
-void quarantine_settle (Quarantine *quarantine, int64_t now_ms);
+void quarantine_make_final (Quarantine *quarantine, int64_t now_ms);
 void quarantine_drop_expired (Quarantine *quarantine, int64_t now_ms);
 
 #endif
--- a/src/choose_quarantine_news.c
+++ b/src/choose_quarantine_report.c
@@ -4,29 +4,29 @@
 #include <stdlib.h>
 
 void
-quarantine_add_verdict (Quarantine *quarantine, const QuarantineVerdict *verdict, int64_t now_ms)
+quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms)
 {
   QuarantineEntry *held;
 
-  if (verdict->fingerprint == 0 || verdict->left_ms == 0
-      || verdict->left_ms > quarantine->settings.hold_ms)
+  if (refusal->fingerprint == 0 || refusal->left_ms == 0
+      || refusal->left_ms > quarantine->settings.hold_ms)
     return;
   pthread_mutex_lock (&quarantine->lock);
   /* The time left is not taken from a later report: it includes the transfer's delay, and two VMs
-   * would prolong each other's verdict without end. */
-  if (!quarantine_is_held (quarantine, verdict->fingerprint, now_ms))
+   * would prolong each other's refusal without end. */
+  if (!quarantine_is_held (quarantine, refusal->fingerprint, now_ms))
     {
-      quarantine_request (quarantine, verdict->fingerprint, now_ms);
-      held = quarantine_entry (quarantine, verdict->fingerprint);
-      held->until_ms = now_ms + verdict->left_ms;
+      quarantine_request (quarantine, refusal->fingerprint, now_ms);
+      held = quarantine_entry (quarantine, refusal->fingerprint);
+      held->until_ms = now_ms + refusal->left_ms;
     }
-  quarantine_entry (quarantine, verdict->fingerprint)->settled = true;
+  quarantine_entry (quarantine, refusal->fingerprint)->is_final = true;
   pthread_mutex_unlock (&quarantine->lock);
 }
 
 size_t
-quarantine_verdicts (Quarantine *quarantine,
-                     QuarantineVerdict *out,
+quarantine_refusals (Quarantine *quarantine,
+                     QuarantineRefusal *out,
                      size_t max,
                      unsigned turn,
                      int64_t now_ms)
@@ -37,14 +37,14 @@
   if (atomic_load (&quarantine->held_count) == 0)
     return 0;
   pthread_mutex_lock (&quarantine->lock);
-  quarantine_settle (quarantine, now_ms);
+  quarantine_make_final (quarantine, now_ms);
   for (i = 0; i < QUARANTINE_HELD_MAX && count < max; i++)
     {
       const QuarantineEntry *held = &quarantine->held[(turn * max + i) % QUARANTINE_HELD_MAX];
 
-      if (held->fingerprint == 0 || !held->settled || held->until_ms <= now_ms)
+      if (held->fingerprint == 0 || !held->is_final || held->until_ms <= now_ms)
         continue;
-      out[count++] = (QuarantineVerdict){
+      out[count++] = (QuarantineRefusal){
         .fingerprint = held->fingerprint,
         .left_ms = (uint32_t)(held->until_ms - now_ms),
       };
@@ -68,15 +68,15 @@
   uint64_t draw;
   unsigned death; /* index */
   unsigned rank;  /* highest of its flights */
-} NewsDeath;
+} ReportedDeath;
 
 typedef struct
 {
   size_t death_count;
-  NewsDeath deaths[QUARANTINE_DEATHS_MAX];
+  ReportedDeath deaths[QUARANTINE_DEATHS_MAX];
   size_t flight_count;
   Flight flights[QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX];
-} News;
+} Ranking;
 
 static uint64_t
 draw (uint64_t subject, unsigned turn)
@@ -105,7 +105,7 @@
 static int
 death_order (const void *a, const void *b)
 {
-  const NewsDeath *x = a, *y = b;
+  const ReportedDeath *x = a, *y = b;
 
   if (x->rank != y->rank)
     return x->rank > y->rank ? -1 : 1;
@@ -114,7 +114,7 @@
 
 static void
 collect_recent (const Quarantine *quarantine,
-                News *news,
+                Ranking *ranking,
                 int64_t age_ms,
                 unsigned turn,
                 int64_t now_ms)
@@ -127,10 +127,10 @@
 
       if (death->server == 0 || now_ms - death->at_ms > age_ms)
         continue;
-      news->deaths[news->death_count++]
-          = (NewsDeath){ .draw = draw (death->server, turn), .death = i };
+      ranking->deaths[ranking->death_count++]
+          = (ReportedDeath){ .draw = draw (death->server, turn), .death = i };
       for (j = 0; j < death->count; j++)
-        news->flights[news->flight_count++] = (Flight){
+        ranking->flights[ranking->flight_count++] = (Flight){
           .fingerprint = death->flights[j],
           .draw = draw (death->flights[j] ^ death->server, turn),
           .death = i,
@@ -140,38 +140,38 @@
 
 /* Ranks fingerprints by the number of deaths that include them, and deaths by their highest one. */
 static void
-rank_news (News *news)
+rank_all (Ranking *ranking)
 {
   size_t first = 0, i, j;
   unsigned highest[QUARANTINE_DEATHS_MAX] = { 0 };
 
-  qsort (news->flights, news->flight_count, sizeof *news->flights, by_fingerprint);
-  for (i = 1; i <= news->flight_count; i++)
+  qsort (ranking->flights, ranking->flight_count, sizeof *ranking->flights, by_fingerprint);
+  for (i = 1; i <= ranking->flight_count; i++)
     {
-      if (i < news->flight_count
-          && news->flights[i].fingerprint == news->flights[first].fingerprint)
+      if (i < ranking->flight_count
+          && ranking->flights[i].fingerprint == ranking->flights[first].fingerprint)
         continue;
       for (j = first; j < i; j++)
         {
           unsigned rank = (unsigned)(i - first);
 
-          news->flights[j].rank = rank;
-          if (rank > highest[news->flights[j].death])
-            highest[news->flights[j].death] = rank;
+          ranking->flights[j].rank = rank;
+          if (rank > highest[ranking->flights[j].death])
+            highest[ranking->flights[j].death] = rank;
         }
       first = i;
     }
-  for (i = 0; i < news->death_count; i++)
-    news->deaths[i].rank = highest[news->deaths[i].death];
-  qsort (news->deaths, news->death_count, sizeof *news->deaths, death_order);
-  qsort (news->flights, news->flight_count, sizeof *news->flights, flight_order);
+  for (i = 0; i < ranking->death_count; i++)
+    ranking->deaths[i].rank = highest[ranking->deaths[i].death];
+  qsort (ranking->deaths, ranking->death_count, sizeof *ranking->deaths, death_order);
+  qsort (ranking->flights, ranking->flight_count, sizeof *ranking->flights, flight_order);
 }
 
 static size_t
 report (const Quarantine *quarantine,
-        News *news,
+        Ranking *ranking,
         QuarantineDeath *out,
-        const QuarantineNewsLimit *limit,
+        const QuarantineReportLimit *limit,
         int64_t now_ms)
 {
   int places[QUARANTINE_DEATHS_MAX];
@@ -180,41 +180,41 @@
 
   for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
     places[i] = -1;
-  for (; count < news->death_count && count < limit->deaths; count++)
+  for (; count < ranking->death_count && count < limit->deaths; count++)
     {
-      const Death *death = &quarantine->deaths[news->deaths[count].death];
+      const Death *death = &quarantine->deaths[ranking->deaths[count].death];
 
-      places[news->deaths[count].death] = (int)count;
+      places[ranking->deaths[count].death] = (int)count;
       out[count] = (QuarantineDeath){ .server = death->server,
                                       .age_ms = (uint32_t)(now_ms - death->at_ms) };
     }
-  for (i = 0; i < news->flight_count && flights < limit->flights; i++)
+  for (i = 0; i < ranking->flight_count && flights < limit->flights; i++)
     {
-      int place = places[news->flights[i].death];
+      int place = places[ranking->flights[i].death];
 
       if (place < 0)
         continue;
-      out[place].flights[out[place].count++] = news->flights[i].fingerprint;
+      out[place].flights[out[place].count++] = ranking->flights[i].fingerprint;
       flights++;
     }
   return count;
 }
 
 size_t
-quarantine_news (Quarantine *quarantine,
-                 QuarantineDeath *out,
-                 const QuarantineNewsLimit *limit,
-                 unsigned turn,
-                 int64_t now_ms)
+quarantine_report (Quarantine *quarantine,
+                   QuarantineDeath *out,
+                   const QuarantineReportLimit *limit,
+                   unsigned turn,
+                   int64_t now_ms)
 {
-  News news;
+  Ranking ranking;
   size_t count;
 
-  news.death_count = news.flight_count = 0;
+  ranking.death_count = ranking.flight_count = 0;
   pthread_mutex_lock (&quarantine->lock);
-  collect_recent (quarantine, &news, limit->age_ms, turn, now_ms);
-  rank_news (&news);
-  count = report (quarantine, &news, out, limit, now_ms);
+  collect_recent (quarantine, &ranking, limit->age_ms, turn, now_ms);
+  rank_all (&ranking);
+  count = report (quarantine, &ranking, out, limit, now_ms);
   pthread_mutex_unlock (&quarantine->lock);
   return count;
 }
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -40,12 +40,12 @@
 }
 
 const QuarantineSettings front_quarantine_settings = {
-  .servers = 3,          /* two may die by coincidence during one caller's retries */
-  .retention_ms = 60000, /* callers retry such a request within seconds */
-  .outage_ms = 1000,     /* servers of one rack die together */
-  .same_death_ms = 3000, /* a dead server restarts within seconds, under another id */
-  .hold_ms = 120000,     /* also where the request comes again only after a minute */
-  .settle_ms = 1000,     /* by then the deaths of a common outage are known */
+  .servers = 3,           /* two may die by coincidence during one caller's retries */
+  .retention_ms = 60000,  /* callers retry such a request within seconds */
+  .outage_ms = 1000,      /* servers of one rack die together */
+  .same_death_ms = 3000,  /* a dead server restarts within seconds, under another id */
+  .hold_ms = 120000,      /* also where the request comes again only after a minute */
+  .final_after_ms = 1000, /* by then the deaths of a common outage are known */
 };
 
 /* Deaths of a request from which it is logged and reported at once: one death has many requests of
@@ -108,17 +108,17 @@
 }
 
 void
-front_deaths_verdict_told (Front *front, const QuarantineVerdict *verdict, int64_t now_ms)
+front_deaths_refusal_told (Front *front, const QuarantineRefusal *refusal, int64_t now_ms)
 {
-  bool was_held = quarantine_contains (front->quarantine, verdict->fingerprint, now_ms);
+  bool was_held = quarantine_contains (front->quarantine, refusal->fingerprint, now_ms);
   FrontLine *line;
 
-  quarantine_add_verdict (front->quarantine, verdict, now_ms);
-  if (was_held || !quarantine_contains (front->quarantine, verdict->fingerprint, now_ms))
+  quarantine_add_refusal (front->quarantine, refusal, now_ms);
+  if (was_held || !quarantine_contains (front->quarantine, refusal->fingerprint, now_ms))
     return;
   front_peers_send_soon (front->peers);
-  line = log_begin ("told", verdict->fingerprint);
-  front_log_number (line, "left_ms", verdict->left_ms);
+  line = log_begin ("told", refusal->fingerprint);
+  front_log_number (line, "left_ms", refusal->left_ms);
   front_log_end (line);
 }
 
--- a/src/front_deaths.h
+++ b/src/front_deaths.h
@@ -14,7 +14,7 @@
 /** Adds what another front knows of a server's death. */
 void front_deaths_told (Front *front, const QuarantineDeath *death, int64_t now_ms);
 /** Refuses a request as another front does. */
-void front_deaths_verdict_told (Front *front, const QuarantineVerdict *verdict, int64_t now_ms);
+void front_deaths_refusal_told (Front *front, const QuarantineRefusal *refusal, int64_t now_ms);
 /** Checks a server that has cut the connection on which it was running this request. */
 void front_deaths_check (Front *front, FrontServer *server, uint64_t fingerprint);
 
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -114,13 +114,13 @@
       if (!xdr_death (xdr, &message->deaths[i]))
         return FALSE;
     }
-  if (!xdr_list_length (xdr, &message->verdict_count, PEER_VERDICTS_MAX))
+  if (!xdr_list_length (xdr, &message->refusal_count, PEER_REFUSALS_MAX))
     return FALSE;
-  for (unsigned i = 0; i < message->verdict_count; i++)
+  for (unsigned i = 0; i < message->refusal_count; i++)
     {
-      QuarantineVerdict *verdict = &message->verdicts[i];
+      QuarantineRefusal *refusal = &message->refusals[i];
 
-      if (!xdr_hash (xdr, &verdict->fingerprint) || !xdr_uint32_t (xdr, &verdict->left_ms))
+      if (!xdr_hash (xdr, &refusal->fingerprint) || !xdr_uint32_t (xdr, &refusal->left_ms))
         return FALSE;
     }
   if (!xdr_list_length (xdr, &message->member_count, PEER_MEMBERS_MAX))
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -16,7 +16,7 @@
 #define PEER_ROLLOUTS_MAX 2 /**< running ones in one message; others follow in the next ones */
 #define PEER_DEATHS_MAX   24
 #define PEER_FLIGHTS_MAX  32 /**< requests of all these deaths together */
-#define PEER_VERDICTS_MAX 8
+#define PEER_REFUSALS_MAX 8
 #define PEER_MEMBERS_MAX  96 /**< fronts in one message; others follow in the next ones */
 #define PEER_COUNTS_MAX   6  /**< failure domains whose size is in one message; others follow */
 #define PEER_SESSIONS_MAX 64 /**< of one roll-out */
@@ -70,8 +70,8 @@
   PeerRollout rollouts[PEER_ROLLOUTS_MAX];
   uint32_t death_count;
   QuarantineDeath deaths[PEER_DEATHS_MAX]; /**< recent ones only */
-  uint32_t verdict_count;
-  QuarantineVerdict verdicts[PEER_VERDICTS_MAX]; /**< requests that are refused at all fronts */
+  uint32_t refusal_count;
+  QuarantineRefusal refusals[PEER_REFUSALS_MAX]; /**< requests that are refused at all fronts */
   uint32_t member_count;
   PeerMember members[PEER_MEMBERS_MAX];
 } PeerMessage;
--- a/src/front_peers_compose.c
+++ b/src/front_peers_compose.c
@@ -140,14 +140,14 @@
 void
 peers_deaths_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
 {
-  static const QuarantineNewsLimit limit
+  static const QuarantineReportLimit limit
       = { .deaths = PEER_DEATHS_MAX, .flights = PEER_FLIGHTS_MAX, .age_ms = DEATH_NEWS_MS };
   Quarantine *quarantine = peers->front->quarantine;
 
-  message->death_count
-      = (uint32_t)quarantine_news (quarantine, message->deaths, &limit, peers->next_death, now_ms);
-  message->verdict_count = (uint32_t)quarantine_verdicts (
-      quarantine, message->verdicts, PEER_VERDICTS_MAX, peers->next_death, now_ms);
+  message->death_count = (uint32_t)quarantine_report (quarantine, message->deaths, &limit,
+                                                      peers->next_death, now_ms);
+  message->refusal_count = (uint32_t)quarantine_refusals (
+      quarantine, message->refusals, PEER_REFUSALS_MAX, peers->next_death, now_ms);
   peers->next_death++;
 }
 
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -80,7 +80,7 @@
   unsigned next_other_member; /* the same for other failure domains */
   unsigned next_domain;       /* first domain in the next message's list of sums */
   unsigned next_rollout;      /* place of the first running roll-out in the next message */
-  unsigned next_death;        /* turn of the next message's deaths and verdicts */
+  unsigned next_death;        /* turn of the next message's deaths and refusals */
   double work_credit_bytes;   /* bytes that may be spent on work messages */
   int64_t work_ms;            /* time at which work_credit_bytes was computed */
   unsigned next_work;         /* first peer considered for the next work message */
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -111,8 +111,8 @@
     receive_rollout (peers, message, &message->rollouts[i], now_ms);
   for (uint32_t i = 0; i < message->death_count; i++)
     front_deaths_told (front, &message->deaths[i], now_ms);
-  for (uint32_t i = 0; i < message->verdict_count; i++)
-    front_deaths_verdict_told (front, &message->verdicts[i], now_ms);
+  for (uint32_t i = 0; i < message->refusal_count; i++)
+    front_deaths_refusal_told (front, &message->refusals[i], now_ms);
   for (uint32_t i = 0; i < message->member_count; i++)
     receive_member (peers, &message->members[i], now_ms);
 }
--- a/src/front_refused_row.c
+++ b/src/front_refused_row.c
@@ -11,7 +11,7 @@
 
 void
 front_refused_row_encode (Buffer *out,
-                          const QuarantineVerdict *verdicts,
+                          const QuarantineRefusal *refusals,
                           size_t count,
                           int64_t now_ms)
 {
@@ -23,10 +23,10 @@
       struct json_object *entry = json_object_new_object ();
       char text[FINGERPRINT_TEXT];
 
-      snprintf (text, sizeof text, "%016" PRIx64, verdicts[i].fingerprint);
+      snprintf (text, sizeof text, "%016" PRIx64, refusals[i].fingerprint);
       json_object_object_add (entry, name_fingerprint, json_object_new_string (text));
       json_object_object_add (entry, name_until,
-                              json_object_new_int64 (now_ms + verdicts[i].left_ms));
+                              json_object_new_int64 (now_ms + refusals[i].left_ms));
       json_object_array_add (list, entry);
     }
   json_object_object_add (root, name_refused, list);
@@ -35,7 +35,7 @@
 }
 
 static bool
-entry_decode (struct json_object *entry, QuarantineVerdict *out, int64_t now_ms)
+entry_decode (struct json_object *entry, QuarantineRefusal *out, int64_t now_ms)
 {
   struct json_object *fingerprint, *until;
   int64_t left_ms;
@@ -54,7 +54,7 @@
 }
 
 size_t
-front_refused_row_decode (Span text, QuarantineVerdict out[REFUSED_ROW_MAX], int64_t now_ms)
+front_refused_row_decode (Span text, QuarantineRefusal out[REFUSED_ROW_MAX], int64_t now_ms)
 {
   struct json_tokener *tokener = json_tokener_new ();
   struct json_object *root = json_tokener_parse_ex (tokener, text.text, (int)text.len);
--- a/src/front_refused_row.h
+++ b/src/front_refused_row.h
@@ -12,10 +12,10 @@
 
 /** Times in the row are of the store's clock, now_ms is its time. */
 void front_refused_row_encode (Buffer *out,
-                               const QuarantineVerdict *verdicts,
+                               const QuarantineRefusal *refusals,
                                size_t count,
                                int64_t now_ms);
 /** Requests that are still refused; their number. 0 if the text is not such a row. */
-size_t front_refused_row_decode (Span text, QuarantineVerdict out[REFUSED_ROW_MAX], int64_t now_ms);
+size_t front_refused_row_decode (Span text, QuarantineRefusal out[REFUSED_ROW_MAX], int64_t now_ms);
 
 #endif
--- a/src/front_store_refused.c
+++ b/src/front_store_refused.c
@@ -20,7 +20,7 @@
 static size_t
 read_row (const FrontStore *store,
           const StoreRow *row,
-          QuarantineVerdict out[REFUSED_ROW_MAX],
+          QuarantineRefusal out[REFUSED_ROW_MAX],
           int64_t now_ms)
 {
   int64_t time_ms = store_time (store, now_ms);
@@ -34,20 +34,20 @@
 void
 store_refused_apply (FrontStore *store, const StoreRow *row)
 {
-  QuarantineVerdict verdicts[REFUSED_ROW_MAX];
+  QuarantineRefusal refusals[REFUSED_ROW_MAX];
   int64_t now_ms = clock_boot_ms ();
-  size_t count = read_row (store, row, verdicts, now_ms);
+  size_t count = read_row (store, row, refusals, now_ms);
 
   for (size_t i = 0; i < count; i++)
-    front_deaths_verdict_told (store->front, &verdicts[i], now_ms);
+    front_deaths_refusal_told (store->front, &refusals[i], now_ms);
 }
 
 static bool
-has (const QuarantineVerdict *verdicts, size_t count, uint64_t fingerprint)
+has (const QuarantineRefusal *refusals, size_t count, uint64_t fingerprint)
 {
   for (size_t i = 0; i < count; i++)
     {
-      if (verdicts[i].fingerprint == fingerprint)
+      if (refusals[i].fingerprint == fingerprint)
         return true;
     }
   return false;
@@ -55,11 +55,11 @@
 
 /* Adds what is refused here and missing in the list; returns the new length of the list. */
 static size_t
-add_missing (const FrontStore *store, QuarantineVerdict *list, size_t count, int64_t now_ms)
+add_missing (const FrontStore *store, QuarantineRefusal *list, size_t count, int64_t now_ms)
 {
-  QuarantineVerdict own[REFUSED_ROW_MAX];
+  QuarantineRefusal own[REFUSED_ROW_MAX];
   size_t own_count
-      = quarantine_verdicts (store->front->quarantine, own, REFUSED_ROW_MAX, 0, now_ms);
+      = quarantine_refusals (store->front->quarantine, own, REFUSED_ROW_MAX, 0, now_ms);
 
   for (size_t i = 0; i < own_count && count < REFUSED_ROW_MAX; i++)
     {
@@ -73,7 +73,7 @@
 store_refused_write (FrontStore *store, int64_t now_ms)
 {
   const StoreRow *row = front_table_find (&store->watches[STORE_STATUS].table, wire_key_refused);
-  QuarantineVerdict list[REFUSED_ROW_MAX];
+  QuarantineRefusal list[REFUSED_ROW_MAX];
   size_t known = read_row (store, row, list, now_ms);
   size_t count = add_missing (store, list, known, now_ms);
   FrontLine *line;
--- a/tests/test_choose_quarantine.c
+++ b/tests/test_choose_quarantine.c
@@ -162,13 +162,13 @@
   quarantine_free (other);
 }
 
-static const QuarantineSettings settling = { .servers = 3,
-                                             .retention_ms = 60000,
-                                             .outage_ms = 1000,
-                                             .same_death_ms = 3000,
-                                             .hold_ms = 120000,
-                                             .settle_ms = 1000 };
-static const QuarantineNewsLimit news_limit = { .deaths = 24, .flights = 32, .age_ms = 3000 };
+static const QuarantineSettings short_lived = { .servers = 3,
+                                                .retention_ms = 60000,
+                                                .outage_ms = 1000,
+                                                .same_death_ms = 3000,
+                                                .hold_ms = 120000,
+                                                .final_after_ms = 1000 };
+static const QuarantineReportLimit report_limit = { .deaths = 24, .flights = 32, .age_ms = 3000 };
 
 static bool
 reports (const QuarantineDeath *deaths, size_t count, uint64_t server, uint64_t fingerprint)
@@ -187,19 +187,19 @@
 /* Twenty servers die with seven requests each, which is more than a message holds. A request that
  * was at several of the deaths must be in each message, and the others in some. */
 static void
-test_news_begin_with_suspects (void)
+test_reports_begin_with_suspects (void)
 {
   QuarantineDeath news[24];
   unsigned turns_until_all = 0;
   bool seen[20] = { false };
   unsigned missing = 20;
 
-  quarantine = quarantine_new (&settling);
+  quarantine = quarantine_new (&short_lived);
   for (uint64_t i = 0; i < 20; i++)
     add_death (i + 1, i % 3 ? CRASHER : 0, 0, 1000);
   for (; missing > 0 && turns_until_all < 60; turns_until_all++)
     {
-      size_t count = quarantine_news (quarantine, news, &news_limit, turns_until_all, 1500);
+      size_t count = quarantine_report (quarantine, news, &report_limit, turns_until_all, 1500);
 
       CU_ASSERT_EQUAL (count, 20);
       for (uint64_t i = 0; i < 20; i++)
@@ -213,7 +213,7 @@
         }
     }
   CU_ASSERT_EQUAL (missing, 0);
-  CU_ASSERT_EQUAL (quarantine_news (quarantine, news, &news_limit, 0, 4001), 0);
+  CU_ASSERT_EQUAL (quarantine_report (quarantine, news, &report_limit, 0, 4001), 0);
   quarantine_free (quarantine);
 }
 
@@ -227,7 +227,7 @@
 
   for (uint32_t i = 0; i < full.count; i++)
     full.flights[i] = 0x8001 + 2 * (uint64_t)i;
-  quarantine = quarantine_new (&settling);
+  quarantine = quarantine_new (&short_lived);
   add_death (1, CRASHER, 0, 1000);
   add_death (2, CRASHER, 0, 1000);
   quarantine_add (quarantine, &full, 1000);
@@ -241,19 +241,19 @@
 /* A VM that knows other deaths only must refuse what another one has refused for a while, and must
  * not release it for the deaths that it knows. What is refused for less may still be released. */
 static void
-test_settled_verdict_is_told_and_kept (void)
+test_final_refusal_is_told_and_kept (void)
 {
-  QuarantineVerdict told[2];
-  Quarantine *other = quarantine_new (&settling);
+  QuarantineRefusal told[2];
+  Quarantine *other = quarantine_new (&short_lived);
 
-  quarantine = quarantine_new (&settling);
+  quarantine = quarantine_new (&short_lived);
   for (uint64_t i = 1; i <= 3; i++)
     add_death (i, CRASHER, 0, 1000);
-  CU_ASSERT_EQUAL (quarantine_verdicts (quarantine, told, 2, 0, 1999), 0);
-  CU_ASSERT_EQUAL (quarantine_verdicts (quarantine, told, 2, 0, 2000), 1);
+  CU_ASSERT_EQUAL (quarantine_refusals (quarantine, told, 2, 0, 1999), 0);
+  CU_ASSERT_EQUAL (quarantine_refusals (quarantine, told, 2, 0, 2000), 1);
   CU_ASSERT_EQUAL (told[0].fingerprint, CRASHER);
-  CU_ASSERT_EQUAL (told[0].left_ms, settling.hold_ms - 1000);
-  quarantine_add_verdict (other, &told[0], 500000);
+  CU_ASSERT_EQUAL (told[0].left_ms, short_lived.hold_ms - 1000);
+  quarantine_add_refusal (other, &told[0], 500000);
   for (uint64_t i = 4; i <= 9; i++)
     {
       QuarantineDeath death = death_of (i, 0, 0);
@@ -265,13 +265,13 @@
   quarantine_free (other);
 }
 
-/* Two VMs tell each other what they refuse for as long as they do. The verdict must end all the
+/* Two VMs tell each other what they refuse for as long as they do. The refusal must end all the
  * same, whatever time each report takes. */
 static void
-test_verdict_is_not_prolonged_by_reports (void)
+test_refusal_is_not_prolonged_by_reports (void)
 {
-  QuarantineVerdict told, wrong = { .fingerprint = CRASHER, .left_ms = UINT32_MAX };
-  Quarantine *vms[] = { quarantine_new (&settling), quarantine_new (&settling) };
+  QuarantineRefusal told, wrong = { .fingerprint = CRASHER, .left_ms = UINT32_MAX };
+  Quarantine *vms[] = { quarantine_new (&short_lived), quarantine_new (&short_lived) };
   int64_t now_ms = 1000;
 
   for (uint64_t i = 1; i <= 3; i++)
@@ -280,14 +280,14 @@
 
       quarantine_add (vms[0], &death, now_ms);
     }
-  for (unsigned i = 0; now_ms < 1000 + 2 * settling.hold_ms; i++, now_ms += 500)
+  for (unsigned i = 0; now_ms < 1000 + 2 * short_lived.hold_ms; i++, now_ms += 500)
     {
-      if (quarantine_verdicts (vms[i % 2], &told, 1, 0, now_ms) == 1)
-        quarantine_add_verdict (vms[1 - i % 2], &told, now_ms + 100);
+      if (quarantine_refusals (vms[i % 2], &told, 1, 0, now_ms) == 1)
+        quarantine_add_refusal (vms[1 - i % 2], &told, now_ms + 100);
     }
   CU_ASSERT_FALSE (quarantine_contains (vms[0], CRASHER, now_ms));
   CU_ASSERT_FALSE (quarantine_contains (vms[1], CRASHER, now_ms));
-  quarantine_add_verdict (vms[0], &wrong, now_ms);
+  quarantine_add_refusal (vms[0], &wrong, now_ms);
   CU_ASSERT_FALSE (quarantine_contains (vms[0], CRASHER, now_ms));
   quarantine_free (vms[0]);
   quarantine_free (vms[1]);
@@ -334,10 +334,10 @@
     { "slow_pool_outage_releases", test_slow_pool_outage_releases },
     { "old_deaths_expire", test_old_deaths_expire },
     { "deaths_reported_between_vms", test_deaths_reported_between_vms },
-    { "news_begin_with_suspects", test_news_begin_with_suspects },
+    { "reports_begin_with_suspects", test_reports_begin_with_suspects },
     { "full_death_keeps_suspects", test_full_death_keeps_suspects },
-    { "settled_verdict_is_told_and_kept", test_settled_verdict_is_told_and_kept },
-    { "verdict_is_not_prolonged_by_reports", test_verdict_is_not_prolonged_by_reports },
+    { "final_refusal_is_told_and_kept", test_final_refusal_is_told_and_kept },
+    { "refusal_is_not_prolonged_by_reports", test_refusal_is_not_prolonged_by_reports },
     { "out_of_range_reports_and_full_table", test_out_of_range_reports_and_full_table },
   };
 
--- a/tests/test_front_deaths.c
+++ b/tests/test_front_deaths.c
@@ -171,8 +171,8 @@
 {
   for (uint32_t i = 0; i < message->death_count; i++)
     front_deaths_told (&to->front, &message->deaths[i], now_ms);
-  for (uint32_t i = 0; i < message->verdict_count; i++)
-    front_deaths_verdict_told (&to->front, &message->verdicts[i], now_ms);
+  for (uint32_t i = 0; i < message->refusal_count; i++)
+    front_deaths_refusal_told (&to->front, &message->refusals[i], now_ms);
 }
 
 static void
--- a/tests/test_front_peer_message.c
+++ b/tests/test_front_peer_message.c
@@ -24,8 +24,8 @@
   message.death_count = 1;
   message.deaths[0].count = 3;
   message.deaths[0].flights[2] = 8;
-  message.verdict_count = 2;
-  message.verdicts[1] = (QuarantineVerdict){ .fingerprint = 77, .left_ms = 1500 };
+  message.refusal_count = 2;
+  message.refusals[1] = (QuarantineRefusal){ .fingerprint = 77, .left_ms = 1500 };
   message.member_count = 2;
   message.members[1] = (PeerMember){ .ip = 0x0a000001, .domain = 3, .age_ms = 40 };
   return message;
@@ -56,9 +56,9 @@
   CU_ASSERT_EQUAL (out.death_count, 1);
   CU_ASSERT_EQUAL (out.deaths[0].count, 3);
   CU_ASSERT_EQUAL (out.deaths[0].flights[2], 8);
-  CU_ASSERT_EQUAL (out.verdict_count, 2);
-  CU_ASSERT_EQUAL (out.verdicts[1].fingerprint, 77);
-  CU_ASSERT_EQUAL (out.verdicts[1].left_ms, 1500);
+  CU_ASSERT_EQUAL (out.refusal_count, 2);
+  CU_ASSERT_EQUAL (out.refusals[1].fingerprint, 77);
+  CU_ASSERT_EQUAL (out.refusals[1].left_ms, 1500);
   CU_ASSERT_EQUAL (out.member_count, 2);
   CU_ASSERT_EQUAL (out.members[1].ip, 0x0a000001);
   CU_ASSERT_EQUAL (out.members[1].domain, 3);
@@ -101,7 +101,7 @@
       CU_ASSERT (out.rollout_count <= PEER_ROLLOUTS_MAX);
       CU_ASSERT (out.rollouts[0].domain_count <= PEER_DOMAINS_MAX);
       CU_ASSERT (out.death_count <= PEER_DEATHS_MAX);
-      CU_ASSERT (out.verdict_count <= PEER_VERDICTS_MAX);
+      CU_ASSERT (out.refusal_count <= PEER_REFUSALS_MAX);
       CU_ASSERT (out.member_count <= PEER_MEMBERS_MAX);
     }
   data[0] ^= 1;
--- a/tests/test_front_refused_row.c
+++ b/tests/test_front_refused_row.c
@@ -5,27 +5,27 @@
 
 #define NOW 5000000 /* milliseconds of the store's clock */
 
-static QuarantineVerdict verdicts[REFUSED_ROW_MAX];
+static QuarantineRefusal refusals[REFUSED_ROW_MAX];
 
 static size_t
 decode (const char *text, int64_t now_ms)
 {
-  return front_refused_row_decode (span_of (text), verdicts, now_ms);
+  return front_refused_row_decode (span_of (text), refusals, now_ms);
 }
 
 static void
 test_row_survives_round_trip (void)
 {
-  static const QuarantineVerdict in[] = { { .fingerprint = 0xfedcba9876543211u, .left_ms = 60000 },
+  static const QuarantineRefusal in[] = { { .fingerprint = 0xfedcba9876543211u, .left_ms = 60000 },
                                           { .fingerprint = 1, .left_ms = 9 } };
   Buffer out = { 0 };
 
   front_refused_row_encode (&out, in, 2, NOW);
   CU_ASSERT_EQUAL (decode (out.data, NOW + 8), 2);
-  CU_ASSERT_EQUAL (verdicts[0].fingerprint, in[0].fingerprint);
-  CU_ASSERT_EQUAL (verdicts[0].left_ms, 59992);
-  CU_ASSERT_EQUAL (verdicts[1].fingerprint, 1);
-  CU_ASSERT_EQUAL (verdicts[1].left_ms, 1);
+  CU_ASSERT_EQUAL (refusals[0].fingerprint, in[0].fingerprint);
+  CU_ASSERT_EQUAL (refusals[0].left_ms, 59992);
+  CU_ASSERT_EQUAL (refusals[1].fingerprint, 1);
+  CU_ASSERT_EQUAL (refusals[1].left_ms, 1);
   CU_ASSERT_EQUAL (decode (out.data, NOW + 9), 1);
   CU_ASSERT_EQUAL (decode (out.data, NOW + 60000), 0);
   buffer_free (&out);
@@ -53,17 +53,17 @@
     CU_ASSERT_EQUAL (decode (texts[i], NOW), 0);
   CU_ASSERT_EQUAL (decode ("{\"refused\":[7,{\"fingerprint\":\"0a\",\"until_ms\":5000009}]}", NOW),
                    1);
-  CU_ASSERT_EQUAL (verdicts[0].fingerprint, 10);
+  CU_ASSERT_EQUAL (refusals[0].fingerprint, 10);
 }
 
 static void
 test_long_row_is_cut (void)
 {
-  QuarantineVerdict in[REFUSED_ROW_MAX + 8];
+  QuarantineRefusal in[REFUSED_ROW_MAX + 8];
   Buffer out = { 0 };
 
   for (size_t i = 0; i < SUITE_COUNT (in); i++)
-    in[i] = (QuarantineVerdict){ .fingerprint = i + 1, .left_ms = 100 };
+    in[i] = (QuarantineRefusal){ .fingerprint = i + 1, .left_ms = 100 };
   front_refused_row_encode (&out, in, SUITE_COUNT (in), NOW);
   CU_ASSERT_EQUAL (decode (out.data, NOW), REFUSED_ROW_MAX);
   buffer_free (&out);
