--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 STANDINS = standin-platform standin-engine standin-service
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 TEST_HELPERS = tests/suite.c $(wildcard tests/fake_*.c)
+FRONT_TEST_HELPERS = tests/front_node.c
 BENCHES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 BENCH_HELPERS = $(wildcard bench/model_*.c)
 
@@ -38,6 +39,8 @@
 front: $(BUILD)/lovage-front
 standins: $(STANDINS:%=$(BUILD)/%)
 tests: $(TESTS:%=$(BUILD)/%)
+# An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
+$(BUILD)/test_front_era: $(call obj,$(FRONT_TEST_HELPERS))
 benches: $(BENCHES:%=$(BUILD)/%)
 
 $(BUILD)/obj/rpc/%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
@@ -84,7 +87,7 @@
   $(call obj,$(filter-out src/ctl_main.c,$(wildcard src/ctl_*.c)) $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 $(BUILD)/test_front_%: $(BUILD)/obj/tests/test_front_%.o \
-  $(call obj,$(FRONT_PARTS) $(TEST_HELPERS)) $(LIB)
+  $(call obj,$(FRONT_PARTS) $(TEST_HELPERS) $(FRONT_TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
