A store whose clock equals the front's is a store whose time is known

What callers saw: after all fronts had restarted, a request that crashes servers took three more at each front that got it.

Cause: a front kept the store's clock as the difference from its own and took 0 for "not told yet". The stand-in's clock is that of the machine, so that the difference is 0 or -1 ms by chance. Where all fronts had 0 none wrote the row of refused requests, and where the reader had 0 it did not read it.

Class: a value that is valid as well stands for "not known". The clock is a type of its own now that says whether it is known, and an answer says whether it tells the time.

--- /dev/null
+++ b/src/front_store_clock.h
@@ -0,0 +1,24 @@
+/**
+ * The store's clock as this front knows it from answers. Both clocks are steady, but start at
+ * different times.
+ */
+#ifndef FRONT_STORE_CLOCK_H
+#define FRONT_STORE_CLOCK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct
+{
+  bool is_known;    /**< an answer has told the store's time */
+  int64_t ahead_ms; /**< the store's time minus this front's; may be 0 or negative */
+} StoreClock;
+
+/** An answer that arrives now tells the store's time. */
+void store_clock_set (StoreClock *clock, int64_t store_ms, int64_t now_ms);
+/** Converts this front's time to the store's. False if the store's is not known. */
+bool store_clock_from_own (const StoreClock *clock, int64_t own_ms, int64_t *store_ms);
+/** Converts the store's time to this front's. False if the store's is not known. */
+bool store_clock_to_own (const StoreClock *clock, int64_t store_ms, int64_t *own_ms);
+
+#endif
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -6,6 +6,7 @@
 
 #include "front_channel.h"
 #include "front_store.h"
+#include "front_store_clock.h"
 #include "front_table.h"
 
 /** Milliseconds until a request fails if its answer has not begun. */
@@ -64,7 +65,7 @@
   bool registering;         /* this front's address is being written */
   bool writing_refused;     /* the row of refused requests is being written */
   int64_t refused_since_ms; /* since when it lacks one that is refused here; 0: it lacks none */
-  int64_t clock_offset_ms;  /* the store's clock minus this front's */
+  StoreClock clock;
   int64_t next_write_at_ms; /* earliest time of a write after a failed one */
 };
 
--- a/src/front_store_refused.c
+++ b/src/front_store_refused.c
@@ -10,25 +10,18 @@
 
 #define RANK_SUBJECT 0x72656675u
 
-/* The store's time; 0: not known, as this front has no answer of the store yet. */
-static int64_t
-store_time (const FrontStore *store, int64_t now_ms)
-{
-  return store->clock_offset_ms == 0 ? 0 : now_ms + store->clock_offset_ms;
-}
-
 static size_t
 read_row (const FrontStore *store,
           const StoreRow *row,
           QuarantineRefusal out[REFUSED_ROW_MAX],
           int64_t now_ms)
 {
-  int64_t time_ms = store_time (store, now_ms);
+  int64_t store_ms;
 
-  if (!row || time_ms == 0)
+  if (!row || !store_clock_from_own (&store->clock, now_ms, &store_ms))
     return 0;
   return front_refused_row_decode ((Span){ .text = row->value, .len = row->value_len }, out,
-                                   time_ms);
+                                   store_ms);
 }
 
 void
@@ -76,10 +69,11 @@
   QuarantineRefusal list[REFUSED_ROW_MAX];
   size_t known = read_row (store, row, list, now_ms);
   size_t count = add_missing (store, list, known, now_ms);
+  int64_t store_ms;
   FrontLine *line;
   Buffer value = { 0 };
 
-  if (count == known || store_time (store, now_ms) == 0)
+  if (count == known || !store_clock_from_own (&store->clock, now_ms, &store_ms))
     {
       store->refused_since_ms = 0;
       return false;
@@ -89,7 +83,7 @@
   if (now_ms - store->refused_since_ms
       < (int64_t)front_peers_rank (store->front->peers, RANK_SUBJECT, now_ms) * STORE_RANK_DELAY_MS)
     return false;
-  front_refused_row_encode (&value, list, count, store_time (store, now_ms));
+  front_refused_row_encode (&value, list, count, store_ms);
   line = front_log_begin (FRONT_EVENT_STORE_WRITE);
   front_log_text (line, "key", wire_key_refused);
   front_log_text (line, "value", value.data);
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -255,8 +255,8 @@
   watch->peer_failures = 0;
   if (!watch->asked_peer)
     lost_set (watch, false, status);
-  if (answer.clock_ms != 0)
-    watch->store->clock_offset_ms = answer.clock_ms - clock_boot_ms ();
+  if (answer.has_clock)
+    store_clock_set (&watch->store->clock, answer.clock_ms, clock_boot_ms ());
   if (!watch->asked_peer && is_era_mixed (watch, &answer))
     {
       pages_clear (watch);
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -59,7 +59,7 @@
   store->writing_state = rollout->verdict;
   store->writing_started_ms = rollout->started_ms;
   wire_rollout_status_encode (&value, &rollout->order, rollout->verdict,
-                              rollout->started_ms + store->clock_offset_ms);
+                              rollout->started_ms + store->clock.ahead_ms);
   front_log_text (line, "key", key.data);
   front_log_text (line, "value", value.data);
   front_log_number (line, "expected", row ? store_version_number (row->version) : 0);
