A roll-out's start is told only by a front that knows the store's time

What callers would see: a new version gets all requests at once, and is completed after its first answers however bad it is.

Cause: a front that has not had an answer of the store wrote its own clock's time as the roll-out's start, because 0 stood for an unknown difference of the clocks. A front without an answer is one that started while the store rejected it, and follows other fronts since. Others take that time for the store's: if the store's clock is ahead, the roll-out is long over for them.

The start is left out of the status if the store's time isn't known, and a start that is missing has a value of its own that no start can have, in place of 0.

start_of_rollout_is_not_told_without_time failed before (it wrote the start by its own clock). start_of_rollout_is_not_taken_without_time passed and guards the other direction.

--- a/src/front_rollout_order.h
+++ b/src/front_rollout_order.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 
 #define ROLLOUT_TEXT_MAX 64 /**< bytes with the final NUL */
+/** In place of the time at which a roll-out started: later than any. */
+#define ROLLOUT_START_UNKNOWN INT64_MAX
 
 typedef enum
 {
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -179,7 +179,7 @@
     return false;
   rollout->status_version = row_version;
   rollout->has_verdict = false;
-  if (started_ms != 0 && started_ms < rollout->started_ms)
+  if (started_ms < rollout->started_ms)
     rollout->started_ms = started_ms;
   /* A final state does not change. If the status says otherwise, the store lost the final one. */
   if (rollout->state != FRONT_ROLLOUT_RUNNING)
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -96,7 +96,8 @@
 /** The order's row was removed. */
 void front_rollouts_order_removed (FrontRollouts *rollouts, const char *service);
 /** Applies a status that this front read or wrote, or received from another one. A status older
- *  than the order belongs to an earlier order. started_ms 0: unknown. True if the state changes. */
+ *  than the order belongs to an earlier order. started_ms may be
+ *  ROLLOUT_START_UNKNOWN. True if the state changes. */
 bool front_rollouts_apply_status (FrontRollout *rollout,
                                   const char *target,
                                   FrontRolloutState state,
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -212,8 +212,9 @@
                                    &state, &started_ms))
     return;
   rollout = front_rollouts_get (store->front->rollouts, row->key + strlen (wire_key_rollout));
-  if (started_ms == 0 || !store_clock_to_own (&store->clock, started_ms, &started_ms))
-    started_ms = 0;
+  if (started_ms != ROLLOUT_START_UNKNOWN
+      && !store_clock_to_own (&store->clock, started_ms, &started_ms))
+    started_ms = ROLLOUT_START_UNKNOWN;
   if (front_rollouts_apply_status (rollout, target, state, row->version, started_ms))
     {
       FrontLine *line = front_log_begin (FRONT_EVENT_ROLLOUT);
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -52,14 +52,16 @@
   FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
   Buffer key = { 0 }, value = { 0 };
   const StoreRow *row;
+  int64_t started_ms;
 
   rollout_key (rollout, &key);
   row = front_table_find (table, key.data);
   store->writing = rollout;
   store->writing_state = rollout->verdict;
   store->writing_started_ms = rollout->started_ms;
-  wire_rollout_status_encode (&value, &rollout->order, rollout->verdict,
-                              rollout->started_ms + store->clock.ahead_ms);
+  if (!store_clock_from_own (&store->clock, rollout->started_ms, &started_ms))
+    started_ms = ROLLOUT_START_UNKNOWN;
+  wire_rollout_status_encode (&value, &rollout->order, rollout->verdict, started_ms);
   front_log_text (line, "key", key.data);
   front_log_text (line, "value", value.data);
   front_log_number (line, "expected", row ? store_version_number (row->version) : 0);
@@ -86,7 +88,7 @@
         front_peers_set_registered (store->front->peers, true);
       else if (status == STORE_HTTP_OK && store->writing)
         front_rollouts_apply_status (store->writing, store->writing->order.target,
-                                     store->writing_state, answer.version, 0);
+                                     store->writing_state, answer.version, ROLLOUT_START_UNKNOWN);
       else if (store->writing || store->writing_refused) /* another front wrote first; the answer
                                                             contains its row */
         front_table_apply_changes (&store->watches[STORE_STATUS].table,
--- a/tests/front_node.c
+++ b/tests/front_node.c
@@ -33,10 +33,10 @@
   node->store.front = &node->front;
   node->store.era = 1;
   node->front.is_open = true;
+  node->store.next_list_at_ms = INT64_MAX;
   for (unsigned i = 0; i < STORE_TABLES; i++)
-    front_table_init (&node->store.watches[i].table);
+    store_watch_init (&node->store.watches[i], &node->store, (StoreTable)i);
   node->watch = &node->store.watches[STORE_OPERATOR];
-  store_watch_init (node->watch, &node->store, STORE_OPERATOR);
   node->watch->loaded = true;
   node->watch->table.version = store_version (1, NODE_KNOWN);
   return node;
@@ -45,7 +45,8 @@
 void
 front_node_free (FrontNode *node)
 {
-  store_watch_clear (node->watch);
+  for (unsigned i = 0; i < STORE_TABLES; i++)
+    store_watch_clear (&node->store.watches[i]);
   front_rollouts_free (node->front.rollouts);
   front_servers_free (node->front.servers);
   event_base_free (node->front.base);
@@ -54,14 +55,12 @@
   free (node);
 }
 
-static bool
-has_request (void *user)
+bool
+front_node_read (FrontNode *node)
 {
-  FrontNode *node = user;
   size_t len = strlen (node->request);
   ssize_t got;
 
-  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
   if (node->connection < 0)
     node->connection = accept4 (node->listener, NULL, NULL, SOCK_NONBLOCK);
   got = read (node->connection, node->request + len, sizeof node->request - 1 - len);
@@ -70,6 +69,15 @@
   return strstr (node->request, "\r\n\r\n") != NULL;
 }
 
+static bool
+has_request (void *user)
+{
+  FrontNode *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return front_node_read (node);
+}
+
 bool
 front_node_expect (FrontNode *node, const char *part)
 {
--- a/tests/front_node.h
+++ b/tests/front_node.h
@@ -23,6 +23,8 @@
 
 FrontNode *front_node_new (void);
 void front_node_free (FrontNode *node);
+/** Reads what has arrived; true if the head of a request is complete. */
+bool front_node_read (FrontNode *node);
 /** Waits for a request; true if it contains this text. */
 bool front_node_expect (FrontNode *node, const char *part);
 /** Answers the request that arrived. */
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -314,7 +314,9 @@
   add_answers (&rollout->evidence, 0, 0, 100, false);
   front_rollout_update_verdict (rollout, NOW + 1000);
   CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_RUNNING);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 11, 0) == false);
+  CU_ASSERT (
+      front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 11, ROLLOUT_START_UNKNOWN)
+      == false);
   front_rollout_update_verdict (rollout, NOW + 17000);
   CU_ASSERT (!rollout->has_verdict);
   front_rollout_merge (rollout, &update);
@@ -327,7 +329,8 @@
   front_rollout_update_verdict (rollout, NOW + 19500);
   CU_ASSERT (rollout->has_verdict);
   CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, 12, 0));
+  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, 12,
+                                          ROLLOUT_START_UNKNOWN));
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW + 19600), "v2");
 }
 
@@ -381,11 +384,14 @@
   setup ();
   add ("c", "v2");
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12, 0));
+  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12,
+                                          ROLLOUT_START_UNKNOWN));
   order (20, NOW + 30000);
-  CU_ASSERT (!front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12, 0));
+  CU_ASSERT (!front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12,
+                                           ROLLOUT_START_UNKNOWN));
   CU_ASSERT (front_rollout_is_running (rollout));
-  CU_ASSERT (!front_rollouts_apply_status (rollout, "v3", FRONT_ROLLOUT_ROLLED_BACK, 22, 0));
+  CU_ASSERT (!front_rollouts_apply_status (rollout, "v3", FRONT_ROLLOUT_ROLLED_BACK, 22,
+                                           ROLLOUT_START_UNKNOWN));
   CU_ASSERT (front_rollout_is_running (rollout));
 }
 
@@ -395,8 +401,9 @@
   setup ();
   add ("c", "v2");
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12, 0));
-  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 13, 0);
+  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12,
+                                          ROLLOUT_START_UNKNOWN));
+  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 13, ROLLOUT_START_UNKNOWN);
   CU_ASSERT_EQUAL (rollout->state, FRONT_ROLLOUT_ROLLED_BACK);
 }
 
@@ -466,7 +473,8 @@
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
   /* A version that was rolled back is never used. */
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 11, 0));
+  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 11,
+                                          ROLLOUT_START_UNKNOWN));
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "");
 }
 
--- a/tests/test_front_time.c
+++ b/tests/test_front_time.c
@@ -6,12 +6,15 @@
 #include "front_node.h"
 #include "suite.h"
 #include "util_clock.h"
+#include "wire_rollout.h"
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
-#define ROUNDS     20
-#define REFUSED    7u    /* fingerprint of a request */
-#define REFUSED_MS 60000 /* for how long it is refused */
+#define ROUNDS      20
+#define REFUSED     7u         /* fingerprint of a request */
+#define REFUSED_MS  60000      /* for how long it is refused */
+#define STORE_AHEAD 1000000000 /* milliseconds of the store's clock before this one */
 
 static FrontNode *
 node_with_writer (void)
@@ -64,11 +67,121 @@
     }
 }
 
+static const char status_key[] = "rollout/drafts";
+
+/* A roll-out has begun now. */
+static FrontRollout *
+begin_rollout (FrontNode *node)
+{
+  const RolloutOrder order = { .service = "drafts", .target = "v2", .duration_ms = 20000 };
+
+  front_rollouts_apply_order (node->front.rollouts, node->front.servers, &order, clock_boot_ms ());
+  return front_rollouts_get (node->front.rollouts, order.service);
+}
+
+/* The value in the text of a write of one row. */
+static void
+copy_written_value (const char *request, char *out, size_t size)
+{
+  const char *value = strstr (request, "\"Value\"");
+  size_t len = 0;
+
+  value = value ? strchr (value + strlen ("\"Value\""), '"') : NULL;
+  CU_ASSERT_PTR_NOT_NULL (value);
+  if (value)
+    CU_ASSERT_EQUAL (sodium_base642bin ((unsigned char *)out, size - 1, value + 1,
+                                        strcspn (value + 1, "\""), NULL, &len, NULL,
+                                        sodium_base64_VARIANT_ORIGINAL),
+                     0);
+  out[len] = '\0';
+}
+
+static bool
+has_body (void *user)
+{
+  FrontNode *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return front_node_read (node) && strstr (node->request, "]}");
+}
+
+/* Writes the status of the roll-out and decodes what was written. */
+static int64_t
+written_start (FrontNode *node)
+{
+  char value[500], target[ROLLOUT_TEXT_MAX];
+  FrontRolloutState state;
+  int64_t started_ms = 0;
+
+  front_store_tick (&node->store, clock_boot_ms ());
+  CU_ASSERT (suite_wait (has_body, node));
+  CU_ASSERT_PTR_NOT_NULL (strstr (node->request, "drafts"));
+  copy_written_value (node->request, value, sizeof value);
+  CU_ASSERT (wire_rollout_status_decode (span_of (value), target, &state, &started_ms));
+  CU_ASSERT_STRING_EQUAL (target, "v2");
+  return started_ms;
+}
+
+/* Guards against a front that has no time of the store, because it started while it could not reach
+ * it, and gives its own clock's time for the start of a roll-out: others take it for over. */
+static void
+test_start_of_rollout_is_not_told_without_time (void)
+{
+  FrontNode *node = node_with_writer ();
+
+  begin_rollout (node);
+  CU_ASSERT_EQUAL (written_start (node), ROLLOUT_START_UNKNOWN);
+  node_with_writer_free (node);
+}
+
+/* Guards against a front that applies the start in a status without knowing the store's time, or
+ * takes a start that the status doesn't tell for the year zero. */
+static void
+test_start_of_rollout_is_not_taken_without_time (void)
+{
+  static const char status[] = "{\"Service\":\"drafts\",\"Target\":\"v2\",\"State\":\"running\"%s}";
+  static const char *const starts[] = { ",\"StartedMs\":5", ",\"StartedMs\":null", "" };
+
+  for (size_t i = 0; i < SUITE_COUNT (starts); i++)
+    {
+      FrontNode *node = node_with_writer ();
+      FrontRollout *rollout = begin_rollout (node);
+      int64_t started_ms = rollout->started_ms;
+      char value[200];
+      StoreRow row = { .key = (char *)(uintptr_t)status_key, .value = value, .version = 9 };
+
+      /* Only a start that is told, and whose clock is known, may count. */
+      if (i > 0)
+        store_clock_set (&node->store.clock, STORE_AHEAD, 0);
+      row.value_len = (size_t)snprintf (value, sizeof value, status, starts[i]);
+      store_apply_status (&node->store, &row);
+      CU_ASSERT_EQUAL (rollout->status_version, row.version);
+      CU_ASSERT_EQUAL (rollout->started_ms, started_ms);
+      node_with_writer_free (node);
+    }
+}
+
+/* The start in the status is by the store's clock, and is taken back to that of the reader. */
+static void
+test_start_of_rollout_is_by_the_store_s_clock (void)
+{
+  FrontNode *node = node_with_writer ();
+  FrontRollout *rollout = begin_rollout (node);
+
+  store_clock_set (&node->store.clock, STORE_AHEAD, 0);
+  CU_ASSERT_EQUAL (written_start (node), rollout->started_ms + STORE_AHEAD);
+  node_with_writer_free (node);
+}
+
 int
 main (int argc, char **argv)
 {
   static const SuiteCase cases[] = {
     { "store_may_have_the_time_of_this_machine", test_store_may_have_the_time_of_this_machine },
+    { "start_of_rollout_is_not_told_without_time", test_start_of_rollout_is_not_told_without_time },
+    { "start_of_rollout_is_not_taken_without_time",
+      test_start_of_rollout_is_not_taken_without_time },
+    { "start_of_rollout_is_by_the_store_s_clock", test_start_of_rollout_is_by_the_store_s_clock },
   };
 
   return suite_main (argc, argv, "front_time", cases, SUITE_COUNT (cases));
