--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -60,7 +60,6 @@
   int64_t list_interval_ms; /* until the read after that */
   FrontRollout *writing;    /* roll-out whose status is being written; NULL: none */
   FrontRolloutState writing_state;
-  int64_t writing_started_ms;
   bool settled;             /* FRONT_SETTLED_MS have passed since the start */
   bool registering;         /* this front's address is being written */
   bool writing_refused;     /* the row of refused requests is being written */
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -58,7 +58,6 @@
   row = front_table_find (table, key.data);
   store->writing = rollout;
   store->writing_state = rollout->verdict;
-  store->writing_started_ms = rollout->started_ms;
   if (!store_clock_from_own (&store->clock, rollout->started_ms, &started_ms))
     started_ms = ROLLOUT_START_UNKNOWN;
   wire_rollout_status_encode (&value, &rollout->order, rollout->verdict, started_ms);
