Answers to other fronts tell the store's time

Cause: only the store's answers told its time. A front that has all rows from other fronts could not read the roll-out's start in the status, nor the row of refused requests, and took the roll-out for begun when it learned of it.

Each answer with rows to another front has a field with the store's time as the sender knows it when it sends; whoever asks takes it over, and also that of the store's answers to writes. All rows of a front come with such an answer, so that its time is known before any of them is applied. 28 bytes an answer, which are not cached with the rows.

--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -93,6 +93,7 @@
         self.changed = asyncio.Event()  # set by the next change, which replaces it by a new one
         self.calls = 0
         self.era = 1  # rises each time it comes back from a copy
+        self.clock_ahead_ms = 0  # its clock before this machine's
 
     async def put(self, table, key, value):
         """Writes a row, or removes it if value is None. Returns the version of the change."""
@@ -144,8 +145,11 @@
         found = self.rows.get((table, key))
         return json.loads(found[0]) if found else None
 
+    def now_ms(self):
+        return int(time.monotonic() * 1000) + self.clock_ahead_ms
+
     def reply(self, rows, **more):
-        return 200, {"Rows": rows, "Ver": self.version, "NowMs": int(time.monotonic() * 1000), **more}
+        return 200, {"Rows": rows, "Ver": self.version, "NowMs": self.now_ms(), **more}
 
     @staticmethod
     def row(table, key, value, version):
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -114,6 +114,7 @@
     }
   front_counter_add (FRONT_COUNTER_ROWS_GIVEN);
   front_counter_add_many (FRONT_COUNTER_ROWS_GIVEN_BYTES, text->len);
+  front_store_tell_time (store, evhttp_request_get_output_headers (http));
   send_reply (http, HTTP_OK, text);
 }
 
--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -47,7 +47,9 @@
   FrontStore *store = fetch->peers->front->store;
   StoreAnswer answer;
 
-  if (status != HTTP_STATUS_OK || !front_store_decode_peer_answer (text, len, &answer))
+  if (status != HTTP_STATUS_OK
+      || !front_store_decode_peer_answer (front_channel_answer (fetch->channel), text, len,
+                                          &answer))
     {
       fetch->done = true;
       /* The peer no longer has the removals since this front's version. */
@@ -56,6 +58,7 @@
                                    fetch->channel);
       return;
     }
+  front_store_note_time (store, &answer);
   if (!fetch->reads_all)
     front_store_apply_peer_rows (store, fetch->table, false, &answer);
   else if (!part_add (fetch, &answer))
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -9,6 +9,8 @@
 #include "front_channel.h"
 #include "front_row.h"
 
+struct evkeyvalq;
+
 typedef enum
 {
   STORE_OPERATOR, /**< configuration, roll-out orders and evacuations */
@@ -48,8 +50,16 @@
 bool front_store_is_loading (const FrontStore *store, StoreTable table);
 /** True while rows of the table arrive at a sufficient rate. */
 bool front_store_is_receiving (const FrontStore *store, StoreTable table);
-/** Decompresses and decodes another front's answer. False if it is not valid. */
-bool front_store_decode_peer_answer (const char *data, size_t len, StoreAnswer *answer);
+/** Decompresses and decodes another front's answer. False if it is not valid. reply: its head; may
+ *  be NULL. */
+bool front_store_decode_peer_answer (const HttpReply *reply,
+                                     const char *data,
+                                     size_t len,
+                                     StoreAnswer *answer);
+/** Takes over the store's time if the answer, which has just arrived, tells it. */
+void front_store_note_time (FrontStore *store, const StoreAnswer *answer);
+/** Adds a field with the store's time to an answer to another front, if it is known here. */
+void front_store_tell_time (const FrontStore *store, struct evkeyvalq *fields);
 /** Logs a request for rows that got no complete answer, and how many bytes of it arrived. source:
  *  the front that was asked; NULL: the store. */
 void front_store_log_rows_failed (const FrontStore *store,
--- a/src/front_store_peer.c
+++ b/src/front_store_peer.c
@@ -1,12 +1,19 @@
-/* Requests for rows between fronts: their URL paths, and decoding of the answers. */
+/* Requests for rows between fronts: their URL paths, and what answers tell besides the rows. */
 #include "front_compress.h"
-#include "front_store.h"
+#include "front_store_private.h"
+#include "util_clock.h"
 #include "util_span.h"
 #include "wire_store.h"
+#include <event2/http.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
+#define TIME_TEXT 24 /* bytes of a decimal number with its terminating NUL */
+
 static const char rows_prefix[] = "/rows/";
 static const char rows_wait[] = "/wait";
+static const char time_field[] = "Store-Time-Ms";
 
 void
 front_store_format_rows_path (Buffer *out, const RowsRequest *request)
@@ -34,13 +41,38 @@
   return rest.text == NULL || request->wait;
 }
 
+void
+front_store_note_time (FrontStore *store, const StoreAnswer *answer)
+{
+  if (answer->has_clock)
+    store_clock_set (&store->clock, answer->clock_ms, clock_boot_ms ());
+}
+
+void
+front_store_tell_time (const FrontStore *store, struct evkeyvalq *fields)
+{
+  char text[TIME_TEXT];
+  int64_t store_ms;
+
+  if (!store_clock_from_own (&store->clock, clock_boot_ms (), &store_ms))
+    return;
+  snprintf (text, sizeof text, "%" PRId64, store_ms);
+  evhttp_add_header (fields, time_field, text);
+}
+
 bool
-front_store_decode_peer_answer (const char *data, size_t len, StoreAnswer *answer)
+front_store_decode_peer_answer (const HttpReply *reply,
+                                const char *data,
+                                size_t len,
+                                StoreAnswer *answer)
 {
   Buffer text = { 0 };
   bool good = front_decompress (&text, data, len, FRONT_COMPRESS_TEXT_MAX) && text.len > 0
               && wire_store_decode (text.data, text.len, answer);
 
   buffer_free (&text);
+  if (good)
+    answer->has_clock
+        = reply && span_number (http_head_get (&reply->head, time_field), &answer->clock_ms);
   return good;
 }
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -173,7 +173,8 @@
 answer_decode (const Watch *watch, const char *text, size_t len, StoreAnswer *answer)
 {
   if (watch->asked_peer)
-    return front_store_decode_peer_answer (text, len, answer);
+    return front_store_decode_peer_answer (front_channel_answer (watch->channel), text, len,
+                                           answer);
   if (!wire_store_decode (text, len, answer))
     return false;
   store_answer_set_era (answer, watch->store->era);
@@ -255,8 +256,7 @@
   watch->peer_failures = 0;
   if (!watch->asked_peer)
     lost_set (watch, false, status);
-  if (answer.has_clock)
-    store_clock_set (&watch->store->clock, answer.clock_ms, clock_boot_ms ());
+  front_store_note_time (watch->store, &answer);
   if (!watch->asked_peer && is_era_mixed (watch, &answer))
     {
       pages_clear (watch);
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -83,6 +83,7 @@
       && wire_store_decode (text, len, &answer))
     {
       store_answer_set_era (&answer, store->era);
+      front_store_note_time (store, &answer);
       if (store->registering && status == STORE_HTTP_OK)
         front_peers_set_registered (store->front->peers, true);
       else if (status == STORE_HTTP_OK && store->writing)
--- a/tests/test_front_compress.c
+++ b/tests/test_front_compress.c
@@ -69,7 +69,7 @@
   StoreAnswer answer;
 
   CU_ASSERT (compressed.len <= COMPRESSED_MAX);
-  CU_ASSERT_FATAL (front_store_decode_peer_answer (compressed.data, compressed.len, &answer));
+  CU_ASSERT_FATAL (front_store_decode_peer_answer (NULL, compressed.data, compressed.len, &answer));
   CU_ASSERT_EQUAL (answer.count, SERVERS);
   CU_ASSERT_EQUAL (answer.version, 900);
   store_answer_clear (&answer);
@@ -122,7 +122,7 @@
   CU_ASSERT (text.len > CONFIG_MAX_BYTES);
   CU_ASSERT (front_compress (&text));
   CU_ASSERT (text.len <= CONFIG_MAX_BYTES);
-  CU_ASSERT_FATAL (front_store_decode_peer_answer (text.data, text.len, &answer));
+  CU_ASSERT_FATAL (front_store_decode_peer_answer (NULL, text.data, text.len, &answer));
   CU_ASSERT_EQUAL (answer.count, 1);
   store_answer_clear (&answer);
   buffer_free (&text);
@@ -138,12 +138,13 @@
   StoreAnswer answer;
 
   for (size_t len = 0; len < compressed.len; len += 97)
-    CU_ASSERT_FALSE (front_store_decode_peer_answer (compressed.data, len, &answer));
+    CU_ASSERT_FALSE (front_store_decode_peer_answer (NULL, compressed.data, len, &answer));
   buffer_add (&compressed, "more", 4);
-  CU_ASSERT_FALSE (front_store_decode_peer_answer (compressed.data, compressed.len, &answer));
+  CU_ASSERT_FALSE (front_store_decode_peer_answer (NULL, compressed.data, compressed.len, &answer));
   compressed.data[compressed.len / 2] ^= 1;
-  CU_ASSERT_FALSE (front_store_decode_peer_answer (compressed.data, compressed.len - 4, &answer));
-  CU_ASSERT_FALSE (front_store_decode_peer_answer ("<html>", 6, &answer));
+  CU_ASSERT_FALSE (
+      front_store_decode_peer_answer (NULL, compressed.data, compressed.len - 4, &answer));
+  CU_ASSERT_FALSE (front_store_decode_peer_answer (NULL, "<html>", 6, &answer));
   buffer_free (&compressed);
   front_table_clear (&table);
 }
--- a/tests/test_front_rows.c
+++ b/tests/test_front_rows.c
@@ -89,7 +89,7 @@
           store_answer_clear (&all);
           continue;
         }
-      CU_ASSERT_FATAL (front_store_decode_peer_answer (text->data, text->len, &part));
+      CU_ASSERT_FATAL (front_store_decode_peer_answer (NULL, text->data, text->len, &part));
       CU_ASSERT (part.count <= PART_ROWS);
       more = part.has_more;
       if (part.base_version != 0)
@@ -266,7 +266,7 @@
           const Buffer *text = rows_cache_get (&cache, &giver->store, &request);
           StoreAnswer answer;
 
-          CU_ASSERT_FATAL (front_store_decode_peer_answer (text->data, text->len, &answer));
+          CU_ASSERT_FATAL (front_store_decode_peer_answer (NULL, text->data, text->len, &answer));
           CU_ASSERT (answer.count >= PART_ROWS / 2);
           since[i] = answer.version;
           store_answer_clear (&answer);
--- a/tests/test_front_time.c
+++ b/tests/test_front_time.c
@@ -1,15 +1,18 @@
-/** The store's time at a front: src/front_store_watch.c, front_store_refused.c,
- * front_store_write.c.
- */
+/** The store's time at a front: src/front_store_clock.c, front_store_peer.c, front_store_refused.c,
+ *  front_store_write.c. */
 #include "choose_quarantine.h"
+#include "front_compress.h"
 #include "front_deaths.h"
 #include "front_node.h"
 #include "suite.h"
 #include "util_clock.h"
 #include "wire_rollout.h"
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #define ROUNDS      20
 #define REFUSED     7u         /* fingerprint of a request */
@@ -67,6 +70,7 @@
     }
 }
 
+static const char time_field[] = "Store-Time-Ms";
 static const char status_key[] = "rollout/drafts";
 
 /* A roll-out has begun now. */
@@ -173,6 +177,64 @@
   node_with_writer_free (node);
 }
 
+static void
+test_answers_to_other_fronts_tell_the_time (void)
+{
+  FrontNode *node = front_node_new ();
+  struct evkeyvalq fields;
+  const char *text;
+  int64_t told_ms = 0;
+
+  TAILQ_INIT (&fields);
+  front_store_tell_time (&node->store, &fields);
+  CU_ASSERT_PTR_NULL (evhttp_find_header (&fields, time_field));
+  store_clock_set (&node->store.clock, STORE_AHEAD, 0);
+  front_store_tell_time (&node->store, &fields);
+  text = evhttp_find_header (&fields, time_field);
+  CU_ASSERT (text && span_number (span_of (text), &told_ms));
+  CU_ASSERT (told_ms > STORE_AHEAD && told_ms <= STORE_AHEAD + clock_boot_ms ());
+  evhttp_clear_headers (&fields);
+  front_node_free (node);
+}
+
+/* Guards against taking an answer that tells no time, or none that is valid, for one that does. */
+static void
+test_time_in_an_answer_of_another_front (void)
+{
+  static const struct
+  {
+    const char *field;
+    bool tells;
+  } answers[] = {
+    { "Store-Time-Ms: 0\r\n", true },
+    { "Store-Time-Ms: 77\r\n", true },
+    { "", false },
+    { "Store-Time-Ms:\r\n", false },
+    { "Store-Time-Ms: x7\r\n", false },
+    { "Store-Time-Ms: -7\r\n", false },
+  };
+  Buffer rows = { 0 };
+
+  buffer_add_string (&rows, "{\"Rows\":[],\"Ver\":5}");
+  CU_ASSERT_FATAL (front_compress (&rows));
+  for (size_t i = 0; i < SUITE_COUNT (answers); i++)
+    {
+      HttpReply reply;
+      StoreAnswer answer;
+      char head[200];
+
+      snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n",
+                answers[i].field);
+      http_reply_init (&reply);
+      http_reply_feed (&reply, head, strlen (head));
+      CU_ASSERT_FATAL (front_store_decode_peer_answer (&reply, rows.data, rows.len, &answer));
+      CU_ASSERT_EQUAL (answer.has_clock, answers[i].tells);
+      store_answer_clear (&answer);
+      http_reply_clear (&reply);
+    }
+  buffer_free (&rows);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -182,6 +244,8 @@
     { "start_of_rollout_is_not_taken_without_time",
       test_start_of_rollout_is_not_taken_without_time },
     { "start_of_rollout_is_by_the_store_s_clock", test_start_of_rollout_is_by_the_store_s_clock },
+    { "answers_to_other_fronts_tell_the_time", test_answers_to_other_fronts_tell_the_time },
+    { "time_in_an_answer_of_another_front", test_time_in_an_answer_of_another_front },
   };
 
   return suite_main (argc, argv, "front_time", cases, SUITE_COUNT (cases));
