Fronts tell each other when an evacuation ended

What callers saw: a failure domain's servers, cold when its evacuation ends, crash under the work that one front sends them: 440 to 688 requests in a second to a server that bears 11.

Cause: servers' entries show that they are cold only with their next heartbeat. Until then a front goes by the end of the order, which one that starts after it, or was frozen through order and end, has not seen.

A front that has read that an order ended tells for three seconds how long ago, with the version of the removal, and at once to a front that has just started. It is not passed on by those who were told. One who knows this end or a later one ignores it: else a front that was frozen, and reads the end late, would make all others take warm servers for cold. An order that is in force is not ended by it. A message without such news is 4 bytes longer.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 standins: $(STANDINS:%=$(BUILD)/%)
 tests: $(TESTS:%=$(BUILD)/%)
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
-$(BUILD)/test_front_era $(BUILD)/test_front_time: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations: $(call obj,$(FRONT_TEST_HELPERS))
 benches: $(BENCHES:%=$(BUILD)/%)
 
 $(BUILD)/obj/rpc/%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -2,7 +2,7 @@
 #include <rpc/xdr.h>
 #include <string.h>
 
-#define MAGIC 0x4c48424au /* "LHBJ"; to be incremented with any change of the format */
+#define MAGIC 0x4c48424bu /* "LHBK"; to be incremented with any change of the format */
 
 static bool_t
 xdr_hash (XDR *xdr, uint64_t *value)
@@ -123,6 +123,15 @@
       if (!xdr_hash (xdr, &refusal->fingerprint) || !xdr_uint32_t (xdr, &refusal->left_ms))
         return FALSE;
     }
+  if (!xdr_list_length (xdr, &message->return_count, PEER_RETURNS_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->return_count; i++)
+    {
+      if (!xdr_uint32_t (xdr, &message->returns[i].domain)
+          || !xdr_uint32_t (xdr, &message->returns[i].age_ms)
+          || !xdr_int64_t (xdr, &message->returns[i].version))
+        return FALSE;
+    }
   if (!xdr_list_length (xdr, &message->member_count, PEER_MEMBERS_MAX))
     return FALSE;
   for (unsigned i = 0; i < message->member_count; i++)
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -17,6 +17,7 @@
 #define PEER_DEATHS_MAX   24
 #define PEER_FLIGHTS_MAX  32 /**< requests of all these deaths together */
 #define PEER_REFUSALS_MAX 8
+#define PEER_RETURNS_MAX  4  /**< failure domains whose evacuation ended */
 #define PEER_MEMBERS_MAX  96 /**< fronts in one message; others follow in the next ones */
 #define PEER_COUNTS_MAX   6  /**< failure domains whose size is in one message; others follow */
 #define PEER_SESSIONS_MAX 64 /**< of one roll-out */
@@ -56,6 +57,14 @@
   uint32_t age_ms; /**< since one of them counted it */
 } PeerCount;
 
+/** A failure domain whose evacuation ended recently. */
+typedef struct
+{
+  uint32_t domain; /**< hash */
+  uint32_t age_ms; /**< since the sender read that it ended */
+  int64_t version; /**< of the removal of the order */
+} PeerReturn;
+
 typedef struct
 {
   uint64_t incarnation;
@@ -72,6 +81,8 @@
   QuarantineDeath deaths[PEER_DEATHS_MAX]; /**< recent ones only */
   uint32_t refusal_count;
   QuarantineRefusal refusals[PEER_REFUSALS_MAX]; /**< requests that are refused at all fronts */
+  uint32_t return_count;
+  PeerReturn returns[PEER_RETURNS_MAX];
   uint32_t member_count;
   PeerMember members[PEER_MEMBERS_MAX];
 } PeerMessage;
--- a/src/front_peers_compose.c
+++ b/src/front_peers_compose.c
@@ -151,6 +151,21 @@
   peers->next_death++;
 }
 
+static void
+returns_fill (const FrontPeers *peers, PeerMessage *message, int64_t now_ms)
+{
+  EvacuationEnd ends[PEER_RETURNS_MAX];
+
+  message->return_count
+      = front_servers_evacuation_ends (peers->front->servers, ends, PEER_RETURNS_MAX, now_ms);
+  for (uint32_t i = 0; i < message->return_count; i++)
+    message->returns[i] = (PeerReturn){
+      .domain = ends[i].domain,
+      .age_ms = (uint32_t)(now_ms - ends[i].at_ms),
+      .version = ends[i].version,
+    };
+}
+
 void
 peers_rollouts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
 {
@@ -187,6 +202,7 @@
   peers_counts_fill (peers, message, now_ms);
   peers_rollouts_fill (peers, message, now_ms);
   peers_deaths_fill (peers, message, now_ms);
+  returns_fill (peers, message, now_ms);
 }
 
 /* Drops half of the sessions of the first roll-out that has any. */
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -54,6 +54,27 @@
     peer->seen_ms = seen_ms;
 }
 
+static void
+receive_return (Front *front, const PeerReturn *report, int64_t now_ms)
+{
+  const EvacuationEnd end = {
+    .domain = report->domain,
+    .at_ms = now_ms - report->age_ms,
+    .version = report->version,
+    .is_told = true,
+  };
+  FrontLine *line;
+
+  if (!front_servers_evacuation_ended (front->servers, &end, now_ms))
+    return;
+  line = front_log_begin (FRONT_EVENT_EVACUATION);
+  front_log_text (line, "state", "told_ended");
+  front_log_number (line, "domain_hash", report->domain);
+  front_log_number (line, "age_ms", report->age_ms);
+  front_log_number (line, "row_version", store_version_number (report->version));
+  front_log_end (line);
+}
+
 static void
 log_peer (const Peer *peer)
 {
@@ -113,6 +134,8 @@
     front_deaths_told (front, &message->deaths[i], now_ms);
   for (uint32_t i = 0; i < message->refusal_count; i++)
     front_deaths_refusal_told (front, &message->refusals[i], now_ms);
+  for (uint32_t i = 0; i < message->return_count; i++)
+    receive_return (front, &message->returns[i], now_ms);
   for (uint32_t i = 0; i < message->member_count; i++)
     receive_member (peers, &message->members[i], now_ms);
 }
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -1,5 +1,5 @@
 #include "front_servers.h"
-#include "front_evacuations.h"
+#include "front.h"
 #include "front_server_starts.h"
 #include "front_socket.h"
 #include "util_id.h"
@@ -120,6 +120,8 @@
   server->hash = id_hash_string (entry->id, (uint64_t)entry->born_ms);
   server->is_same_domain = strcmp (entry->failure_domain, servers->failure_domain) == 0;
   server->listed = true;
+  server->returned_ms = front_evacuations_ended_ms (
+      &servers->evacuations, front_failure_domain_hash (entry->failure_domain));
   server_inherit (servers, server);
   cds_list_add_tail (&server->node, &servers->list);
   index_add (&servers->by_id, &server->by_id, span_hash (span_of (entry->id)));
@@ -187,24 +189,62 @@
   return true;
 }
 
+/* The servers of the failure domain get work again. */
+static void
+set_returned (FrontServers *servers, uint32_t domain, int64_t at_ms)
+{
+  FrontServer *server;
+
+  cds_list_for_each_entry (server, &servers->list, node)
+  {
+    if (front_failure_domain_hash (server->entry.failure_domain) == domain)
+      server->returned_ms = at_ms;
+  }
+}
+
 bool
-front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered, int64_t now_ms)
+front_servers_evacuate (FrontServers *servers,
+                        const char *domain,
+                        bool ordered,
+                        int64_t version,
+                        int64_t now_ms)
 {
+  EvacuationEnd end
+      = { .domain = front_failure_domain_hash (domain), .at_ms = now_ms, .version = version };
   FrontServer *server;
 
   if (!front_evacuations_set (&servers->evacuations, domain, ordered))
     return false;
   cds_list_for_each_entry (server, &servers->list, node)
   {
-    if (strcmp (server->entry.failure_domain, domain) != 0)
-      continue;
-    server->evacuated = ordered;
-    if (!ordered)
-      server->returned_ms = now_ms;
+    if (strcmp (server->entry.failure_domain, domain) == 0)
+      server->evacuated = ordered;
   }
+  if (ordered)
+    return true;
+  front_evacuations_add_end (&servers->evacuations, &end, now_ms);
+  set_returned (servers, end.domain, now_ms);
   return true;
 }
 
+bool
+front_servers_evacuation_ended (FrontServers *servers, const EvacuationEnd *end, int64_t now_ms)
+{
+  if (!front_evacuations_add_end (&servers->evacuations, end, now_ms))
+    return false;
+  set_returned (servers, end->domain, end->at_ms);
+  return true;
+}
+
+unsigned
+front_servers_evacuation_ends (const FrontServers *servers,
+                               EvacuationEnd *out,
+                               unsigned max,
+                               int64_t now_ms)
+{
+  return front_evacuations_recent_ends (&servers->evacuations, out, max, now_ms);
+}
+
 FrontServer *
 front_servers_current (FrontServer *server)
 {
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -4,6 +4,7 @@
 #ifndef FRONT_SERVERS_H
 #define FRONT_SERVERS_H
 
+#include "front_evacuations.h"
 #include "front_server.h"
 
 typedef struct FrontServers FrontServers;
@@ -21,9 +22,22 @@
  *  server is listed again. */
 void front_servers_remove (FrontServers *servers, const char *id, int64_t now_ms, int64_t grace_ms);
 /** Applies or withdraws the operator's order to send no work to the servers of a failure domain.
- *  True if that changes anything. Servers that are listed later are affected, too. */
+ *  True if that changes anything. Servers that are listed later are affected, too. version: of the
+ *  order's row or its removal. */
+bool front_servers_evacuate (FrontServers *servers,
+                             const char *domain,
+                             bool ordered,
+                             int64_t version,
+                             int64_t now_ms);
+/** Another front tells that the evacuation of a failure domain ended. True if this front did not
+ *  know it. */
 bool
-front_servers_evacuate (FrontServers *servers, const char *domain, bool ordered, int64_t now_ms);
+front_servers_evacuation_ended (FrontServers *servers, const EvacuationEnd *end, int64_t now_ms);
+/** Copies up to max ends of evacuations that other fronts are to be told of; their number. */
+unsigned front_servers_evacuation_ends (const FrontServers *servers,
+                                        EvacuationEnd *out,
+                                        unsigned max,
+                                        int64_t now_ms);
 /** The record of this start: its entry may have expired and come back since a request was sent, and
  *  is another record then. */
 FrontServer *front_servers_current (FrontServer *server);
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -94,8 +94,12 @@
 
   if (row->removed && is_deferred (store))
     return;
-  if (is_name && !front_servers_evacuate (front->servers, domain, !row->removed, clock_boot_ms ()))
+  if (is_name
+      && !front_servers_evacuate (front->servers, domain, !row->removed, row->version,
+                                  clock_boot_ms ()))
     return;
+  if (row->removed)
+    front_peers_send_soon (front->peers);
   line = front_log_begin (FRONT_EVENT_EVACUATION);
   front_log_text (line, "domain", domain);
   front_log_text (line, "state", is_name ? state : "refused");
--- a/tests/test_front_peer_message.c
+++ b/tests/test_front_peer_message.c
@@ -26,6 +26,8 @@
   message.deaths[0].flights[2] = 8;
   message.refusal_count = 2;
   message.refusals[1] = (QuarantineRefusal){ .fingerprint = 77, .left_ms = 1500 };
+  message.return_count = 2;
+  message.returns[1] = (PeerReturn){ .domain = 9, .age_ms = 250, .version = 12 };
   message.member_count = 2;
   message.members[1] = (PeerMember){ .ip = 0x0a000001, .domain = 3, .age_ms = 40 };
   return message;
@@ -59,6 +61,10 @@
   CU_ASSERT_EQUAL (out.refusal_count, 2);
   CU_ASSERT_EQUAL (out.refusals[1].fingerprint, 77);
   CU_ASSERT_EQUAL (out.refusals[1].left_ms, 1500);
+  CU_ASSERT_EQUAL (out.return_count, 2);
+  CU_ASSERT_EQUAL (out.returns[1].domain, 9);
+  CU_ASSERT_EQUAL (out.returns[1].age_ms, 250);
+  CU_ASSERT_EQUAL (out.returns[1].version, 12);
   CU_ASSERT_EQUAL (out.member_count, 2);
   CU_ASSERT_EQUAL (out.members[1].ip, 0x0a000001);
   CU_ASSERT_EQUAL (out.members[1].domain, 3);
@@ -102,6 +108,7 @@
       CU_ASSERT (out.rollouts[0].domain_count <= PEER_DOMAINS_MAX);
       CU_ASSERT (out.death_count <= PEER_DEATHS_MAX);
       CU_ASSERT (out.refusal_count <= PEER_REFUSALS_MAX);
+      CU_ASSERT (out.return_count <= PEER_RETURNS_MAX);
       CU_ASSERT (out.member_count <= PEER_MEMBERS_MAX);
     }
   data[0] ^= 1;
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -374,8 +374,8 @@
   add ("a", "here", "v1");
   add ("bb", "here", "v1");
   add ("ccc", "there", "v1");
-  CU_ASSERT (front_servers_evacuate (servers, "here", true, NOW));
-  CU_ASSERT (!front_servers_evacuate (servers, "here", true, NOW));
+  CU_ASSERT (front_servers_evacuate (servers, "here", true, 1, NOW));
+  CU_ASSERT (!front_servers_evacuate (servers, "here", true, 1, NOW));
   for (unsigned i = 0; i < 200; i++)
     {
       PickAnswer answer = front_pick (servers, &query, NOW + i);
@@ -391,7 +391,7 @@
   front_servers_remove (servers, "ccc", NOW + 200, 0);
   CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 200), "none");
   CU_ASSERT (front_pick (servers, &query, NOW + 200).evacuated);
-  CU_ASSERT (front_servers_evacuate (servers, "here", false, NOW + 200));
+  CU_ASSERT (front_servers_evacuate (servers, "here", false, 2, NOW + 200));
   CU_ASSERT_STRING_NOT_EQUAL (picked (&query, NOW + 200), "none");
 }
 
--- a/tests/test_front_server.c
+++ b/tests/test_front_server.c
@@ -225,7 +225,7 @@
       break;
     case EVACUATED:
     case EVACUATION_ENDED:
-      front_servers_evacuate (servers, "hall", event == EVACUATED, now_ms);
+      front_servers_evacuate (servers, "hall", event == EVACUATED, now_ms, now_ms);
       break;
     case ASKS_REST:
     case ASKS_SHORT_REST:
