--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -91,9 +91,10 @@
       QuarantineEvidence evidence
           = quarantine_evidence (front->quarantine, death->flights[i], now_ms);
 
-      if (evidence.servers < SUSPECT_DEATHS_MIN)
+      /* Reports repeat for seconds, each with some requests more. */
+      if (evidence.servers < SUSPECT_DEATHS_MIN || (!is_own && evidence.is_held == was_held[i]))
         continue;
-      if (is_own || (evidence.is_held && !was_held[i]))
+      if (is_own || evidence.is_held)
         front_peers_send_soon (front->peers);
       log_suspect (death->flights[i], death->server, &evidence);
     }
