An evacuation's end is told at once also while a new era of the store settles

Cause: after the store came back from a copy a front obeys a removal only after 2.2 s, as the order may have been lost and be written again. It told others of the end only then, 1.9 s after the servers had become cold. The front that sent the requests had read the new era when order and removal were both over.

Who has the order in force now tells others of the removal when it reads it, and goes on obeying the order itself. If the order is written again, those who were told have taken servers for cold that get nothing anyway.

--- a/regress/front/cases_evacuation.py
+++ b/regress/front/cases_evacuation.py
@@ -75,7 +75,28 @@
     await check_front(site, front, ended)
 
 
-CASES = [front_starts_after_an_evacuation, front_is_frozen_through_an_evacuation]
+async def front_is_frozen_through_an_evacuation_in_a_new_era(site):
+    """The store has just come back from a copy, so that fronts wait before they obey a removal. Guards against a front
+    that finds an order neither given nor removed, and is told only after that wait."""
+    front = site.fronts[2]
+    await limit_cold(site)
+    copy = site.store.copy()
+    front.signal(signal.SIGSTOP)
+    site.store.restore(copy)
+    await site.configure()
+    await asyncio.sleep(0.5)
+    await site.evacuate("a")
+    await asyncio.sleep(0.5)
+    ended = asyncio.ensure_future(site.end_evacuation("a"))
+    await asyncio.sleep(ENDED_S)
+    front.signal(signal.SIGCONT)
+    await check_front(site, front, ended)
+
+
+CASES = [
+    front_starts_after_an_evacuation, front_is_frozen_through_an_evacuation,
+    front_is_frozen_through_an_evacuation_in_a_new_era,
+]  # fmt: skip
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -227,6 +227,19 @@
   return true;
 }
 
+void
+front_servers_evacuation_may_end (FrontServers *servers,
+                                  const char *domain,
+                                  int64_t version,
+                                  int64_t now_ms)
+{
+  const EvacuationEnd end
+      = { .domain = front_failure_domain_hash (domain), .at_ms = now_ms, .version = version };
+
+  if (front_evacuations_has (&servers->evacuations, domain))
+    front_evacuations_add_end (&servers->evacuations, &end, now_ms);
+}
+
 bool
 front_servers_evacuation_ended (FrontServers *servers, const EvacuationEnd *end, int64_t now_ms)
 {
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -29,6 +29,12 @@
                              bool ordered,
                              int64_t version,
                              int64_t now_ms);
+/** The removal of an order that is in force was read, but does not count yet. Only other fronts are
+ *  told of it: one without the order would take the servers for warm. */
+void front_servers_evacuation_may_end (FrontServers *servers,
+                                       const char *domain,
+                                       int64_t version,
+                                       int64_t now_ms);
 /** Another front tells that the evacuation of a failure domain ended. True if this front did not
  *  know it. */
 bool
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -90,16 +90,19 @@
   const char *domain = row->key + strlen (wire_key_evacuation);
   bool is_name = domain[0] && strlen (domain) < SERVER_TEXT_MAX;
   const char *state = row->removed ? "taken_back" : "ordered";
+  int64_t now_ms = clock_boot_ms ();
   FrontLine *line;
 
+  if (row->removed)
+    front_peers_send_soon (front->peers);
   if (row->removed && is_deferred (store))
-    return;
+    {
+      front_servers_evacuation_may_end (front->servers, domain, row->version, now_ms);
+      return;
+    }
   if (is_name
-      && !front_servers_evacuate (front->servers, domain, !row->removed, row->version,
-                                  clock_boot_ms ()))
+      && !front_servers_evacuate (front->servers, domain, !row->removed, row->version, now_ms))
     return;
-  if (row->removed)
-    front_peers_send_soon (front->peers);
   line = front_log_begin (FRONT_EVENT_EVACUATION);
   front_log_text (line, "domain", domain);
   front_log_text (line, "state", is_name ? state : "refused");
--- a/tests/test_front_evacuations.c
+++ b/tests/test_front_evacuations.c
@@ -97,6 +97,27 @@
       front_servers_evacuation_ends (servers, ends, 4, NOW + 1000 + EVACUATION_REPORT_MS), 0);
 }
 
+/* Guards against a front that keeps an end to itself until a new era of the store has settled. */
+static void
+test_end_is_told_while_the_order_stays_in_force (void)
+{
+  const FrontServer *server;
+  EvacuationEnd ends[4];
+
+  setup ();
+  server = list_server ("i-1", "b");
+  front_servers_evacuation_may_end (servers, "b", 6, NOW);
+  CU_ASSERT_EQUAL (front_servers_evacuation_ends (servers, ends, 4, NOW), 0);
+  front_servers_evacuate (servers, "b", true, 4, NOW);
+  front_servers_evacuation_may_end (servers, "b", 6, NOW);
+  CU_ASSERT_EQUAL (front_servers_evacuation_ends (servers, ends, 4, NOW), 1);
+  CU_ASSERT (server->evacuated);
+  CU_ASSERT_EQUAL (server->returned_ms, 0);
+  front_servers_evacuate (servers, "b", false, 6, NOW + 2200);
+  CU_ASSERT_FALSE (server->evacuated);
+  CU_ASSERT_EQUAL (server->returned_ms, NOW + 2200);
+}
+
 static void
 test_more_domains_than_are_kept (void)
 {
@@ -121,6 +142,8 @@
       test_told_end_applies_to_all_servers_of_the_domain },
     { "told_ends_that_do_not_count", test_told_ends_that_do_not_count },
     { "ends_that_are_told_to_others", test_ends_that_are_told_to_others },
+    { "end_is_told_while_the_order_stays_in_force",
+      test_end_is_told_while_the_order_stays_in_force },
     { "more_domains_than_are_kept", test_more_domains_than_are_kept },
   };
   int status;
