The removal of an evacuation order that was never read means that it ended

Cause: the store had answered none of the four fronts for 2.7 s, in which the order was given and ended. Their next answer had the removal of a row that they never had, which the table passes over, so that nobody took the servers for cold, and nobody could tell another.

Such a removal among changes counts as an end at the time it is read, at second hand: it may have been earlier, so it is not told to others, and one that another front has told with this version is not taken again. A front that reads the whole table learns of no removals, as before.

removal_of_an_unknown_order_ends_it failed without the call of store_apply_unseen_ends (third answer), and passes. Requests before the store's first answer still reach servers that the front can't know to be cold.

--- a/src/front_evacuations.c
+++ b/src/front_evacuations.c
@@ -118,7 +118,7 @@
 {
   const EvacuationEnd *known = end_find (evacuations, end->domain);
 
-  if (end->is_told
+  if (end->is_second_hand
       && (now_ms - end->at_ms >= EVACUATION_REPORT_MS || is_in_force (evacuations, end->domain)
           || (known && known->version >= end->version)))
     return false;
@@ -146,7 +146,7 @@
     {
       const EvacuationEnd *end = &evacuations->ends[i];
 
-      if (!end->is_told && now_ms - end->at_ms < EVACUATION_REPORT_MS)
+      if (!end->is_second_hand && now_ms - end->at_ms < EVACUATION_REPORT_MS)
         out[count++] = *end;
     }
   return count;
--- a/src/front_evacuations.h
+++ b/src/front_evacuations.h
@@ -18,8 +18,9 @@
 {
   uint32_t domain; /**< hash */
   int64_t at_ms;
-  int64_t version; /**< of the order's removal */
-  bool is_told;    /**< by another front; not passed on, as each transfer makes it seem later */
+  int64_t version;     /**< of the order's removal */
+  bool is_second_hand; /**< told by another front, or read without the order; not passed on, as it
+                      seems later than it was */
 } EvacuationEnd;
 
 typedef struct
@@ -34,7 +35,7 @@
 /** Records an order, or its withdrawal. True if that changes anything. */
 bool front_evacuations_set (FrontEvacuations *evacuations, const char *domain, bool ordered);
 bool front_evacuations_has (const FrontEvacuations *evacuations, const char *domain);
-/** Records the end of an order. An end that was told is recorded only if it is recent, the order
+/** Records the end of an order. An end at second hand is recorded only if it is recent, the order
  *  is not in force here, and neither this end nor a later one is known: a front that was frozen may
  *  read it late, and take it for recent. False if it isn't recorded. */
 bool
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -61,7 +61,7 @@
     .domain = report->domain,
     .at_ms = now_ms - report->age_ms,
     .version = report->version,
-    .is_told = true,
+    .is_second_hand = true,
   };
   FrontLine *line;
 
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -35,7 +35,7 @@
                                        const char *domain,
                                        int64_t version,
                                        int64_t now_ms);
-/** Another front tells that the evacuation of a failure domain ended. True if this front did not
+/** The evacuation of a failure domain ended, as this front knows at second hand. True if it did not
  *  know it. */
 bool
 front_servers_evacuation_ended (FrontServers *servers, const EvacuationEnd *end, int64_t now_ms);
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -81,6 +81,17 @@
   front_log_end (line);
 }
 
+static void
+log_evacuation (const char *domain, const char *state, int64_t version)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_EVACUATION);
+
+  front_log_text (line, "domain", domain);
+  front_log_text (line, "state", state);
+  front_log_number (line, "row_version", store_version_number (version));
+  front_log_end (line);
+}
+
 /* The row's existence is the order, whatever its value: an unreadable value must not send work to a
  * failure domain that is being evacuated. */
 static void
@@ -91,7 +102,6 @@
   bool is_name = domain[0] && strlen (domain) < SERVER_TEXT_MAX;
   const char *state = row->removed ? "taken_back" : "ordered";
   int64_t now_ms = clock_boot_ms ();
-  FrontLine *line;
 
   if (row->removed)
     front_peers_send_soon (front->peers);
@@ -103,11 +113,7 @@
   if (is_name
       && !front_servers_evacuate (front->servers, domain, !row->removed, row->version, now_ms))
     return;
-  line = front_log_begin (FRONT_EVENT_EVACUATION);
-  front_log_text (line, "domain", domain);
-  front_log_text (line, "state", is_name ? state : "refused");
-  front_log_number (line, "row_version", store_version_number (row->version));
-  front_log_end (line);
+  log_evacuation (domain, is_name ? state : "refused", row->version);
 }
 
 static bool
@@ -129,6 +135,28 @@
     apply_evacuation (store, row);
 }
 
+void
+store_apply_unseen_ends (FrontStore *store, StoreTable id, const StoreAnswer *changes)
+{
+  const FrontTable *table = &store->watches[id].table;
+  int64_t now_ms = clock_boot_ms ();
+
+  if (id != STORE_OPERATOR)
+    return;
+  for (unsigned i = 0; i < changes->count; i++)
+    {
+      const StoreRow *row = &changes->rows[i];
+      EvacuationEnd end = { .at_ms = now_ms, .version = row->version, .is_second_hand = true };
+
+      if (!row->removed || row->version <= table->version
+          || !has_prefix (row->key, wire_key_evacuation) || front_table_find (table, row->key))
+        continue;
+      end.domain = front_failure_domain_hash (row->key + strlen (wire_key_evacuation));
+      if (front_servers_evacuation_ended (store->front->servers, &end, now_ms))
+        log_evacuation (row->key + strlen (wire_key_evacuation), "unseen", row->version);
+    }
+}
+
 static void
 log_server (const char *id, const char *state, const ServerEntry *entry, int64_t row_version)
 {
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -75,6 +75,9 @@
 void store_apply_member (void *user, const StoreRow *row);
 /* Applies the operator's orders and their removals that were left while the era was settling. */
 void store_apply_deferred (FrontStore *store);
+/* To be called before changes are applied: looks for ends of evacuations whose order was never read
+ * here, as this front was frozen or the store away. */
+void store_apply_unseen_ends (FrontStore *store, StoreTable id, const StoreAnswer *changes);
 /* Updates what depends on the table as a whole, after its changed rows were applied. */
 void store_apply_end (FrontStore *store, StoreTable id);
 
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -269,6 +269,7 @@
   else
     {
       store_era_begin (watch, answer.version);
+      store_apply_unseen_ends (watch->store, watch->id, &answer);
       front_table_apply_changes (&watch->table, &answer, kinds[watch->id].change, watch->store);
       store_apply_end (watch->store, watch->id);
     }
@@ -412,7 +413,10 @@
   if (all)
     front_table_apply_snapshot (&watch->table, answer, kinds[watch->id].change, watch->store);
   else
-    front_table_apply_changes (&watch->table, answer, kinds[watch->id].change, watch->store);
+    {
+      store_apply_unseen_ends (watch->store, watch->id, answer);
+      front_table_apply_changes (&watch->table, answer, kinds[watch->id].change, watch->store);
+    }
   store_apply_end (watch->store, watch->id);
   if (!watch->loaded)
     load_cancel (watch);
--- a/tests/test_front_evacuations.c
+++ b/tests/test_front_evacuations.c
@@ -1,8 +1,10 @@
 /** Ends of evacuations: src/front_evacuations.c, front_servers.c. */
 #include "front.h"
+#include "front_node.h"
 #include "front_servers.h"
 #include "suite.h"
 #include <stdio.h>
+#include <string.h>
 
 #define NOW 100000
 
@@ -34,7 +36,7 @@
   const EvacuationEnd end = { .domain = front_failure_domain_hash (domain),
                               .at_ms = at_ms,
                               .version = version,
-                              .is_told = true };
+                              .is_second_hand = true };
 
   return front_servers_evacuation_ended (servers, &end, now_ms);
 }
@@ -118,6 +120,47 @@
   CU_ASSERT_EQUAL (server->returned_ms, NOW + 2200);
 }
 
+/* Guards against a front that gets no answer of the store while an order is given and ends, and
+ * then sees neither: of the row only its removal is left. */
+static void
+test_removal_of_an_unknown_order_ends_it (void)
+{
+  static const char entry[]
+      = "{\"Service\":\"drafts\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"b\","
+        "\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":1}";
+  static const char removal[]
+      = "{\"Rows\":[{\"Key\":\"evacuate/%s\",\"Ver\":%d,\"Tombstone\":true}],\"Ver\":%d}";
+  static const struct
+  {
+    const char *domain;
+    int version;
+    bool returns;
+  } answers[] = { { "c", 51, false }, { "b", NODE_KNOWN, false }, { "b", 52, true } };
+
+  for (size_t i = 0; i < SUITE_COUNT (answers); i++)
+    {
+      FrontNode *node = front_node_new ();
+      StoreRow row = { .key = (char *)(uintptr_t) "i-1",
+                       .value = (char *)(uintptr_t)entry,
+                       .value_len = strlen (entry),
+                       .version = 9 };
+      const FrontServer *server;
+      char body[200];
+
+      CDS_INIT_LIST_HEAD (&node->front.requests);
+      store_apply_server (&node->store, &row);
+      server = front_servers_find (node->front.servers, "i-1");
+      CU_ASSERT_FATAL (server != NULL);
+      snprintf (body, sizeof body, removal, answers[i].domain, answers[i].version, 53);
+      store_watch_poll (node->watch);
+      CU_ASSERT (front_node_expect (node, "SinceRev=50"));
+      front_node_answer (node, 200, 1, body);
+      CU_ASSERT (front_node_expect (node, "SinceRev=53"));
+      CU_ASSERT_EQUAL (server->returned_ms != 0, answers[i].returns);
+      front_node_free (node);
+    }
+}
+
 static void
 test_more_domains_than_are_kept (void)
 {
@@ -144,6 +187,7 @@
     { "ends_that_are_told_to_others", test_ends_that_are_told_to_others },
     { "end_is_told_while_the_order_stays_in_force",
       test_end_is_told_while_the_order_stays_in_force },
+    { "removal_of_an_unknown_order_ends_it", test_removal_of_an_unknown_order_ends_it },
     { "more_domains_than_are_kept", test_more_domains_than_are_kept },
   };
   int status;
