A front that has just started polls the store briefly, as a sentinel does

Cause, by the logs: all fronts start, after a loss of all power, before a store that hangs. Each sends a long poll that the store never answers, also after its return. The three fronts that poll briefly so that such a return shows are chosen only among fronts that have run for 4 s, so that it showed 1.6 to 1.9 s after the acknowledgement, and the others fetched the rows up to 0.9 s later.

In its first 4 s a front whose poll goes to the store anyway makes it a short one, if it is among the first three by the fronts it knows. Whom it asks is as before. Costs up to eight calls for each such front's start.

starting_front_polls_briefly failed before.

--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -136,6 +136,10 @@
 StoreSource store_choose_source (Watch *watch, int64_t now_ms);
 /* True if this front is one of the few that poll the store at short intervals. */
 bool store_is_sentinel (const Watch *watch, int64_t now_ms);
+/* True if a poll that goes to the store is to be a short one. Also in the first seconds, in which
+ * this front doesn't yet choose the store for that: all may have started before a store that hangs.
+ */
+bool store_polls_briefly (const Watch *watch, int64_t now_ms);
 
 /* front_store_write.c */
 /* Milliseconds between two fronts' attempts at the same write, and from a failed write to the next
--- a/src/front_store_source.c
+++ b/src/front_store_source.c
@@ -22,13 +22,17 @@
 }
 
 bool
-store_is_sentinel (const Watch *watch, int64_t now_ms)
+store_polls_briefly (const Watch *watch, int64_t now_ms)
 {
-  const FrontStore *store = watch->store;
-
   return (watch->id == STORE_OPERATOR || watch->id == STORE_SERVERS) && watch->loaded
-         && is_settled (store, now_ms)
-         && front_peers_is_selected (store->front->peers, (uint64_t)watch->id, SENTINELS, now_ms);
+         && front_peers_is_selected (watch->store->front->peers, (uint64_t)watch->id, SENTINELS,
+                                     now_ms);
+}
+
+bool
+store_is_sentinel (const Watch *watch, int64_t now_ms)
+{
+  return is_settled (watch->store, now_ms) && store_polls_briefly (watch, now_ms);
 }
 
 /* A front that has just started doesn't know all living fronts yet, and would place itself first by
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -310,7 +310,7 @@
   int wait_ms, answer_ms;
   Buffer path = { 0 };
 
-  watch->is_short_poll = store_is_sentinel (watch, watch->asked_ms);
+  watch->is_short_poll = store_polls_briefly (watch, watch->asked_ms);
   wait_ms = watch->is_short_poll ? SENTINEL_WAIT_MS : FRONT_LONG_POLL_MS;
   answer_ms = watch->is_short_poll ? SENTINEL_ANSWER_TIMEOUT_MS : STORE_ANSWER_TIMEOUT_MS;
   if (watch->parts_version != 0)
--- a/tests/test_front_era.c
+++ b/tests/test_front_era.c
@@ -61,6 +61,19 @@
   front_node_free (node);
 }
 
+/* All fronts start before a store that hangs, and keeps their connections open. Guards against long
+ * polls by all of them, which a store that returns never answers. */
+static void
+test_starting_front_polls_briefly (void)
+{
+  FrontNode *node = front_node_new ();
+
+  node->store.started_ms = clock_boot_ms ();
+  store_watch_poll (node->watch);
+  CU_ASSERT (front_node_expect (node, "WaitMs=1000 "));
+  front_node_free (node);
+}
+
 /* A store that answers 410 to each poll must not be read without pause: six fronts called it 1,300
  * times a second. */
 static void
@@ -229,6 +242,7 @@
     { "answer_of_new_era_is_read_again", test_answer_of_new_era_is_read_again },
     { "pages_of_two_eras_are_not_mixed", test_pages_of_two_eras_are_not_mixed },
     { "no_poll_from_an_earlier_era", test_no_poll_from_an_earlier_era },
+    { "starting_front_polls_briefly", test_starting_front_polls_briefly },
     { "reads_of_a_whole_table_have_a_pause", test_reads_of_a_whole_table_have_a_pause },
     { "cold_server_stays_cold_while_an_era_settles",
       test_cold_server_stays_cold_while_an_era_settles },
