--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -115,12 +115,18 @@
   return count_is_bad (&all[EVIDENCE_NEW], &all[EVIDENCE_OLD], threshold);
 }
 
-uint32_t
-front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side)
+EvidenceCount
+front_evidence_total (const FrontEvidence *evidence, EvidenceSide side)
 {
-  uint32_t answers = 0;
+  EvidenceCount total = { 0 };
 
   for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
-    answers += evidence->counts[side][i].answers;
-  return answers;
+    count_sum (&total, &evidence->counts[side][i]);
+  return total;
+}
+
+uint32_t
+front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side)
+{
+  return front_evidence_total (evidence, side).answers;
 }
--- a/src/front_evidence.h
+++ b/src/front_evidence.h
@@ -53,6 +53,8 @@
 
 /** True if the new version is worse than the old one, over all routes or on one. */
 bool front_evidence_is_bad (const FrontEvidence *evidence, EvidenceThreshold threshold);
+/** The counts of one version over all routes. */
+EvidenceCount front_evidence_total (const FrontEvidence *evidence, EvidenceSide side);
 /** Number of answers over all routes. */
 uint32_t front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side);
 
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -61,6 +61,7 @@
   bool has_verdict; /**< verdict has to be written */
   FrontRolloutState verdict;
   int64_t verdict_ms; /**< when verdict was reached */
+  int64_t logged_ms;  /**< when the evidence was last logged */
   unsigned servers;   /**< number of the service's servers when it was ordered, without those of the
                          new version */
   unsigned held_cursor;   /**< start of the next list of held sessions */
@@ -129,6 +130,10 @@
                                   int64_t now_ms);
 /** Merges another front's report on this order. */
 void front_rollout_merge (FrontRollout *rollout, const RolloutUpdate *update);
+/** The evidence of all fronts, as far as this one knows it. */
+FrontEvidence front_rollout_all_evidence (FrontRollout *rollout);
+/** Logs the evidence of each running roll-out once a second. */
+void front_rollouts_log_evidence (FrontRollouts *rollouts, int64_t now_ms);
 /** Sums up what this front knows of its failure domain's evidence. */
 void front_rollout_sum_domain (FrontRollout *rollout);
 /** Evaluates a running roll-out by all evidence and updates is_bad and verdict. A bad version gets
--- a/src/front_rollouts_verdict.c
+++ b/src/front_rollouts_verdict.c
@@ -95,19 +95,28 @@
   rollout->verdict_ms = now_ms;
 }
 
+FrontEvidence
+front_rollout_all_evidence (FrontRollout *rollout)
+{
+  FrontEvidence all = { 0 };
+
+  front_rollout_sum_domain (rollout);
+  for (unsigned i = 0; i < rollout->domain_count; i++)
+    front_evidence_sum (&all, &rollout->domains[i].evidence);
+  return all;
+}
+
 void
 front_rollout_update_verdict (FrontRollout *rollout, int64_t now_ms)
 {
-  FrontEvidence all = { 0 };
+  FrontEvidence all;
   bool done;
 
   if (rollout->ordered && rollout->state != FRONT_ROLLOUT_RUNNING && rollout->status_version == 0)
     verdict_set (rollout, rollout->state, now_ms);
   if (!front_rollout_is_running (rollout))
     return;
-  front_rollout_sum_domain (rollout);
-  for (unsigned i = 0; i < rollout->domain_count; i++)
-    front_evidence_sum (&all, &rollout->domains[i].evidence);
+  all = front_rollout_all_evidence (rollout);
   done = is_done (rollout, front_evidence_answers (&all, EVIDENCE_NEW), now_ms);
   /* Completing the roll-out stops the old version's servers: with few answers, a version that is
    * not clearly good is not completed. */
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -133,6 +133,7 @@
     }
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
       front_rollout_update_verdict (rollout, now_ms);
+  front_rollouts_log_evidence (front->rollouts, now_ms);
   if (front_channel_is_pending (store->writer) || now_ms < store->next_write_at_ms)
     return;
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
