Judge how slow a version is by the old version, not by a fixed time

Callers of a slow version of a plain service waited eight times as long, and in the end all of them did: it was completed.

An answer counted as slow if it began later than four times its prediction and 200 ms, 440 ms for a plain service whose answers take 30. For a service whose answers take seconds both versions would have counted as slow. The same cause elsewhere: with model engines the bound let through all but the slowest prompts (57 of 601).

Now answers of both versions are counted in twelve classes of delay against the same prediction, and a version is slow if more of its answers are a class later than those of the old one: by 15 in 100, by three standard deviations, and on the better half of its servers, too, so that some slow servers are no slow version. Messages between fronts have a new format; a route's counts take about the same bytes as before.

Ruled out by the log line added before: lost or late sums (counts were complete at all fronts), dilution (versions slow from the start were missed too).

Tried and not kept: a share of late answers per server group of 0.5 without the worst group (two slow servers of four are blamed); no floor for what is not noticed (good versions of model engines blamed: 17 of 102 answers of 58 ms predicted at 25).

Two of the new unit tests have nothing to fail against; slow_version_is_found_at_ any_pace does.

--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -1,35 +1,56 @@
 #include "front_evidence.h"
-
-/* An answer is slow if it begins later than SLOW_FACTOR times its prediction plus SLOW_MARGIN_MS. A
- * version that is several times slower is detected at once; a queue in front of both versions
- * counts against both. */
-#define SLOW_FACTOR    4.0
-#define SLOW_MARGIN_MS 200.0
+#include <math.h>
+#include <stdlib.h>
 
 /* Minimum bad answers for any conclusion. A bad version must be stopped before it has given 50; six
  * at a tenth of the traffic arrive within two seconds of its turning bad. */
 #define FAILED_MIN 6
-#define SLOW_MIN   8
-#define DOUBT_MIN  2 /* failed or slow, under EVIDENCE_DOUBT */
-/* A version is bad if its share of bad answers exceeds the old version's times WORSE_FACTOR plus a
- * margin. Servers that fail for other reasons (crashes, overload) do so under both versions. */
+#define LATE_MIN   8
+/* Minimum answers of which so many are late: few answers come from few servers. */
+#define LATE_ANSWERS_MIN 16
+#define DOUBT_MIN        2 /* failed or late, under EVIDENCE_DOUBT */
+/* A version is bad if its share of failed answers exceeds the old version's times WORSE_FACTOR plus
+ * a margin. Servers that fail for other reasons (crashes, overload) do so under both versions. */
 #define WORSE_FACTOR  3.0
 #define FAILED_MARGIN 0.06
-#define SLOW_MARGIN   0.25
+/* A version is slow if a share of its answers that is larger by LATE_MARGIN, and by more standard
+ * deviations than chance brings, is a class later than those of the old version. */
+#define LATE_MARGIN           0.15
+#define LATE_DEVIATIONS       3.0
+#define LATE_DEVIATIONS_DOUBT 4.5 /* as two answers suffice */
+/* Minimum share of late answers, beyond the usual one, of the better half of the servers, as a part
+ * of that of all. */
+#define LATE_SPREAD        0.4
+#define CLASSES_PER_OCTAVE 2.0
 
-void
-front_evidence_add (FrontEvidence *evidence,
-                    EvidenceSide side,
-                    uint64_t route,
-                    bool failed,
-                    double first_ms,
-                    double predicted_ms)
+static unsigned
+delay_class (double first_ms, double predicted_ms)
 {
-  EvidenceCount *count = &evidence->counts[side][route % EVIDENCE_ROUTES];
+  double ratio = fmax (first_ms, 0) / fmax (predicted_ms, 1);
+  double class = ratio > 0 ? floor (CLASSES_PER_OCTAVE * log2 (ratio)) + EVIDENCE_ON_TIME : 0;
+
+  return (unsigned)fmin (fmax (class, 0), EVIDENCE_DELAYS - 1);
+}
 
+static void
+count_add (EvidenceCount *count, bool failed, unsigned delay)
+{
   count->answers++;
-  count->failed += failed;
-  count->slow += !failed && first_ms > SLOW_FACTOR * predicted_ms + SLOW_MARGIN_MS;
+  if (failed)
+    count->failed++;
+  else
+    count->delays[delay]++;
+}
+
+void
+front_evidence_add (FrontEvidence *evidence, const EvidenceAnswer *answer)
+{
+  unsigned delay = delay_class (answer->first_ms, answer->predicted_ms);
+
+  count_add (&evidence->counts[answer->side][answer->route % EVIDENCE_ROUTES], answer->failed,
+             delay);
+  if (answer->side == EVIDENCE_NEW)
+    count_add (&evidence->groups[answer->server % EVIDENCE_GROUPS], answer->failed, delay);
 }
 
 static void
@@ -39,18 +60,13 @@
     *into = value;
 }
 
-void
-front_evidence_merge (FrontEvidence *into, const FrontEvidence *other)
+static void
+count_merge (EvidenceCount *into, const EvidenceCount *other)
 {
-  for (unsigned side = 0; side < EVIDENCE_SIDES; side++)
-    {
-      for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
-        {
-          merge_max (&into->counts[side][i].answers, other->counts[side][i].answers);
-          merge_max (&into->counts[side][i].failed, other->counts[side][i].failed);
-          merge_max (&into->counts[side][i].slow, other->counts[side][i].slow);
-        }
-    }
+  merge_max (&into->answers, other->answers);
+  merge_max (&into->failed, other->failed);
+  for (unsigned i = 0; i < EVIDENCE_DELAYS; i++)
+    merge_max (&into->delays[i], other->delays[i]);
 }
 
 static void
@@ -58,17 +74,44 @@
 {
   into->answers += other->answers;
   into->failed += other->failed;
-  into->slow += other->slow;
+  for (unsigned i = 0; i < EVIDENCE_DELAYS; i++)
+    into->delays[i] += other->delays[i];
 }
 
-void
-front_evidence_sum (FrontEvidence *into, const FrontEvidence *other)
+static void
+for_each_count (FrontEvidence *into,
+                const FrontEvidence *other,
+                void (*apply) (EvidenceCount *, const EvidenceCount *))
 {
   for (unsigned side = 0; side < EVIDENCE_SIDES; side++)
     {
       for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
-        count_sum (&into->counts[side][i], &other->counts[side][i]);
+        apply (&into->counts[side][i], &other->counts[side][i]);
     }
+  for (unsigned i = 0; i < EVIDENCE_GROUPS; i++)
+    apply (&into->groups[i], &other->groups[i]);
+}
+
+void
+front_evidence_merge (FrontEvidence *into, const FrontEvidence *other)
+{
+  for_each_count (into, other, count_merge);
+}
+
+void
+front_evidence_sum (FrontEvidence *into, const FrontEvidence *other)
+{
+  for_each_count (into, other, count_sum);
+}
+
+uint32_t
+evidence_count_late (const EvidenceCount *count, unsigned delay)
+{
+  uint32_t late = 0;
+
+  for (unsigned i = delay; i < EVIDENCE_DELAYS; i++)
+    late += count->delays[i];
+  return late;
 }
 
 static double
@@ -77,42 +120,157 @@
   return all ? (double)part / all : 0;
 }
 
+static uint32_t
+count_served (const EvidenceCount *count)
+{
+  return count->answers > count->failed ? count->answers - count->failed : 0;
+}
+
+/* Late and all answers of a group of servers. */
+typedef struct
+{
+  uint32_t late;
+  uint32_t answers;
+} GroupShare;
+
+static int
+compare_shares (const void *left, const void *right)
+{
+  const GroupShare *a = left, *b = right;
+  double difference = share (a->late, a->answers) - share (b->late, b->answers);
+
+  return (difference > 0) - (difference < 0);
+}
+
+/* True if the better half of the groups of servers has more late answers than usual, too. */
+static bool
+is_spread (const FrontEvidence *evidence, unsigned delay)
+{
+  EvidenceCount old_total = front_evidence_total (evidence, EVIDENCE_OLD);
+  double usual = share (evidence_count_late (&old_total, delay), count_served (&old_total));
+  GroupShare shares[EVIDENCE_GROUPS], all = { 0 }, better = { 0 };
+  unsigned groups = 0;
+
+  for (unsigned i = 0; i < EVIDENCE_GROUPS; i++)
+    {
+      GroupShare group = { .late = evidence_count_late (&evidence->groups[i], delay),
+                           .answers = count_served (&evidence->groups[i]) };
+
+      if (group.answers == 0)
+        continue;
+      shares[groups++] = group;
+      all.late += group.late;
+      all.answers += group.answers;
+    }
+  qsort (shares, groups, sizeof *shares, compare_shares);
+  for (unsigned i = 0; i < (groups + 1) / 2; i++)
+    {
+      better.late += shares[i].late;
+      better.answers += shares[i].answers;
+    }
+  return share (better.late, better.answers) - usual
+         >= LATE_SPREAD * (share (all.late, all.answers) - usual);
+}
+
+/* Compares the share of answers from one class on with that of the old version's from the class
+ * before: a version that is slower by less than a class is good enough. */
+static bool
+count_is_late (const EvidenceCount *new_count,
+               const EvidenceCount *old_count,
+               unsigned delay,
+               EvidenceThreshold threshold)
+{
+  uint32_t late_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : LATE_MIN;
+  double deviations = threshold == EVIDENCE_DOUBT ? LATE_DEVIATIONS_DOUBT : LATE_DEVIATIONS;
+  uint32_t late = evidence_count_late (new_count, delay);
+  double answers = count_served (new_count);
+  double usual
+      = (evidence_count_late (old_count, delay - 1) + 1.0) / (count_served (old_count) + 2.0);
+  double chance = deviations * sqrt (answers * usual * (1 - usual));
+
+  if (threshold != EVIDENCE_DOUBT && answers < LATE_ANSWERS_MIN)
+    return false;
+  return late >= late_min && late - usual * answers > fmax (LATE_MARGIN * answers, chance);
+}
+
+/* The class from which on the new version's answers are late; EVIDENCE_DELAYS: they aren't. */
+static unsigned
+late_class (const FrontEvidence *evidence,
+            const EvidenceCount *new_count,
+            const EvidenceCount *old_count,
+            EvidenceThreshold threshold)
+{
+  unsigned delay = 1;
+
+  while (
+      delay < EVIDENCE_DELAYS
+      && !(count_is_late (new_count, old_count, delay, threshold) && is_spread (evidence, delay)))
+    delay++;
+  return delay;
+}
+
 static bool
-count_is_bad (const EvidenceCount *new_count,
-              const EvidenceCount *old_count,
-              EvidenceThreshold threshold)
+fails (const EvidenceCount *new_count, const EvidenceCount *old_count, EvidenceThreshold threshold)
 {
   uint32_t failed_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : FAILED_MIN;
-  uint32_t slow_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : SLOW_MIN;
-  double failed_bound
-      = share (old_count->failed, old_count->answers) * WORSE_FACTOR + FAILED_MARGIN;
-  double slow_bound = share (old_count->slow, old_count->answers) * WORSE_FACTOR + SLOW_MARGIN;
+  double bound = share (old_count->failed, old_count->answers) * WORSE_FACTOR + FAILED_MARGIN;
 
-  if (new_count->failed >= failed_min
-      && share (new_count->failed, new_count->answers) > failed_bound)
-    return true;
-  return new_count->slow >= slow_min && share (new_count->slow, new_count->answers) > slow_bound;
+  return new_count->failed >= failed_min && share (new_count->failed, new_count->answers) > bound;
 }
 
-bool
-front_evidence_is_bad (const FrontEvidence *evidence, EvidenceThreshold threshold)
+static EvidenceFinding
+judge_route (const FrontEvidence *evidence, unsigned route, EvidenceThreshold threshold)
 {
-  EvidenceCount all[EVIDENCE_SIDES] = { 0 };
+  bool is_all = route == EVIDENCE_ROUTES;
+  EvidenceCount new_count = is_all ? front_evidence_total (evidence, EVIDENCE_NEW)
+                                   : evidence->counts[EVIDENCE_NEW][route];
+  EvidenceCount old_count = is_all ? front_evidence_total (evidence, EVIDENCE_OLD)
+                                   : evidence->counts[EVIDENCE_OLD][route];
+  EvidenceFinding finding = { .route = route };
 
-  for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
+  if (fails (&new_count, &old_count, threshold))
     {
-      const EvidenceCount *new_count = &evidence->counts[EVIDENCE_NEW][i];
-      const EvidenceCount *old_count = &evidence->counts[EVIDENCE_OLD][i];
+      finding.verdict = EVIDENCE_FAILS;
+      return finding;
+    }
+  finding.delay = late_class (evidence, &new_count, &old_count, threshold);
+  if (finding.delay < EVIDENCE_DELAYS)
+    finding.verdict = EVIDENCE_SLOW;
+  return finding;
+}
+
+EvidenceFinding
+front_evidence_judge (const FrontEvidence *evidence, EvidenceThreshold threshold)
+{
+  EvidenceCount new_total = front_evidence_total (evidence, EVIDENCE_NEW);
+  EvidenceFinding finding = { .route = EVIDENCE_ROUTES };
 
-      if (count_is_bad (new_count, old_count, threshold))
-        return true;
-      count_sum (&all[EVIDENCE_NEW], new_count);
-      count_sum (&all[EVIDENCE_OLD], old_count);
+  if (threshold == EVIDENCE_DOUBT && new_total.answers == 1 && new_total.failed == 1)
+    {
+      finding.verdict = EVIDENCE_FAILS;
+      return finding;
     }
-  if (threshold == EVIDENCE_DOUBT && all[EVIDENCE_NEW].answers == 1
-      && all[EVIDENCE_NEW].failed == 1)
-    return true;
-  return count_is_bad (&all[EVIDENCE_NEW], &all[EVIDENCE_OLD], threshold);
+  for (unsigned i = 0; i <= EVIDENCE_ROUTES && finding.verdict == EVIDENCE_FINE; i++)
+    finding = judge_route (evidence, i, threshold);
+  return finding;
+}
+
+bool
+front_evidence_is_bad (const FrontEvidence *evidence, EvidenceThreshold threshold)
+{
+  return front_evidence_judge (evidence, threshold).verdict != EVIDENCE_FINE;
+}
+
+const char *
+evidence_verdict_name (EvidenceVerdict verdict)
+{
+  static const char *const names[EVIDENCE_VERDICTS] = {
+    [EVIDENCE_FINE] = "fine",
+    [EVIDENCE_FAILS] = "fails",
+    [EVIDENCE_SLOW] = "slow",
+  };
+
+  return names[verdict];
 }
 
 EvidenceCount
--- a/src/front_evidence.h
+++ b/src/front_evidence.h
@@ -2,6 +2,10 @@
  * Counts the answers of a service's new and old version, and decides whether they show the new one
  * to be worse. Counts only grow, so two reports of the same counts are merged by taking the larger
  * ones.
+ *
+ * How slow an answer is, is judged by no fixed time: services answer within milliseconds or
+ * seconds. Answers of both versions are counted by how late they began against the same prediction,
+ * and the two distributions are compared.
  */
 #ifndef FRONT_EVIDENCE_H
 #define FRONT_EVIDENCE_H
@@ -11,6 +15,14 @@
 
 /** Routes are counted separately, by hash, as a version may be bad for only one of them. */
 #define EVIDENCE_ROUTES 8
+/** Classes of delay, the ratio of an answer's time to its prediction. Each class begins at 1.41
+ *  times the ratio of the one before. */
+#define EVIDENCE_DELAYS 12
+/** The class that begins at the prediction itself. */
+#define EVIDENCE_ON_TIME 6
+/** Servers of the new version are counted in groups, by hash: some slow servers are no slow
+ * version. */
+#define EVIDENCE_GROUPS 8
 
 typedef enum
 {
@@ -21,23 +33,29 @@
 
 typedef struct
 {
-  uint32_t answers; /**< all answers */
-  uint32_t failed;  /**< server errors */
-  uint32_t slow;    /**< began much later than predicted */
+  uint32_t answers;                 /**< all answers */
+  uint32_t failed;                  /**< server errors */
+  uint32_t delays[EVIDENCE_DELAYS]; /**< the other answers, by class */
 } EvidenceCount;
 
 typedef struct
 {
   EvidenceCount counts[EVIDENCE_SIDES][EVIDENCE_ROUTES];
+  EvidenceCount groups[EVIDENCE_GROUPS]; /**< the new version's, over all routes */
 } FrontEvidence;
 
-/** Counts an answer that began first_ms after sending, with predicted_ms expected; route: hash. */
-void front_evidence_add (FrontEvidence *evidence,
-                         EvidenceSide side,
-                         uint64_t route,
-                         bool failed,
-                         double first_ms,
-                         double predicted_ms);
+/** An answer, or a request that has waited in vain so far. */
+typedef struct
+{
+  EvidenceSide side;
+  uint64_t route;  /**< hash */
+  uint64_t server; /**< hash */
+  bool failed;
+  double first_ms;     /**< from sending to the begin of the answer, or until now */
+  double predicted_ms; /**< expected for that */
+} EvidenceAnswer;
+
+void front_evidence_add (FrontEvidence *evidence, const EvidenceAnswer *answer);
 /** Raises the counts of into to at least those of other. */
 void front_evidence_merge (FrontEvidence *into, const FrontEvidence *other);
 /** Adds the counts of another front. */
@@ -51,11 +69,33 @@
                        version is given up for good */
 } EvidenceThreshold;
 
+/** What evidence shows of the new version. */
+typedef enum
+{
+  EVIDENCE_FINE,
+  EVIDENCE_FAILS, /**< it fails more often than the old version */
+  EVIDENCE_SLOW,  /**< its answers begin later than those of the old version */
+  EVIDENCE_VERDICTS
+} EvidenceVerdict;
+
+typedef struct
+{
+  EvidenceVerdict verdict;
+  unsigned route; /**< index of the route that shows it; EVIDENCE_ROUTES: all together */
+  unsigned delay; /**< class from which on answers count as late; only if slow */
+} EvidenceFinding;
+
+/** Compares the new version with the old one, on each route and over all. */
+EvidenceFinding front_evidence_judge (const FrontEvidence *evidence, EvidenceThreshold threshold);
 /** True if the new version is worse than the old one, over all routes or on one. */
 bool front_evidence_is_bad (const FrontEvidence *evidence, EvidenceThreshold threshold);
+/** Lower-case name, as in logs. */
+const char *evidence_verdict_name (EvidenceVerdict verdict);
 /** The counts of one version over all routes. */
 EvidenceCount front_evidence_total (const FrontEvidence *evidence, EvidenceSide side);
 /** Number of answers over all routes. */
 uint32_t front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side);
+/** Number of answers that began in this class of delay or a later one. */
+uint32_t evidence_count_late (const EvidenceCount *count, unsigned delay);
 
 #endif
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -1,8 +1,9 @@
 #include "front_peer_message.h"
+#include "front_evidence_code.h"
 #include <rpc/xdr.h>
 #include <string.h>
 
-#define MAGIC 0x4c48424bu /* "LHBK"; to be incremented with any change of the format */
+#define MAGIC 0x4c48424cu /* "LHBL"; to be incremented with any change of the format */
 
 static bool_t
 xdr_hash (XDR *xdr, uint64_t *value)
@@ -10,40 +11,17 @@
   return xdr_uint64_t (xdr, value);
 }
 
-static bool_t
-xdr_evidence_count (XDR *xdr, EvidenceCount *count)
-{
-  return xdr_uint32_t (xdr, &count->answers) && xdr_uint32_t (xdr, &count->failed)
-         && xdr_uint32_t (xdr, &count->slow);
-}
-
-static bool
-is_empty (const FrontEvidence *evidence, unsigned route)
-{
-  return evidence->counts[EVIDENCE_NEW][route].answers == 0
-         && evidence->counts[EVIDENCE_OLD][route].answers == 0;
-}
-
-/* Encodes only the routes that have counts, after a bit mask of them: a service has few routes, and
- * a complete table of zeros would take 192 bytes. */
 static bool_t
 xdr_evidence (XDR *xdr, FrontEvidence *evidence)
 {
-  uint32_t present = 0;
+  unsigned char code[EVIDENCE_CODE_MAX];
+  uint32_t len = 0;
 
-  for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
-    present |= is_empty (evidence, i) ? 0 : 1u << i;
-  if (!xdr_uint32_t (xdr, &present))
+  if (xdr->x_op == XDR_ENCODE)
+    len = (uint32_t)front_evidence_encode (evidence, code);
+  if (!xdr_uint32_t (xdr, &len) || len > sizeof code || !xdr_opaque (xdr, (char *)code, len))
     return FALSE;
-  for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
-    {
-      if ((present & 1u << i) == 0)
-        continue;
-      if (!xdr_evidence_count (xdr, &evidence->counts[EVIDENCE_NEW][i])
-          || !xdr_evidence_count (xdr, &evidence->counts[EVIDENCE_OLD][i]))
-        return FALSE;
-    }
-  return TRUE;
+  return xdr->x_op == XDR_ENCODE || front_evidence_decode (evidence, code, len);
 }
 
 static bool_t
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -116,6 +116,7 @@
 void
 front_request_cancel (FrontRequest *request)
 {
+  request_count_unanswered (request);
   front_log_end (log_begin (request, FRONT_EVENT_CANCELLED, "caller_left"));
   front_counter_add (FRONT_COUNTER_CANCELLED);
   request_free (request);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -182,6 +182,7 @@
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
+  request->counted = false;
   if (!query->is_model)
     return;
   request->running_weight = query->running_weight;
@@ -375,6 +376,7 @@
   if (now_ms >= request->end_ms)
     {
       request->may_have_run |= sent;
+      request_count_unanswered (request);
       request_drop_attempt (request);
       request_give_up (request, "timeout", 0);
     }
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -125,6 +125,8 @@
   rollout->status_version = 0;
   rollout->servers = servers_of (servers, order->service, order->target);
   rollout->is_bad = false;
+  rollout->finding = (EvidenceFinding){ 0 };
+  rollout->logged_bad = false;
   rollout->has_verdict = false;
   rollout->old_busy_ms = 0;
   rollout->peer_count = 0;
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -57,11 +57,13 @@
   int64_t learned_ms;     /**< when this front read the order */
   int64_t started_ms;     /**< on this front's clock; may be before this process started */
   int64_t status_version; /**< row version of the status; 0: none written for this order */
-  bool is_bad;      /**< found bad by this front or another one, whether or not a status says so */
-  bool has_verdict; /**< verdict has to be written */
+  bool is_bad; /**< found bad by this front or another one, whether or not a status says so */
+  EvidenceFinding finding; /**< what this front last found */
+  bool has_verdict;        /**< verdict has to be written */
   FrontRolloutState verdict;
   int64_t verdict_ms; /**< when verdict was reached */
   int64_t logged_ms;  /**< when the evidence was last logged */
+  bool logged_bad;    /**< it was logged since the version was found bad */
   unsigned servers;   /**< number of the service's servers when it was ordered, without those of the
                          new version */
   unsigned held_cursor;   /**< start of the next list of held sessions */
@@ -132,7 +134,7 @@
 void front_rollout_merge (FrontRollout *rollout, const RolloutUpdate *update);
 /** The evidence of all fronts, as far as this one knows it. */
 FrontEvidence front_rollout_all_evidence (FrontRollout *rollout);
-/** Logs the evidence of each running roll-out once a second. */
+/** Logs the evidence of each running roll-out once a second, and when its version is found bad. */
 void front_rollouts_log_evidence (FrontRollouts *rollouts, int64_t now_ms);
 /** Sums up what this front knows of its failure domain's evidence. */
 void front_rollout_sum_domain (FrontRollout *rollout);
--- a/src/front_rollouts_log.c
+++ b/src/front_rollouts_log.c
@@ -3,6 +3,8 @@
 
 #define LOG_INTERVAL_MS 1000
 #define PER_MILLE       1000
+/* Class of delay that begins at twice the prediction. */
+#define LATE_CLASS (EVIDENCE_ON_TIME + 2)
 
 static void
 log_evidence (FrontRollout *rollout, int64_t now_ms)
@@ -16,11 +18,14 @@
   front_log_number (line, "share", (int64_t)(front_rollout_share (rollout, now_ms) * PER_MILLE));
   front_log_number (line, "new", new_count.answers);
   front_log_number (line, "new_failed", new_count.failed);
-  front_log_number (line, "new_slow", new_count.slow);
+  front_log_number (line, "new_late", evidence_count_late (&new_count, LATE_CLASS));
   front_log_number (line, "old", old_count.answers);
   front_log_number (line, "old_failed", old_count.failed);
-  front_log_number (line, "old_slow", old_count.slow);
+  front_log_number (line, "old_late", evidence_count_late (&old_count, LATE_CLASS));
   front_log_number (line, "is_bad", rollout->is_bad);
+  front_log_text (line, "found", evidence_verdict_name (rollout->finding.verdict));
+  front_log_number (line, "route", rollout->finding.route);
+  front_log_number (line, "delay", rollout->finding.delay);
   front_log_end (line);
 }
 
@@ -31,9 +36,13 @@
 
   cds_list_for_each_entry (rollout, front_rollouts_list (rollouts), node)
   {
-    if (!front_rollout_is_running (rollout) || now_ms - rollout->logged_ms < LOG_INTERVAL_MS)
+    bool is_new_verdict = rollout->is_bad && !rollout->logged_bad;
+
+    if (!front_rollout_is_running (rollout)
+        || (!is_new_verdict && now_ms - rollout->logged_ms < LOG_INTERVAL_MS))
       continue;
     rollout->logged_ms = now_ms;
+    rollout->logged_bad = rollout->is_bad;
     log_evidence (rollout, now_ms);
   }
 }
