A request counts once for or against a version

A good version was rolled back because a few requests that fail at any server ran on it: each was repeated there, and each repeat counted as one more failure of the six that take a verdict.

Now an attempt is counted if it is the request's first on that version and model.

--- a/regress/front/cases_rollout.py
+++ b/regress/front/cases_rollout.py
@@ -68,7 +68,27 @@
     equal(site.store.get("status", "rollout/orders")["State"], "completed", "status")
 
 
-CASES = [slow_version_of_a_plain_service, good_version_with_a_slow_engine]
+async def requests_that_fail_anywhere(site):
+    """Three requests fail at each engine, and happen to run on a good new version, where each is sent three times. Guards
+    against blaming a version for one request's failure several times."""
+    await order_rollout(site, [ANSWER_S] * 4)
+    await asyncio.sleep(1)  # until sessions begin on the new version
+    found = []
+    number = 0
+    while len(found) < 3:
+        answer = await site.call(site.fronts[number % len(site.fronts)], f"/again/{number}", b"%d" % number)
+        found += [answer.sent_body for run in site.runs_of(answer) if run.engine.version == "v2"]
+        number += 1
+    for engine in site.engines:
+        engine.fail_bodies = set(found)
+    for body in found:
+        answer = await site.call(site.fronts[0], "/again/x", body)
+        equal([run.engine.version for run in site.runs_of(answer)], ["v2"] * 3, "engines that ran it")
+    await asyncio.sleep(2)  # until all fronts know of all answers
+    equal(site.store.get("status", "rollout/orders")["State"], "running", "status")
+
+
+CASES = [slow_version_of_a_plain_service, good_version_with_a_slow_engine, requests_that_fail_anywhere]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -69,6 +69,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_body, self.crash_delay = None, 0.0  # seconds from the arrival to the crash
+        self.fail_bodies = set()  # requests with these bodies are answered 500
         self.refuses_without_notices = False  # its refusals don't name its limit
         self.limit, self.limit_since = None, 0.0  # requests per second, named in all its answers; None: no limit
         self.writers = set()
@@ -199,7 +200,7 @@
             await asyncio.sleep(3600)
         if self.mode == "lost":
             abort(writer)
-        elif self.mode == "error":
+        elif self.mode == "error" or request.body in self.fail_bodies:
             writer.write(answer(500, b"failed", **self.head(request)))
         elif self.streams:
             await self.stream(request, writer)
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -64,9 +64,12 @@
     .predicted_ms = request->predicted_ms + UNNOTICED_SHARE * (double)request->route->objective_ms,
   };
 
-  if (request->counted || !front_rollout_is_running (rollout))
+  if (!front_rollout_is_running (rollout)
+      || (request->counted_version == request->version_hash
+          && request->counted_model == request->model))
     return;
-  request->counted = true;
+  request->counted_version = request->version_hash;
+  request->counted_model = request->model;
   front_evidence_add (&rollout->evidence, &answer);
 }
 
