--- a/regress/front/cases_rollout.py
+++ b/regress/front/cases_rollout.py
@@ -16,8 +16,8 @@
 
 async def order_rollout(site, delays):
     """Starts an engine of a new version of the plain service for each of delays (seconds until its answers begin)
-    beside four of the old version, and orders the roll-out."""
-    while sum(engine.service == "orders" for engine in site.engines) < 4:
+    beside as many of the old version, and orders the roll-out."""
+    while sum(engine.service == "orders" for engine in site.engines) < len(delays):
         await site.add_engine("orders").start()
     for engine in site.engines:
         engine.delay = ANSWER_S
@@ -88,7 +88,23 @@
     equal(site.store.get("status", "rollout/orders")["State"], "running", "status")
 
 
-CASES = [slow_version_of_a_plain_service, good_version_with_a_slow_engine, requests_that_fail_anywhere]
+async def version_that_fails_under_load(site):
+    """A new version fails half of the requests that an engine gets while half of its eight slots are taken, which
+    hardly happens when its work is spread over all engines. Guards against versions that nothing has shown under
+    load before all work depends on them."""
+    await order_rollout(site, [ANSWER_S] * 8)
+    for engine in site.engines:
+        engine.fails_from = 4 if engine.version == "v2" else None
+    check(site, *await traffic_for(site, ROLLOUT_S))
+    reached, allowed = exposed(site)
+    equal(reached <= allowed, True, f"{reached} requests reached the bad version, {allowed:.0f} are allowed")
+    equal(site.store.get("status", "rollout/orders")["State"], "rolled_back", "status")
+
+
+CASES = [
+    slow_version_of_a_plain_service, good_version_with_a_slow_engine, requests_that_fail_anywhere,
+    version_that_fails_under_load,
+]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -70,6 +70,7 @@
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_body, self.crash_delay = None, 0.0  # seconds from the arrival to the crash
         self.fail_bodies = set()  # requests with these bodies are answered 500
+        self.fails_from, self.running = None, 0  # half of the answers are 500 while so many requests run; None: none
         self.refuses_without_notices = False  # its refusals don't name its limit
         self.limit, self.limit_since = None, 0.0  # requests per second, named in all its answers; None: no limit
         self.writers = set()
@@ -168,8 +169,10 @@
         run.body = request.body
         run.line = (request.method, request.target)
         caller_closed = asyncio.ensure_future(reader.read(1))  # completes when the caller closes its connection
+        self.running += 1
         work = asyncio.ensure_future(self.work(request, writer))
         await asyncio.wait([caller_closed, work], return_when=asyncio.FIRST_COMPLETED)
+        self.running -= 1
         for task in (caller_closed, work):
             task.cancel()
         run.ended = time.monotonic()
@@ -195,12 +198,13 @@
             await asyncio.sleep(self.crash_delay)
             asyncio.ensure_future(self.crash_and_restart())
             await asyncio.sleep(3600)
+        overloaded = self.fails_from is not None and self.running >= self.fails_from and len(self.site.runs) % 2 == 0
         await asyncio.sleep(self.delay)
         if self.mode == "mute":
             await asyncio.sleep(3600)
         if self.mode == "lost":
             abort(writer)
-        elif self.mode == "error" or request.body in self.fail_bodies:
+        elif self.mode == "error" or overloaded or request.body in self.fail_bodies:
             writer.write(answer(500, b"failed", **self.head(request)))
         elif self.streams:
             await self.stream(request, writer)
