Load a few servers of a new version before all work moves to it

Callers got failures from a version that fails under load only: until half of a roll-out's time it had 8% of the work on as many servers as the old version, a twelfth of the usual load on each, so that nothing was bad, and then its share grew to all within 5 s.

From half of the time on, the share is 50% (15% and 5% at larger services) for a tenth of the time, and the new version's work goes to as few of its servers as carry it at 65% of their slots, until 250 answers of them are known. Their failures are judged apart, by those of the old version and of the new one's other servers, so that good answers from before don't hide them, and a server that fails anyway isn't the version's fault.

Ruled out: lost or late sums (the log line of counts); a bound on the share alone, as the version has to get all work in time if it is good.

--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -13,6 +13,10 @@
  * a margin. Servers that fail for other reasons (crashes, overload) do so under both versions. */
 #define WORSE_FACTOR  3.0
 #define FAILED_MARGIN 0.06
+/* The same for answers of loaded servers, which are compared with those of the new version's other
+ * servers as well. */
+#define LOADED_MARGIN 0.02
+#define LOADED_MIN    20 /* answers of loaded servers */
 /* A version is slow if a share of its answers that is larger by LATE_MARGIN, and by more standard
  * deviations than chance brings, is a class later than those of the old version. */
 #define LATE_MARGIN           0.15
@@ -49,8 +53,16 @@
 
   count_add (&evidence->counts[answer->side][answer->route % EVIDENCE_ROUTES], answer->failed,
              delay);
-  if (answer->side == EVIDENCE_NEW)
-    count_add (&evidence->groups[answer->server % EVIDENCE_GROUPS], answer->failed, delay);
+  if (answer->side != EVIDENCE_NEW)
+    return;
+  count_add (&evidence->groups[answer->server % EVIDENCE_GROUPS], answer->failed, delay);
+  if (answer->loaded)
+    {
+      EvidenceLoaded *loaded = &evidence->loaded[answer->route % EVIDENCE_ROUTES];
+
+      loaded->answers++;
+      loaded->failed += answer->failed;
+    }
 }
 
 static void
@@ -78,6 +90,13 @@
     into->delays[i] += other->delays[i];
 }
 
+static void
+loaded_sum (EvidenceLoaded *into, const EvidenceLoaded *other)
+{
+  into->answers += other->answers;
+  into->failed += other->failed;
+}
+
 static void
 for_each_count (FrontEvidence *into,
                 const FrontEvidence *other,
@@ -96,12 +115,19 @@
 front_evidence_merge (FrontEvidence *into, const FrontEvidence *other)
 {
   for_each_count (into, other, count_merge);
+  for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
+    {
+      merge_max (&into->loaded[i].answers, other->loaded[i].answers);
+      merge_max (&into->loaded[i].failed, other->loaded[i].failed);
+    }
 }
 
 void
 front_evidence_sum (FrontEvidence *into, const FrontEvidence *other)
 {
   for_each_count (into, other, count_sum);
+  for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
+    loaded_sum (&into->loaded[i], &other->loaded[i]);
 }
 
 uint32_t
@@ -218,6 +244,34 @@
   return new_count->failed >= failed_min && share (new_count->failed, new_count->answers) > bound;
 }
 
+/* Some servers of the new version may fail for reasons of their own, loaded or not: it is to blame
+ * only if loaded ones fail more often than its others. */
+static bool
+fails_loaded (const EvidenceLoaded *loaded,
+              const EvidenceCount *new_count,
+              const EvidenceCount *old_count)
+{
+  uint32_t others = new_count->answers - loaded->answers;
+  uint32_t others_failed = new_count->failed - loaded->failed;
+  double usual
+      = fmax (share (old_count->failed, old_count->answers), share (others_failed, others));
+
+  return loaded->answers >= LOADED_MIN && loaded->failed >= FAILED_MIN
+         && share (loaded->failed, loaded->answers) > usual * WORSE_FACTOR + LOADED_MARGIN;
+}
+
+static EvidenceLoaded
+loaded_of (const FrontEvidence *evidence, unsigned route)
+{
+  EvidenceLoaded total = { 0 };
+
+  if (route < EVIDENCE_ROUTES)
+    return evidence->loaded[route];
+  for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
+    loaded_sum (&total, &evidence->loaded[i]);
+  return total;
+}
+
 static EvidenceFinding
 judge_route (const FrontEvidence *evidence, unsigned route, EvidenceThreshold threshold)
 {
@@ -226,6 +280,7 @@
                                    : evidence->counts[EVIDENCE_NEW][route];
   EvidenceCount old_count = is_all ? front_evidence_total (evidence, EVIDENCE_OLD)
                                    : evidence->counts[EVIDENCE_OLD][route];
+  EvidenceLoaded loaded = loaded_of (evidence, route);
   EvidenceFinding finding = { .route = route };
 
   if (fails (&new_count, &old_count, threshold))
@@ -233,6 +288,11 @@
       finding.verdict = EVIDENCE_FAILS;
       return finding;
     }
+  if (fails_loaded (&loaded, &new_count, &old_count))
+    {
+      finding.verdict = EVIDENCE_FAILS_LOADED;
+      return finding;
+    }
   finding.delay = late_class (evidence, &new_count, &old_count, threshold);
   if (finding.delay < EVIDENCE_DELAYS)
     finding.verdict = EVIDENCE_SLOW;
@@ -268,6 +328,7 @@
     [EVIDENCE_FINE] = "fine",
     [EVIDENCE_FAILS] = "fails",
     [EVIDENCE_SLOW] = "slow",
+    [EVIDENCE_FAILS_LOADED] = "fails_loaded",
   };
 
   return names[verdict];
@@ -283,6 +344,12 @@
   return total;
 }
 
+EvidenceLoaded
+front_evidence_loaded (const FrontEvidence *evidence)
+{
+  return loaded_of (evidence, EVIDENCE_ROUTES);
+}
+
 uint32_t
 front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side)
 {
--- a/src/front_evidence.h
+++ b/src/front_evidence.h
@@ -38,10 +38,18 @@
   uint32_t delays[EVIDENCE_DELAYS]; /**< the other answers, by class */
 } EvidenceCount;
 
+/** Those of the new version's answers whose server was loaded on purpose (front_canary). */
+typedef struct
+{
+  uint32_t answers;
+  uint32_t failed;
+} EvidenceLoaded;
+
 typedef struct
 {
   EvidenceCount counts[EVIDENCE_SIDES][EVIDENCE_ROUTES];
   EvidenceCount groups[EVIDENCE_GROUPS]; /**< the new version's, over all routes */
+  EvidenceLoaded loaded[EVIDENCE_ROUTES];
 } FrontEvidence;
 
 /** An answer, or a request that has waited in vain so far. */
@@ -51,6 +59,7 @@
   uint64_t route;  /**< hash */
   uint64_t server; /**< hash */
   bool failed;
+  bool loaded;         /**< its server was loaded on purpose; the new version's only */
   double first_ms;     /**< from sending to the begin of the answer, or until now */
   double predicted_ms; /**< expected for that */
 } EvidenceAnswer;
@@ -73,8 +82,9 @@
 typedef enum
 {
   EVIDENCE_FINE,
-  EVIDENCE_FAILS, /**< it fails more often than the old version */
-  EVIDENCE_SLOW,  /**< its answers begin later than those of the old version */
+  EVIDENCE_FAILS,        /**< it fails more often than the old version */
+  EVIDENCE_SLOW,         /**< its answers begin later than those of the old version */
+  EVIDENCE_FAILS_LOADED, /**< it fails at loaded servers */
   EVIDENCE_VERDICTS
 } EvidenceVerdict;
 
@@ -93,6 +103,8 @@
 const char *evidence_verdict_name (EvidenceVerdict verdict);
 /** The counts of one version over all routes. */
 EvidenceCount front_evidence_total (const FrontEvidence *evidence, EvidenceSide side);
+/** Answers of loaded servers over all routes. */
+EvidenceLoaded front_evidence_loaded (const FrontEvidence *evidence);
 /** Number of answers over all routes. */
 uint32_t front_evidence_answers (const FrontEvidence *evidence, EvidenceSide side);
 /** Number of answers that began in this class of delay or a later one. */
--- a/src/front_evidence_code.c
+++ b/src/front_evidence_code.c
@@ -121,6 +121,8 @@
         continue;
       at = put_count (at, &evidence->counts[EVIDENCE_NEW][i]);
       at = put_count (at, &evidence->counts[EVIDENCE_OLD][i]);
+      at = put_number (at, evidence->loaded[i].answers);
+      at = put_number (at, evidence->loaded[i].failed);
     }
   for (unsigned i = 0; i < EVIDENCE_GROUPS; i++)
     {
@@ -144,6 +146,8 @@
         continue;
       get_count (&reader, &evidence->counts[EVIDENCE_NEW][i]);
       get_count (&reader, &evidence->counts[EVIDENCE_OLD][i]);
+      evidence->loaded[i].answers = get_number (&reader);
+      evidence->loaded[i].failed = get_number (&reader);
     }
   for (unsigned i = 0; i < EVIDENCE_GROUPS && !reader.failed; i++)
     {
--- a/src/front_evidence_code.h
+++ b/src/front_evidence_code.h
@@ -8,9 +8,10 @@
 #include "front_evidence.h"
 #include <stddef.h>
 
-/** Bytes of the largest encoding: two masks, and for each count a mask and 14 numbers of up to five
- *  bytes. */
-#define EVIDENCE_CODE_MAX (2 + (EVIDENCE_SIDES * EVIDENCE_ROUTES + EVIDENCE_GROUPS) * 72)
+/** Bytes of the largest encoding: two masks; for each count a mask and 14 numbers of up to five
+ *  bytes, and for each route two more. */
+#define EVIDENCE_CODE_MAX                                                                          \
+  (2 + (EVIDENCE_SIDES * EVIDENCE_ROUTES + EVIDENCE_GROUPS) * 72 + EVIDENCE_ROUTES * 10)
 
 /** Returns the bytes written to out. */
 size_t front_evidence_encode (const FrontEvidence *evidence, unsigned char out[EVIDENCE_CODE_MAX]);
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -19,7 +19,10 @@
 #define SERVICE_RUNNING_MS 25.0
 #define QUEUED_MS          60.0 /* added by each request beyond the slots */
 #define COLD_MS            40.0 /* added if the server is cold */
-#define SLOTS_DEFAULT      8
+/* Milliseconds added for servers beyond those that get a new version's work: as much as some queued
+ * requests, or one failure of five. */
+#define NO_CANARY_MS  300.0
+#define SLOTS_DEFAULT 8
 /* Milliseconds by which the entries of servers that became cold may arrive later than the end of
  * their evacuation. */
 #define RETURN_MARGIN_MS 500
@@ -136,6 +139,8 @@
     cost += fmax (CROSS_DOMAIN_MIN_MS, CROSS_DOMAIN_SHARE * (double)query->objective_ms);
   if (server->cold_until_ms > now_ms)
     cost += COLD_MS;
+  if (query->canary_hash_max > 0 && server->hash > query->canary_hash_max)
+    cost += NO_CANARY_MS;
   return cost;
 }
 
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -17,18 +17,20 @@
   const char *service;
   const char *version; /**< NULL: any */
   const FrontCall *call;
-  uint64_t model;          /**< hash of the model's name */
-  double running_weight;   /**< of a running request of the model (front_speeds_weight) */
-  ReadTime read_time;      /**< reading time with that model */
-  int64_t objective_ms;    /**< within which the answer should begin */
-  unsigned slots;          /**< of a server whose entry gives none; 0: default */
-  bool is_model;           /**< a model engine, not a plain service */
-  ColdRule cold;           /**< limit for cold servers of the service */
-  FrontShare share;        /**< this front's share of what a server may get from all fronts */
-  int64_t affinity_tokens; /**< tokens of the prompt's shared parts that are requested often enough
-                              for all fronts of the failure domain to agree on a server that keeps
-                              them cached */
-  int64_t reuse_window_ms; /**< how long a prompt is assumed to stay in a server's cache */
+  uint64_t model;           /**< hash of the model's name */
+  double running_weight;    /**< of a running request of the model (front_speeds_weight) */
+  ReadTime read_time;       /**< reading time with that model */
+  int64_t objective_ms;     /**< within which the answer should begin */
+  unsigned slots;           /**< of a server whose entry gives none; 0: default */
+  bool is_model;            /**< a model engine, not a plain service */
+  ColdRule cold;            /**< limit for cold servers of the service */
+  FrontShare share;         /**< this front's share of what a server may get from all fronts */
+  int64_t affinity_tokens;  /**< tokens of the prompt's shared parts that are requested often enough
+                               for all fronts of the failure domain to agree on a server that keeps
+                               them cached */
+  int64_t reuse_window_ms;  /**< how long a prompt is assumed to stay in a server's cache */
+  uint64_t canary_hash_max; /**< servers with a larger hash are used only if the others are loaded;
+                               0 or UINT64_MAX: none (front_canary) */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -263,7 +263,7 @@
   cds_list_for_each_entry (request, &front->requests, node)
   {
     count += request->attempt && strcmp (request->service, service) == 0
-             && strcmp (request->version, version) == 0;
+             && (!version || strcmp (request->version, version) == 0);
   }
   return count;
 }
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -47,6 +47,7 @@
   double predicted_ms;   /* from the start of the attempt until the answer begins */
   double prompt_ms;      /* part of predicted_ms spent reading the prompt */
   int64_t prompt_tokens; /* prompt tokens that the server had to read, as far as known */
+  bool loaded;           /* the attempt's server is loaded on purpose (front_canary) */
   double running_weight; /* what the attempt adds to the server's running_weight */
   double pending_ms;     /* what the attempt adds to the server's pending_ms */
   int64_t attempt_ms;    /* start of the current attempt */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -60,6 +60,7 @@
     .route = request->route->hash,
     .server = request->server->hash,
     .failed = failed,
+    .loaded = request->loaded,
     .first_ms = (double)(now_ms - request->attempt_ms),
     .predicted_ms = request->predicted_ms + UNNOTICED_SHARE * (double)request->route->objective_ms,
   };
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -1,5 +1,6 @@
 /* Chooses a server for a request, sends the request there, and handles time-outs and lost
  * connections. */
+#include "front_canary.h"
 #include "front_counter.h"
 #include "front_deaths.h"
 #include "front_log.h"
@@ -112,6 +113,9 @@
     .share.self = request->front->vm_hash,
   };
 
+  if (version)
+    query.canary_hash_max = front_canary_hash_max (
+        front_rollouts_get (request->front->rollouts, request->service), version, clock_boot_ms ());
   front_share_set (&query.share, &request->front->fronts);
   memcpy (query.tried, request->tried, sizeof query.tried);
   return query;
@@ -176,6 +180,8 @@
         + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
   request->prompt_ms = pick->prompt_ms;
   request->prompt_tokens = pick->prompt_tokens;
+  request->loaded = query->canary_hash_max > 0 && query->canary_hash_max < UINT64_MAX
+                    && pick->server->hash <= query->canary_hash_max;
   request->pending_ms = pick->prompt_ms;
   pick->server->pending_ms += pick->prompt_ms;
   request->attempt_ms = now_ms;
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* First stage of a roll-out, by the service's number of servers. */
+/* First stages of a roll-out, by the service's number of servers. */
 typedef struct
 {
   unsigned servers; /* minimum */
@@ -19,20 +19,27 @@
    * report to each other the sessions on the old version; without it, such a session changes
    * version when its next request reaches a front that has not seen it. */
   int64_t hold_ms;
-} FirstStage;
+  /* Share of the sessions in the second stage, in which few servers get them (front_canary): enough
+   * to load one or two, and little of what a bad version may get, as the stage is short. */
+  double load_share;
+} Stages;
 
 /* Reports reach all of 70 fronts in about ten rounds of messages, 200 ms apart; at 300 fronts and
  * 186 sessions all but one in sixty arrive within 4 s (test_front_peers). */
-static const FirstStage stages[] = {
-  { .servers = 120, .share = 0.02, .hold_ms = 4000 },
-  { .servers = 40, .share = 0.04, .hold_ms = 2500 },
-  { .servers = 0, .share = 0.08, .hold_ms = 800 },
+static const Stages stages[] = {
+  { .servers = 120, .share = 0.02, .hold_ms = 4000, .load_share = 0.05 },
+  { .servers = 40, .share = 0.04, .hold_ms = 2500, .load_share = 0.15 },
+  { .servers = 0, .share = 0.08, .hold_ms = 800, .load_share = 0.5 },
 };
 
-/* Parts of the duration after which the second half starts, and after which all sessions have
- * moved; the rest is left for answers in progress on the old version to end. */
+/* Parts of the duration after which the second half starts with the second stage, after which that
+ * stage ends and the share grows, and after which all sessions have moved; the rest is left for
+ * answers in progress on the old version to end. */
 #define SECOND_HALF_AT 0.5
+#define LOADED_AT      0.6
 #define ALL_MOVED_AT   0.72
+/* Answers of loaded servers after which the new version's work is spread over all its servers. */
+#define LOADED_ANSWERS 250
 /* Milliseconds. Sessions may change version only in the second half, which fronts do not start at
  * the same moment, as the order reaches them at different times. */
 #define SECOND_HALF_MARGIN_MS 400
@@ -129,6 +136,10 @@
   rollout->logged_bad = false;
   rollout->has_verdict = false;
   rollout->old_busy_ms = 0;
+  rollout->running_sum = 0;
+  rollout->running_samples = 0;
+  rollout->canary_chosen_ms = 0;
+  rollout->loaded_answers = 0;
   rollout->peer_count = 0;
   rollout->domain_count = 0;
   memset (&rollout->evidence, 0, sizeof rollout->evidence);
@@ -280,10 +291,10 @@
   }
 }
 
-static const FirstStage *
-first_stage (const FrontRollout *rollout)
+static const Stages *
+stages_of (const FrontRollout *rollout)
 {
-  const FirstStage *stage = stages;
+  const Stages *stage = stages;
 
   while (rollout->servers < stage->servers)
     stage++;
@@ -293,14 +304,31 @@
 static double
 first_stage_share (const FrontRollout *rollout)
 {
-  return first_stage (rollout)->share;
+  return stages_of (rollout)->share;
+}
+
+/* Part of the duration that has passed, without the margin. */
+static double
+passed_part (const FrontRollout *rollout, int64_t now_ms)
+{
+  return (double)(now_ms - rollout->started_ms - SECOND_HALF_MARGIN_MS)
+         / (double)rollout->order.duration_ms;
+}
+
+bool
+front_rollout_is_loading (const FrontRollout *rollout, int64_t now_ms)
+{
+  double passed = passed_part (rollout, now_ms);
+
+  return front_rollout_is_running (rollout) && passed >= SECOND_HALF_AT && passed < ALL_MOVED_AT
+         && rollout->loaded_answers < LOADED_ANSWERS;
 }
 
 double
 front_rollout_share (const FrontRollout *rollout, int64_t now_ms)
 {
-  double duration = (double)rollout->order.duration_ms;
-  double passed = (double)(now_ms - rollout->started_ms - SECOND_HALF_MARGIN_MS) / duration;
+  double passed = passed_part (rollout, now_ms);
+  double load_share = stages_of (rollout)->load_share;
   double moved;
 
   if (!rollout->ordered || rollout->is_bad || rollout->state == FRONT_ROLLOUT_ROLLED_BACK)
@@ -309,8 +337,10 @@
     return 1;
   if (passed < SECOND_HALF_AT)
     return first_stage_share (rollout);
-  moved = (passed - SECOND_HALF_AT) / (ALL_MOVED_AT - SECOND_HALF_AT);
-  return moved >= 1 ? 1 : first_stage_share (rollout) + (1 - first_stage_share (rollout)) * moved;
+  if (passed < LOADED_AT)
+    return load_share;
+  moved = (passed - LOADED_AT) / (ALL_MOVED_AT - LOADED_AT);
+  return moved >= 1 ? 1 : load_share + (1 - load_share) * moved;
 }
 
 static bool
@@ -347,7 +377,7 @@
   bool first_half
       = now_ms - rollout->started_ms
         < (int64_t)(SECOND_HALF_AT * (double)rollout->order.duration_ms) + SECOND_HALF_MARGIN_MS;
-  int64_t hold_ms = first_stage (rollout)->hold_ms;
+  int64_t hold_ms = stages_of (rollout)->hold_ms;
 
   if (rollout->is_bad)
     return rollout->base;
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -66,9 +66,14 @@
   bool logged_bad;    /**< it was logged since the version was found bad */
   unsigned servers;   /**< number of the service's servers when it was ordered, without those of the
                          new version */
-  unsigned held_cursor;   /**< start of the next list of held sessions */
-  int64_t old_busy_ms;    /**< when a request on the old version was last known to run anywhere */
-  FrontEvidence evidence; /**< counted by this front */
+  double running_sum; /**< this front's requests of the service in progress, summed over samples */
+  unsigned running_samples;
+  uint64_t canary_hash_max; /**< front_canary: the servers that get the new version's work */
+  int64_t canary_chosen_ms; /**< when they were chosen; 0: not yet */
+  uint32_t loaded_answers;  /**< answers of these servers that are known from all fronts */
+  unsigned held_cursor;     /**< start of the next list of held sessions */
+  int64_t old_busy_ms;      /**< when a request on the old version was last known to run anywhere */
+  FrontEvidence evidence;   /**< counted by this front */
   unsigned peer_count;
   RolloutPeer *peers; /**< peer_count entries */
   unsigned domain_count;
@@ -118,6 +123,9 @@
 /** Share of the sessions that begin on the new version now, 0 to 1. */
 double front_rollout_share (const FrontRollout *rollout, int64_t now_ms);
 bool front_rollout_is_running (const FrontRollout *rollout);
+/** True while few of the new version's servers get all of its work: from the second stage on, until
+ *  enough answers of these are known or all work has moved. */
+bool front_rollout_is_loading (const FrontRollout *rollout, int64_t now_ms);
 /** Lists sessions that stay on the old version although new ones like them would begin on the new
  *  one. Other fronts must know of them, as a session's requests may reach any front. */
 unsigned front_rollouts_held_sessions (const FrontRollouts *rollouts,
--- a/src/front_rollouts_log.c
+++ b/src/front_rollouts_log.c
@@ -12,6 +12,7 @@
   FrontEvidence all = front_rollout_all_evidence (rollout);
   EvidenceCount new_count = front_evidence_total (&all, EVIDENCE_NEW);
   EvidenceCount old_count = front_evidence_total (&all, EVIDENCE_OLD);
+  EvidenceLoaded loaded = front_evidence_loaded (&all);
   FrontLine *line = front_log_begin (FRONT_EVENT_ROLLOUT_EVIDENCE);
 
   front_log_text (line, "service", rollout->service);
@@ -19,6 +20,8 @@
   front_log_number (line, "new", new_count.answers);
   front_log_number (line, "new_failed", new_count.failed);
   front_log_number (line, "new_late", evidence_count_late (&new_count, LATE_CLASS));
+  front_log_number (line, "loaded", loaded.answers);
+  front_log_number (line, "loaded_failed", loaded.failed);
   front_log_number (line, "old", old_count.answers);
   front_log_number (line, "old_failed", old_count.failed);
   front_log_number (line, "old_late", evidence_count_late (&old_count, LATE_CLASS));
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -1,8 +1,10 @@
 /* Writes to the store: this front's address, and the status of roll-outs. */
+#include "front_canary.h"
 #include "front_counter.h"
 #include "front_log.h"
 #include "front_member.h"
 #include "front_peers.h"
+#include "front_request.h"
 #include "front_store_private.h"
 #include "util_clock.h"
 #include "wire_rollout.h"
@@ -118,6 +120,17 @@
   buffer_free (&value);
 }
 
+static void
+update_canary (Front *front, FrontRollout *rollout, int64_t now_ms)
+{
+  CanaryLoad load = { .fronts = front->fronts.fronts };
+
+  if (!front_rollout_is_running (rollout))
+    return;
+  load.running = front_requests_count_running (front, rollout->service, NULL);
+  front_canary_update (rollout, front->servers, &load, now_ms);
+}
+
 void
 front_store_tick (FrontStore *store, int64_t now_ms)
 {
@@ -132,7 +145,10 @@
       store_era_tick (&store->watches[i], now_ms);
     }
   cds_list_for_each_entry (rollout, front_rollouts_list (front->rollouts), node)
-      front_rollout_update_verdict (rollout, now_ms);
+  {
+    front_rollout_update_verdict (rollout, now_ms);
+    update_canary (front, rollout, now_ms);
+  }
   front_rollouts_log_evidence (front->rollouts, now_ms);
   if (front_channel_is_pending (store->writer) || now_ms < store->next_write_at_ms)
     return;
--- a/tests/test_front_evidence.c
+++ b/tests/test_front_evidence.c
@@ -187,6 +187,45 @@
     }
 }
 
+/* Adds answers of the new version, of loaded servers or others, of which some failed. */
+static void
+add_loaded (FrontEvidence *evidence, bool loaded, unsigned answers, unsigned failed)
+{
+  for (unsigned i = 0; i < answers; i++)
+    {
+      EvidenceAnswer answer = answer_of (EVIDENCE_NEW, 0, i < failed, 70);
+
+      answer.loaded = loaded;
+      front_evidence_add (evidence, &answer);
+    }
+}
+
+/* A version fails a tenth of the requests, and only at loaded servers. Guards against hiding that
+ * behind the many good answers from before. */
+static void
+test_failures_under_load_are_found (void)
+{
+  FrontEvidence evidence = { 0 };
+
+  add_answers (&evidence, 0, 0, 300, false);
+  add_loaded (&evidence, true, 60, 6);
+  CU_ASSERT_EQUAL (front_evidence_judge (&evidence, EVIDENCE_CERTAIN).verdict,
+                   EVIDENCE_FAILS_LOADED);
+}
+
+/* Some servers fail, loaded or not. Guards against blaming the version because one of them is among
+ * the loaded ones. */
+static void
+test_failing_servers_are_no_failure_under_load (void)
+{
+  FrontEvidence evidence = { 0 };
+
+  add_answers (&evidence, 0, 0, 100, false);
+  add_loaded (&evidence, false, 100, 10);
+  add_loaded (&evidence, true, 60, 6);
+  CU_ASSERT_EQUAL (front_evidence_judge (&evidence, EVIDENCE_CERTAIN).verdict, EVIDENCE_FINE);
+}
+
 static void
 test_encoding_survives_round_trip (void)
 {
@@ -231,6 +270,8 @@
   { "slow_version_is_found_at_any_pace", test_slow_version_is_found_at_any_pace },
   { "good_version_is_not_found_slow", test_good_version_is_not_found_slow },
   { "slow_servers_are_no_slow_version", test_slow_servers_are_no_slow_version },
+  { "failures_under_load_are_found", test_failures_under_load_are_found },
+  { "failing_servers_are_no_failure_under_load", test_failing_servers_are_no_failure_under_load },
   { "encoding_survives_round_trip", test_encoding_survives_round_trip },
   { "bad_encodings_are_refused", test_bad_encodings_are_refused },
 };
