Test: a front that is cut off from all engines serves nobody

Whole path, three fronts; one reads addresses of engines that refuse connections, or let them hang. 0 of 30 first attempts there are served, 30 of 30 at another front. all_fronts_cut_off passes, and guards what comes next.

--- /dev/null
+++ b/regress/front/cases_cut.py
@@ -0,0 +1,115 @@
+"""Fronts that are cut off from all engines, while callers, the store and other fronts reach them: cases_cut.py PROGRAM
+[CASE...]. See cases.py."""
+
+import asyncio
+import socket
+import sys
+import time
+
+from cases import check, equal, main
+from site_front import ENGINE_PORT
+
+FOUND_S = 3  # after which callers of a front that is cut off are to be served as others are
+SERVED_SHARE = 2 / 3  # of what other fronts serve at the first attempt, at least
+CALLS = 30
+REFUSED_WITHIN_S = 2.5
+
+
+class DeadAddress:
+    """An address at which connections are refused, or hang because the queue of its listener is full."""
+
+    def __init__(self, site, hangs):
+        self.sockets = [socket.socket()]
+        self.sockets[0].bind((f"{site.subnet}.250", ENGINE_PORT + 900))
+        self.name = "%s:%d" % self.sockets[0].getsockname()
+        if not hangs:
+            return
+        self.sockets[0].listen(0)
+        for _ in range(4):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(self.sockets[0].getsockname())
+            self.sockets.append(waiting)
+
+    def close(self):
+        for each in self.sockets:
+            each.close()
+
+
+async def set_cut(site, fronts, name):
+    """Cuts these fronts off from all engines, or ends that if name is None."""
+    for front in fronts:
+        front.store_endpoint.servers_at = name
+    for engine in site.engines:
+        engine.born_ms += 1  # a known start of an engine keeps its address
+        await engine.report()
+
+
+async def call_all_kinds(site, front, count, name):
+    """Sends first attempts of all kinds of request, one after the other."""
+    answers = []
+    for number in range(count):
+        path = ("/text/", "/once/", "/again/")[number % 3]
+        answers.append(await site.call(front, f"{path}{name}{number}", b"%s.%d" % (name.encode(), number)))
+    return answers
+
+
+async def cut_front_serves(site, hangs):
+    dead = DeadAddress(site, hangs)
+    cut, other = site.fronts[0], site.fronts[1]
+    check(site, *await call_all_kinds(site, cut, 6, "before"))
+    await set_cut(site, [cut], dead.name)
+    busy = asyncio.ensure_future(call_all_kinds(site, cut, 12, "early"))
+    await asyncio.sleep(FOUND_S)
+    answers, others = await asyncio.gather(
+        call_all_kinds(site, cut, CALLS, "cut"), call_all_kinds(site, other, CALLS, "other")
+    )
+    served = sum(answer.status == 200 and answer.complete for answer in answers)
+    served_by_others = sum(answer.status == 200 and answer.complete for answer in others)
+    equal(served_by_others, CALLS, "requests served by the other front")
+    equal(served >= SERVED_SHARE * CALLS, True, f"{served} of {CALLS} served by the front that is cut off")
+    check(site, *answers, *others, *await busy)
+    await set_cut(site, [cut], None)
+    await asyncio.sleep(1)
+    site.runs.clear()
+    answers = await call_all_kinds(site, cut, CALLS, "after")
+    equal([answer.status for answer in answers if answer.status != 200], [], "other answers after the cut")
+    check(site, *answers)
+    dead.close()
+
+
+async def refused_connections_to_engines(site):
+    """One of three fronts is refused by all engines. Guards against refusing its callers' requests, which other
+    fronts can serve."""
+    await cut_front_serves(site, hangs=False)
+
+
+async def hanging_connections_to_engines(site):
+    """One of three fronts gets no answer from any engine. Guards against letting its callers wait for one connection
+    after the other, and refusing them then."""
+    await cut_front_serves(site, hangs=True)
+
+
+async def all_fronts_cut_off(site):
+    """No front reaches an engine. Guards against requests that fronts pass on to each other without end: each is
+    refused soon, as not run, with a retry-after time."""
+    dead = DeadAddress(site, hangs=False)
+    await set_cut(site, site.fronts, dead.name)
+    await asyncio.sleep(FOUND_S)
+    for front in site.fronts:
+        for number in range(4):
+            began = time.monotonic()
+            answer = await site.call(front, f"/once/{front.number}.{number}", b"x")
+            equal(answer.status, 503, "status")
+            equal("retry-after" in answer.fields, True, "retry-after time")
+            equal(time.monotonic() - began < REFUSED_WITHIN_S, True, f"refused within {REFUSED_WITHIN_S} s")
+    await set_cut(site, site.fronts, None)
+    await asyncio.sleep(1)
+    check(site, *await call_all_kinds(site, site.fronts[0], 6, "after"))
+    dead.close()
+
+
+CASES = [refused_connections_to_engines, hanging_connections_to_engines, all_fronts_cut_off]
+
+if __name__ == "__main__":
+    sys.exit(main(CASES))
--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -21,12 +21,14 @@
     (answers after a second), lost (carries the request out and closes without an answer), hold (connections
     stay open, but requests that are in progress or come meanwhile are never answered).
     rate: bytes per second of the link to the store; None: unlimited.
+    servers_at: "IP:PORT" that rows name as the address of every engine, so that fronts that read them here can reach
+    none; None: their own.
     """
 
     def __init__(self, store, address):
         self.store, self.address = store, address
         self.mode = "ok"
-        self.rate = None
+        self.rate = self.servers_at = None
         self.hold_count = 0  # times that mode "hold" was set
         self.writers = set()
         self.pages = []  # targets of the rows-get requests
@@ -75,6 +77,8 @@
             await asyncio.sleep(1)
         hold_count, held = self.hold_count, self.mode == "hold"
         status, body = await self.store.call(request)
+        if self.servers_at and "Table=servers" in request.target:
+            body = {**body, "Rows": [self.move_server(row) for row in body["Rows"]]}
         era = {"Store_Era": self.store.era}
         if held or self.hold_count != hold_count:
             await asyncio.sleep(3600)
@@ -84,6 +88,13 @@
         return True
 
 
+    def move_server(self, row):
+        if "Value" not in row:
+            return row
+        entry = {**json.loads(base64.b64decode(row["Value"])), "Address": self.servers_at}
+        return {**row, "Value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+
 class Store:
     def __init__(self):
         self.rows = {}  # (table, key) -> (value, version)
