A front that reaches no server hands its requests to other fronts

Callers of fronts that were cut off from all backend servers were refused, 0 of 240 first attempts served while others served 584 of 590, or waited 1.76 s for that (five connections of 350 ms each).

A front had no way to a server but its own connections, though callers, the store and other fronts reached it. The class: an outage of one path was taken for one of what lies behind it. Elsewhere the same had been met for the store (rows come from other fronts, 'a front that the store turns away'); for servers it had not.

Now three servers in a row that take no connection, with none in between that does, count as a lost service (front_reach), and its requests go to another front, which sends and answers them as its own. Of each request it learns how many servers were tried and how much time is left; it never hands one on. Fronts tell each other what they have lost, so that work goes to those that can do it, and each tries a server again every half second. Messages between fronts have a new format.

--- a/src/front.h
+++ b/src/front.h
@@ -9,6 +9,7 @@
 #include "front_budget.h"
 #include "front_config.h"
 #include "front_lag.h"
+#include "front_reach.h"
 #include "front_rollouts.h"
 #include "front_servers.h"
 #include "front_sessions.h"
@@ -39,6 +40,8 @@
   Quarantine *quarantine;
   FrontLag lag; /**< of model engines' answers */
   FrontSpeeds speeds;
+  FrontReach reach;
+  uint16_t callers_port;       /**< the same at all fronts; network order */
   FrontPrompts caller_prompts; /**< of requests received here, wherever they were sent */
   FrontStore *store;
   FrontPeers *peers;
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -10,7 +10,7 @@
 
 struct FrontAttempt
 {
-  FrontServer *server;
+  FrontServer *server; /* NULL: another front */
   struct bufferevent *bev;
   Buffer head;
   const Buffer *body;
@@ -70,20 +70,19 @@
 
 FrontAttempt *
 front_attempt_start (Front *front,
-                     FrontServer *server,
+                     const AttemptTarget *target,
                      Buffer *head,
                      const Buffer *body,
                      const AttemptCallbacks *callbacks,
                      void *user)
 {
-  struct bufferevent *bev
-      = front_socket_connect (front->base, &server->address, UNACKED_TIMEOUT_MS);
+  struct bufferevent *bev = front_socket_connect (front->base, target->address, UNACKED_TIMEOUT_MS);
   FrontAttempt *attempt;
 
   if (!bev)
     return NULL;
   attempt = memory_alloc (sizeof *attempt);
-  attempt->server = server;
+  attempt->server = target->server;
   attempt->bev = bev;
   attempt->head = *head;
   *head = (Buffer){ 0 };
@@ -91,8 +90,11 @@
   attempt->callbacks = callbacks;
   attempt->user = user;
   http_reply_init (&attempt->reply);
-  front_server_ref (server);
-  server->running++;
+  if (attempt->server)
+    {
+      front_server_ref (attempt->server);
+      attempt->server->running++;
+    }
   bufferevent_setcb (bev, on_read, NULL, on_event, attempt);
   bufferevent_enable (bev, EV_READ | EV_WRITE);
   return attempt;
@@ -104,8 +106,11 @@
   bufferevent_free (attempt->bev);
   http_reply_clear (&attempt->reply);
   buffer_free (&attempt->head);
-  attempt->server->running--;
-  front_server_unref (attempt->server);
+  if (attempt->server)
+    {
+      attempt->server->running--;
+      front_server_unref (attempt->server);
+    }
   free (attempt);
 }
 
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -1,7 +1,7 @@
 /**
- * One attempt to send a request to one backend server. Each attempt has a connection of its own, so
- * neither late bytes of an earlier answer nor an idle connection that the server is closing can
- * interfere.
+ * One attempt to send a request to one backend server, or to another front. Each attempt has a
+ * connection of its own, so neither late bytes of an earlier answer nor an idle connection that the
+ * server is closing can interfere.
  */
 #ifndef FRONT_ATTEMPT_H
 #define FRONT_ATTEMPT_H
@@ -29,10 +29,17 @@
   void (*cut) (void *user);
 } AttemptCallbacks;
 
+/** Where an attempt goes. */
+typedef struct
+{
+  const struct sockaddr_in *address;
+  FrontServer *server; /**< at that address; NULL: another front */
+} AttemptTarget;
+
 /** Takes over head's buffer; body must outlive the attempt. NULL if no connection can be
  *  started. */
 FrontAttempt *front_attempt_start (Front *front,
-                                   FrontServer *server,
+                                   const AttemptTarget *target,
                                    Buffer *head,
                                    const Buffer *body,
                                    const AttemptCallbacks *callbacks,
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -24,10 +24,12 @@
   Span id;   /**< of this attempt by the caller; each of its retries has a new id */
   Span key;  /**< credential of the caller; absent: none */
   Span session;
-  Span model;            /**< "*": any of the route's models */
-  int64_t deadline_ms;   /**< how long the caller will wait; -1: not given */
-  int64_t prompt_tokens; /**< 0: not given */
-  int64_t after_event;   /**< the stream resumes after this event; -1: from its start */
+  Span model;                  /**< "*": any of the route's models */
+  int64_t deadline_ms;         /**< how long the caller will wait; -1: not given */
+  int64_t prompt_tokens;       /**< 0: not given */
+  int64_t handed_off_attempts; /**< servers that the front tried which handed the request over; -1:
+                                  it comes from a caller */
+  int64_t after_event;         /**< the stream resumes after this event; -1: from its start */
   unsigned part_count;
   PromptPart parts[PROMPT_PARTS_MAX];
 } FrontCall;
@@ -43,6 +45,14 @@
   int64_t after_event;   /**< -1: none */
 } CallHeaders;
 
+/** Headers that the front sets on a request that it hands to another front. */
+typedef struct
+{
+  unsigned attempts;   /**< servers that it has tried */
+  int64_t deadline_ms; /**< remaining time */
+  int64_t after_event; /**< -1: none */
+} HandoffHeaders;
+
 /** Whether a backend server's answer names a limit on requests. */
 typedef enum
 {
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -165,6 +165,7 @@
 
   if (!front_socket_parse_address (self->front.settings.callers, &address))
     return false;
+  self->front.callers_port = address.sin_port;
   self->front.listener
       = evconnlistener_new_bind (self->front.base, on_accept, self,
                                  LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -3,7 +3,7 @@
 #include <rpc/xdr.h>
 #include <string.h>
 
-#define MAGIC 0x4c48424cu /* "LHBL"; to be incremented with any change of the format */
+#define MAGIC 0x4c48424du /* "LHBM"; to be incremented with any change of the format */
 
 static bool_t
 xdr_hash (XDR *xdr, uint64_t *value)
@@ -140,6 +140,19 @@
   return TRUE;
 }
 
+static bool_t
+xdr_lost (XDR *xdr, PeerMessage *message)
+{
+  if (!xdr_list_length (xdr, &message->lost_count, PEER_LOST_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->lost_count; i++)
+    {
+      if (!xdr_hash (xdr, &message->lost[i]))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static bool_t
 xdr_message (XDR *xdr, PeerMessage *message)
 {
@@ -154,7 +167,7 @@
       if (!xdr_int64_t (xdr, &message->newest[i]))
         return FALSE;
     }
-  return xdr_counts (xdr, message) && xdr_lists (xdr, message);
+  return xdr_counts (xdr, message) && xdr_lost (xdr, message) && xdr_lists (xdr, message);
 }
 
 size_t
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -20,6 +20,7 @@
 #define PEER_RETURNS_MAX  4  /**< failure domains whose evacuation ended */
 #define PEER_MEMBERS_MAX  96 /**< fronts in one message; others follow in the next ones */
 #define PEER_COUNTS_MAX   6  /**< failure domains whose size is in one message; others follow */
+#define PEER_LOST_MAX     4  /**< services that the sender can't reach */
 #define PEER_SESSIONS_MAX 64 /**< of one roll-out */
 
 /** Failure domains' sums in one message; others follow in the next ones. */
@@ -73,6 +74,8 @@
   uint32_t domain_fronts; /**< living fronts of the sender's failure domain that it knows, itself
                              included; if they are few the sender has just started, and receivers
                              answer with a list of members */
+  uint32_t lost_count;
+  uint64_t lost[PEER_LOST_MAX]; /**< services whose servers the sender can't reach, by hash */
   uint32_t count_count;
   PeerCount counts[PEER_COUNTS_MAX];
   uint32_t rollout_count;
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -70,6 +70,21 @@
  *  the subject. Fewer are selected where a failure domain has fewer fronts than its share. */
 bool
 front_peers_is_selected (const FrontPeers *peers, uint64_t subject, unsigned count, int64_t now_ms);
+/** Other fronts that one request may be handed to. */
+#define HANDOFFS_MAX 2
+
+/** A request that this front can't serve. */
+typedef struct
+{
+  uint64_t service; /**< hash of the service that this front can't reach */
+  unsigned asked_count;
+  struct sockaddr_in asked[HANDOFFS_MAX]; /**< fronts that it was handed to */
+} PeerHandoff;
+
+/** Another front that is alive and reaches the service as far as this one knows, of the same
+ * failure domain if there is one; NULL: none. The port is not set. */
+const struct sockaddr_in *
+front_peers_choose_handoff (FrontPeers *peers, const PeerHandoff *handoff, int64_t now_ms);
 /** Rank of this front, from 0, among the living ones, in an order that differs from subject to
  *  subject. Decides which front acts first. */
 unsigned front_peers_rank (const FrontPeers *peers, uint64_t subject, int64_t now_ms);
--- a/src/front_peers_compose.c
+++ b/src/front_peers_compose.c
@@ -199,6 +199,7 @@
   message->domain = peers->own_domain;
   for (unsigned i = 0; i < PEER_TABLES; i++)
     message->newest[i] = front_store_newest (front->store, (StoreTable)i);
+  message->lost_count = front_reach_lost (&front->reach, message->lost, PEER_LOST_MAX);
   peers_counts_fill (peers, message, now_ms);
   peers_rollouts_fill (peers, message, now_ms);
   peers_deaths_fill (peers, message, now_ms);
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -26,6 +26,8 @@
   bool is_registered;        /* on the store's list of fronts */
   bool is_seed;              /* named by the settings */
   int64_t newest[PEER_TABLES];
+  unsigned lost_count;
+  uint64_t lost[PEER_LOST_MAX]; /* services whose servers it can't reach, by hash */
 } Peer;
 
 /* A number of fronts, as reported. */
@@ -80,6 +82,7 @@
   unsigned next_other_member; /* the same for other failure domains */
   unsigned next_domain;       /* first domain in the next message's list of sums */
   unsigned next_rollout;      /* place of the first running roll-out in the next message */
+  unsigned next_handoff;      /* first peer considered for the next request handed over */
   unsigned next_death;        /* turn of the next message's deaths and refusals */
   double work_credit_bytes;   /* bytes that may be spent on work messages */
   int64_t work_ms;            /* time at which work_credit_bytes was computed */
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -98,6 +98,8 @@
   peer->incarnation = message->incarnation;
   peer->seen_ms = now_ms;
   memcpy (peer->newest, message->newest, sizeof peer->newest);
+  memcpy (peer->lost, message->lost, sizeof peer->lost);
+  peer->lost_count = message->lost_count;
   if (peers_is_starting (peers, peer, message->domain_fronts, now_ms))
     peers_answer_starting (peers, peer, now_ms);
 }
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -235,7 +235,12 @@
   if (route->model_count > 0 && span_is (request->call.model, "*"))
     request->model = 0;
   request->events.last_id = request->call.after_event;
-  front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
+  if (request->call.handed_off_attempts < 0)
+    front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
+  else
+    request->attempts = request->call.handed_off_attempts < route->attempts_max
+                            ? (unsigned)request->call.handed_off_attempts
+                            : route->attempts_max;
   request_send (request);
 }
 
@@ -249,7 +254,7 @@
 
   cds_list_for_each_entry_safe (request, next, &front->requests, node)
   {
-    if (request->attempt && request->server->restarted)
+    if (request->attempt && request->server && request->server->restarted)
       request_handle_cut (request);
   }
 }
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -8,6 +8,7 @@
 #include "front_call.h"
 #include "front_cascade.h"
 #include "front_events.h"
+#include "front_peers.h"
 #include "front_pick.h"
 #include "front_request.h"
 
@@ -57,6 +58,9 @@
   int64_t pause_ms;      /* longest pause between two relayed events, over all attempts */
   bool relaying;         /* the attempt's answer is being relayed */
 
+  bool is_handed_off;  /* the current attempt is at another front */
+  PeerHandoff handoff; /* fronts that it was handed to */
+
   bool head_sent; /* the head of a streamed answer was sent to the caller */
   FrontEvents events;
   int64_t first_ms; /* from arrival to the first byte relayed; -1: none yet */
@@ -86,6 +90,18 @@
 /* Handles a server that has been silent for too long. */
 void request_handle_silence (FrontRequest *request);
 
+/* Hash by which the request's service is told apart in front_reach. */
+uint64_t request_service_hash (const FrontRequest *request);
+/* A connection to the attempt's server was opened. */
+void request_record_reached (FrontRequest *request);
+
+/* front_request_handoff.c */
+/* Hands the request to another front if this one can't reach its servers; false if it wasn't. May
+ * not free the request. */
+bool request_hand_off (FrontRequest *request);
+/* Handles another front that could not be reached. May free the request. */
+void request_handle_front_unreachable (FrontRequest *request);
+
 /* front_request_notice.c */
 /* Records what the head of the answer says of its server, whatever becomes of the answer. */
 void request_handle_head (FrontRequest *request);
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -79,7 +79,7 @@
 {
   int64_t now_ms = clock_boot_ms ();
 
-  if (request->attempt && front_attempt_is_sent (request->attempt) && !request->relaying
+  if (request->server && front_attempt_is_sent (request->attempt) && !request->relaying
       && (double)(now_ms - request->attempt_ms) > request->predicted_ms)
     request_add_evidence (request, false, now_ms);
 }
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -1,8 +1,10 @@
 /* Decides whether a request whose attempt failed is sent again. */
 #include "front_counter.h"
 #include "front_log.h"
+#include "front_peers.h"
 #include "front_request_private.h"
 #include "util_clock.h"
+#include <string.h>
 
 /* Servers that one request may fail to reach without using up its attempts. With a third of all
  * servers down, and three attempts by the route, one of 2,187 requests (3 to the 7th) reaches
@@ -91,6 +93,62 @@
     }
 }
 
+static unsigned
+count_servers (const FrontRequest *request)
+{
+  FrontServer *server;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (server, front_servers_list (request->front->servers), node)
+  {
+    count += front_server_takes_work (server)
+             && strcmp (server->entry.service, request->service) == 0;
+  }
+  return count;
+}
+
+static void
+log_reach (const FrontRequest *request, const char *state)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_REACH);
+
+  front_log_text (line, "service", request->service);
+  front_log_text (line, "state", state);
+  front_log_end (line);
+}
+
+uint64_t
+request_service_hash (const FrontRequest *request)
+{
+  return span_hash (span_of (request->service));
+}
+
+static void
+record_unreached (FrontRequest *request, int64_t now_ms)
+{
+  ReachTry attempt = {
+    .service = request_service_hash (request),
+    .server = request->server->hash,
+    .servers = count_servers (request),
+  };
+
+  if (!front_reach_failed (&request->front->reach, &attempt, now_ms))
+    return;
+  log_reach (request, "lost");
+  front_peers_send_soon (request->front->peers);
+}
+
+void
+request_record_reached (FrontRequest *request)
+{
+  ReachTry attempt = { .service = request_service_hash (request), .server = request->server->hash };
+
+  if (!front_reach_connected (&request->front->reach, &attempt))
+    return;
+  log_reach (request, "back");
+  front_peers_send_soon (request->front->peers);
+}
+
 /* Nothing arrives at a server that can't be reached, so this counts neither against the route's
  * attempts nor against the retry budget: with several servers crashed at once, requests would
  * be refused after three connections that take 7 ms in all, although other servers have
@@ -101,6 +159,7 @@
   int64_t now_ms = clock_boot_ms ();
 
   front_health_unreachable (&request->server->health, now_ms);
+  record_unreached (request, now_ms);
   if (request->unreached == UNREACHED_MAX || now_ms >= request->end_ms
       || quarantine_contains (request->front->quarantine, request->fingerprint, now_ms))
     {
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -209,12 +209,13 @@
     .priority = front_config_priority (request->route, request->team),
     .after_event = request->head_sent ? request->events.last_id : -1,
   };
+  AttemptTarget target = { .address = &pick->server->address, .server = pick->server };
   HttpRequestParser *request_parser = front_conn_request_parser (request->conn);
   Buffer head = { 0 };
 
   wire_call_encode (&head, request_parser, &headers);
-  request->attempt = front_attempt_start (request->front, pick->server, &head,
-                                          &request_parser->body, &attempt_callbacks, request);
+  request->attempt = front_attempt_start (request->front, &target, &head, &request_parser->body,
+                                          &attempt_callbacks, request);
   buffer_free (&head);
   return request->attempt != NULL;
 }
@@ -254,8 +255,8 @@
   return pick_server (request, &query, clock_boot_ms ()).server != NULL;
 }
 
-void
-request_send (FrontRequest *request)
+static void
+send_to_server (FrontRequest *request)
 {
   Front *front = request->front;
   int64_t now_ms = clock_boot_ms ();
@@ -281,6 +282,13 @@
   request_arm_timer (request);
 }
 
+void
+request_send (FrontRequest *request)
+{
+  if (!request_hand_off (request))
+    send_to_server (request);
+}
+
 CascadeForecast
 request_forecast (const FrontRequest *request, uint32_t model)
 {
@@ -332,6 +340,7 @@
     front_attempt_free (request->attempt);
   request->attempt = NULL;
   request->server = NULL;
+  request->is_handed_off = false;
 }
 
 /* When the current attempt is given up for its silence. INT64_MAX: never before end_ms. */
@@ -346,6 +355,9 @@
     return INT64_MAX;
   if (!front_attempt_is_sent (request->attempt))
     return request->sent_ms + FRONT_CONNECT_TIMEOUT_MS;
+  /* The other front watches its servers itself. */
+  if (request->is_handed_off)
+    return INT64_MAX;
   /* A request that may run only once is not sent again, so giving up the attempt would gain
    * nothing. */
   if (!front_route_is_idempotent (route) || request->attempts >= route->attempts_max)
@@ -387,6 +399,8 @@
     }
   else if (now_ms < silence_due_ms (request))
     request_arm_timer (request);
+  else if (!sent && request->is_handed_off)
+    request_handle_front_unreachable (request);
   else if (!sent)
     request_handle_unreachable (request, "connect_timeout");
   else
@@ -399,6 +413,7 @@
   FrontRequest *request = user;
 
   cold_connected (&request->server->cold_sends, request->sent_ms, clock_boot_ms ());
+  request_record_reached (request);
   request_arm_timer (request);
 }
 
--- /dev/null
+++ b/tests/test_front_handoff.c
@@ -0,0 +1,227 @@
+/** Requests handed to other fronts: src/front_reach.c, front_peers_handoff.c; platform/wire_call.c.
+ */
+#include "front_peers_private.h"
+#include "front_reach.h"
+#include "suite.h"
+#include "wire_call.h"
+#include <string.h>
+
+#define NOW          100000 /* milliseconds */
+#define SERVICE      7u
+#define OTHER        8u
+#define OWN_DOMAIN   1u
+#define OTHER_DOMAIN 2u
+
+static FrontReach reach;
+
+static bool
+fails (uint64_t service, uint64_t server, unsigned servers, int64_t now_ms)
+{
+  ReachTry attempt = { .service = service, .server = server, .servers = servers };
+
+  return front_reach_failed (&reach, &attempt, now_ms);
+}
+
+static bool
+connects (uint64_t service, uint64_t server)
+{
+  ReachTry attempt = { .service = service, .server = server };
+
+  return front_reach_connected (&reach, &attempt);
+}
+
+static void
+test_service_is_lost_after_several_servers (void)
+{
+  memset (&reach, 0, sizeof reach);
+  CU_ASSERT (!fails (SERVICE, 1, 18, NOW));
+  CU_ASSERT (!fails (SERVICE, 1, 18, NOW));
+  CU_ASSERT (!fails (SERVICE, 1, 18, NOW));
+  CU_ASSERT (!fails (SERVICE, 2, 18, NOW));
+  CU_ASSERT (!front_reach_is_lost (&reach, SERVICE));
+  CU_ASSERT (fails (SERVICE, 3, 18, NOW));
+  CU_ASSERT (!fails (SERVICE, 4, 18, NOW));
+  CU_ASSERT (front_reach_is_lost (&reach, SERVICE));
+  CU_ASSERT (!front_reach_is_lost (&reach, OTHER));
+  CU_ASSERT (connects (SERVICE, 5));
+  CU_ASSERT (!connects (SERVICE, 5));
+  CU_ASSERT (!front_reach_is_lost (&reach, SERVICE));
+}
+
+/* Guards against handing requests on, although servers can be reached, because some have crashed.
+ */
+static void
+test_reached_server_ends_the_count (void)
+{
+  memset (&reach, 0, sizeof reach);
+  CU_ASSERT (!fails (SERVICE, 1, 18, NOW));
+  CU_ASSERT (!fails (SERVICE, 2, 18, NOW));
+  CU_ASSERT (!connects (SERVICE, 3));
+  CU_ASSERT (!fails (SERVICE, 4, 18, NOW));
+  CU_ASSERT (!fails (SERVICE, 5, 18, NOW));
+  CU_ASSERT (!front_reach_is_lost (&reach, SERVICE));
+}
+
+static void
+test_small_service_is_lost_with_all_its_servers (void)
+{
+  memset (&reach, 0, sizeof reach);
+  CU_ASSERT (!fails (SERVICE, 1, 2, NOW));
+  CU_ASSERT (fails (SERVICE, 2, 2, NOW));
+  CU_ASSERT (fails (OTHER, 3, 1, NOW));
+}
+
+/* Guards against a front that never finds that its cut has ended, and one on which each request
+ * waits for a connection first. */
+static void
+test_lost_service_is_tried_now_and_then (void)
+{
+  memset (&reach, 0, sizeof reach);
+  CU_ASSERT (!front_reach_should_try (&reach, SERVICE, NOW));
+  CU_ASSERT (fails (SERVICE, 1, 1, NOW));
+  CU_ASSERT (!front_reach_should_try (&reach, SERVICE, NOW + 100));
+  CU_ASSERT (front_reach_should_try (&reach, SERVICE, NOW + 600));
+  CU_ASSERT (!front_reach_should_try (&reach, SERVICE, NOW + 700));
+  CU_ASSERT (front_reach_should_try (&reach, SERVICE, NOW + 1200));
+}
+
+static void
+test_services_used_last_are_kept (void)
+{
+  uint64_t lost[4];
+
+  memset (&reach, 0, sizeof reach);
+  for (unsigned i = 1; i <= REACH_SERVICES_MAX + 1; i++)
+    CU_ASSERT (fails (i, 1, 1, NOW + i));
+  CU_ASSERT (!front_reach_is_lost (&reach, 1));
+  CU_ASSERT (front_reach_is_lost (&reach, 2));
+  CU_ASSERT (front_reach_is_lost (&reach, REACH_SERVICES_MAX + 1));
+  CU_ASSERT_EQUAL (front_reach_lost (&reach, lost, 4), 4);
+}
+
+static uint32_t
+address_of (unsigned number)
+{
+  return htonl (0x0a000000u + number);
+}
+
+/* Peers 1 and 2 are of the own failure domain, 3 of another one; all are alive. */
+static void
+add_peers (FrontPeers *peers)
+{
+  memset (peers, 0, sizeof *peers);
+  peers->own_domain = OWN_DOMAIN;
+  for (unsigned i = 1; i <= 3; i++)
+    peer_add (peers, address_of (i), i == 3 ? OTHER_DOMAIN : OWN_DOMAIN, NOW)->seen_ms = NOW;
+}
+
+static unsigned
+chosen (FrontPeers *peers, const PeerHandoff *handoff)
+{
+  const struct sockaddr_in *address = front_peers_choose_handoff (peers, handoff, NOW);
+
+  return address ? ntohl (address->sin_addr.s_addr) & 0xffu : 0;
+}
+
+static void
+test_fronts_of_the_domain_take_turns (void)
+{
+  PeerHandoff handoff = { .service = SERVICE };
+  unsigned count[4] = { 0 };
+  FrontPeers peers;
+
+  add_peers (&peers);
+  for (unsigned i = 0; i < 10; i++)
+    count[chosen (&peers, &handoff)]++;
+  CU_ASSERT_EQUAL (count[1], 5);
+  CU_ASSERT_EQUAL (count[2], 5);
+  peers_clear (&peers);
+}
+
+/* Guards against handing requests to fronts that are cut off as well, gone, or were asked. */
+static void
+test_fronts_that_can_not_help_are_passed_over (void)
+{
+  PeerHandoff handoff = { .service = SERVICE };
+  FrontPeers peers;
+  Peer *first, *second;
+
+  add_peers (&peers);
+  first = peer_find (&peers, address_of (1));
+  second = peer_find (&peers, address_of (2));
+  first->lost_count = 1;
+  first->lost[0] = SERVICE;
+  CU_ASSERT_EQUAL (chosen (&peers, &handoff), 2);
+  first->lost[0] = OTHER;
+  second->request_failed_ms = NOW - 10;
+  CU_ASSERT_EQUAL (chosen (&peers, &handoff), 1);
+  handoff.asked_count = 1;
+  handoff.asked[0] = first->address;
+  CU_ASSERT_EQUAL (chosen (&peers, &handoff), 3);
+  peer_find (&peers, address_of (3))->seen_ms = NOW - 60000;
+  CU_ASSERT_EQUAL (chosen (&peers, &handoff), 0);
+  peers_clear (&peers);
+}
+
+static void
+read_request (HttpRequestParser *parser, const char *text)
+{
+  static const HttpRequestLimits limits = { .head_max = 4096, .body_max = 4096 };
+  size_t used;
+
+  http_request_parser_init (parser, &limits);
+  CU_ASSERT_EQUAL (http_request_parser_feed (parser, text, strlen (text), &used), HTTP_PARSE_DONE);
+}
+
+/* The other front authenticates and routes the request itself, so all that the caller sent goes
+ * there, but for what concerns one connection; and what it says of the handoff goes no further. */
+static void
+test_handoff_keeps_the_request (void)
+{
+  static const char text[] = "POST /x/q?a=1 HTTP/1.1\r\nHost: a.example\r\n"
+                             "Authorization: Token k1\r\nLovagehub-Request-Id: r17\r\n"
+                             "Lovagehub-Model: *\r\nLast-Event-Id: 12\r\nConnection: X-Hop\r\n"
+                             "X-Hop: 1\r\nLovage-Handed-Off: 9\r\nLovagehub-Deadline-Ms: 5000\r\n"
+                             "Content-Length: 2\r\n\r\nab";
+  HandoffHeaders headers = { .attempts = 1, .deadline_ms = 900, .after_event = -1 };
+  CallHeaders to_server = { .server_id = "i-1", .deadline_ms = 800, .after_event = -1 };
+  HttpRequestParser from_caller, from_front;
+  Buffer out = { 0 };
+  FrontCall call;
+
+  read_request (&from_caller, text);
+  wire_handoff_encode (&out, &from_caller, &headers);
+  buffer_add (&out, "ab", 3);
+  read_request (&from_front, out.data);
+  wire_call_decode (&from_front, &call);
+  CU_ASSERT_EQUAL (call.handed_off_attempts, 1);
+  CU_ASSERT_EQUAL (call.deadline_ms, 900);
+  CU_ASSERT_EQUAL (call.after_event, 12);
+  CU_ASSERT (span_is (call.id, "r17"));
+  CU_ASSERT (span_is (call.key, "k1"));
+  CU_ASSERT (span_is (call.model, "*"));
+  CU_ASSERT_PTR_NULL (strstr (out.data, "X-Hop"));
+  buffer_clear (&out);
+  wire_call_encode (&out, &from_front, &to_server);
+  CU_ASSERT_PTR_NULL (strstr (out.data, "Handed-Off"));
+  buffer_free (&out);
+  http_request_parser_reset (&from_caller);
+  http_request_parser_reset (&from_front);
+}
+
+static const SuiteCase cases[] = {
+  { "service_is_lost_after_several_servers", test_service_is_lost_after_several_servers },
+  { "reached_server_ends_the_count", test_reached_server_ends_the_count },
+  { "small_service_is_lost_with_all_its_servers", test_small_service_is_lost_with_all_its_servers },
+  { "lost_service_is_tried_now_and_then", test_lost_service_is_tried_now_and_then },
+  { "services_used_last_are_kept", test_services_used_last_are_kept },
+  { "fronts_of_the_domain_take_turns", test_fronts_of_the_domain_take_turns },
+  { "fronts_that_can_not_help_are_passed_over", test_fronts_that_can_not_help_are_passed_over },
+  { "handoff_keeps_the_request", test_handoff_keeps_the_request },
+};
+
+int
+main (int argc, char **argv)
+{
+  return suite_main (argc, argv, "front_handoff", cases, SUITE_COUNT (cases));
+}
--- a/tests/test_front_peer_message.c
+++ b/tests/test_front_peer_message.c
@@ -9,6 +9,8 @@
 {
   PeerMessage message = { .incarnation = 7, .newest = { 1, 2, 3 } };
 
+  message.lost_count = 2;
+  message.lost[1] = 41;
   message.rollout_count = 1;
   message.rollouts[0].service = 99;
   message.rollouts[0].order = 12;
@@ -44,6 +46,8 @@
   CU_ASSERT (peer_message_decode (&out, data, len));
   CU_ASSERT_EQUAL (out.incarnation, 7);
   CU_ASSERT_EQUAL (out.newest[2], 3);
+  CU_ASSERT_EQUAL (out.lost_count, 2);
+  CU_ASSERT_EQUAL (out.lost[1], 41);
   CU_ASSERT_EQUAL (out.rollout_count, 1);
   CU_ASSERT_EQUAL (out.rollouts[0].service, 99);
   CU_ASSERT_EQUAL (out.rollouts[0].order, 12);
