Tests: a front before a store on loopback has a list of requests

Since the load stage a running roll-out counts them, and test_front_time ended with a segmentation fault; its front had no list, as a real one has.

--- a/tests/front_node.c
+++ b/tests/front_node.c
@@ -24,6 +24,7 @@
       bind (node->listener, (struct sockaddr *)&node->store.address, sizeof node->store.address),
       0);
   CU_ASSERT_EQUAL_FATAL (listen (node->listener, LISTEN), 0);
+  CDS_INIT_LIST_HEAD (&node->front.requests);
   node->front.base = event_base_new ();
   node->front.store = &node->store;
   node->front.peers = &node->peers;
