--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -77,6 +77,9 @@
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_since = self.cold_until = 0.0
         self.turns_away, self.rest = False, None  # as in mode full; seconds that its refusals ask for
+        self.room = None  # requests that it runs at a time, and turns others away; None: any number
+        self.brittle = None  # requests a second beyond its room that it survives, named in all its answers; None: any
+        self.turned_away_at = []  # times at which it turned a request away
         self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
 
@@ -158,7 +161,9 @@
         if request.fields.get("lovagehub-target-instance") != self.name:
             writer.write(answer(421, Lovagehub_Instance_Id=self.name, **self.notices()))
             return
-        if self.mode == "full" or self.turns_away:
+        is_full = self.room is not None and self.running >= self.room
+        if self.mode == "full" or self.turns_away or is_full:
+            self.turned_away_at.append(run.at)
             rest = {"Retry_After": self.rest} if self.rest else {}
             run.rest = self.rest
             notices = {} if self.refuses_without_notices else self.notices()
@@ -183,6 +188,8 @@
     def notices(self):
         """Header fields in which it states something about itself."""
         fields = {"Server_Limit": self.limit} if self.limit is not None else {}
+        if self.brittle is not None:
+            fields["Server_Brittle"] = self.brittle
         return {**fields, "Server_Leaving": 1} if self.says_leaving else fields
 
     def head(self, request, **more):
