Leave brittle servers that are full alone

Model engines and plain services that say Server-Brittle: N fall over if they turn more than N requests away in a second; fronts did not read the field, and tried a full server again after 150 ms, or at once if there was no other: 36 to 55 requests in a second where 6 are allowed.

A front that was turned away leaves the server alone for its share of a second (the number of fronts by N), and keeps a window of requests in progress there: one less than were too many, growing with each that the server takes. Fronts don't ask each other. Until a front has run for 4 s it assumes many others, and rests for 10 s.

--- a/regress/front/cases_brittle.py
+++ b/regress/front/cases_brittle.py
@@ -9,6 +9,7 @@
 
 TOLD_S = 3  # from which on fronts have to respect what engines say of themselves
 BRITTLE_PER_S = 6
+SETTLED_S = 4.5  # until fronts that have just started know how many they are
 CALLERS = 6  # that call each front at a time
 OVERLOAD_S = 9
 
@@ -30,6 +31,7 @@
 async def brittle_engines(site):
     """Two engines with room for two requests each are called by eighteen callers. Guards against fronts that go on
     sending requests to a full engine which says that it falls over if it turns more than six a second away."""
+    await asyncio.sleep(SETTLED_S)
     engines = [engine for engine in site.engines if engine.service == "orders"]
     for engine in engines:
         engine.brittle, engine.room, engine.delay = BRITTLE_PER_S, 2, 0.1
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -53,7 +53,7 @@
   int64_t after_event; /**< -1: none */
 } HandoffHeaders;
 
-/** Whether a backend server's answer names a limit on requests. */
+/** Whether a backend server's answer names a number of requests per second. */
 typedef enum
 {
   REPLY_LIMIT_ABSENT,
@@ -77,8 +77,11 @@
   ReplyLimit limit;
   double limit_per_s; /**< requests per second that the server takes from all fronts together, with
                          REPLY_LIMIT_NAMED */
-  int confidence;     /**< the model's confidence in its answer, 0 to 100; -1: not given */
-  Span request_id;    /**< id of the request that is answered */
+  ReplyLimit brittle;
+  double brittle_per_s; /**< requests per second that the server can turn away without falling over,
+                           with REPLY_LIMIT_NAMED */
+  int confidence;       /**< the model's confidence in its answer, 0 to 100; -1: not given */
+  Span request_id;      /**< id of the request that is answered */
 } ReplyInfo;
 
 #endif
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -23,6 +23,8 @@
  * requests, or one failure of five. */
 #define NO_CANARY_MS  300.0
 #define SLOTS_DEFAULT 8
+/* Milliseconds after which a full server is expected to have room. */
+#define FULL_WAIT_MS 100
 /* Milliseconds by which the entries of servers that became cold may arrive later than the end of
  * their evacuation. */
 #define RETURN_MARGIN_MS 500
@@ -188,7 +190,7 @@
 static bool
 may_have_to_wait (const PickQuery *query, const FrontServer *server, int64_t now_ms)
 {
-  return server->limit.is_named || now_ms < server->rest_until_ms
+  return server->limit.is_named || server->brittle.is_named || now_ms < server->rest_until_ms
          || (query->cold.max_per_s > 0 && is_cold (query, server, now_ms));
 }
 
@@ -205,6 +207,8 @@
       = told_wait_ms (cold_limit_wait_ms (query, server, now_ms), query->cold.start_ms);
   waits_ms[PICK_WAIT_LIMITED] = named_limit_wait_ms (query, server, now_ms);
   waits_ms[PICK_WAIT_RESTING] = server->rest_until_ms - now_ms;
+  waits_ms[PICK_WAIT_FULL]
+      = server_brittle_is_full (&server->brittle, server->running) ? FULL_WAIT_MS : 0;
   for (unsigned i = 0; i < PICK_WAITS; i++)
     {
       if (waits_ms[i] > waits_ms[*reason])
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -42,6 +42,7 @@
   PICK_WAIT_COLD,    /**< it has started recently, and got this front's share */
   PICK_WAIT_LIMITED, /**< it names a limit, and got this front's share */
   PICK_WAIT_RESTING, /**< it asked this front for rest */
+  PICK_WAIT_FULL,    /**< it is brittle, and has no room as far as this front knows */
   PICK_WAITS
 } PickWait;
 
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -57,6 +57,53 @@
     }
 }
 
+static void
+log_brittle (const FrontRequest *request, const FrontServer *server, const char *state)
+{
+  FrontLine *line = log_begin (FRONT_EVENT_SERVER_BRITTLE, request, server);
+  char per_s[NUMBER_TEXT_MAX];
+
+  snprintf (per_s, sizeof per_s, "%g", server->brittle.per_s);
+  front_log_text (line, "state", state);
+  front_log_text (line, "per_s", per_s);
+  front_log_end (line);
+}
+
+static void
+handle_brittle (const FrontRequest *request, FrontServer *server, const ReplyInfo *info)
+{
+  switch (info->brittle)
+    {
+    case REPLY_LIMIT_NAMED:
+      if (server_brittle_named (&server->brittle, info->brittle_per_s, clock_boot_ms ()))
+        log_brittle (request, server, "named");
+      return;
+    case REPLY_LIMIT_ABSENT:
+      if (tells_of_limit (request, info)
+          && server_brittle_absent (&server->brittle, request->attempt_ms))
+        log_brittle (request, server, "ended");
+      return;
+    case REPLY_LIMIT_UNREADABLE:
+      log_brittle (request, server, "unreadable");
+      return;
+    }
+}
+
+/* A brittle server that turned a request away gets its next one from this front only when its share
+ * allows that to be turned away, too. */
+static void
+rest_brittle (const FrontRequest *request, FrontServer *server)
+{
+  FrontShare share = { .self = request->front->vm_hash };
+  int64_t rest_ms;
+
+  server_brittle_turned_away (&server->brittle, server->running);
+  front_share_set (&share, &request->front->fronts);
+  rest_ms = server_brittle_rest_ms (&server->brittle, &share);
+  if (rest_ms > 0)
+    front_server_rest (server, rest_ms, clock_boot_ms ());
+}
+
 static void
 handle_leaving (const FrontRequest *request, FrontServer *server)
 {
@@ -103,6 +150,11 @@
   if (!is_from_server (request, &info))
     return;
   handle_limit (request, server, &info);
+  handle_brittle (request, server, &info);
+  if (info.not_executed)
+    rest_brittle (request, server);
+  else
+    server_brittle_accepted (&server->brittle);
   handle_rest (request, server, info.rest_ms);
   if (info.leaving)
     handle_leaving (request, server);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -227,6 +227,7 @@
     [PICK_WAIT_COLD] = "servers_cold",
     [PICK_WAIT_LIMITED] = "servers_limited",
     [PICK_WAIT_RESTING] = "servers_resting",
+    [PICK_WAIT_FULL] = "servers_full",
   };
 
   if (pick->wait != PICK_WAIT_NONE)
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -5,6 +5,7 @@
 #ifndef FRONT_SERVER_H
 #define FRONT_SERVER_H
 
+#include "front_brittle.h"
 #include "front_cold.h"
 #include "front_health.h"
 #include "front_limit.h"
@@ -53,6 +54,7 @@
   int64_t returned_ms;   /**< when the evacuation of its failure domain ended; 0: never */
   int64_t rest_until_ms; /**< end of the rest that it asked this front for; 0: it asked for none */
   ServerLimit limit;
+  ServerBrittle brittle;
   unsigned references; /**< number of attempts that use it */
   unsigned running;    /**< our requests in progress there */
   double pending_ms;   /**< predicted reading of the prompts that we sent and whose answers have not
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -106,6 +106,8 @@
 
       if (before->limit.heard_ms > server->limit.heard_ms)
         server->limit = before->limit;
+      if (before->brittle.heard_ms > server->brittle.heard_ms)
+        server->brittle = before->brittle;
       if (before->rest_until_ms > server->rest_until_ms)
         server->rest_until_ms = before->rest_until_ms;
     }
@@ -145,7 +147,8 @@
   server->leaving = true;
   set_unconfirmed (servers, server, false);
   servers->count--;
-  if (!server->restarted && (server->limit.is_named || server->rest_until_ms > now_ms))
+  if (!server->restarted
+      && (server->limit.is_named || server->brittle.is_named || server->rest_until_ms > now_ms))
     {
       server->kept_until_ms = now_ms + KEEP_MS;
       servers->kept++;
