A handed-over request whose answer has begun is sent to no other server

A stream that broke off at the front it was handed to could be handed to a second one, though the first may have used all attempts of its route.

--- a/src/front_request_handoff.c
+++ b/src/front_request_handoff.c
@@ -152,6 +152,14 @@
   request_give_up (request, "handoff_failed", 0);
 }
 
+/* How many servers the other front has tried is not known, so the request is sent to no other one.
+ */
+static void
+end_attempts (FrontRequest *request)
+{
+  request->attempts = request->route->attempts_max;
+}
+
 static void
 handle_answer_head (FrontRequest *request)
 {
@@ -167,6 +175,7 @@
     }
   if (!is_success && !reply->complete)
     return;
+  end_attempts (request);
   request->relaying = true;
   request_handle_progress (request);
 }
@@ -193,7 +202,6 @@
     handle_answer_head (request);
 }
 
-/* How many servers the other front has tried is not known, so no other attempt is made. */
 static void
 on_cut (void *user)
 {
@@ -205,6 +213,6 @@
       return;
     }
   log_handoff (request, "cut", 0);
-  request->attempts = request->route->attempts_max;
+  end_attempts (request);
   request_retry (request, "handoff_cut", true);
 }
