Late repeats count for a version, and few answers suffice if all are late

Its callers' requests were each sent to three servers, late at all of them; since 'A request counts once' that was one answer instead of three, 5 of eight needed, and since the comparison of delays sixteen answers were needed whatever they were.

Only a request's repeated failure says nothing new, as some requests fail anywhere; that it is late at another server does. And below sixteen answers a version has to be later by five standard deviations, not three, instead of waiting for the sixteenth; the simulation of some slow servers among eight, which the sixteen were for, still passes.

--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -6,7 +6,7 @@
  * at a tenth of the traffic arrive within two seconds of its turning bad. */
 #define FAILED_MIN 6
 #define LATE_MIN   8
-/* Minimum answers of which so many are late: few answers come from few servers. */
+/* With fewer answers, which come from few servers, a version has to be late beyond doubt. */
 #define LATE_ANSWERS_MIN 16
 #define DOUBT_MIN        2 /* failed or late, under EVIDENCE_DOUBT */
 /* A version is bad if its share of failed answers exceeds the old version's times WORSE_FACTOR plus
@@ -19,9 +19,9 @@
 #define LOADED_MIN    20 /* answers of loaded servers */
 /* A version is slow if a share of its answers that is larger by LATE_MARGIN, and by more standard
  * deviations than chance brings, is a class later than those of the old version. */
-#define LATE_MARGIN           0.15
-#define LATE_DEVIATIONS       3.0
-#define LATE_DEVIATIONS_DOUBT 4.5 /* as two answers suffice */
+#define LATE_MARGIN         0.15
+#define LATE_DEVIATIONS     3.0
+#define LATE_DEVIATIONS_FEW 5.0 /* with few answers, or where two late ones suffice */
 /* Minimum share of late answers, beyond the usual one, of the better half of the servers, as a part
  * of that of all. */
 #define LATE_SPREAD        0.4
@@ -207,15 +207,15 @@
                EvidenceThreshold threshold)
 {
   uint32_t late_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : LATE_MIN;
-  double deviations = threshold == EVIDENCE_DOUBT ? LATE_DEVIATIONS_DOUBT : LATE_DEVIATIONS;
   uint32_t late = evidence_count_late (new_count, delay);
   double answers = count_served (new_count);
   double usual
       = (evidence_count_late (old_count, delay - 1) + 1.0) / (count_served (old_count) + 2.0);
+  double deviations = threshold == EVIDENCE_DOUBT || answers < LATE_ANSWERS_MIN
+                          ? LATE_DEVIATIONS_FEW
+                          : LATE_DEVIATIONS;
   double chance = deviations * sqrt (answers * usual * (1 - usual));
 
-  if (threshold != EVIDENCE_DOUBT && answers < LATE_ANSWERS_MIN)
-    return false;
   return late >= late_min && late - usual * answers > fmax (LATE_MARGIN * answers, chance);
 }
 
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -38,9 +38,9 @@
   unsigned unreached; /* servers that could not be reached */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX];
-  /* Version and model of which an attempt was last counted in a roll-out; 0: none was. */
-  uint64_t counted_version;
-  uint32_t counted_model;
+  /* Version and model of which a failure was last counted in a roll-out; 0: none was. */
+  uint64_t failed_version;
+  uint32_t failed_model;
   bool may_have_run; /* on an earlier attempt, so "not executed" can no longer be reported */
 
   FrontAttempt *attempt; /* current attempt; NULL between attempts */
@@ -57,6 +57,7 @@
   int64_t relayed_ms;    /* time of the last event relayed on any attempt; 0: none */
   int64_t pause_ms;      /* longest pause between two relayed events, over all attempts */
   bool relaying;         /* the attempt's answer is being relayed */
+  bool counted;          /* the attempt was counted for or against its version */
 
   bool is_handed_off;  /* the current attempt is at another front */
   PeerHandoff handoff; /* fronts that it was handed to */
@@ -109,9 +110,9 @@
 /* front_request_relay.c */
 /* Evaluates what has arrived of the answer. May free the request. */
 void request_handle_progress (FrontRequest *request);
-/* During a roll-out, counts the current attempt for or against its version: how its answer began,
- * or that it has not begun yet. Repeats on the same version don't count: some requests fail
- * anywhere. */
+/* During a roll-out, counts the current attempt once for or against its version: how its answer
+ * began, or that it has not begun yet. Another failure of the request on the same version doesn't
+ * count, as some requests fail anywhere. */
 void request_add_evidence (FrontRequest *request, bool failed, int64_t now_ms);
 /* Counts the current attempt as one whose answer has not begun, if it is late. Callers leave sooner
  * the slower a version is, so without these its answers would look better than it is. */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -65,12 +65,16 @@
     .predicted_ms = request->predicted_ms + UNNOTICED_SHARE * (double)request->route->objective_ms,
   };
 
-  if (!front_rollout_is_running (rollout)
-      || (request->counted_version == request->version_hash
-          && request->counted_model == request->model))
+  if (request->counted || !front_rollout_is_running (rollout)
+      || (failed && request->failed_version == request->version_hash
+          && request->failed_model == request->model))
     return;
-  request->counted_version = request->version_hash;
-  request->counted_model = request->model;
+  request->counted = true;
+  if (failed)
+    {
+      request->failed_version = request->version_hash;
+      request->failed_model = request->model;
+    }
   front_evidence_add (&rollout->evidence, &answer);
 }
 
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -188,6 +188,7 @@
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
+  request->counted = false;
   if (!query->is_model)
     return;
   request->running_weight = query->running_weight;
