Test: a request handed to another front ends with its caller

It runs once, under its id and with the time left, and its engine stops when the caller of the front that handed it over leaves; so far this held by the code only.

--- a/regress/front/cases_cut.py
+++ b/regress/front/cases_cut.py
@@ -109,7 +109,32 @@
     dead.close()
 
 
-CASES = [refused_connections_to_engines, hanging_connections_to_engines, all_fronts_cut_off]
+async def caller_leaves_a_request_handed_over(site):
+    """A caller leaves while another front serves its request. Guards against work that goes on for nobody, and against
+    requests that run twice, or with another id or more time than the caller gave."""
+    dead = DeadAddress(site, hangs=False)
+    cut = site.fronts[0]
+    await set_cut(site, [cut], dead.name)
+    await asyncio.sleep(0.5)
+    await call_all_kinds(site, cut, 9, "before")
+    for engine in site.engines:
+        engine.delay = 3.0
+    for path in ("/text/", "/once/"):
+        answer = await site.call(cut, f"{path}a", path.encode(), timeout=0.3, deadline=2000)
+        await asyncio.sleep(0.5)
+        runs = site.runs_of(answer)
+        equal(len(runs), 1, f"runs of {path}")
+        equal(runs[0].ended > 0, True, f"{path}: ended at its engine")
+        equal(1000 < int(runs[0].fields["lovagehub-deadline-ms"]) <= 2000, True, f"{path}: time left")
+        equal("lovage-handed-off" in runs[0].fields, False, f"{path}: tells the engine of the handoff")
+    equal(len([event for event in cut.events("request_handed_off") if event["state"] == "sent"]) > 0, True, "handed over")
+    dead.close()
+
+
+CASES = [
+    refused_connections_to_engines, hanging_connections_to_engines, all_fronts_cut_off,
+    caller_leaves_a_request_handed_over,
+]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
