--- a/regress/front/cases_cut.py
+++ b/regress/front/cases_cut.py
@@ -6,13 +6,15 @@
 import sys
 import time
 
-from cases import check, equal, main
-from site_front import ENGINE_PORT
+from cases import check, equal, log_events, main
+from site_front import ENGINE_PORT, Front
 
 FOUND_S = 3  # after which callers of a front that is cut off are to be served as others are
 SERVED_SHARE = 2 / 3  # of what other fronts serve at the first attempt, at least
 CALLS = 30
 REFUSED_WITHIN_S = 2.5
+MANY_FRONTS = 26  # in two failure domains: few of a domain hear each other's own messages
+SETTLED_S = 4.5  # until fronts that have just started know most others
 
 
 class DeadAddress:
@@ -131,9 +133,59 @@
     dead.close()
 
 
+async def grow(site):
+    for number in range(len(site.fronts), MANY_FRONTS):
+        front = Front(site, number)
+        site.fronts.append(front)
+        await front.store_endpoint.start()
+        await front.start()
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+    await asyncio.sleep(SETTLED_S)
+
+
+async def call_steadily(site, fronts, calls, spread_s, name):
+    """Sends so many first attempts to each of these fronts, spread over so many seconds."""
+    started = []
+    for number in range(calls):
+        for front in fronts:
+            path = ("/text/", "/once/", "/again/")[number % 3]
+            body = b"%s.%d.%d" % (name.encode(), front.number, number)
+            started.append(asyncio.ensure_future(site.call(front, f"{path}{name}", body)))
+        await asyncio.sleep(spread_s / calls)
+    return await asyncio.gather(*started)
+
+
+async def whole_domain_cut_off(site):
+    """All 13 fronts of a failure domain reach no engine, 13 of another one do. Guards against handing requests to fronts
+    that are cut off, too, of which a front has not heard itself that they are."""
+    dead = DeadAddress(site, hangs=False)
+    await grow(site)
+    cut = [front for front in site.fronts if front.domain == "a"]
+    others = [front for front in site.fronts if front not in cut]
+    check(site, *await call_steadily(site, site.fronts, 6, 2.0, "before"))
+    await set_cut(site, cut, dead.name)
+    await call_steadily(site, site.fronts, 9, FOUND_S, "early")
+    known = len(log_events(site, "request_handed_off"))
+    answers, by_others = await asyncio.gather(
+        call_steadily(site, cut, CALLS, 4.0, "cut"), call_steadily(site, others, CALLS, 4.0, "other")
+    )
+    share = sum(answer.status == 200 and answer.complete for answer in answers) / len(answers)
+    share_of_others = sum(answer.status == 200 and answer.complete for answer in by_others) / len(by_others)
+    sent = [line for line in log_events(site, "request_handed_off") if line["state"] == "sent"]
+    late_ids = {answer.request for answer in answers}
+    in_vain = [line for line in sent if line["request"] in late_ids and line["peer"] in {front.ip for front in cut}]
+    print(f"{share:.3f} served by cut fronts, {share_of_others:.3f} by others; {len(in_vain)} of {len(sent)} handed over in vain", flush=True)
+    equal(known > 0, True, "requests handed over")
+    equal(len(in_vain), 0, "requests handed to a front that is cut off as well")
+    equal(share >= SERVED_SHARE * share_of_others, True, f"{share:.2f} served by fronts that are cut off, {share_of_others:.2f} by others")
+    check(site, *answers, *by_others)
+    dead.close()
+
+
 CASES = [
     refused_connections_to_engines, hanging_connections_to_engines, all_fronts_cut_off,
-    caller_leaves_a_request_handed_over,
+    caller_leaves_a_request_handed_over, whole_domain_cut_off,
 ]
 
 if __name__ == "__main__":
