Requests are handed to fronts that are known to reach the service

Cause: only a front's own messages said which services it had lost, and a front hears the collectors and four or five others of its failure domain itself. All others were taken to reach the service. Such a front tried five servers for 1.75 s before it refused, and was asked again at once. Ruled out: fronts that had not found that they are cut off (1,360 of 1,419 such requests came after the front had logged service_reach), overload of the others.

Now the lists of members tell of each front which services it reaches and has lost, in the word that held its age before; a request goes to a front that is known to reach the service, to one of which nothing is known only if there is none, and never to one that lost it.

--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -3,7 +3,10 @@
 #include <rpc/xdr.h>
 #include <string.h>
 
-#define MAGIC 0x4c48424du /* "LHBM"; to be incremented with any change of the format */
+#define MAGIC 0x4c48424eu /* "LHBN"; to be incremented with any change of the format */
+/* Places of an age and of marks in one word. */
+#define AGE_SHIFT     16
+#define REACHED_SHIFT 8
 
 static bool_t
 xdr_hash (XDR *xdr, uint64_t *value)
@@ -75,6 +78,28 @@
   return TRUE;
 }
 
+/* Both in one word, as a message lists many fronts. age_ms may be NULL. */
+static bool_t
+xdr_age_and_reach (XDR *xdr, uint32_t *age_ms, PeerReach *reach)
+{
+  uint32_t age = age_ms ? *age_ms : 0;
+  uint32_t word = 0;
+
+  if (age > PEER_AGE_MAX_MS)
+    age = PEER_AGE_MAX_MS;
+  if (xdr->x_op == XDR_ENCODE)
+    word = age << AGE_SHIFT | (uint32_t)reach->reached << REACHED_SHIFT | reach->lost;
+  if (!xdr_uint32_t (xdr, &word))
+    return FALSE;
+  if (xdr->x_op == XDR_ENCODE)
+    return TRUE;
+  reach->reached = (uint8_t)(word >> REACHED_SHIFT);
+  reach->lost = (uint8_t)word;
+  if (age_ms)
+    *age_ms = word >> AGE_SHIFT;
+  return TRUE;
+}
+
 static bool_t
 xdr_lists (XDR *xdr, PeerMessage *message)
 {
@@ -117,7 +142,7 @@
       PeerMember *member = &message->members[i];
 
       if (!xdr_uint32_t (xdr, &member->ip) || !xdr_uint32_t (xdr, &member->domain)
-          || !xdr_uint32_t (xdr, &member->age_ms))
+          || !xdr_age_and_reach (xdr, &member->age_ms, &member->reach))
         return FALSE;
     }
   return TRUE;
@@ -141,16 +166,16 @@
 }
 
 static bool_t
-xdr_lost (XDR *xdr, PeerMessage *message)
+xdr_services (XDR *xdr, PeerMessage *message)
 {
-  if (!xdr_list_length (xdr, &message->lost_count, PEER_LOST_MAX))
+  if (!xdr_list_length (xdr, &message->service_count, PEER_SERVICES_MAX))
     return FALSE;
-  for (unsigned i = 0; i < message->lost_count; i++)
+  for (unsigned i = 0; i < message->service_count; i++)
     {
-      if (!xdr_hash (xdr, &message->lost[i]))
+      if (!xdr_hash (xdr, &message->services[i]))
         return FALSE;
     }
-  return TRUE;
+  return xdr_age_and_reach (xdr, NULL, &message->reach);
 }
 
 static bool_t
@@ -167,7 +192,7 @@
       if (!xdr_int64_t (xdr, &message->newest[i]))
         return FALSE;
     }
-  return xdr_counts (xdr, message) && xdr_lost (xdr, message) && xdr_lists (xdr, message);
+  return xdr_counts (xdr, message) && xdr_services (xdr, message) && xdr_lists (xdr, message);
 }
 
 size_t
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -20,12 +20,13 @@
 #define PEER_RETURNS_MAX  4  /**< failure domains whose evacuation ended */
 #define PEER_MEMBERS_MAX  96 /**< fronts in one message; others follow in the next ones */
 #define PEER_COUNTS_MAX   6  /**< failure domains whose size is in one message; others follow */
-#define PEER_LOST_MAX     4  /**< services that the sender can't reach */
+#define PEER_SERVICES_MAX 8  /**< services of which a message tells which fronts reach them */
 #define PEER_SESSIONS_MAX 64 /**< of one roll-out */
 
 /** Failure domains' sums in one message; others follow in the next ones. */
 #define PEER_DOMAINS_MAX 3
 #define PEER_NEVER       UINT32_MAX
+#define PEER_AGE_MAX_MS  UINT16_MAX
 
 /** State of a roll-out at the sender. */
 typedef struct
@@ -42,12 +43,20 @@
   SessionUpdate sessions[PEER_SESSIONS_MAX]; /**< held on the old version */
 } PeerRollout;
 
+/** Which services a front reaches, as marks of places in PeerMessage.services. */
+typedef struct
+{
+  uint8_t reached; /**< it opened a connection to a server within the last moments */
+  uint8_t lost;    /**< it can reach no server */
+} PeerReach;
+
 /** Another front, as the sender knows it. */
 typedef struct
 {
   uint32_t ip;     /**< IPv4, host order */
   uint32_t domain; /**< hash of its failure domain */
-  uint32_t age_ms; /**< since any front last received a message from it */
+  uint32_t age_ms; /**< since any front last received a message from it; at most PEER_AGE_MAX_MS */
+  PeerReach reach; /**< at that time */
 } PeerMember;
 
 /** Number of living fronts of a failure domain other than the sender's. */
@@ -74,8 +83,9 @@
   uint32_t domain_fronts; /**< living fronts of the sender's failure domain that it knows, itself
                              included; if they are few the sender has just started, and receivers
                              answer with a list of members */
-  uint32_t lost_count;
-  uint64_t lost[PEER_LOST_MAX]; /**< services whose servers the sender can't reach, by hash */
+  uint32_t service_count;
+  uint64_t services[PEER_SERVICES_MAX]; /**< hashes; 0: an unused place */
+  PeerReach reach;                      /**< of the sender */
   uint32_t count_count;
   PeerCount counts[PEER_COUNTS_MAX];
   uint32_t rollout_count;
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -59,6 +59,9 @@
                                          struct sockaddr_in *address);
 /** The front at this address failed to answer; others are preferred for a while. */
 void front_peers_mark_failed (FrontPeers *peers, const struct sockaddr_in *address, int64_t now_ms);
+/** The front at this address refused a request that this one handed to it. */
+void
+front_peers_mark_refused (FrontPeers *peers, const struct sockaddr_in *address, int64_t now_ms);
 /** True if no other front is known to be alive. */
 bool front_peers_is_alone (const FrontPeers *peers, int64_t now_ms);
 /** Number of living fronts of the site, this one included. Of other failure domains most are known
@@ -81,8 +84,8 @@
   struct sockaddr_in asked[HANDOFFS_MAX]; /**< fronts that it was handed to */
 } PeerHandoff;
 
-/** Another front that is alive and reaches the service as far as this one knows, of the same
- * failure domain if there is one; NULL: none. The port is not set. */
+/** Another front that is alive and reaches the service, of the same failure domain if there is one.
+ * If none is known to reach it, one of which that isn't known. NULL: none. The port is not set. */
 const struct sockaddr_in *
 front_peers_choose_handoff (FrontPeers *peers, const PeerHandoff *handoff, int64_t now_ms);
 /** Rank of this front, from 0, among the living ones, in an order that differs from subject to
--- a/src/front_peers_compose.c
+++ b/src/front_peers_compose.c
@@ -22,6 +22,7 @@
     .ip = ntohl (peer->address.sin_addr.s_addr),
     .domain = peer->domain,
     .age_ms = (uint32_t)(now_ms - peer->seen_ms),
+    .reach = { .reached = peer->reached, .lost = peer->lost },
   };
 }
 
@@ -199,7 +200,7 @@
   message->domain = peers->own_domain;
   for (unsigned i = 0; i < PEER_TABLES; i++)
     message->newest[i] = front_store_newest (front->store, (StoreTable)i);
-  message->lost_count = front_reach_lost (&front->reach, message->lost, PEER_LOST_MAX);
+  peers_reach_fill (peers, message, now_ms);
   peers_counts_fill (peers, message, now_ms);
   peers_rollouts_fill (peers, message, now_ms);
   peers_deaths_fill (peers, message, now_ms);
--- a/src/front_peers_handoff.c
+++ b/src/front_peers_handoff.c
@@ -3,17 +3,18 @@
 
 /* Milliseconds for which a front that did not answer is not asked again. */
 #define FAILED_PAUSE_MS 3000
+/* The same for one that refused a request. */
+#define REFUSED_PAUSE_MS 500
 
-static bool
-has_lost (const Peer *peer, uint64_t service)
+/* From best to worst. */
+typedef enum
 {
-  for (unsigned i = 0; i < peer->lost_count; i++)
-    {
-      if (peer->lost[i] == service)
-        return true;
-    }
-  return false;
-}
+  CANDIDATE_REACHES_HERE, /* it reaches the service, and is in this front's failure domain */
+  CANDIDATE_REACHES,
+  CANDIDATE_UNKNOWN_HERE, /* whether it reaches the service isn't known; likewise */
+  CANDIDATE_UNKNOWN,
+  CANDIDATE_NONE, /* must not be asked */
+} Candidate;
 
 static bool
 was_asked (const PeerHandoff *handoff, const Peer *peer)
@@ -27,11 +28,30 @@
 }
 
 static bool
-may_take (const Peer *peer, const PeerHandoff *handoff, int64_t now_ms)
+pauses (int64_t since_ms, int64_t pause_ms, int64_t now_ms)
 {
-  return peer_is_alive (peer, now_ms) && !has_lost (peer, handoff->service)
-         && !was_asked (handoff, peer)
-         && (peer->request_failed_ms == 0 || now_ms - peer->request_failed_ms >= FAILED_PAUSE_MS);
+  return since_ms != 0 && now_ms - since_ms < pause_ms;
+}
+
+static Candidate
+rate (const FrontPeers *peers, const Peer *peer, const PeerHandoff *handoff, int64_t now_ms)
+{
+  bool is_here = peer->domain == peers->own_domain;
+
+  if (!peer_is_alive (peer, now_ms) || was_asked (handoff, peer)
+      || pauses (peer->request_failed_ms, FAILED_PAUSE_MS, now_ms)
+      || pauses (peer->request_refused_ms, REFUSED_PAUSE_MS, now_ms))
+    return CANDIDATE_NONE;
+  switch (peers_reach_state (peers, peer, handoff->service, now_ms))
+    {
+    case PEER_REACH_GOOD:
+      return is_here ? CANDIDATE_REACHES_HERE : CANDIDATE_REACHES;
+    case PEER_REACH_UNKNOWN:
+      return is_here ? CANDIDATE_UNKNOWN_HERE : CANDIDATE_UNKNOWN;
+    case PEER_REACH_LOST:
+      break;
+    }
+  return CANDIDATE_NONE;
 }
 
 /* In turn, so that the work of a failure domain doesn't all go to the first of its fronts that are
@@ -39,23 +59,21 @@
 const struct sockaddr_in *
 front_peers_choose_handoff (FrontPeers *peers, const PeerHandoff *handoff, int64_t now_ms)
 {
-  const Peer *other = NULL;
+  Candidate best = CANDIDATE_NONE;
+  unsigned place = 0;
 
-  for (unsigned i = 0; i < peers->count; i++)
+  for (unsigned i = 0; i < peers->count && best != CANDIDATE_REACHES_HERE; i++)
     {
-      unsigned place = (peers->next_handoff + i) % peers->count;
-      const Peer *peer = peers->list[place];
+      unsigned at = (peers->next_handoff + i) % peers->count;
+      Candidate candidate = rate (peers, peers->list[at], handoff, now_ms);
 
-      if (!may_take (peer, handoff, now_ms))
+      if (candidate >= best)
         continue;
-      if (peer->domain == peers->own_domain)
-        {
-          peers->next_handoff = place + 1;
-          return &peer->address;
-        }
-      if (!other)
-        other = peer;
+      best = candidate;
+      place = at;
     }
-  peers->next_handoff++;
-  return other ? &other->address : NULL;
+  if (best == CANDIDATE_NONE)
+    return NULL;
+  peers->next_handoff = place + 1;
+  return &peers->list[place]->address;
 }
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -26,10 +26,33 @@
   bool is_registered;        /* on the store's list of fronts */
   bool is_seed;              /* named by the settings */
   int64_t newest[PEER_TABLES];
-  unsigned lost_count;
-  uint64_t lost[PEER_LOST_MAX]; /* services whose servers it can't reach, by hash */
+  int64_t request_refused_ms; /* when it refused a request handed to it; 0: never */
+  uint8_t reached; /* services that it reached when seen_ms was reported, as marks of places in
+                      FrontPeers.services */
+  uint8_t lost;    /* services whose servers it can't reach, likewise */
 } Peer;
 
+/* A service of which fronts tell each other whether they reach it. */
+typedef struct
+{
+  uint64_t service; /* hash; 0: unused */
+  int64_t used_ms;
+} PeerService;
+
+/* Places in FrontPeers.services of a message's services. */
+typedef struct
+{
+  unsigned count;
+  unsigned place[PEER_SERVICES_MAX];
+} ServicePlaces;
+
+typedef enum
+{
+  PEER_REACH_UNKNOWN,
+  PEER_REACH_GOOD,
+  PEER_REACH_LOST,
+} PeerReachState;
+
 /* A number of fronts, as reported. */
 typedef struct
 {
@@ -82,6 +105,7 @@
   unsigned next_other_member; /* the same for other failure domains */
   unsigned next_domain;       /* first domain in the next message's list of sums */
   unsigned next_rollout;      /* place of the first running roll-out in the next message */
+  PeerService services[PEER_SERVICES_MAX];
   unsigned next_handoff;      /* first peer considered for the next request handed over */
   unsigned next_death;        /* turn of the next message's deaths and refusals */
   double work_credit_bytes;   /* bytes that may be spent on work messages */
@@ -152,6 +176,18 @@
 /* True while a roll-out runs, when messages are sent more often. */
 bool peers_has_rollout (const FrontPeers *peers);
 
+/* front_peers_reach.c */
+void peers_reach_places (FrontPeers *peers,
+                         const PeerMessage *message,
+                         ServicePlaces *out,
+                         int64_t now_ms);
+/* Takes over what a message tells of the front. */
+void peers_reach_receive (Peer *peer, const ServicePlaces *places, const PeerReach *report);
+/* Adds the services, and which of them this front reaches. */
+void peers_reach_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
+PeerReachState
+peers_reach_state (const FrontPeers *peers, const Peer *peer, uint64_t service, int64_t now_ms);
+
 /* front_peers_receive.c: applies a message of the front at this address. */
 void
 peers_receive_message (FrontPeers *peers, uint32_t ip, const PeerMessage *message, int64_t now_ms);
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -45,13 +45,18 @@
 
 /* A front from which another one receives messages is alive, even if it never sends to this one. */
 static void
-receive_member (FrontPeers *peers, const PeerMember *member, int64_t now_ms)
+receive_member (FrontPeers *peers,
+                const ServicePlaces *places,
+                const PeerMember *member,
+                int64_t now_ms)
 {
   Peer *peer = peer_add (peers, htonl (member->ip), member->domain, now_ms);
   int64_t seen_ms = now_ms - member->age_ms;
 
-  if (peer && seen_ms > peer->seen_ms)
-    peer->seen_ms = seen_ms;
+  if (!peer || seen_ms <= peer->seen_ms)
+    return;
+  peer->seen_ms = seen_ms;
+  peers_reach_receive (peer, places, &member->reach);
 }
 
 static void
@@ -98,8 +103,6 @@
   peer->incarnation = message->incarnation;
   peer->seen_ms = now_ms;
   memcpy (peer->newest, message->newest, sizeof peer->newest);
-  memcpy (peer->lost, message->lost, sizeof peer->lost);
-  peer->lost_count = message->lost_count;
   if (peers_is_starting (peers, peer, message->domain_fronts, now_ms))
     peers_answer_starting (peers, peer, now_ms);
 }
@@ -121,9 +124,14 @@
 {
   Front *front = peers->front;
   Peer *peer = peer_add (peers, ip, message->domain, now_ms);
+  ServicePlaces places;
 
+  peers_reach_places (peers, message, &places, now_ms);
   if (peer)
-    receive_sender (peers, peer, message, now_ms);
+    {
+      receive_sender (peers, peer, message, now_ms);
+      peers_reach_receive (peer, &places, &message->reach);
+    }
   else if (ip != peers->own.sin_addr.s_addr)
     receive_not_kept (peers, ip, message, now_ms);
   peers_domain_report (peers, message->domain, message->domain_fronts, now_ms);
@@ -139,5 +147,5 @@
   for (uint32_t i = 0; i < message->return_count; i++)
     receive_return (front, &message->returns[i], now_ms);
   for (uint32_t i = 0; i < message->member_count; i++)
-    receive_member (peers, &message->members[i], now_ms);
+    receive_member (peers, &places, &message->members[i], now_ms);
 }
--- a/src/front_peers_source.c
+++ b/src/front_peers_source.c
@@ -189,3 +189,12 @@
   if (peer)
     peer->request_failed_ms = now_ms;
 }
+
+void
+front_peers_mark_refused (FrontPeers *peers, const struct sockaddr_in *address, int64_t now_ms)
+{
+  Peer *peer = peer_find (peers, address->sin_addr.s_addr);
+
+  if (peer)
+    peer->request_refused_ms = now_ms;
+}
--- a/src/front_reach.c
+++ b/src/front_reach.c
@@ -1,8 +1,11 @@
 #include "front_reach.h"
 #include <stddef.h>
 
-/* Milliseconds between two requests that try a lost service's servers. */
+/* Milliseconds between two requests that try servers of a service that isn't good. */
 #define TRY_INTERVAL_MS 500
+/* Milliseconds for which an opened connection shows that the service is reached: other fronts have
+ * to find a cut within seconds. */
+#define REACHED_MS 1000
 
 static ReachService *
 find (FrontReach *reach, uint64_t service)
@@ -49,39 +52,51 @@
 front_reach_failed (FrontReach *reach, const ReachTry *attempt, int64_t now_ms)
 {
   ReachService *service = get (reach, attempt->service, now_ms);
+  ReachState before = service->state;
 
-  if (service->is_lost)
-    {
-      service->tried_ms = now_ms;
-      return false;
-    }
+  service->tried_ms = now_ms;
+  if (service->state == REACH_LOST)
+    return false;
   if (!has_failed (service, attempt->server))
     service->servers[service->failed++] = attempt->server;
-  service->is_lost = service->failed == REACH_SERVERS_MIN || service->failed >= attempt->servers;
-  service->tried_ms = now_ms;
-  return service->is_lost;
+  if (service->failed == REACH_SERVERS_MIN || service->failed >= attempt->servers)
+    service->state = REACH_LOST;
+  return service->state != before;
 }
 
 bool
-front_reach_connected (FrontReach *reach, const ReachTry *attempt)
+front_reach_connected (FrontReach *reach, const ReachTry *attempt, int64_t now_ms)
 {
-  ReachService *service = find (reach, attempt->service);
-  bool was_lost = service && service->is_lost;
+  ReachService *service = get (reach, attempt->service, now_ms);
+  ReachState before = service->state;
 
-  if (service)
-    *service = (ReachService){ 0 };
-  return was_lost;
+  service->failed = 0;
+  service->reached_ms = now_ms;
+  service->state = REACH_GOOD;
+  return before != REACH_UNKNOWN && service->state != before;
 }
 
-bool
-front_reach_is_lost (const FrontReach *reach, uint64_t service)
+ReachState
+front_reach_state (const FrontReach *reach, uint64_t service)
 {
   for (unsigned i = 0; i < REACH_SERVICES_MAX; i++)
     {
       if (reach->services[i].service == service)
-        return reach->services[i].is_lost;
+        return reach->services[i].state;
     }
-  return false;
+  return REACH_UNKNOWN;
+}
+
+const char *
+front_reach_state_name (ReachState state)
+{
+  static const char *const names[] = {
+    [REACH_UNKNOWN] = "unknown",
+    [REACH_GOOD] = "back",
+    [REACH_LOST] = "lost",
+  };
+
+  return names[state];
 }
 
 bool
@@ -89,21 +104,29 @@
 {
   ReachService *found = find (reach, service);
 
-  if (!found || !found->is_lost || now_ms - found->tried_ms < TRY_INTERVAL_MS)
+  if (!found || found->state != REACH_LOST || now_ms - found->tried_ms < TRY_INTERVAL_MS)
     return false;
   found->tried_ms = now_ms;
   return true;
 }
 
 unsigned
-front_reach_lost (const FrontReach *reach, uint64_t *out, unsigned max)
+front_reach_report (const FrontReach *reach, ReachReport *out, int64_t now_ms)
 {
   unsigned count = 0;
 
-  for (unsigned i = 0; i < REACH_SERVICES_MAX && count < max; i++)
+  for (unsigned i = 0; i < REACH_SERVICES_MAX; i++)
     {
-      if (reach->services[i].is_lost)
-        out[count++] = reach->services[i].service;
+      const ReachService *service = &reach->services[i];
+
+      if (service->service == 0)
+        continue;
+      out[count++] = (ReachReport){
+        .service = service->service,
+        .is_reached = service->state == REACH_GOOD && service->reached_ms != 0
+                      && now_ms - service->reached_ms < REACHED_MS,
+        .is_lost = service->state == REACH_LOST,
+      };
     }
   return count;
 }
--- a/src/front_reach.h
+++ b/src/front_reach.h
@@ -1,6 +1,6 @@
 /**
- * Which services' backend servers this front can reach at all. A front that is cut off from them
- * still hears callers, the store and other fronts, so only its own connections show it. No I/O.
+ * Which services' backend servers this front can reach. A front that is cut off from them still
+ * hears callers, the store and other fronts, so only its own connections show it. No I/O.
  */
 #ifndef FRONT_REACH_H
 #define FRONT_REACH_H
@@ -9,11 +9,18 @@
 #include <stdint.h>
 
 /** Services kept; of more, those used last. */
-#define REACH_SERVICES_MAX 16
+#define REACH_SERVICES_MAX 8
 /** Different servers in a row to which no connection could be opened, after which the service
  * counts as lost; fewer if it has fewer. */
 #define REACH_SERVERS_MIN 3
 
+typedef enum
+{
+  REACH_UNKNOWN, /**< no connection was tried */
+  REACH_GOOD,
+  REACH_LOST, /**< no server can be reached */
+} ReachState;
+
 /** A connection that was opened, or could not be. */
 typedef struct
 {
@@ -25,10 +32,11 @@
 typedef struct
 {
   uint64_t service; /**< 0: unused */
-  unsigned failed;  /**< entries of servers */
+  ReachState state;
+  unsigned failed; /**< entries of servers, since one was reached */
   uint64_t servers[REACH_SERVERS_MIN];
-  bool is_lost;
-  int64_t tried_ms; /**< when a request last tried a server of the lost service */
+  int64_t reached_ms; /**< when the latest connection was opened; 0: none was */
+  int64_t tried_ms;   /**< when a request last tried a server of a service that isn't good */
   int64_t used_ms;
 } ReachService;
 
@@ -37,14 +45,25 @@
   ReachService services[REACH_SERVICES_MAX];
 } FrontReach;
 
-/** A connection could not be opened. True if the service is lost with it. */
+/** What other fronts are told of a service. */
+typedef struct
+{
+  uint64_t service;
+  bool is_reached; /**< it is good, and a connection was opened within the last moments */
+  bool is_lost;
+} ReachReport;
+
+/** A connection could not be opened. True if that changes the state. */
 bool front_reach_failed (FrontReach *reach, const ReachTry *attempt, int64_t now_ms);
-/** A connection was opened. True if the service was lost. */
-bool front_reach_connected (FrontReach *reach, const ReachTry *attempt);
-bool front_reach_is_lost (const FrontReach *reach, uint64_t service);
-/** True if a request should try a server of the lost service again, which it is expected to do. */
+/** A connection was opened. True if that ends a state other than good. */
+bool front_reach_connected (FrontReach *reach, const ReachTry *attempt, int64_t now_ms);
+ReachState front_reach_state (const FrontReach *reach, uint64_t service);
+/** Lower-case name, as in logs. */
+const char *front_reach_state_name (ReachState state);
+/** True if a request should try a server of a service that isn't good, which it is expected to do.
+ */
 bool front_reach_should_try (FrontReach *reach, uint64_t service, int64_t now_ms);
-/** Lists lost services; returns their number, at most max. */
-unsigned front_reach_lost (const FrontReach *reach, uint64_t *out, unsigned max);
+/** Lists the services; returns their number, at most REACH_SERVICES_MAX. */
+unsigned front_reach_report (const FrontReach *reach, ReachReport *out, int64_t now_ms);
 
 #endif
--- a/src/front_request_handoff.c
+++ b/src/front_request_handoff.c
@@ -91,32 +91,42 @@
   return true;
 }
 
-/* A request that another front handed over stays here, so that two fronts don't pass it to and
- * fro. */
+/* True if this front may try to reach the service with the request, before it hands it on. */
+static bool
+should_try_servers (FrontRequest *request, int64_t now_ms)
+{
+  return request->unreached == 0 && request->handoff.asked_count == 0
+         && front_reach_should_try (&request->front->reach, request->handoff.service, now_ms);
+}
+
 bool
 request_hand_off (FrontRequest *request)
 {
-  FrontReach *reach = &request->front->reach;
+  PeerHandoff *handoff = &request->handoff;
   int64_t now_ms = clock_boot_ms ();
+  ReachState state;
 
-  request->handoff.service = request_service_hash (request);
-  if (request->call.handed_off_attempts >= 0
-      || !front_reach_is_lost (reach, request->handoff.service))
-    return false;
-  if (request->unreached == 0 && request->handoff.asked_count == 0
-      && front_reach_should_try (reach, request->handoff.service, now_ms))
+  handoff->service = request_service_hash (request);
+  state = front_reach_state (&request->front->reach, handoff->service);
+  if (state != REACH_LOST)
     return false;
-  return send_to_front (request, now_ms);
+  /* Two fronts must not pass a request to and fro. */
+  if (request->call.handed_off_attempts >= 0)
+    {
+      request_give_up (request, "servers_unreachable", 0);
+      return true;
+    }
+  return !should_try_servers (request, now_ms) && send_to_front (request, now_ms);
 }
 
 /* Asks the next front; if there is none, the request is refused rather than kept waiting for
  * servers that this front can't reach. */
 static void
-try_next_front (FrontRequest *request, const char *reason, int64_t wait_ms)
+try_next_front (FrontRequest *request, int64_t wait_ms)
 {
   request_drop_attempt (request);
   if (!send_to_front (request, clock_boot_ms ()))
-    request_give_up (request, reason, wait_ms);
+    request_give_up (request, "servers_unreachable", wait_ms);
 }
 
 void
@@ -124,7 +134,7 @@
 {
   log_handoff (request, "unreachable", 0);
   front_peers_mark_failed (request->front->peers, asked_front (request), clock_boot_ms ());
-  try_next_front (request, "servers_unreachable", 0);
+  try_next_front (request, 0);
 }
 
 /* Statuses with which a front of its own says that the request may have run. */
@@ -144,7 +154,8 @@
   log_handoff (request, may_have_run ? "failed" : "refused", status);
   if (!may_have_run)
     {
-      try_next_front (request, "servers_unreachable", info->rest_ms > 0 ? info->rest_ms : 0);
+      front_peers_mark_refused (request->front->peers, asked_front (request), clock_boot_ms ());
+      try_next_front (request, info->rest_ms > 0 ? info->rest_ms : 0);
       return;
     }
   request->may_have_run = true;
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -97,8 +97,8 @@
 void request_record_reached (FrontRequest *request);
 
 /* front_request_handoff.c */
-/* Hands the request to another front if this one can't reach its servers; false if it wasn't. May
- * not free the request. */
+/* Hands the request to another front if this one can't reach its servers, or refuses it if another
+ * front handed it to this one. False if servers have to be tried. May free the request. */
 bool request_hand_off (FrontRequest *request);
 /* Handles another front that could not be reached. May free the request. */
 void request_handle_front_unreachable (FrontRequest *request);
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -107,22 +107,23 @@
   return count;
 }
 
+uint64_t
+request_service_hash (const FrontRequest *request)
+{
+  return span_hash (span_of (request->service));
+}
+
 static void
-log_reach (const FrontRequest *request, const char *state)
+log_reach (const FrontRequest *request)
 {
   FrontLine *line = front_log_begin (FRONT_EVENT_REACH);
+  ReachState state = front_reach_state (&request->front->reach, request_service_hash (request));
 
   front_log_text (line, "service", request->service);
-  front_log_text (line, "state", state);
+  front_log_text (line, "state", front_reach_state_name (state));
   front_log_end (line);
 }
 
-uint64_t
-request_service_hash (const FrontRequest *request)
-{
-  return span_hash (span_of (request->service));
-}
-
 static void
 record_unreached (FrontRequest *request, int64_t now_ms)
 {
@@ -134,7 +135,7 @@
 
   if (!front_reach_failed (&request->front->reach, &attempt, now_ms))
     return;
-  log_reach (request, "lost");
+  log_reach (request);
   front_peers_send_soon (request->front->peers);
 }
 
@@ -143,9 +144,9 @@
 {
   ReachTry attempt = { .service = request_service_hash (request), .server = request->server->hash };
 
-  if (!front_reach_connected (&request->front->reach, &attempt))
+  if (!front_reach_connected (&request->front->reach, &attempt, clock_boot_ms ()))
     return;
-  log_reach (request, "back");
+  log_reach (request);
   front_peers_send_soon (request->front->peers);
 }
 
