--- a/regress/front/cases_cut.py
+++ b/regress/front/cases_cut.py
@@ -13,6 +13,7 @@
 SERVED_SHARE = 2 / 3  # of what other fronts serve at the first attempt, at least
 CALLS = 30
 REFUSED_WITHIN_S = 2.5
+OBJECTIVE_S = 0.3  # of the plain services' routes
 MANY_FRONTS = 26  # in two failure domains: few of a domain hear each other's own messages
 SETTLED_S = 4.5  # until fronts that have just started know most others
 
@@ -133,6 +134,31 @@
     dead.close()
 
 
+async def front_that_reaches_few_engines(site):
+    """One of three fronts reaches one of six engines of each service; connections to the others hang. Guards against
+    letting its callers wait for one connection after the other, although other fronts reach all engines."""
+    dead = DeadAddress(site, hangs=True)
+    cut, other = site.fronts[0], site.fronts[1]
+    for service in ("texts", "orders"):
+        for _ in range(4):
+            await site.start_engine(service)
+    cut.store_endpoint.reachable = {site.engines[1].name, site.engines[3].name}
+    check(site, *await call_all_kinds(site, cut, 6, "before"))
+    await set_cut(site, [cut], dead.name)
+    await call_steadily(site, site.fronts, 30, FOUND_S, "early")
+    answers, by_others = await asyncio.gather(
+        call_steadily(site, [cut], 2 * CALLS, 4.0, "cut"), call_steadily(site, [other], 2 * CALLS, 4.0, "other")
+    )
+    in_time, in_time_of_others = (
+        sum(answer.status == 200 and answer.ended_at - answer.sent_at < OBJECTIVE_S for answer in group)
+        for group in (answers, by_others)
+    )
+    print(f"{in_time} of {len(answers)} in time by the front that reaches few engines, {in_time_of_others} by another", flush=True)
+    equal(in_time >= SERVED_SHARE * in_time_of_others, True, f"{in_time} in time, {in_time_of_others} by another front")
+    check(site, *answers, *by_others)
+    dead.close()
+
+
 async def grow(site):
     for number in range(len(site.fronts), MANY_FRONTS):
         front = Front(site, number)
@@ -185,7 +211,7 @@
 
 CASES = [
     refused_connections_to_engines, hanging_connections_to_engines, all_fronts_cut_off,
-    caller_leaves_a_request_handed_over, whole_domain_cut_off,
+    caller_leaves_a_request_handed_over, front_that_reaches_few_engines, whole_domain_cut_off,
 ]
 
 if __name__ == "__main__":
--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -23,12 +23,14 @@
     rate: bytes per second of the link to the store; None: unlimited.
     servers_at: "IP:PORT" that rows name as the address of every engine, so that fronts that read them here can reach
     none; None: their own.
+    reachable: names of engines whose rows stay as they are all the same.
     """
 
     def __init__(self, store, address):
         self.store, self.address = store, address
         self.mode = "ok"
         self.rate = self.servers_at = None
+        self.reachable = set()
         self.hold_count = 0  # times that mode "hold" was set
         self.writers = set()
         self.pages = []  # targets of the rows-get requests
@@ -89,7 +91,7 @@
 
 
     def move_server(self, row):
-        if "Value" not in row:
+        if "Value" not in row or row["Key"] in self.reachable:
             return row
         entry = {**json.loads(base64.b64decode(row["Value"])), "Address": self.servers_at}
         return {**row, "Value": base64.b64encode(json.dumps(entry).encode()).decode()}
