--- a/regress/front/cases_brittle.py
+++ b/regress/front/cases_brittle.py
@@ -6,12 +6,17 @@
 import time
 
 from cases import equal, main
+from site_front import Front
 
 TOLD_S = 3  # from which on fronts have to respect what engines say of themselves
 BRITTLE_PER_S = 6
 SETTLED_S = 4.5  # until fronts that have just started know how many they are
 CALLERS = 6  # that call each front at a time
 OVERLOAD_S = 9
+FRONTS, ENGINES, SLOTS, RUN_S = 9, 8, 4, 0.2
+LOAD = 0.9  # of all slots
+FALLS_MAX = 2  # and one for each ten engines
+SERVED_SHARE = 0.95  # of what is served where engines name no number, at least
 
 
 async def call_until(site, front, until, name):
@@ -55,7 +60,55 @@
     equal([answer.status for answer in answers], [200] * 8, "answers once the engines have room")
 
 
-CASES = [brittle_engines]
+async def grow(site):
+    """Nine fronts before eight engines of the plain service, each with room for one request beside its slots."""
+    for number in range(len(site.fronts), FRONTS):
+        front = Front(site, number)
+        site.fronts.append(front)
+        await front.store_endpoint.start()
+        await front.start()
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+    while sum(engine.service == "orders" for engine in site.engines) < ENGINES:
+        await site.start_engine("orders")
+    engines = [engine for engine in site.engines if engine.service == "orders"]
+    for engine in engines:
+        engine.slots, engine.room, engine.delay, engine.falls = SLOTS, SLOTS + 1, RUN_S, True
+        await engine.report()
+    await asyncio.sleep(SETTLED_S)
+    return engines
+
+
+async def call_at_random(site, seconds, name):
+    """Callers that don't wait for each other's answers, at any front. Returns the share that was served."""
+    rate = LOAD * ENGINES * SLOTS / RUN_S
+    began, at, calls = time.monotonic(), 0.0, []
+    while (at := at + site.random.expovariate(rate)) < seconds:
+        await asyncio.sleep(max(0, began + at - time.monotonic()))
+        front = site.random.choice(site.fronts)
+        calls.append(asyncio.ensure_future(site.call(front, f"/once/{name}{len(calls)}", b"x%d" % len(calls))))
+    answers = await asyncio.gather(*calls)
+    return sum(answer.status == 200 for answer in answers) / len(answers)
+
+
+async def busy_brittle_engines(site):
+    """Eight engines at nine tenths of their slots say that they fall over if they turn more than three requests a
+    second away. Guards against fronts that together send them more than they have room for, and against fronts that
+    refuse their callers instead."""
+    engines = await grow(site)
+    share = await call_at_random(site, 6, "free")
+    for engine in engines:
+        engine.brittle = 3
+    await call_at_random(site, TOLD_S, "told")
+    began = time.monotonic()
+    share_if_brittle = await call_at_random(site, 12, "brittle")
+    falls = sum(at > began for engine in engines for at in engine.fell_at)
+    print(f"{falls} falls, {share_if_brittle:.3f} served; {share:.3f} where engines name no number", flush=True)
+    equal(falls <= FALLS_MAX + ENGINES // 10, True, f"{falls} engines fell over")
+    equal(share_if_brittle >= SERVED_SHARE * share, True, f"{share_if_brittle:.3f} served, {share:.3f} if not brittle")
+
+
+CASES = [brittle_engines, busy_brittle_engines]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -15,6 +15,7 @@
 EVENTS = 12  # events of a streamed answer
 EVENT_INTERVAL_S = 0.004
 LONG_BYTES = 3_000_000  # of the answer in mode long
+FALLEN_S = 2  # until an engine that fell over has started again
 NOT_RUN = {"Lovagehub_Not_Executed": 1}
 
 
@@ -80,6 +81,8 @@
         self.room = None  # requests that it runs at a time, and turns others away; None: any number
         self.brittle = None  # requests a second beyond its room that it survives, named in all its answers; None: any
         self.turned_away_at = []  # times at which it turned a request away
+        self.slots = 8  # in its entry
+        self.falls, self.fell_at = False, []  # whether it ends when it turns more away than it survives; when it did
         self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
 
@@ -96,7 +99,7 @@
         public = self.public or self.address
         return {
             "Service": self.service, "Address": f"{public[0]}:{public[1]}", "Zone": self.domain,
-            "Version": self.version, "Slots": 8, "State": self.state, "ColdLeftMs": self.cold_left_ms(), "Seq": 1,
+            "Version": self.version, "Slots": self.slots, "State": self.state, "ColdLeftMs": self.cold_left_ms(), "Seq": 1,
             "born": self.born_ms,
         }  # fmt: skip
 
@@ -132,6 +135,14 @@
         await asyncio.sleep(1)
         self.server = await asyncio.start_server(self.serve, *self.address)
 
+    async def fall_over(self):
+        """Ends for having turned too many requests away in a second, and starts again after FALLEN_S."""
+        self.fell_at.append(time.monotonic())
+        self.turned_away_at.clear()
+        await self.crash()
+        await asyncio.sleep(FALLEN_S)
+        await self.restart(self.address)
+
     async def restart(self, address):
         """Acts as a new process with the same id at another address; the old process's connections hang."""
         self.server.close()
@@ -164,6 +175,9 @@
         is_full = self.room is not None and self.running >= self.room
         if self.mode == "full" or self.turns_away or is_full:
             self.turned_away_at.append(run.at)
+            recent = sum(at > run.at - 1 for at in self.turned_away_at)
+            if self.falls and self.server.is_serving() and self.brittle is not None and recent > self.brittle:
+                asyncio.ensure_future(self.fall_over())
             rest = {"Retry_After": self.rest} if self.rest else {}
             run.rest = self.rest
             notices = {} if self.refuses_without_notices else self.notices()
