Fronts divide a brittle server's slots among themselves

Cause: a front kept its share of the number in the mean, and only after it had been turned away itself; up to nine fronts were turned away within one second, and all sent to an engine that had started again, as they did not know yet that it is brittle. Ruled out: callers' repeats (there are none), a single front that sends too much (the last four rejections before a fall come from four fronts within 40 to 250 ms).

Now a brittle server's slots are dealt to the fronts in an order that all agree on, a server that starts counts as brittle like the others of its service, a rejection is told to other fronts at once, and a request without a slot is handed to two other fronts and then waits for as long as its objective, or is refused at once if it would wait longer. It holds as the parts add up to the slots whatever the fronts' views of the load are.

--- a/regress/front/cases_brittle.py
+++ b/regress/front/cases_brittle.py
@@ -15,6 +15,7 @@
 OVERLOAD_S = 9
 FRONTS, ENGINES, SLOTS, RUN_S = 9, 8, 4, 0.2
 LOAD = 0.9  # of all slots
+MODERATE_LOAD = 0.7
 FALLS_MAX = 2  # and one for each ten engines
 SERVED_SHARE = 0.95  # of what is served where engines name no number, at least
 
@@ -79,9 +80,9 @@
     return engines
 
 
-async def call_at_random(site, seconds, name):
+async def call_at_random(site, seconds, name, load=LOAD):
     """Callers that don't wait for each other's answers, at any front. Returns the share that was served."""
-    rate = LOAD * ENGINES * SLOTS / RUN_S
+    rate = load * ENGINES * SLOTS / RUN_S
     began, at, calls = time.monotonic(), 0.0, []
     while (at := at + site.random.expovariate(rate)) < seconds:
         await asyncio.sleep(max(0, began + at - time.monotonic()))
@@ -108,7 +109,22 @@
     equal(share_if_brittle >= SERVED_SHARE * share, True, f"{share_if_brittle:.3f} served, {share:.3f} if not brittle")
 
 
-CASES = [brittle_engines, busy_brittle_engines]
+async def one_fall_starts_no_other(site):
+    """One of eight brittle engines at seven tenths of their slots ends, and starts again. Guards against fronts that
+    send its work to the others, or to itself before they know that it is brittle, until these fall over."""
+    engines = await grow(site)
+    for engine in engines:
+        engine.brittle = 3
+    await call_at_random(site, TOLD_S, "told", MODERATE_LOAD)
+    began = time.monotonic()
+    asyncio.ensure_future(engines[0].fall_over())
+    share = await call_at_random(site, 8, "fall", MODERATE_LOAD)
+    falls = sum(at > began for engine in engines for at in engine.fell_at)
+    print(f"{falls} falls, {share:.3f} served", flush=True)
+    equal(falls, 1, "engines that fell over")
+
+
+CASES = [brittle_engines, busy_brittle_engines, one_fall_starts_no_other]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -82,6 +82,7 @@
         self.brittle = None  # requests a second beyond its room that it survives, named in all its answers; None: any
         self.turned_away_at = []  # times at which it turned a request away
         self.slots = 8  # in its entry
+        self.is_down = False
         self.falls, self.fell_at = False, []  # whether it ends when it turns more away than it survives; when it did
         self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
@@ -142,6 +143,7 @@
         await self.crash()
         await asyncio.sleep(FALLEN_S)
         await self.restart(self.address)
+        self.is_down = False
 
     async def restart(self, address):
         """Acts as a new process with the same id at another address; the old process's connections hang."""
@@ -176,7 +178,8 @@
         if self.mode == "full" or self.turns_away or is_full:
             self.turned_away_at.append(run.at)
             recent = sum(at > run.at - 1 for at in self.turned_away_at)
-            if self.falls and self.server.is_serving() and self.brittle is not None and recent > self.brittle:
+            if self.falls and not self.is_down and self.brittle is not None and recent > self.brittle:
+                self.is_down = True
                 asyncio.ensure_future(self.fall_over())
             rest = {"Retry_After": self.rest} if self.rest else {}
             run.rest = self.rest
--- a/src/front.h
+++ b/src/front.h
@@ -15,6 +15,7 @@
 #include "front_sessions.h"
 #include "front_share.h"
 #include "front_speeds.h"
+#include "front_waiting.h"
 #include "settings_front.h"
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -51,6 +52,7 @@
   bool is_open;                    /**< callers' connections are accepted */
   struct cds_list_head conns;      /**< FrontConn by node */
   struct cds_list_head requests;   /**< FrontRequest by node */
+  FrontWaiting waiting;            /**< those of them that wait for room at a server */
   unsigned conn_count;
   unsigned request_count;
   int64_t stop_requested_ms; /**< of a graceful stop, boot-time clock; 0: none */
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -38,6 +38,8 @@
                             double read_ms,
                             double running_weight,
                             int64_t now_ms);
+/** Tells others that a brittle server turned a request away. */
+void front_peers_send_full (FrontPeers *peers, const FrontServer *server, int64_t now_ms);
 /** Where changes of a table are polled for: true and *address if another front of the same failure
  *  domain polls the store for the table and relays its changes; false: this front polls the store
  *  itself. */
@@ -79,7 +81,9 @@
 /** A request that this front can't serve. */
 typedef struct
 {
-  uint64_t service; /**< hash of the service that this front can't reach */
+  uint64_t service; /**< hash */
+  bool needs_room;  /**< this front reaches the service's servers, but may use none of them now:
+                         only a front that is known to reach them helps */
   unsigned asked_count;
   struct sockaddr_in asked[HANDOFFS_MAX]; /**< fronts that it was handed to */
 } PeerHandoff;
--- a/src/front_peers_domains.c
+++ b/src/front_peers_domains.c
@@ -9,6 +9,7 @@
 /* The same for the limits on cold servers: longer than a failure domain is cut off, or a VM takes
  * to restart. */
 #define COLD_COUNT_MS 60000
+#define PLACE_SUBJECT 0x706c6163u
 
 PeerDomain *
 peers_domain_get (FrontPeers *peers, uint32_t domain)
@@ -133,6 +134,30 @@
   return count;
 }
 
+/* Places this front in the order of all living ones: by failure domain, then by a hash. Of each
+ * other failure domain only the number is known. */
+static void
+set_place (const FrontPeers *peers, int64_t now_ms, FrontsView *view)
+{
+  uint64_t own = peers_rank_hash (&peers->own, PLACE_SUBJECT);
+
+  view->places = peers_known_alive (peers, peers->own_domain, now_ms);
+  view->place = 0;
+  for (unsigned i = 0; i < peers->count; i++)
+    view->place += peers_is_domain_peer (peers, peers->list[i], now_ms)
+                   && peers_rank_hash (&peers->list[i]->address, PLACE_SUBJECT) > own;
+  for (unsigned i = 0; i < peers->domain_count; i++)
+    {
+      const PeerDomain *domain = &peers->domains[i];
+      unsigned fronts = larger (count_known (peers, domain->domain, now_ms),
+                                count_fresh (&domain->now, COUNT_MS, now_ms));
+
+      view->places += fronts;
+      if (domain->domain < peers->own_domain)
+        view->place += fronts;
+    }
+}
+
 void
 front_peers_fill_view (const FrontPeers *peers, int64_t now_ms, FrontsView *view)
 {
@@ -156,4 +181,5 @@
       view->fronts += larger (count_lately (peers, domain->domain, now_ms),
                               count_fresh (&domain->lately, COLD_COUNT_MS, now_ms));
     }
+  set_place (peers, now_ms, view);
 }
--- a/src/front_peers_handoff.c
+++ b/src/front_peers_handoff.c
@@ -1,10 +1,12 @@
-/* Chooses another front for a request whose backend servers this one can't reach. */
+/* Chooses another front for a request whose backend servers this one can't reach, or may send no
+ * more to. */
 #include "front_peers_private.h"
 
 /* Milliseconds for which a front that did not answer is not asked again. */
 #define FAILED_PAUSE_MS 3000
-/* The same for one that refused a request. */
+/* The same for one that refused a request, and for one that had no room for it. */
 #define REFUSED_PAUSE_MS 500
+#define NO_ROOM_PAUSE_MS 100
 
 /* From best to worst. */
 typedef enum
@@ -36,17 +38,21 @@
 static Candidate
 rate (const FrontPeers *peers, const Peer *peer, const PeerHandoff *handoff, int64_t now_ms)
 {
-  bool is_here = peer->domain == peers->own_domain;
+  /* Room is divided over all fronts, so that of the own failure domain may be used up. */
+  bool is_here = peer->domain == peers->own_domain || handoff->needs_room;
+  int64_t refused_pause_ms = handoff->needs_room ? NO_ROOM_PAUSE_MS : REFUSED_PAUSE_MS;
 
   if (!peer_is_alive (peer, now_ms) || was_asked (handoff, peer)
       || pauses (peer->request_failed_ms, FAILED_PAUSE_MS, now_ms)
-      || pauses (peer->request_refused_ms, REFUSED_PAUSE_MS, now_ms))
+      || pauses (peer->request_refused_ms, refused_pause_ms, now_ms))
     return CANDIDATE_NONE;
   switch (peers_reach_state (peers, peer, handoff->service, now_ms))
     {
     case PEER_REACH_GOOD:
       return is_here ? CANDIDATE_REACHES_HERE : CANDIDATE_REACHES;
     case PEER_REACH_UNKNOWN:
+      if (handoff->needs_room)
+        return CANDIDATE_NONE;
       return is_here ? CANDIDATE_UNKNOWN_HERE : CANDIDATE_UNKNOWN;
     case PEER_REACH_LOST:
       break;
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -192,6 +192,15 @@
 void
 peers_receive_message (FrontPeers *peers, uint32_t ip, const PeerMessage *message, int64_t now_ms);
 
+/* front_peers_full.c: false if the data is not a message of a server that is full. */
+bool peers_receive_full (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
+
+/* front_peers_work.c */
+#define WORK_HEADER_BYTES 28 /* UDP and IP headers */
+/* True if bytes may be spent on messages that are sent at once. */
+bool peers_may_send_work (FrontPeers *peers, int64_t now_ms);
+/* Sends a message at once, to fronts of the own failure domain first. */
+void peers_send_at_once (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
 /* front_peers_work.c: false if the data is not a work message. */
 bool peers_receive_work (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
 
--- a/src/front_peers_work.c
+++ b/src/front_peers_work.c
@@ -20,7 +20,6 @@
 #define BYTES_PER_S         8000.0
 #define BYTES_PER_S_ROLLOUT 1400.0
 #define CREDIT_MAX_BYTES    8000.0 /* credit that accumulates while nothing is sent */
-#define HEADER_BYTES        28
 #define MS_PER_S            1000.0
 
 static bool
@@ -54,8 +53,8 @@
   return sent;
 }
 
-static bool
-may_send (FrontPeers *peers, int64_t now_ms)
+bool
+peers_may_send_work (FrontPeers *peers, int64_t now_ms)
 {
   double rate
       = peers_is_large (peers) && peers_has_rollout (peers) ? BYTES_PER_S_ROLLOUT : BYTES_PER_S;
@@ -66,6 +65,16 @@
   return peers->work_credit_bytes > 0;
 }
 
+void
+peers_send_at_once (FrontPeers *peers, const void *data, size_t len, int64_t now_ms)
+{
+  unsigned sent = send_to_peers (peers, data, len, true, RECIPIENTS_MAX, now_ms);
+
+  sent += send_to_peers (peers, data, len, false, RECIPIENTS_MAX - sent, now_ms);
+  peers->work_credit_bytes -= (double)sent * (double)(len + WORK_HEADER_BYTES);
+  peers->next_work++;
+}
+
 void
 front_peers_send_work (FrontPeers *peers,
                        FrontServer *server,
@@ -75,12 +84,11 @@
 {
   WorkMessage message = { .incarnation = peers->front->incarnation, .count = 1 };
   unsigned char data[WORK_MESSAGE_MAX];
-  unsigned sent;
   size_t len;
 
   server->unreported_ms += read_ms;
   server->unreported_weight += running_weight;
-  if (server->unreported_ms < ANNOUNCE_MIN_MS || !may_send (peers, now_ms))
+  if (server->unreported_ms < ANNOUNCE_MIN_MS || !peers_may_send_work (peers, now_ms))
     return;
   message.reports[0]
       = (WorkReport){ .server = server->hash,
@@ -89,10 +97,7 @@
   server->unreported_ms = 0;
   server->unreported_weight = 0;
   len = work_message_encode (&message, data, sizeof data);
-  sent = send_to_peers (peers, data, len, true, RECIPIENTS_MAX, now_ms);
-  sent += send_to_peers (peers, data, len, false, RECIPIENTS_MAX - sent, now_ms);
-  peers->work_credit_bytes -= (double)sent * (double)(len + HEADER_BYTES);
-  peers->next_work++;
+  peers_send_at_once (peers, data, len, now_ms);
 }
 
 static void
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -186,6 +186,15 @@
   return told_wait_ms (wait_ms, server_limit_interval_ms (&server->limit));
 }
 
+static bool
+is_full (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  const BrittleServer brittle
+      = { .hash = server->hash, .slots = slots_of (query, server), .running = server->running };
+
+  return server_brittle_is_full (&server->brittle, &brittle, &query->share, now_ms);
+}
+
 /* False for nearly all servers, of which a choice walks thousands. */
 static bool
 may_have_to_wait (const PickQuery *query, const FrontServer *server, int64_t now_ms)
@@ -207,8 +216,7 @@
       = told_wait_ms (cold_limit_wait_ms (query, server, now_ms), query->cold.start_ms);
   waits_ms[PICK_WAIT_LIMITED] = named_limit_wait_ms (query, server, now_ms);
   waits_ms[PICK_WAIT_RESTING] = server->rest_until_ms - now_ms;
-  waits_ms[PICK_WAIT_FULL]
-      = server_brittle_is_full (&server->brittle, server->running) ? FULL_WAIT_MS : 0;
+  waits_ms[PICK_WAIT_FULL] = is_full (query, server, now_ms) ? FULL_WAIT_MS : 0;
   for (unsigned i = 0; i < PICK_WAITS; i++)
     {
       if (waits_ms[i] > waits_ms[*reason])
--- a/src/front_request_handoff.c
+++ b/src/front_request_handoff.c
@@ -119,13 +119,29 @@
   return !should_try_servers (request, now_ms) && send_to_front (request, now_ms);
 }
 
-/* Asks the next front; if there is none, the request is refused rather than kept waiting for
- * servers that this front can't reach. */
+bool
+request_hand_off_for_room (FrontRequest *request)
+{
+  PeerHandoff *handoff = &request->handoff;
+
+  if (request->call.handed_off_attempts >= 0)
+    return false;
+  handoff->service = request_service_hash (request);
+  handoff->needs_room = true;
+  return send_to_front (request, clock_boot_ms ());
+}
+
+/* Asks the next front; if there is none, a request is refused rather than kept waiting for servers
+ * that this front can't reach. */
 static void
 try_next_front (FrontRequest *request, int64_t wait_ms)
 {
   request_drop_attempt (request);
-  if (!send_to_front (request, clock_boot_ms ()))
+  if (send_to_front (request, clock_boot_ms ()))
+    return;
+  if (request->handoff.needs_room)
+    request_send (request);
+  else
     request_give_up (request, "servers_unreachable", wait_ms);
 }
 
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -75,12 +75,12 @@
   switch (info->brittle)
     {
     case REPLY_LIMIT_NAMED:
-      if (server_brittle_named (&server->brittle, info->brittle_per_s, clock_boot_ms ()))
+      if (front_servers_brittle_named (server, info->brittle_per_s, clock_boot_ms ()))
         log_brittle (request, server, "named");
       return;
     case REPLY_LIMIT_ABSENT:
       if (tells_of_limit (request, info)
-          && server_brittle_absent (&server->brittle, request->attempt_ms))
+          && front_servers_brittle_absent (server, request->attempt_ms))
         log_brittle (request, server, "ended");
       return;
     case REPLY_LIMIT_UNREADABLE:
@@ -97,11 +97,13 @@
   FrontShare share = { .self = request->front->vm_hash };
   int64_t rest_ms;
 
-  server_brittle_turned_away (&server->brittle, server->running);
+  server_brittle_turned_away (&server->brittle, server->running, clock_boot_ms ());
   front_share_set (&share, &request->front->fronts);
   rest_ms = server_brittle_rest_ms (&server->brittle, &share);
-  if (rest_ms > 0)
-    front_server_rest (server, rest_ms, clock_boot_ms ());
+  if (rest_ms == 0)
+    return;
+  front_server_rest (server, rest_ms, clock_boot_ms ());
+  front_peers_send_full (request->front->peers, server, clock_boot_ms ());
 }
 
 static void
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -59,6 +59,10 @@
   bool relaying;         /* the attempt's answer is being relayed */
   bool counted;          /* the attempt was counted for or against its version */
 
+  bool is_waiting;     /* for room at a server */
+  int64_t wait_end_ms; /* end of all its waits for room; 0: it never waited */
+  struct cds_list_head waiting_node;
+
   bool is_handed_off;  /* the current attempt is at another front */
   PeerHandoff handoff; /* fronts that it was handed to */
 
@@ -96,7 +100,18 @@
 /* A connection to the attempt's server was opened. */
 void request_record_reached (FrontRequest *request);
 
+/* front_request_wait.c */
+/* Keeps the request until a server has room for it, or for a while. False if it would wait for too
+ * long. */
+bool request_wait_for_room (FrontRequest *request);
+void request_stop_waiting (FrontRequest *request);
+/* Refuses a request that has waited for too long. Frees it. */
+void request_end_wait (FrontRequest *request);
+
 /* front_request_handoff.c */
+/* Hands the request to another front, as no server has room for it that this front may use. False
+ * if there is none to ask. */
+bool request_hand_off_for_room (FrontRequest *request);
 /* Hands the request to another front if this one can't reach its servers, or refuses it if another
  * front handed it to this one. False if servers have to be tried. May free the request. */
 bool request_hand_off (FrontRequest *request);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -267,6 +267,9 @@
   PickQuery query = pick_query (request, request->model, version);
   PickAnswer pick = pick_server (request, &query, now_ms);
 
+  if (!pick.server && pick.wait == PICK_WAIT_FULL
+      && (request_hand_off_for_room (request) || request_wait_for_room (request)))
+    return;
   if (!pick.server)
     {
       request_give_up (request, no_server_reason (&pick), pick.wait_ms);
@@ -328,11 +331,19 @@
   request->pending_ms = 0;
 }
 
+static void
+tell_room_freed (const FrontRequest *request)
+{
+  if (request->server->brittle.is_named)
+    front_waiting_room_freed (request->front, request_service_hash (request), clock_boot_ms ());
+}
+
 void
 request_drop_attempt (FrontRequest *request)
 {
   if (request->server)
     {
+      tell_room_freed (request);
       pending_clear (request);
       request->server->running_weight -= request->running_weight;
       request->running_weight = 0;
@@ -345,7 +356,8 @@
   request->is_handed_off = false;
 }
 
-/* When the current attempt is given up for its silence. INT64_MAX: never before end_ms. */
+/* When the current attempt is given up for its silence, or the request waits for room no longer.
+ * INT64_MAX: never before end_ms. */
 static int64_t
 silence_due_ms (const FrontRequest *request)
 {
@@ -353,6 +365,8 @@
   double first_ms = fmax ((double)route->objective_ms * FIRST_BYTE_SHARE,
                           request->predicted_ms * FIRST_BYTE_FACTOR);
 
+  if (request->is_waiting)
+    return request->wait_end_ms;
   if (!request->attempt)
     return INT64_MAX;
   if (!front_attempt_is_sent (request->attempt))
@@ -392,7 +406,9 @@
   int64_t now_ms = clock_boot_ms ();
   bool sent = request->attempt && front_attempt_is_sent (request->attempt);
 
-  if (now_ms >= request->end_ms)
+  if (request->is_waiting && now_ms >= silence_due_ms (request))
+    request_end_wait (request);
+  else if (now_ms >= request->end_ms)
     {
       request->may_have_run |= sent;
       request_count_unanswered (request);
--- a/src/front_servers.c
+++ b/src/front_servers.c
@@ -1,5 +1,6 @@
 #include "front_servers.h"
 #include "front.h"
+#include "front_brittle_services.h"
 #include "front_server_starts.h"
 #include "front_socket.h"
 #include "util_id.h"
@@ -23,6 +24,7 @@
   unsigned count;
   FrontServerStarts starts;
   FrontEvacuations evacuations;
+  BrittleServices brittle;
 };
 
 FrontServers *
@@ -114,7 +116,10 @@
 }
 
 static FrontServer *
-server_add (FrontServers *servers, const ServerEntry *entry, const struct sockaddr_in *address)
+server_add (FrontServers *servers,
+            const ServerEntry *entry,
+            const struct sockaddr_in *address,
+            int64_t now_ms)
 {
   FrontServer *server = memory_alloc (sizeof *server);
 
@@ -125,6 +130,8 @@
   server->returned_ms = front_evacuations_ended_ms (
       &servers->evacuations, front_failure_domain_hash (entry->failure_domain));
   server_inherit (servers, server);
+  brittle_services_apply (&servers->brittle, span_hash (span_of (entry->service)), &server->brittle,
+                          now_ms);
   cds_list_add_tail (&server->node, &servers->list);
   index_add (&servers->by_id, &server->by_id, span_hash (span_of (entry->id)));
   index_add (&servers->by_hash, &server->by_hash, server->hash);
@@ -177,7 +184,7 @@
     }
   if (!server)
     {
-      server = server_add (servers, entry, &address);
+      server = server_add (servers, entry, &address, now_ms);
       *changed = true;
     }
   if (entry->draining && !server->leaving)
@@ -192,6 +199,33 @@
   return true;
 }
 
+bool
+front_servers_brittle_named (FrontServer *server, double per_s, int64_t now_ms)
+{
+  FrontServers *servers = server->owner;
+  uint64_t service = span_hash (span_of (server->entry.service));
+  bool is_news = server_brittle_named (&server->brittle, per_s, now_ms);
+  FrontServer *other;
+
+  if (!brittle_services_named (&servers->brittle, service, per_s, now_ms))
+    return is_news;
+  cds_list_for_each_entry (other, &servers->list, node)
+  {
+    if (strcmp (other->entry.service, server->entry.service) == 0)
+      brittle_services_apply (&servers->brittle, service, &other->brittle, now_ms);
+  }
+  return is_news;
+}
+
+bool
+front_servers_brittle_absent (FrontServer *server, int64_t sent_ms)
+{
+  if (!server_brittle_absent (&server->brittle, sent_ms))
+    return false;
+  brittle_services_absent (&server->owner->brittle, span_hash (span_of (server->entry.service)));
+  return true;
+}
+
 /* The servers of the failure domain get work again. */
 static void
 set_returned (FrontServers *servers, uint32_t domain, int64_t at_ms)
--- a/src/front_servers.h
+++ b/src/front_servers.h
@@ -50,6 +50,10 @@
 /** The server says in an answer that it leaves, which ends its work for good: the list may tell it
  *  late, or as ready once more. True if no answer said so before. */
 bool front_servers_said_leaving (FrontServer *server);
+/** The server names a number in an answer: see front_brittle.h. True if that is news. */
+bool front_servers_brittle_named (FrontServer *server, double per_s, int64_t now_ms);
+/** The answer to a request that was sent at sent_ms names none. True if that ends one. */
+bool front_servers_brittle_absent (FrontServer *server, int64_t sent_ms);
 /** Removes the servers whose grace period has ended. */
 void front_servers_expire (FrontServers *servers, int64_t now_ms);
 /** NULL if it is not listed. */
--- a/src/front_share.c
+++ b/src/front_share.c
@@ -2,7 +2,8 @@
 #include "util_id.h"
 #include <math.h>
 
-#define HASH_BITS 53
+#define HASH_BITS     53
+#define ORDER_SUBJECT 0x6f726472u
 
 /* Numbers of fronts that a new front assumes at least, in all failure domains and in its own: those
  * of a large site. */
@@ -25,12 +26,15 @@
 {
   share->domain_fronts = view->domain_fronts;
   share->fronts = view->fronts;
+  share->place = view->place;
+  share->places = view->places;
   if (view->registered >= REGISTERED_FULL)
     share->domain_fronts = at_least (share->domain_fronts, DOMAIN_FRONTS_MIN);
   if (!view->is_new)
     return;
   share->domain_fronts = at_least (share->domain_fronts, LARGE_DOMAIN_FRONTS);
   share->fronts = at_least (share->fronts, LARGE_SITE_FRONTS);
+  share->places = at_least (share->places, LARGE_SITE_FRONTS);
 }
 
 unsigned
@@ -39,6 +43,21 @@
   return at_least (is_same_domain ? share->domain_fronts : share->fronts, 1);
 }
 
+/* Slots are dealt in turn to the fronts in their order, beginning at another front for each server.
+ * So a slot more or less is one front's, and the slots of all others stay where they are: requests
+ * in progress would otherwise hold slots that have become another front's. */
+unsigned
+front_share_slots (const FrontShare *share, uint64_t server, unsigned slots)
+{
+  unsigned places = at_least (share->places, 1);
+  double draw = ldexp (
+      (double)(id_hash (&server, sizeof server, ORDER_SUBJECT) >> (64 - HASH_BITS)), -HASH_BITS);
+  unsigned first = (unsigned)(draw * places);
+  unsigned turn = (share->place % places + places - first) % places;
+
+  return turn < slots ? (slots - turn - 1) / places + 1 : 0;
+}
+
 double
 front_share_draw (const FrontShare *share, uint64_t server)
 {
--- a/tests/front_node.c
+++ b/tests/front_node.c
@@ -25,6 +25,7 @@
       0);
   CU_ASSERT_EQUAL_FATAL (listen (node->listener, LISTEN), 0);
   CDS_INIT_LIST_HEAD (&node->front.requests);
+  front_waiting_init (&node->front.waiting);
   node->front.base = event_base_new ();
   node->front.store = &node->store;
   node->front.peers = &node->peers;
