--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -70,6 +70,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_body, self.crash_delay = None, 0.0  # seconds from the arrival to the crash
+        self.crash_parts = set()  # it crashes as it begins to answer a prompt with one of these parts, after its delay
         self.fail_bodies = set()  # requests with these bodies are answered 500
         self.fails_from, self.running = None, 0  # half of the answers are 500 while so many requests run; None: none
         self.refuses_without_notices = False  # its refusals don't name its limit
@@ -132,9 +133,11 @@
             abort(writer)
 
     async def crash_and_restart(self):
+        self.is_down = True
         await self.crash()
         await asyncio.sleep(1)
         self.server = await asyncio.start_server(self.serve, *self.address)
+        self.is_down = False
 
     async def fall_over(self):
         """Ends for having turned too many requests away in a second, and starts again after FALLEN_S."""
@@ -222,6 +225,12 @@
             await asyncio.sleep(self.crash_delay)
             asyncio.ensure_future(self.crash_and_restart())
             await asyncio.sleep(3600)
+        prompt = request.fields.get("lovagehub-prompt-prefix", "")
+        if self.crash_parts & {part.split(":")[0] for part in prompt.split(",")}:
+            await asyncio.sleep(self.delay)
+            if not self.is_down:
+                asyncio.ensure_future(self.crash_and_restart())
+            await asyncio.sleep(3600)
         overloaded = self.fails_from is not None and self.running >= self.fails_from and len(self.site.runs) % 2 == 0
         await asyncio.sleep(self.delay)
         if self.mode == "mute":
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -231,13 +231,14 @@
         self.config_acked[self.version] = time.monotonic()
         return self.version
 
-    def request(self, path, body=b"", deadline=None, key=KEY, method="POST", after=None):
-        """Returns the bytes of a new attempt and the Answer to fill in. after: id of the last event received."""
+    def request(self, path, body=b"", deadline=None, key=KEY, method="POST", after=None, prompt=None):
+        """Returns the bytes of a new attempt and the Answer to fill in. after: id of the last event received. prompt: its
+        parts; None: one that all share, and one of its own."""
         answer = Answer(f"q{next(self.request_ids)}")
         answer.method, answer.path, answer.sent_body, answer.after = method, path, body, after
         head = f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nLovagehub-Request-Id: {answer.request}\r\n"
         head += f"Authorization: Token {key}\r\nLovagehub-Model: *\r\nLovagehub-Token-Counts: 400,50\r\n"
-        head += f"Lovagehub-Prompt-Prefix: aa:300,{digest(body)}:100\r\n"
+        head += f"Lovagehub-Prompt-Prefix: {prompt or f'aa:300,{digest(body)}:100'}\r\n"
         head += f"Session: {digest(body)}\r\n"
         if deadline:
             head += f"Lovagehub-Deadline-Ms: {deadline}\r\n"
