Requests with a part of their prompts that crashes servers are refused

What callers saw: requests, no two alike, with one part in common ended one engine after the other.

Cause: a request is known by the hash of team, target and body. Ruled out: slow news (the same rate of news serves now), deaths of sound requests that speak against the part (nothing counted parts at all).

Now the parts of a request whose answer had not begun are suspected of its server's end, and cleared by any answer to a request with them, at any front. A part under which three servers ended is refused a second later, if answers have begun meanwhile; the later one of two suspected parts first. It holds as no answer ever begins under the crashing part, and sound requests share all others.

--- a/src/front.h
+++ b/src/front.h
@@ -9,6 +9,7 @@
 #include "front_budget.h"
 #include "front_config.h"
 #include "front_lag.h"
+#include "front_parts.h"
 #include "front_reach.h"
 #include "front_rollouts.h"
 #include "front_servers.h"
@@ -39,6 +40,7 @@
   FrontRollouts *rollouts;
   FrontBudget *budget;
   Quarantine *quarantine;
+  FrontParts *parts;
   FrontLag lag; /**< of model engines' answers */
   FrontSpeeds speeds;
   FrontReach reach;
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -24,6 +24,7 @@
   struct bufferevent *bev;
   struct event *timer;
   QuarantineDeath death;
+  QuarantineDeath parts; /* the same death, with parts of prompts in place of requests */
 } Probe;
 
 static CDS_LIST_HEAD (probes);
@@ -130,6 +131,58 @@
   add_death (front, death, true, now_ms);
 }
 
+static void
+log_part (const char *state, PartHash part, unsigned deaths)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_PART);
+
+  front_log_text (line, "state", state);
+  front_log_number (line, "part", (int64_t)part);
+  front_log_number (line, "deaths", deaths);
+  front_log_end (line);
+}
+
+/* Logs the parts of a death that are at several. */
+static void
+log_suspects (const Front *front, const QuarantineDeath *death)
+{
+  for (uint32_t i = 0; i < death->count; i++)
+    {
+      unsigned deaths = front_parts_deaths (front->parts, death->flights[i]);
+
+      if (deaths >= SUSPECT_DEATHS_MIN)
+        log_part ("suspected", death->flights[i], deaths);
+    }
+}
+
+static void
+parts_seen (Front *front, const QuarantineDeath *death, int64_t now_ms)
+{
+  if (!front_parts_add (front->parts, death, front->quarantine, now_ms))
+    return;
+  front_peers_send_soon (front->peers);
+  log_suspects (front, death);
+}
+
+void
+front_deaths_parts_told (Front *front, const QuarantineDeath *death, int64_t now_ms)
+{
+  front_parts_add (front->parts, death, front->quarantine, now_ms);
+}
+
+void
+front_deaths_tick (Front *front, int64_t now_ms)
+{
+  QuarantineRefusal refusal = { .left_ms = (uint32_t)front_quarantine_settings.hold_ms };
+
+  while ((refusal.fingerprint = front_parts_judge (front->parts, front->quarantine, now_ms)) != 0)
+    {
+      quarantine_add_refusal (front->quarantine, &refusal, now_ms);
+      log_part ("refused", refusal.fingerprint, 0);
+      front_peers_send_soon (front->peers);
+    }
+}
+
 static void
 record_death (Probe *probe)
 {
@@ -142,6 +195,7 @@
   front_log_end (line);
   front_health_unreachable (&probe->server->health, now_ms);
   front_deaths_seen (probe->front, &probe->death, now_ms);
+  parts_seen (probe->front, &probe->parts, now_ms);
 }
 
 static void
@@ -185,6 +239,7 @@
   probe->front = front;
   probe->server = server;
   probe->death.server = server->hash;
+  probe->parts.server = server->hash;
   probe->timer = evtimer_new (front->base, on_timer, probe);
   front_server_ref (server);
   cds_list_add_tail (&probe->node, &probes);
@@ -195,13 +250,27 @@
   return probe;
 }
 
+static void
+add_flight (QuarantineDeath *death, uint64_t flight)
+{
+  for (uint32_t i = 0; i < death->count; i++)
+    {
+      if (death->flights[i] == flight)
+        return;
+    }
+  if (death->count < QUARANTINE_FLIGHT_MAX)
+    death->flights[death->count++] = flight;
+}
+
 void
-front_deaths_check (Front *front, FrontServer *server, uint64_t fingerprint)
+front_deaths_check (Front *front, FrontServer *server, const DeathFlight *flight)
 {
   Probe *probe = probe_find (server);
 
   if (!probe)
     probe = probe_begin (front, server);
   if (probe->death.count < QUARANTINE_FLIGHT_MAX)
-    probe->death.flights[probe->death.count++] = fingerprint;
+    probe->death.flights[probe->death.count++] = flight->fingerprint;
+  for (unsigned i = 0; i < flight->part_count; i++)
+    add_flight (&probe->parts, flight->parts[i]);
 }
--- a/src/front_deaths.h
+++ b/src/front_deaths.h
@@ -15,7 +15,20 @@
 void front_deaths_told (Front *front, const QuarantineDeath *death, int64_t now_ms);
 /** Refuses a request as another front does. */
 void front_deaths_refusal_told (Front *front, const QuarantineRefusal *refusal, int64_t now_ms);
+/** Adds a death that another front told of, with parts of prompts that are suspected of it. */
+void front_deaths_parts_told (Front *front, const QuarantineDeath *death, int64_t now_ms);
+/** Refuses the part of prompts that crashes servers, once it is known. */
+void front_deaths_tick (Front *front, int64_t now_ms);
+
+/** A request that a server was running. */
+typedef struct
+{
+  uint64_t fingerprint;
+  const PartHash *parts; /**< of its prompt, if its answer had not begun */
+  unsigned part_count;
+} DeathFlight;
+
 /** Checks a server that has cut the connection on which it was running this request. */
-void front_deaths_check (Front *front, FrontServer *server, uint64_t fingerprint);
+void front_deaths_check (Front *front, FrontServer *server, const DeathFlight *flight);
 
 #endif
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -12,6 +12,7 @@
 #include "util_clock.h"
 #include "util_id.h"
 #include "util_log.h"
+#include "util_memory.h"
 #include "util_unused.h"
 #include <signal.h>
 #include <stdio.h>
@@ -87,6 +88,7 @@
   front_conn_sweep (&self->front, now_ms);
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
+  front_deaths_tick (&self->front, now_ms);
   front_budget_set_fronts (self->front.budget, front_peers_alive (self->front.peers, now_ms));
   front_peers_fill_view (self->front.peers, now_ms, &self->front.fronts);
   front_control_tick (self->control, now_ms);
@@ -212,6 +214,7 @@
       .window_ms = (int64_t)(settings->retry_window_s * MS_PER_S),
   });
   front->quarantine = quarantine_new (&front_quarantine_settings);
+  front->parts = memory_alloc (sizeof *front->parts);
   front->peers = front_peers_new (front);
   if (!front->peers)
     return "peers";
--- a/src/front_peer_message.c
+++ b/src/front_peer_message.c
@@ -3,7 +3,7 @@
 #include <rpc/xdr.h>
 #include <string.h>
 
-#define MAGIC 0x4c48424eu /* "LHBN"; to be incremented with any change of the format */
+#define MAGIC 0x4c48424fu /* "LHBO"; to be incremented with any change of the format */
 /* Places of an age and of marks in one word. */
 #define AGE_SHIFT     16
 #define REACHED_SHIFT 8
@@ -100,6 +100,27 @@
   return TRUE;
 }
 
+static bool_t
+xdr_parts (XDR *xdr, PeerMessage *message)
+{
+  if (!xdr_list_length (xdr, &message->part_death_count, PARTS_REPORT_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->part_death_count; i++)
+    {
+      if (!xdr_death (xdr, &message->part_deaths[i]))
+        return FALSE;
+    }
+  if (!xdr_list_length (xdr, &message->cleared_count, PARTS_REPORT_MAX))
+    return FALSE;
+  for (unsigned i = 0; i < message->cleared_count; i++)
+    {
+      if (!xdr_hash (xdr, &message->cleared[i].part)
+          || !xdr_uint32_t (xdr, &message->cleared[i].age_ms))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static bool_t
 xdr_lists (XDR *xdr, PeerMessage *message)
 {
@@ -192,7 +213,8 @@
       if (!xdr_int64_t (xdr, &message->newest[i]))
         return FALSE;
     }
-  return xdr_counts (xdr, message) && xdr_services (xdr, message) && xdr_lists (xdr, message);
+  return xdr_counts (xdr, message) && xdr_services (xdr, message) && xdr_parts (xdr, message)
+         && xdr_lists (xdr, message);
 }
 
 size_t
--- a/src/front_peer_message.h
+++ b/src/front_peer_message.h
@@ -5,6 +5,7 @@
 #define FRONT_PEER_MESSAGE_H
 
 #include "choose_quarantine.h"
+#include "front_parts.h"
 #include "front_rollouts.h"
 #include "front_sessions.h"
 #include <stdbool.h>
@@ -94,6 +95,10 @@
   QuarantineDeath deaths[PEER_DEATHS_MAX]; /**< recent ones only */
   uint32_t refusal_count;
   QuarantineRefusal refusals[PEER_REFUSALS_MAX]; /**< requests that are refused at all fronts */
+  uint32_t part_death_count;
+  QuarantineDeath part_deaths[PARTS_REPORT_MAX]; /**< with parts of prompts that are suspected */
+  uint32_t cleared_count;
+  PartCleared cleared[PARTS_REPORT_MAX];
   uint32_t return_count;
   PeerReturn returns[PEER_RETURNS_MAX];
   uint32_t member_count;
--- a/src/front_peers_compose.c
+++ b/src/front_peers_compose.c
@@ -152,6 +152,16 @@
   peers->next_death++;
 }
 
+void
+peers_parts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms)
+{
+  const FrontParts *parts = peers->front->parts;
+
+  message->part_death_count
+      = front_parts_report (parts, message->part_deaths, peers->next_death, now_ms);
+  message->cleared_count = front_parts_cleared (parts, message->cleared, peers->next_death, now_ms);
+}
+
 static void
 returns_fill (const FrontPeers *peers, PeerMessage *message, int64_t now_ms)
 {
@@ -204,6 +214,7 @@
   peers_counts_fill (peers, message, now_ms);
   peers_rollouts_fill (peers, message, now_ms);
   peers_deaths_fill (peers, message, now_ms);
+  peers_parts_fill (peers, message, now_ms);
   returns_fill (peers, message, now_ms);
 }
 
@@ -247,9 +258,14 @@
     }
   if (sessions_shorten (message) || domains_shorten (message))
     return true;
-  if (message->death_count == 0)
+  if (message->death_count > 0)
+    {
+      message->death_count--;
+      return true;
+    }
+  if (message->part_death_count == 0)
     return false;
-  message->death_count--;
+  message->part_death_count--;
   return true;
 }
 
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -239,6 +239,8 @@
 void peers_rollouts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
 /* Adds recent deaths of servers and the requests that are refused for them. */
 void peers_deaths_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
+/* Adds deaths with the parts of prompts that are suspected of them, and parts that were cleared. */
+void peers_parts_fill (FrontPeers *peers, PeerMessage *message, int64_t now_ms);
 /* Lists living fronts in turn, most of them of the own failure domain. */
 void peers_members_fill (FrontPeers *peers, PeerMessage *message, bool is_long, int64_t now_ms);
 /* Lists living fronts of one failure domain, beginning at a random one. */
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -144,6 +144,10 @@
     front_deaths_told (front, &message->deaths[i], now_ms);
   for (uint32_t i = 0; i < message->refusal_count; i++)
     front_deaths_refusal_told (front, &message->refusals[i], now_ms);
+  for (uint32_t i = 0; i < message->cleared_count; i++)
+    front_parts_told_cleared (front->parts, &message->cleared[i], now_ms);
+  for (uint32_t i = 0; i < message->part_death_count; i++)
+    front_deaths_parts_told (front, &message->part_deaths[i], now_ms);
   for (uint32_t i = 0; i < message->return_count; i++)
     receive_return (front, &message->returns[i], now_ms);
   for (uint32_t i = 0; i < message->member_count; i++)
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -179,6 +179,19 @@
   return request->route->kind == ROUTE_STREAM || elapsed_ms + request->route->timeout_ms > max_ms;
 }
 
+bool
+request_is_quarantined (const FrontRequest *request, int64_t now_ms)
+{
+  Quarantine *quarantine = request->front->quarantine;
+
+  for (unsigned i = 0; i < request->part_count; i++)
+    {
+      if (quarantine_contains (quarantine, request->parts[i], now_ms))
+        return true;
+    }
+  return quarantine_contains (quarantine, request->fingerprint, now_ms);
+}
+
 /* Routes and authenticates the request; false if it was refused. */
 static bool
 admit (FrontRequest *request)
@@ -212,7 +225,8 @@
       return false;
     }
   request->fingerprint = fingerprint_of (request);
-  if (!quarantine_contains (front->quarantine, request->fingerprint, request->arrived_ms))
+  request->part_count = front_parts_of (&request->call, request->parts, PROMPT_PARTS_MAX);
+  if (!request_is_quarantined (request, request->arrived_ms))
     return true;
   request_refuse (request, HTTP_STATUS_SERVICE_UNAVAILABLE, "quarantined",
                   RETRY_AFTER_QUARANTINED_MS);
--- a/src/front_request_handoff.c
+++ b/src/front_request_handoff.c
@@ -80,6 +80,7 @@
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
+  request->has_begun = false;
   if (!start_attempt (request, now_ms))
     {
       request->is_handed_off = false;
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -28,6 +28,9 @@
   int64_t end_ms;       /* deadline for the final answer */
   uint64_t session;     /* session hash */
   uint64_t fingerprint; /* hash of team, target and body; identifies requests that crash servers */
+  unsigned part_count;
+  PartHash parts[PROMPT_PARTS_MAX]; /* of its prompt, which other requests may share */
+  bool parts_reported; /* for one death: the next one under its retry is no evidence of its own */
   const char *service;
   char version[SERVER_TEXT_MAX];
   uint64_t version_hash; /* hash of the version the session is registered on; 0: none */
@@ -57,6 +60,7 @@
   int64_t relayed_ms;    /* time of the last event relayed on any attempt; 0: none */
   int64_t pause_ms;      /* longest pause between two relayed events, over all attempts */
   bool relaying;         /* the attempt's answer is being relayed */
+  bool has_begun;        /* part of the attempt's answer was relayed */
   bool counted;          /* the attempt was counted for or against its version */
 
   bool is_waiting;     /* for room at a server */
@@ -87,6 +91,10 @@
 /* Handles the loss of the attempt's connection or of its server. May free the request. */
 void request_handle_cut (FrontRequest *request);
 
+/* front_request.c */
+/* True if servers die under the request, or under a part of its prompt. */
+bool request_is_quarantined (const FrontRequest *request, int64_t now_ms);
+
 /* front_request_retry.c; each of these may free the request. */
 /* Handles a failed attempt: retries if that is allowed, otherwise gives up. */
 void request_retry (FrontRequest *request, const char *reason, bool may_have_run);
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -208,6 +208,17 @@
   front_counter_add_wait (FRONT_WAIT_FIRST, request->first_ms);
 }
 
+static void
+record_begun (FrontRequest *request)
+{
+  if (request->has_begun)
+    return;
+  request->has_begun = true;
+  if (request->part_count > 0)
+    front_parts_begun (request->front->parts, request->parts, request->part_count,
+                       clock_boot_ms ());
+}
+
 static void
 send_complete_answer (FrontRequest *request)
 {
@@ -216,6 +227,8 @@
   Buffer head = { 0 }, body = reply->body;
 
   record_first_byte (request);
+  if (is_success (reply->status))
+    record_begun (request);
   log_answered (request, reply->status);
   wire_reply_encode (&head, reply);
   reply->body = (Buffer){ 0 };
@@ -272,6 +285,7 @@
       if (!request->head_sent)
         stream_head (request);
       record_first_byte (request);
+      record_begun (request);
       record_relayed_event (request);
       front_conn_stream_data (request->conn, out.data, out.len);
     }
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -42,7 +42,7 @@
 
   if (may_have_run && !front_route_is_idempotent (request->route))
     return RETRY_MAY_HAVE_RUN;
-  if (quarantine_contains (request->front->quarantine, request->fingerprint, now_ms))
+  if (request_is_quarantined (request, now_ms))
     return RETRY_QUARANTINED;
   if (request->attempts >= request->route->attempts_max)
     return RETRY_ATTEMPTS;
@@ -162,7 +162,7 @@
   front_health_unreachable (&request->server->health, now_ms);
   record_unreached (request, now_ms);
   if (request->unreached == UNREACHED_MAX || now_ms >= request->end_ms
-      || quarantine_contains (request->front->quarantine, request->fingerprint, now_ms))
+      || request_is_quarantined (request, now_ms))
     {
       request_retry (request, reason, false);
       return;
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -188,6 +188,7 @@
   request->sent_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
+  request->has_begun = false;
   request->counted = false;
   if (!query->is_model)
     return;
@@ -453,6 +454,17 @@
   request_handle_cut (user);
 }
 
+static void
+check_server (FrontRequest *request)
+{
+  DeathFlight flight = { .fingerprint = request->fingerprint, .parts = request->parts };
+
+  if (!request->has_begun && !request->parts_reported)
+    flight.part_count = request->part_count;
+  request->parts_reported |= flight.part_count > 0;
+  front_deaths_check (request->front, request->server, &flight);
+}
+
 void
 request_handle_cut (FrontRequest *request)
 {
@@ -464,6 +476,6 @@
       return;
     }
   front_health_failed (&request->server->health, now_ms);
-  front_deaths_check (request->front, request->server, request->fingerprint);
+  check_server (request);
   request_retry (request, request->relaying ? "stream_cut" : "answer_cut", true);
 }
--- a/tests/front_node.c
+++ b/tests/front_node.c
@@ -26,6 +26,7 @@
   CU_ASSERT_EQUAL_FATAL (listen (node->listener, LISTEN), 0);
   CDS_INIT_LIST_HEAD (&node->front.requests);
   front_waiting_init (&node->front.waiting);
+  node->front.parts = memory_alloc (sizeof *node->front.parts);
   node->front.base = event_base_new ();
   node->front.store = &node->store;
   node->front.peers = &node->peers;
@@ -54,6 +55,7 @@
   event_base_free (node->front.base);
   close (node->connection);
   close (node->listener);
+  free (node->front.parts);
   free (node);
 }
 
--- a/tests/test_front_peer_message.c
+++ b/tests/test_front_peer_message.c
@@ -29,6 +29,10 @@
   message.deaths[0].flights[2] = 8;
   message.refusal_count = 2;
   message.refusals[1] = (QuarantineRefusal){ .fingerprint = 77, .left_ms = 1500 };
+  message.part_death_count = 1;
+  message.part_deaths[0] = (QuarantineDeath){ .server = 3, .count = 2, .flights = { 4, 5 } };
+  message.cleared_count = 2;
+  message.cleared[1] = (PartCleared){ .part = 6, .age_ms = 70 };
   message.return_count = 2;
   message.returns[1] = (PeerReturn){ .domain = 9, .age_ms = 250, .version = 12 };
   message.member_count = 2;
@@ -98,6 +102,23 @@
   CU_ASSERT_EQUAL (out.members[0].age_ms, PEER_AGE_MAX_MS);
 }
 
+static void
+test_parts_survive_round_trip (void)
+{
+  PeerMessage in = full_message (), out;
+  unsigned char data[PEER_MESSAGE_MAX];
+  size_t len = peer_message_encode (&in, data, sizeof data);
+
+  CU_ASSERT (peer_message_decode (&out, data, len));
+  CU_ASSERT_EQUAL (out.part_death_count, 1);
+  CU_ASSERT_EQUAL (out.part_deaths[0].server, 3);
+  CU_ASSERT_EQUAL (out.part_deaths[0].count, 2);
+  CU_ASSERT_EQUAL (out.part_deaths[0].flights[1], 5);
+  CU_ASSERT_EQUAL (out.cleared_count, 2);
+  CU_ASSERT_EQUAL (out.cleared[1].part, 6);
+  CU_ASSERT_EQUAL (out.cleared[1].age_ms, 70);
+}
+
 static void
 test_too_small_buffer_is_reported (void)
 {
@@ -136,6 +157,8 @@
       CU_ASSERT (out.return_count <= PEER_RETURNS_MAX);
       CU_ASSERT (out.member_count <= PEER_MEMBERS_MAX);
       CU_ASSERT (out.service_count <= PEER_SERVICES_MAX);
+      CU_ASSERT (out.part_death_count <= PARTS_REPORT_MAX);
+      CU_ASSERT (out.cleared_count <= PARTS_REPORT_MAX);
     }
   data[0] ^= 1;
   CU_ASSERT (!peer_message_decode (&out, data, len));
@@ -144,6 +167,7 @@
 static const SuiteCase cases[] = {
   { "message_survives_round_trip", test_message_survives_round_trip },
   { "reach_survives_round_trip", test_reach_survives_round_trip },
+  { "parts_survive_round_trip", test_parts_survive_round_trip },
   { "too_small_buffer_is_reported", test_too_small_buffer_is_reported },
   { "malformed_messages_are_rejected", test_malformed_messages_are_rejected },
 };
