A front with all requests hands those without room to fronts that have no work

Only fronts known to reach the service were asked for room, and a front without requests doesn't open connections, so that none was known.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -94,6 +94,25 @@
         raise AssertionError("no stream was resumed")
 
 
+async def stream_without_length(site):
+    """Engines answer with neither a length nor chunks, and end the connection after the stream, or one of two within
+    an event. Guards against a broken stream that counts as complete, and against answers that are taken for broken."""
+    texts = [engine for engine in site.engines if engine.service == "texts"]
+    for mode in ("unframed", "torn"):
+        for engine in site.engines:
+            engine.mode = "unframed"
+        texts[0].mode = mode
+        for number in range(8):
+            answers = [
+                await site.call(site.fronts[number % 2], path, b"%s%d" % (mode.encode(), number))
+                for path in ("/text/a", "/again/a", "/once/a")
+            ]
+            equal([(answer.status, answer.complete) for answer in answers], [(200, True)] * 3, mode)
+            check(site, *answers)
+    if not any(line["verdict"] == "now" for line in log_events(site, "request_resume")):
+        raise AssertionError("no stream was resumed")
+
+
 async def order_is_not_resent(site):
     """An engine runs an order and its answer is lost, truncated, invalid or an error. The order is not sent again,
     and its caller gets no refusal as not run."""
@@ -914,7 +933,7 @@
 
 
 CASES = [
-    no_faults, invalid_requests_are_refused, cascade, stream_is_resumed, order_is_not_resent,
+    no_faults, invalid_requests_are_refused, cascade, stream_is_resumed, stream_without_length, order_is_not_resent,
     refused_when_engines_are_full, crashed_engines_use_no_attempts, request_of_closed_connection_is_cancelled,
     gateway_timeout, graceful_stop, stopping_serves_what_ends_in_time, new_configuration,
     changes_from_peers_without_store, only_changed_rows_from_own_domain, long_table_from_peer_at_start,
--- a/regress/front/cases_brittle.py
+++ b/regress/front/cases_brittle.py
@@ -16,6 +16,7 @@
 FRONTS, ENGINES, SLOTS, RUN_S = 9, 8, 4, 0.2
 LOAD = 0.9  # of all slots
 MODERATE_LOAD = 0.7
+ONE_FRONT_SHARE = 0.75  # of what all fronts serve, if one gets all requests
 FALLS_MAX = 2  # and one for each ten engines
 SERVED_SHARE = 0.95  # of what is served where engines name no number, at least
 
@@ -80,13 +81,14 @@
     return engines
 
 
-async def call_at_random(site, seconds, name, load=LOAD):
-    """Callers that don't wait for each other's answers, at any front. Returns the share that was served."""
+async def call_at_random(site, seconds, name, load=LOAD, fronts=None):
+    """Callers that don't wait for each other's answers, at any front or at any of these. Returns the share that was
+    served."""
     rate = load * ENGINES * SLOTS / RUN_S
     began, at, calls = time.monotonic(), 0.0, []
     while (at := at + site.random.expovariate(rate)) < seconds:
         await asyncio.sleep(max(0, began + at - time.monotonic()))
-        front = site.random.choice(site.fronts)
+        front = site.random.choice(fronts or site.fronts)
         calls.append(asyncio.ensure_future(site.call(front, f"/once/{name}{len(calls)}", b"x%d" % len(calls))))
     answers = await asyncio.gather(*calls)
     return sum(answer.status == 200 for answer in answers) / len(answers)
@@ -124,7 +126,22 @@
     equal(falls, 1, "engines that fell over")
 
 
-CASES = [brittle_engines, busy_brittle_engines, one_fall_starts_no_other]
+async def one_front_gets_all_requests(site):
+    """One of nine fronts gets all requests, of which it may send a ninth to brittle engines itself. Guards against
+    refusing the others, for which other fronts have room."""
+    engines = await grow(site)
+    share = await call_at_random(site, 5, "spread", MODERATE_LOAD)
+    share_of_one = await call_at_random(site, 5, "one", MODERATE_LOAD, site.fronts[:1])
+    for engine in engines:
+        engine.brittle = 3
+    await call_at_random(site, TOLD_S, "told", MODERATE_LOAD, site.fronts[:1])
+    share_if_brittle = await call_at_random(site, 6, "brittle", MODERATE_LOAD, site.fronts[:1])
+    print(f"{share:.3f} served by nine fronts, {share_of_one:.3f} by one, {share_if_brittle:.3f} if brittle", flush=True)
+    equal(share_of_one >= ONE_FRONT_SHARE * share, True, f"{share_of_one:.3f} served by one front")
+    equal(share_if_brittle >= ONE_FRONT_SHARE * share, True, f"{share_if_brittle:.3f} served by one front if brittle")
+
+
+CASES = [brittle_engines, busy_brittle_engines, one_fall_starts_no_other, one_front_gets_all_requests]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -58,7 +58,8 @@
     mode: ok; mute (accepts the request and does not answer), half (closes the connection within the answer),
     cut (resets it within the answer), full (refuses without running the request, and asks for rest if rest is
     set), error (runs it and answers 500), unsigned (no signature), foreign (answers with another request's id),
-    unframed (no Content-Length), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
+    unframed (neither a Content-Length nor chunks; the connection ends with the answer), torn (the same, and a stream
+    ends within an event), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
     deaf (stops reading after the first byte). A request whose body equals crash_body crashes the engine, which
     listens again after a second.
     """
@@ -263,7 +264,9 @@
     async def stream(self, request, writer):
         model = request.fields.get("lovagehub-model", "")
         after = int(request.fields.get("last-event-id", -1))
-        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+        is_framed = self.mode not in ("unframed", "torn")
+        framing = "Transfer-Encoding: chunked\r\n" if is_framed else ""
+        head = f"HTTP/1.1 200 OK\r\n{framing}Content-Type: text/event-stream\r\n"
         confidence = self.confidence if model == self.models[0] else 100
         for name, value in self.head(request, Lovagehub_Confidence=confidence).items():
             head += f"{name.replace('_', '-')}: {value}\r\n"
@@ -276,7 +279,11 @@
                 if self.mode == "cut":
                     abort(writer)
                 return
-            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            if self.mode == "torn" and number == after + 4:
+                writer.write(data[:9])
+                return
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data) if is_framed else data)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
-        writer.write(b"0\r\n\r\n")
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -82,8 +82,7 @@
 typedef struct
 {
   uint64_t service; /**< hash */
-  bool needs_room;  /**< this front reaches the service's servers, but may use none of them now:
-                         only a front that is known to reach them helps */
+  bool needs_room;  /**< this front reaches the service's servers, but may use none of them now */
   unsigned asked_count;
   struct sockaddr_in asked[HANDOFFS_MAX]; /**< fronts that it was handed to */
 } PeerHandoff;
--- a/src/front_peers_handoff.c
+++ b/src/front_peers_handoff.c
@@ -51,8 +51,6 @@
     case PEER_REACH_GOOD:
       return is_here ? CANDIDATE_REACHES_HERE : CANDIDATE_REACHES;
     case PEER_REACH_UNKNOWN:
-      if (handoff->needs_room)
-        return CANDIDATE_NONE;
       return is_here ? CANDIDATE_UNKNOWN_HERE : CANDIDATE_UNKNOWN;
     case PEER_REACH_LOST:
       break;
