Judge suspected parts of prompts five times a second, and old deaths only

With many suspects after a mass of deaths each tick walked all deaths for each part: by count 70 million steps at worst, one million with parts that are at one death each.

--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -52,6 +52,7 @@
 /* Deaths of a request from which it is logged and reported at once: one death has many requests of
  * no interest. */
 #define SUSPECT_DEATHS_MIN 2
+#define JUDGE_INTERVAL_MS  200 /* between judgements of parts of prompts */
 
 static FrontLine *
 log_begin (const char *state, uint64_t fingerprint)
@@ -175,6 +176,9 @@
 {
   QuarantineRefusal refusal = { .left_ms = (uint32_t)front_quarantine_settings.hold_ms };
 
+  if (now_ms - front->parts->judged_ms < JUDGE_INTERVAL_MS)
+    return;
+  front->parts->judged_ms = now_ms;
   while ((refusal.fingerprint = front_parts_judge (front->parts, front->quarantine, now_ms)) != 0)
     {
       quarantine_add_refusal (front->quarantine, &refusal, now_ms);
--- a/src/front_parts.c
+++ b/src/front_parts.c
@@ -209,23 +209,6 @@
   return count;
 }
 
-/* True if enough servers ended under the part, so long ago that an answer would have cleared it. */
-static bool
-is_due (const FrontParts *parts, PartHash part, int64_t now_ms)
-{
-  unsigned old = 0;
-
-  for (unsigned i = 0; i < PARTS_DEATHS_MAX; i++)
-    {
-      const PartsDeath *death = &parts->deaths[i];
-
-      old += death->server != 0 && includes (death, part) && now_ms - death->at_ms >= JUDGE_AFTER_MS
-             && death->answered_ms != 0 && now_ms - death->answered_ms >= JUDGE_AFTER_MS
-             && !is_same_server_before (parts, i, part);
-    }
-  return old >= SERVERS_MIN;
-}
-
 /* True if a later part of the same prompts is suspected as well: the earlier ones are shared by
  * more requests, so that refusing them would do more harm. */
 static bool
@@ -268,6 +251,25 @@
     }
 }
 
+static bool
+is_old (const PartsDeath *death, int64_t now_ms)
+{
+  return death->server != 0 && now_ms - death->at_ms >= JUDGE_AFTER_MS && death->answered_ms != 0
+         && now_ms - death->answered_ms >= JUDGE_AFTER_MS;
+}
+
+/* True if enough servers ended under the part, so long ago that an answer would have cleared it. */
+static bool
+is_due (const FrontParts *parts, PartHash part, int64_t now_ms)
+{
+  unsigned old = 0;
+
+  for (unsigned i = 0; i < PARTS_DEATHS_MAX; i++)
+    old += is_old (&parts->deaths[i], now_ms) && includes (&parts->deaths[i], part)
+           && !is_same_server_before (parts, i, part);
+  return old >= SERVERS_MIN;
+}
+
 PartHash
 front_parts_judge (FrontParts *parts, Quarantine *refused, int64_t now_ms)
 {
@@ -277,7 +279,7 @@
 
       if (now_ms - death->at_ms > RETENTION_MS || is_explained (death, refused, now_ms))
         *death = (PartsDeath){ 0 };
-      for (unsigned j = 0; j < death->count; j++)
+      for (unsigned j = 0; is_old (death, now_ms) && j < death->count; j++)
         {
           PartHash part = death->parts[j];
 
--- a/src/front_parts.h
+++ b/src/front_parts.h
@@ -49,6 +49,7 @@
   PartsDeath deaths[PARTS_DEATHS_MAX];
   PartBegun begun[PARTS_BEGUN_MAX];
   PartBegun cleared[PARTS_CLEARED_MAX];
+  int64_t judged_ms;
 } FrontParts;
 
 /** Parts of the call's prompt that several requests may share: all but the last. Returns their
