Fronts that all start take their slots at brittle servers once they know their number

After a restart of all fronts before brittle servers callers were refused for three seconds, though the servers had room: a front assumed that it was one of 360 until it had run for 4 s, so that nine fronts together took a fortieth of the slots.

Ruled out: fronts that don't know yet that the servers are brittle (no server fell over; requests were refused for want of slots).

The time is there so that fronts that don't know each other yet don't take too much. Now a front takes its part once the number of fronts that it knows has been the same for a second, or after the 4 s. The limits on cold servers and by servers' own limits keep the 4 s: their numbers also count fronts that are gone for a minute.

--- a/regress/front/cases_brittle.py
+++ b/regress/front/cases_brittle.py
@@ -16,6 +16,8 @@
 FRONTS, ENGINES, SLOTS, RUN_S = 9, 8, 4, 0.2
 LOAD = 0.9  # of all slots
 MODERATE_LOAD = 0.7
+RESTARTED_S = 2  # after all fronts are ready again, from which on they serve
+RESTARTED_SHARE = 0.75  # of what they served before they were killed
 ONE_FRONT_SHARE = 0.75  # of what all fronts serve, if one gets all requests
 FALLS_MAX = 2  # and one for each ten engines
 SERVED_SHARE = 0.95  # of what is served where engines name no number, at least
@@ -141,7 +143,36 @@
     equal(share_if_brittle >= ONE_FRONT_SHARE * share, True, f"{share_if_brittle:.3f} served by one front if brittle")
 
 
-CASES = [brittle_engines, busy_brittle_engines, one_fall_starts_no_other, one_front_gets_all_requests]
+async def all_fronts_restart_before_brittle_engines(site):
+    """All fronts are killed and start again before brittle engines at seven tenths of their slots. Guards against
+    fronts that send more than the engines have room for, and against seconds in which they refuse what these could
+    serve, as they don't know yet how many they are."""
+    engines = await grow(site)
+    for engine in engines:
+        engine.brittle = 3
+    await call_at_random(site, TOLD_S, "told", MODERATE_LOAD)
+    share = await call_at_random(site, 5, "before", MODERATE_LOAD)
+    for front in site.fronts:
+        await front.kill()
+    for front in site.fronts:
+        await front.start()
+    for front in site.fronts:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+    began = time.monotonic()
+    shares = [await call_at_random(site, 1, f"again{second}.", MODERATE_LOAD) for second in range(7)]
+    falls = sum(at > began for engine in engines for at in engine.fell_at)
+    print(f"{falls} falls, {share:.3f} served; then by seconds {[round(each, 3) for each in shares]}", flush=True)
+    equal(falls <= FALLS_MAX + ENGINES // 10, True, f"{falls} engines fell over")
+    equal(min(shares[RESTARTED_S:]) >= RESTARTED_SHARE * share, True, f"{min(shares[RESTARTED_S:]):.3f} served")
+
+
+CASES = [
+    brittle_engines,
+    busy_brittle_engines,
+    one_fall_starts_no_other,
+    one_front_gets_all_requests,
+    all_fronts_restart_before_brittle_engines,
+]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -70,7 +70,7 @@
  *  by number only. */
 unsigned front_peers_alive (const FrontPeers *peers, int64_t now_ms);
 /** Estimates the number of fronts, for limits that hold for all of them together. */
-void front_peers_fill_view (const FrontPeers *peers, int64_t now_ms, FrontsView *view);
+void front_peers_fill_view (FrontPeers *peers, int64_t now_ms, FrontsView *view);
 /** True if this front is one of a few, spread over the failure domains, that all fronts select for
  *  the subject. Fewer are selected where a failure domain has fewer fronts than its share. */
 bool
--- a/src/front_peers_domains.c
+++ b/src/front_peers_domains.c
@@ -10,6 +10,9 @@
  * to restart. */
 #define COLD_COUNT_MS 60000
 #define PLACE_SUBJECT 0x706c6163u
+/* Milliseconds for which the number of living fronts stays the same until a front that has just
+ * started takes its part of what is divided among them: two rounds of messages. */
+#define PLACES_STEADY_MS 1000
 
 PeerDomain *
 peers_domain_get (FrontPeers *peers, uint32_t domain)
@@ -158,8 +161,27 @@
     }
 }
 
+/* While all fronts start, each learns of others in every round of messages. A number that stays the
+ * same over two rounds is complete, or small only at so few fronts that all parts together don't
+ * exceed the whole. */
+static bool
+has_place (FrontPeers *peers, unsigned places, int64_t now_ms)
+{
+  if (places != peers->places)
+    {
+      peers->places = places;
+      peers->places_ms = now_ms;
+    }
+  if (front_peers_is_alone (peers, now_ms))
+    peers->has_place = false;
+  else if (now_ms - peers->places_ms >= PLACES_STEADY_MS
+           || now_ms - peers->started_ms >= FRONT_SETTLED_MS)
+    peers->has_place = true;
+  return peers->has_place;
+}
+
 void
-front_peers_fill_view (const FrontPeers *peers, int64_t now_ms, FrontsView *view)
+front_peers_fill_view (FrontPeers *peers, int64_t now_ms, FrontsView *view)
 {
   /* A front that has just started knows few others, but the first message of one that doesn't tells
    * it how many there are. */
@@ -182,4 +204,5 @@
                               count_fresh (&domain->lately, COLD_COUNT_MS, now_ms));
     }
   set_place (peers, now_ms, view);
+  view->has_place = has_place (peers, view->places, now_ms);
 }
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -95,6 +95,9 @@
   Peer **list;
   Index by_ip;
   FrontCount own_lately; /* fronts of the own failure domain, as others of it counted them */
+  unsigned places;       /* living fronts of the site, when last counted */
+  int64_t places_ms;     /* since when that number is the same */
+  bool has_place;        /* that number was complete once since this front was alone */
   unsigned domain_count;
   PeerDomain domains[FRONT_DOMAINS_MAX];
   unsigned next_count;        /* first of these in the next message */
--- a/src/front_share.c
+++ b/src/front_share.c
@@ -30,11 +30,12 @@
   share->places = view->places;
   if (view->registered >= REGISTERED_FULL)
     share->domain_fronts = at_least (share->domain_fronts, DOMAIN_FRONTS_MIN);
+  if (!view->has_place)
+    share->places = at_least (share->places, LARGE_SITE_FRONTS);
   if (!view->is_new)
     return;
   share->domain_fronts = at_least (share->domain_fronts, LARGE_DOMAIN_FRONTS);
   share->fronts = at_least (share->fronts, LARGE_SITE_FRONTS);
-  share->places = at_least (share->places, LARGE_SITE_FRONTS);
 }
 
 unsigned
--- a/src/front_share.h
+++ b/src/front_share.h
@@ -17,6 +17,7 @@
   unsigned fronts;     /**< in all failure domains */
   unsigned place;  /**< of this front, from 0, in an order of all living fronts that all agree on */
   unsigned places; /**< in that order */
+  bool has_place;  /**< place and places are known; false: there may be far more fronts */
   bool is_new;     /**< this front has just started, or gets no messages from others */
 } FrontsView;
 
--- a/tests/test_front_bootstrap.c
+++ b/tests/test_front_bootstrap.c
@@ -524,6 +524,67 @@
     }
 }
 
+typedef struct
+{
+  double most_dealt;     /* the parts of all fronts together, of what is divided among them */
+  int64_t last_place_ms; /* when the last one has its place, after the first start */
+} Places;
+
+static Places
+watch_places (World *world)
+{
+  Places places = { 0 };
+
+  for (int64_t now_ms = ORIGIN_MS; now_ms < ORIGIN_MS + FRONT_SETTLED_MS; now_ms += STEP_MS)
+    {
+      double dealt = 0;
+
+      step (world, now_ms);
+      for (unsigned i = 0; i < world->count; i++)
+        {
+          FrontsView view;
+
+          world->nodes[i].peers.started_ms = world->nodes[i].start_ms;
+          front_peers_fill_view (&world->nodes[i].peers, now_ms, &view);
+          if (view.has_place)
+            dealt += 1.0 / view.places;
+          else
+            places.last_place_ms = now_ms + STEP_MS - ORIGIN_MS;
+        }
+      if (dealt > places.most_dealt)
+        places.most_dealt = dealt;
+    }
+  return places;
+}
+
+/* All fronts start at one moment. Guards against fronts that take too large a part of a server's
+ * slots as they don't know the others yet, and against small sites that use few slots for long. */
+static void
+test_parts_add_up_to_the_whole (void)
+{
+  static const struct
+  {
+    unsigned fronts;
+    int64_t place_ms;
+  } sites[]
+      = { { 3, 3000 }, { 9, 3000 }, { 20, 3000 }, { 70, 3000 }, { 300, 4000 }, { 985, 4000 } };
+
+  for (size_t i = 0; i < 2 * SUITE_COUNT (sites); i++)
+    {
+      World *world = world_new (sites[i / 2].fronts);
+      Places places;
+
+      if (i % 2 == 1)
+        register_fronts (world);
+      places = watch_places (world);
+      printf ("%u: at most %.2f of a server's slots dealt, all have their place after %lld ms\n",
+              sites[i / 2].fronts, places.most_dealt, (long long)places.last_place_ms);
+      CU_ASSERT (places.most_dealt <= 1.05);
+      CU_ASSERT (places.last_place_ms <= sites[i / 2].place_ms);
+      world_free (world);
+    }
+}
+
 static void
 test_step_for_each_state (void)
 {
@@ -552,6 +613,7 @@
 }
 
 static const SuiteCase cases[] = {
+  { "parts_add_up_to_the_whole", test_parts_add_up_to_the_whole },
   { "step_for_each_state", test_step_for_each_state },
   { "first_start_makes_few_calls", test_first_start_makes_few_calls },
   { "all_restart_within_half_a_second", test_all_restart_within_half_a_second },
