--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 STANDINS = standin-platform standin-engine standin-service
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 TEST_HELPERS = tests/suite.c $(wildcard tests/fake_*.c)
-FRONT_TEST_HELPERS = tests/front_node.c
+FRONT_TEST_HELPERS = tests/front_node.c tests/front_world.c
 BENCHES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 BENCH_HELPERS = $(wildcard bench/model_*.c)
 
@@ -40,7 +40,8 @@
 standins: $(STANDINS:%=$(BUILD)/%)
 tests: $(TESTS:%=$(BUILD)/%)
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
-$(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
+$(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
 benches: $(BENCHES:%=$(BUILD)/%)
 
 $(BUILD)/obj/rpc/%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
