Learn what servers say in answers that another front got

A front that is cut off from servers, or has no room left at brittle ones, hands requests to other fronts and passes their answers on. Callers saw there that a server leaves, or names a limit, and the front that gave them this answer then sent the server requests all the same once it could: it hadn't read what the server says of itself, as it didn't know which server had answered.

Ruled out as a cause of this fault: the time-outs of notices, as the front never logs `server_leaving`.

The front that serves a request which was handed to it now names the server in its answer (Lovage-Served-By), which no caller sees; the other one records the limit, that the server is brittle and that it leaves, as for its own attempts. Rest that a server asks for concerns the front that it turned away.

The same holds for limits and brittle servers by the same call; no case plays these.

--- a/regress/front/cases_cut.py
+++ b/regress/front/cases_cut.py
@@ -7,6 +7,7 @@
 import time
 
 from cases import check, equal, log_events, main
+from relay_tcp import Relay
 from site_front import ENGINE_PORT, Front
 
 FOUND_S = 3  # after which callers of a front that is cut off are to be served as others are
@@ -134,6 +135,31 @@
     dead.close()
 
 
+async def notices_in_answers_handed_over(site):
+    """A front that is cut off passes on answers in which an engine says that it leaves. Guards against sending it
+    requests once the front reaches engines again, as only the front that served the requests knows."""
+    dead = DeadAddress(site, hangs=False)
+    cut = site.fronts[0]
+    leaving = next(engine for engine in site.engines if engine.service == "orders")
+    await set_cut(site, [cut], dead.name)
+    await asyncio.sleep(0.5)
+    await call_all_kinds(site, cut, 9, "before")
+    leaving.says_leaving = True
+    answers = await call_steadily(site, [cut], CALLS, 2.0, "cut")
+    told = [answer for answer in answers if "server-leaving" in answer.fields]
+    equal(len(told) > 0, True, "answers that say that the engine leaves")
+    sent_before = len(cut.events("request_sent"))
+    address = dead.sockets[0].getsockname()
+    dead.close()
+    relay = Relay(address, leaving.address)  # the other engines' address as well: it turns their requests away
+    await relay.start()
+    await call_steadily(site, [cut], 3 * CALLS, 6.0, "after")
+    sent = [event["server"] for event in cut.events("request_sent")[sent_before:]]
+    equal(len(sent) > 0, True, "requests sent to engines after the cut")
+    equal(sent.count(leaving.name), 0, "requests sent to the engine that leaves")
+    relay.close()
+
+
 async def front_that_reaches_few_engines(site):
     """One of three fronts reaches one of six engines of each service; connections to the others hang. Guards against
     letting its callers wait for one connection after the other, although other fronts reach all engines."""
@@ -211,7 +237,7 @@
 
 CASES = [
     refused_connections_to_engines, hanging_connections_to_engines, all_fronts_cut_off,
-    caller_leaves_a_request_handed_over, front_that_reaches_few_engines, whole_domain_cut_off,
+    caller_leaves_a_request_handed_over, notices_in_answers_handed_over, front_that_reaches_few_engines, whole_domain_cut_off,
 ]
 
 if __name__ == "__main__":
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -82,6 +82,7 @@
                            with REPLY_LIMIT_NAMED */
   int confidence;       /**< the model's confidence in its answer, 0 to 100; -1: not given */
   Span request_id;      /**< id of the request that is answered */
+  Span served_by;       /**< the server's id, if another front served the request; else absent */
 } ReplyInfo;
 
 #endif
--- a/src/front_request_handoff.c
+++ b/src/front_request_handoff.c
@@ -203,6 +203,8 @@
     }
   if (!is_success && !reply->complete)
     return;
+  if (info.served_by.len > 0)
+    request_handle_relayed_notices (request, &info);
   end_attempts (request);
   request->relaying = true;
   request_handle_progress (request);
--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -142,6 +142,27 @@
          && (!info->request_id.text || span_equal (info->request_id, request->call.id));
 }
 
+static void
+handle_notices (const FrontRequest *request, FrontServer *server, const ReplyInfo *info)
+{
+  handle_limit (request, server, info);
+  handle_brittle (request, server, info);
+  if (info->leaving)
+    handle_leaving (request, server);
+}
+
+void
+request_handle_relayed_notices (const FrontRequest *request, const ReplyInfo *info)
+{
+  char id[SERVER_TEXT_MAX];
+  FrontServer *server;
+
+  snprintf (id, sizeof id, "%.*s", (int)info->served_by.len, info->served_by.text);
+  server = front_servers_find (request->front->servers, id);
+  if (server)
+    handle_notices (request, server, info);
+}
+
 void
 request_handle_head (FrontRequest *request)
 {
@@ -151,13 +172,10 @@
   wire_reply_decode (front_attempt_reply (request->attempt), request->server->entry.id, &info);
   if (!is_from_server (request, &info))
     return;
-  handle_limit (request, server, &info);
-  handle_brittle (request, server, &info);
+  handle_notices (request, server, &info);
   if (info.not_executed)
     rest_brittle (request, server);
   else
     server_brittle_accepted (&server->brittle);
   handle_rest (request, server, info.rest_ms);
-  if (info.leaving)
-    handle_leaving (request, server);
 }
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -129,6 +129,9 @@
 /* front_request_notice.c */
 /* Records what the head of the answer says of its server, whatever becomes of the answer. */
 void request_handle_head (FrontRequest *request);
+/* Records the same of an answer that another front got. The caller of this front, which passes it
+ * on, sees what it says: this front has to act on it as if it had asked the server itself. */
+void request_handle_relayed_notices (const FrontRequest *request, const ReplyInfo *info);
 
 /* front_request_relay.c */
 /* Evaluates what has arrived of the answer. May free the request. */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -219,6 +219,15 @@
                        clock_boot_ms ());
 }
 
+/* Of a backend server's answer, for the caller or for the front that handed the request over. */
+static void
+encode_head (const FrontRequest *request, Buffer *head)
+{
+  wire_reply_encode (head, front_attempt_reply (request->attempt));
+  if (request->call.handed_off_attempts >= 0)
+    wire_served_by_encode (head, request->server->entry.id);
+}
+
 static void
 send_complete_answer (FrontRequest *request)
 {
@@ -230,7 +239,7 @@
   if (is_success (reply->status))
     record_begun (request);
   log_answered (request, reply->status);
-  wire_reply_encode (&head, reply);
+  encode_head (request, &head);
   reply->body = (Buffer){ 0 };
   request_free (request);
   front_conn_answer (conn, &head, &body);
@@ -252,7 +261,7 @@
 {
   Buffer head = { 0 };
 
-  wire_reply_encode (&head, front_attempt_reply (request->attempt));
+  encode_head (request, &head);
   front_conn_stream_begin (request->conn, &head);
   buffer_free (&head);
   request->head_sent = true;
--- a/tests/test_front_wire_reply.c
+++ b/tests/test_front_wire_reply.c
@@ -150,11 +150,39 @@
     }
 }
 
+/* A front that handed a request over learns which server answered it. The caller doesn't. */
+static void
+test_served_by_is_for_fronts_only (void)
+{
+  HttpReply reply;
+  ReplyInfo info;
+  Buffer text = { 0 }, out = { 0 };
+
+  buffer_printf (&text, "HTTP/1.1 200 x\r\nX-Own: 1\r\n");
+  wire_served_by_encode (&text, "i-7");
+  buffer_printf (&text, "Content-Length: 0\r\n\r\n");
+  http_reply_init (&reply);
+  http_reply_feed (&reply, text.data, text.len);
+  wire_reply_decode (&reply, "", &info);
+  CU_ASSERT (span_is (info.served_by, "i-7"));
+  wire_reply_encode (&out, &reply);
+  CU_ASSERT_STRING_EQUAL (out.data, "HTTP/1.1 200 x\r\nX-Own: 1\r\n");
+  buffer_free (&out);
+  buffer_free (&text);
+  http_reply_clear (&reply);
+  http_reply_init (&reply);
+  http_reply_feed (&reply, "HTTP/1.1 200 x\r\n\r\n", 18);
+  wire_reply_decode (&reply, "", &info);
+  CU_ASSERT_EQUAL (info.served_by.len, 0);
+  http_reply_clear (&reply);
+}
+
 static const SuiteCase cases[] = {
   { "reply_and_refusal_heads_are_translated", test_reply_and_refusal_heads_are_translated },
   { "server_limit_is_decoded", test_server_limit_is_decoded },
   { "leaving_is_decoded", test_leaving_is_decoded },
   { "rest_is_decoded", test_rest_is_decoded },
+  { "served_by_is_for_fronts_only", test_served_by_is_for_fronts_only },
 };
 
 int
