Soak: parts of prompts that crash servers; attempts count for the front that made them

Beside the other faults and with draws of its own, requests with one part in their prompts crash engines for 5 to 10 s, while sound ones share their first part.

The checks of limits, rest, leaving and evacuations took the front that a caller asked for the one that sent the request to an engine. They now read from the fronts' logs which front sent each attempt; where a line was dropped the front that the caller asked counts as before.

--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -9,6 +9,7 @@
 # N * LIMIT_WINDOW_S * LIMIT_OVERAGE + LIMIT_SLACK.
 LIMIT_WINDOW_S, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
 REST_APPLY_S, REST_SLACK = 0.5, 2
+PART_CRASHES, PART_MAX = 5, 3
 LEAVING_S = 2.0  # after this, an engine that leaves gets no new work
 
 
@@ -50,7 +51,7 @@
     for name, runs in arrivals.items():
         peak = max(([run for run in runs if first.at <= run.at < first.at + 1] for first in runs), key=len)
         if len(peak) > limit:
-            senders = Counter(site.front_of.get(run.request) for run in peak)
+            senders = Counter(site.sender_of(run) for run in peak)
             since = peak[0].at - peak[0].cold_since
             violations.append(
                 f"{name} got {len(peak)} requests within a second while it was cold; the limit is {limit} "
@@ -81,7 +82,7 @@
     front that was disturbed since it was turned away."""
     by_sender = {}
     for run in site.runs:
-        by_sender.setdefault((site.front_of.get(run.request), run.engine.name), []).append(run)
+        by_sender.setdefault((site.sender_of(run), run.engine.name), []).append(run)
     violations = []
     for (front, engine), runs in by_sender.items():
         for refusal in runs:
@@ -102,18 +103,30 @@
         f"{run.request}: sent to {engine} {run.at - at:.2f} s after an answer told front {front} that it leaves"
         for front, engine, at in told
         for run in site.runs
-        if run.engine.name == engine and site.front_of.get(run.request) == front and run.at > at + LEAVING_S
+        if run.engine.name == engine and site.sender_of(run) == front and run.at > at + LEAVING_S
         and not was_interrupted(front, at, run.at)
     ]  # fmt: skip
 
 
+def part_violations(site, part, apply_s, counts):
+    """Checks that no more than PART_MAX requests with a part of prompts that crashes engines reach engines later than
+    apply_s after PART_CRASHES of them. Only runs for which counts(run) is true count."""
+    runs = [run for run in site.runs if run.executed and part in run.fields.get("lovagehub-prompt-prefix", "")]
+    if len(runs) <= PART_CRASHES:
+        return []
+    late = [run for run in runs if run.at > runs[PART_CRASHES - 1].at + apply_s and counts(run)]
+    if len(late) <= PART_MAX:
+        return []
+    return [f"{len(late)} requests with part {part} reached engines late, of {len(runs)} in all; {PART_MAX} are allowed"]
+
+
 def evacuation_violations(site, domain, since, is_undisturbed):
     """Checks that a failure domain evacuated at the time since gets no new work. Only fronts for whose number
     is_undisturbed is true count; the others may not have learned of the evacuation because of a fault."""
     return [
         f"{run.request}: sent {run.at - since:.2f} s after {domain} was evacuated"
         for run in site.runs
-        if run.engine.domain == domain and run.executed and run.at > since + EVACUATED_S and is_undisturbed(site.front_of.get(run.request))
+        if run.engine.domain == domain and run.executed and run.at > since + EVACUATED_S and is_undisturbed(site.sender_of(run))
     ]
 
 
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -159,6 +159,7 @@
         self.routes = [dict(route) for route in ROUTES]
         self.keys = [KEY]
         self.front_of = {}  # request id -> number of the front that it was sent to
+        self.senders = {}  # (request id, engine) -> (time, number of the front) of each attempt in the fronts' logs
         self.evacuations = {}  # failure domain evacuated now -> when the store acknowledged the order
         self.cold_per_s = None  # ColdPerS of the services: requests per second to a cold engine; None: not set
         self.request_ids = itertools.count(1)
@@ -252,6 +253,22 @@
         self.front_of[answer.request] = front.number
         return await exchange((front.ip, CALLERS_PORT), data, answer, connection, timeout)
 
+    def read_senders(self):
+        """Reads from the fronts' logs which of them sent each request to an engine: that need not be the one that its
+        caller asked, as fronts hand requests over."""
+        self.senders = {}
+        for front in self.fronts:
+            for event in front.events("request_sent"):
+                attempt = (event["ms"] / 1000, front.number)
+                self.senders.setdefault((event["request"], event["server"]), []).append(attempt)
+
+    def sender_of(self, run):
+        """Number of the front that sent the request to the engine; without a log line the front that the caller asked."""
+        attempts = self.senders.get((run.request, run.engine.name))
+        if not attempts:
+            return self.front_of.get(run.request)
+        return min(attempts, key=lambda attempt: abs(attempt[0] - run.at))[1]
+
     def runs_of(self, answer):
         return [run for run in self.runs if run.request == answer.request]
 
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -14,12 +14,14 @@
 import sys
 import time
 
-from check import attempt_violations, evacuation_violations, leaving_violations, limit_violations, rest_violations, site_violations
+from check import attempt_violations, evacuation_violations, leaving_violations, limit_violations, part_violations, rest_violations, site_violations
+from engines import digest
 from relay_tcp import Relay
 from site_front import CALLERS_PORT, COLD_START_S, Site, add_routes
 
 UNDISTURBED_S = 3.0  # checks with a time limit apply to a front without a fault for so long
 APPLY_S = 2.0  # a new configuration is in force at a front after this
+PART_APPLY_S = 3.0  # after the fifth crash under a part of prompts fronts refuse requests with it
 TOLD_S = 0.5  # a front that has passed on an answer with a limit keeps to it after this
 LIMIT_APPLY_S = 3.0  # an engine's limit holds from so long after it was first named
 LIMITS_PER_S = [0, 0.7, 1.7, 3, 8]
@@ -37,6 +39,8 @@
         self.site = Site(args.program, fronts=args.fronts, engines=args.engines, seed=args.seed)
         self.random, self.notice_random = random.Random(args.seed), random.Random(~args.seed)
         self.return_random = random.Random(f"returns {args.seed}")
+        self.part_random = random.Random(f"parts {args.seed}")
+        self.crash_parts = set()  # of all engines
         self.seconds, self.slack = args.seconds, args.slack
         self.narrow = args.narrow
         self.violations = []
@@ -45,6 +49,7 @@
         self.told_limits, self.told_leaving = [], []
         self.interruptions = {}  # front number -> times of its stops, kills and freezes, and of their ends
         self.disturbed = {}  # front number, or "engines", or "store" -> time of the last fault
+        self.faults = {}  # front number -> times at which any fault there began or ended
         self.graceful_stops = {}  # front number -> time of the last SIGTERM
         self.revoked = {}  # key -> when the store acknowledged its removal
         self.fronts_with_fault = {}  # numbers of the fronts that have a fault now
@@ -57,6 +62,7 @@
     def disturb(self, *what):
         for name in what:
             self.disturbed[name] = time.monotonic()
+            self.faults.setdefault(name, []).append(time.monotonic())
 
     def interrupt(self, front):
         self.disturb(front.number)
@@ -188,10 +194,38 @@
             self.count("returns of the store from a copy")
             await asyncio.sleep(rng.uniform(4, 10))
 
+    async def crash_by_part(self):
+        """Requests crash engines for some seconds, no two alike, as all have one part in their prompts; their first part
+        is the one of the sound requests."""
+        part = "c%x" % self.part_random.getrandbits(40)
+        self.crash_parts.add(part)
+        self.count("parts that crash engines")
+        end, calls = time.monotonic() + self.part_random.uniform(5, 10), []
+        while time.monotonic() < min(end, self.until):
+            self.disturb("engines")
+            body = b"%s.%d" % (part.encode(), len(calls))
+            prompt = f"aa:300,{part}:200,{digest(body)}:100"
+            front = self.part_random.choice(self.site.fronts)
+            calls.append(asyncio.ensure_future(self.site.call(front, "/text/", body, prompt=prompt, key=self.site.keys[-1], timeout=8)))
+            await asyncio.sleep(self.part_random.uniform(0.1, 0.4))
+        await asyncio.gather(*calls, return_exceptions=True)
+        self.disturb("engines")
+
+    async def inject_parts(self):
+        """Lets parts of prompts crash engines, beside the other faults and with draws of its own."""
+        while time.monotonic() < self.until:
+            await asyncio.sleep(self.part_random.uniform(0.5, 5))
+            await self.crash_by_part()
+
+    def was_in_touch(self, run):
+        """Whether the front that sent the run had no fault for so long that it has to know what the others found."""
+        faults = self.faults.get(self.site.sender_of(run), [])
+        return not any(run.at - UNDISTURBED_S - self.slack <= at <= run.at for at in faults)
+
     def was_told(self, run):
         """Whether the front that sent the run had passed on an answer with the engine's limit, and was neither stopped
         nor frozen since."""
-        front = self.site.front_of.get(run.request)
+        front = self.site.sender_of(run)
         return run.at > run.limit_since + LIMIT_APPLY_S and any(
             told == front and engine == run.engine.name and run.limit_since < at < run.at - TOLD_S
             and not self.was_interrupted(front, at, run.at)
@@ -348,6 +382,7 @@
     async def start_engine(self, service, version="v1"):
         """Starts an engine, half of them behind a relay; one that is added during the run is cold."""
         engine = self.site.add_engine(service, version)
+        engine.crash_parts = self.crash_parts
         if self.until:
             engine.set_cold(COLD_START_S)
         if self.random.random() < 0.5:
@@ -404,7 +439,7 @@
 
     async def run(self, callers):
         await self.start()
-        tasks = [self.caller(number) for number in range(callers)] + [self.inject() for _ in range(4)] + [self.inject_notices(), self.inject_returns()]
+        tasks = [self.caller(number) for number in range(callers)] + [self.inject() for _ in range(4)] + [self.inject_notices(), self.inject_returns(), self.inject_parts()]
         results = await asyncio.gather(*tasks, return_exceptions=True)
         self.violations += [f"exception in the soak: {error!r}" for error in results if isinstance(error, Exception)]
         await self.clear_faults()
@@ -412,11 +447,16 @@
             await self.check_recovery()
         except AssertionError as error:
             self.violations.append(str(error))
+        self.site.read_senders()
         undisturbed = lambda at: self.undisturbed_since("store", *range(len(self.site.fronts))) + UNDISTURBED_S + self.slack
         self.violations += site_violations(self.site, undisturbed)
         self.violations += limit_violations(self.site, self.was_told)
         self.violations += leaving_violations(self.site, self.told_leaving, self.was_interrupted)
         self.violations += rest_violations(self.site, lambda front, run, refused_at: not run.engine.public and not self.was_interrupted(front, refused_at, run.at))
+        for part in self.crash_parts:
+            reached = sum(part in run.fields.get("lovagehub-prompt-prefix", "") for run in self.site.runs)
+            self.count(f"parts of which {reached} requests reached engines")
+            self.violations += part_violations(self.site, part, PART_APPLY_S + self.slack, self.was_in_touch)
         self.count(f"answers that say an engine leaves {len(self.told_leaving)}")
         self.count(f"runs within a limit {sum(run.limit is not None and self.was_told(run) for run in self.site.runs)}")
 
