Ask a front that did not answer last when rows are lacking

A front that lacks a change of the store for 350 ms fetches it from any other front that is ahead, drawn anew each time. One that had just ended, or lost its power, was drawn again, and connecting to it took up to 0.8 s each time. Callers may see requests sent to servers that leave.

A front from which no answer came is now asked only if no other is ahead, for the three seconds that hold for the tables' sources as well; and a connection may take 0.2 s.

--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -9,6 +9,9 @@
 #define LACKED_MS 350
 /* Milliseconds until a peer's answer begins; another peer is asked after that. */
 #define FETCH_TIMEOUT_MS 800
+/* Milliseconds to connect to a peer, some tens of round trips between failure domains. One that has
+ * just lost its power doesn't refuse the connection. */
+#define CONNECT_TIMEOUT_MS 200
 /* Milliseconds after the start in which a front requests missing rows from its own failure domain
  * and the store only; if neither has them, fronts of other failure domains are asked. */
 #define LOCAL_ONLY_MS 2500
@@ -52,6 +55,8 @@
                                           &answer))
     {
       fetch->done = true;
+      if (status == 0)
+        front_peers_mark_failed (fetch->peers, &fetch->source, clock_boot_ms ());
       /* The peer no longer has the removals since this front's version. */
       fetch->needs_all = status == HTTP_STATUS_SERVICE_UNAVAILABLE || status == HTTP_STATUS_GONE;
       front_store_log_rows_failed (store, fetch->table, &fetch->source, fetch->asked_ms,
@@ -90,6 +95,7 @@
   source.sin_port = peers->control_port;
   *fetch = (Fetch){ .peers = peers, .table = table, .reads_all = since == 0, .source = source };
   fetch->channel = front_channel_new (peers->front->base, &source, on_fetched, fetch);
+  front_channel_set_connect_timeout (fetch->channel, CONNECT_TIMEOUT_MS);
   fetch_send (fetch, since, since);
 }
 
@@ -104,31 +110,46 @@
     }
 }
 
-/* A random one of the peers that are ahead: the one with the newest rows may have just died. */
+/* From worst to best. Traffic between failure domains has a cost; if the whole domain is cut off
+ * from the store, only others are ahead. */
+typedef enum
+{
+  AHEAD_NONE,
+  AHEAD_FAILED, /* it has just failed to answer */
+  AHEAD_ELSEWHERE,
+  AHEAD_HERE, /* in this front's failure domain */
+} Ahead;
+
+static Ahead
+rate_ahead (const FrontPeers *peers, const Peer *peer, StoreTable table, int64_t now_ms)
+{
+  if (!peer_is_alive (peer, now_ms)
+      || !front_store_is_behind (peers->front->store, table, peer->newest[table]))
+    return AHEAD_NONE;
+  if (peer_has_failed (peer, PEER_FAILED_RETRY_MS, now_ms))
+    return AHEAD_FAILED;
+  return peer->domain == peers->own_domain ? AHEAD_HERE : AHEAD_ELSEWHERE;
+}
+
+/* A random one of the best: the one with the newest rows may have just died. */
 static const Peer *
-find_peer_ahead (const FrontPeers *peers, StoreTable table, bool same_domain_only, int64_t now_ms)
+choose_peer_ahead (const FrontPeers *peers, StoreTable table, int64_t now_ms)
 {
   unsigned start = peers->count ? (unsigned)(id_random_u64 () % peers->count) : 0;
+  const Peer *chosen = NULL;
+  Ahead best = AHEAD_NONE;
 
-  for (unsigned i = 0; i < peers->count; i++)
+  for (unsigned i = 0; i < peers->count && best != AHEAD_HERE; i++)
     {
       const Peer *peer = peers->list[(start + i) % peers->count];
+      Ahead ahead = rate_ahead (peers, peer, table, now_ms);
 
-      if (peer_is_alive (peer, now_ms) && (!same_domain_only || peer->domain == peers->own_domain)
-          && front_store_is_behind (peers->front->store, table, peer->newest[table]))
-        return peer;
+      if (ahead <= best)
+        continue;
+      best = ahead;
+      chosen = peer;
     }
-  return NULL;
-}
-
-/* Prefers a peer of the same failure domain, as traffic between domains has a cost; if the whole
- * domain is cut off from the store, only others are ahead. */
-static const Peer *
-choose_peer_ahead (const FrontPeers *peers, StoreTable table, int64_t now_ms)
-{
-  const Peer *same_domain_peer = find_peer_ahead (peers, table, true, now_ms);
-
-  return same_domain_peer ? same_domain_peer : find_peer_ahead (peers, table, false, now_ms);
+  return chosen;
 }
 
 /* True if one and the same change is lacking for longer than the store takes to report it. While
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -152,6 +152,11 @@
 bool peers_is_domain_peer (const FrontPeers *peers, const Peer *peer, int64_t now_ms);
 void peers_find_collectors (FrontPeers *peers, int64_t now_ms, Collectors *out);
 
+/* front_peers_source.c */
+/* Milliseconds until a front whose request failed is asked again; it may be frozen for seconds. */
+#define PEER_FAILED_RETRY_MS 3000
+bool peer_has_failed (const Peer *peer, int64_t for_ms, int64_t now_ms);
+
 /* front_peers_table.c */
 /* Fronts kept of the own failure domain: three times those of a domain at 2,000 fronts in six. */
 #define DOMAIN_PEERS_MAX 1024
--- a/src/front_peers_source.c
+++ b/src/front_peers_source.c
@@ -12,13 +12,11 @@
  * followers, these would send 9 Mbit/s while hundreds of servers register each second, and encode
  * for longer than the others wait. */
 #define ASKERS_PER_FRONT 12
-/* Milliseconds until a front whose request failed is asked again; it may be frozen for seconds.
- * While all fronts start, one that refuses connections is about to listen. */
-#define FAILED_RETRY_MS       3000
+/* While all fronts start, one that refuses connections is about to listen. */
 #define FAILED_RETRY_START_MS 40
 
-static bool
-has_failed (const Peer *peer, int64_t for_ms, int64_t now_ms)
+bool
+peer_has_failed (const Peer *peer, int64_t for_ms, int64_t now_ms)
 {
   return peer->request_failed_ms != 0 && now_ms - peer->request_failed_ms < for_ms;
 }
@@ -26,7 +24,8 @@
 static bool
 is_usable (const FrontPeers *peers, const Peer *peer, int64_t now_ms)
 {
-  return peers_is_domain_peer (peers, peer, now_ms) && !has_failed (peer, FAILED_RETRY_MS, now_ms);
+  return peers_is_domain_peer (peers, peer, now_ms)
+         && !peer_has_failed (peer, PEER_FAILED_RETRY_MS, now_ms);
 }
 
 /* A front of the domain that can be asked. */
@@ -122,7 +121,7 @@
 static bool
 is_informed (const FrontPeers *peers, const Peer *peer, uint64_t table, int64_t now_ms)
 {
-  if (peer->domain != peers->own_domain || has_failed (peer, FAILED_RETRY_START_MS, now_ms))
+  if (peer->domain != peers->own_domain || peer_has_failed (peer, FAILED_RETRY_START_MS, now_ms))
     return false;
   if (peer_is_alive (peer, now_ms) && peer->newest[table] > 0)
     return true;
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -16,6 +16,7 @@
 #define PEER_VERSION 90   /* version that a front of the same domain has */
 #define LATER_MS     5000 /* above all intervals of these modules */
 #define LISTEN       8    /* backlog */
+#define FETCHES      16   /* in a row, each from a front that is drawn anew */
 
 typedef struct
 {
@@ -192,6 +193,55 @@
   node_free (node);
 }
 
+static bool
+is_fetched (void *user)
+{
+  Node *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return node->peers.fetches[STORE_OPERATOR].done;
+}
+
+/* Fetches what has been lacking for long. */
+static void
+fetch (Node *node)
+{
+  node->peers.lacked_since_ms[STORE_OPERATOR] = clock_boot_ms () - LATER_MS;
+  node->peers.lacked_version[STORE_OPERATOR] = PEER_VERSION;
+  peers_fetch_missing (&node->peers, STORE_OPERATOR, clock_boot_ms ());
+}
+
+/* Of two fronts that are ahead one has just ended. Guards against asking it again and again, while
+ * a server that leaves goes on getting requests. */
+static void
+test_front_without_answer_is_not_asked_again (void)
+{
+  Node *node = node_new (0);
+  Fetch *fetched = &node->peers.fetches[STORE_OPERATOR];
+  Peer *sound = node->peers.list[0];
+  Peer *ended = peer_add (&node->peers, htonl (INADDR_LOOPBACK + 1), 1, clock_boot_ms ());
+
+  ended->seen_ms = sound->seen_ms;
+  ended->newest[STORE_OPERATOR] = PEER_VERSION;
+  sound->newest[STORE_OPERATOR] = 0;
+  ask (node);
+  fetch (node);
+  CU_ASSERT_EQUAL_FATAL (fetched->source.sin_addr.s_addr, ended->address.sin_addr.s_addr);
+  CU_ASSERT_FATAL (suite_wait (is_fetched, node));
+  sound->newest[STORE_OPERATOR] = PEER_VERSION;
+  for (unsigned i = 0; i < FETCHES; i++)
+    {
+      fetched->done = true;
+      fetch (node);
+      CU_ASSERT_EQUAL (fetched->source.sin_addr.s_addr, sound->address.sin_addr.s_addr);
+    }
+  sound->newest[STORE_OPERATOR] = 0;
+  fetched->done = true;
+  fetch (node);
+  CU_ASSERT_EQUAL (fetched->source.sin_addr.s_addr, ended->address.sin_addr.s_addr);
+  node_free (node);
+}
+
 /* Servers register by hundreds a second, and another front is always some changes ahead, while each
  * change arrives here within 300 ms. No front may fetch rows for that: each of a thousand did, for
  * as long as servers registered. */
@@ -313,6 +363,7 @@
   { "hint_restarts_unanswered_poll", test_hint_restarts_unanswered_poll },
   { "no_second_transfer", test_no_second_transfer },
   { "stalled_transfer_is_fetched_elsewhere", test_stalled_transfer_is_fetched_elsewhere },
+  { "front_without_answer_is_not_asked_again", test_front_without_answer_is_not_asked_again },
   { "changes_in_time_are_not_fetched", test_changes_in_time_are_not_fetched },
   { "change_lacked_too_long_is_fetched", test_change_lacked_too_long_is_fetched },
   { "starting_front_waits_for_peer", test_starting_front_waits_for_peer },
