--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -150,8 +150,6 @@
   if (body->len > 0
       && evbuffer_add_reference (output, body->data, body->len, free_body, body->data) == 0)
     *body = (Buffer){ 0 };
-  else
-    evbuffer_add (output, body->data, body->len);
   buffer_free (body);
   on_answer_written (conn);
 }
--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -16,6 +16,16 @@
  * and the store only; if neither has them, fronts of other failure domains are asked. */
 #define LOCAL_ONLY_MS 2500
 
+/* Whether a peer has rows that are lacking here, from worst to best. Traffic between failure
+ * domains has a cost; if the whole domain is cut off from the store, only others are ahead. */
+typedef enum
+{
+  AHEAD_NONE,
+  AHEAD_FAILED, /* it has just failed to answer */
+  AHEAD_ELSEWHERE,
+  AHEAD_HERE, /* in this front's failure domain */
+} Ahead;
+
 static void
 fetch_send (Fetch *fetch, int64_t since, int64_t base)
 {
@@ -110,16 +120,6 @@
     }
 }
 
-/* From worst to best. Traffic between failure domains has a cost; if the whole domain is cut off
- * from the store, only others are ahead. */
-typedef enum
-{
-  AHEAD_NONE,
-  AHEAD_FAILED, /* it has just failed to answer */
-  AHEAD_ELSEWHERE,
-  AHEAD_HERE, /* in this front's failure domain */
-} Ahead;
-
 static Ahead
 rate_ahead (const FrontPeers *peers, const Peer *peer, StoreTable table, int64_t now_ms)
 {
--- a/src/front_peers_source.c
+++ b/src/front_peers_source.c
@@ -12,7 +12,8 @@
  * followers, these would send 9 Mbit/s while hundreds of servers register each second, and encode
  * for longer than the others wait. */
 #define ASKERS_PER_FRONT 12
-/* While all fronts start, one that refuses connections is about to listen. */
+/* Milliseconds of the same while all fronts start: one that refuses connections is about to listen.
+ */
 #define FAILED_RETRY_START_MS 40
 
 bool
