--- a/regress/front/wire.py
+++ b/regress/front/wire.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 from dataclasses import dataclass, field
 
 
@@ -103,5 +105,8 @@
 
 
 def abort(writer):
-    """Resets the connection."""
+    """Resets the connection. A close alone would end an answer without a length as if it were complete."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
