--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -134,6 +134,8 @@
             abort(writer)
 
     async def crash_and_restart(self):
+        if self.is_down:
+            return
         self.is_down = True
         await self.crash()
         await asyncio.sleep(1)
