Soak: an engine that a part of prompts crashed comes back under another id

No front's log suspects the part: it is suspected by three different servers that ended, and this site has two engines of the service, which the stand-in started again under their ids a second later.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -85,6 +85,7 @@
         self.turned_away_at = []  # times at which it turned a request away
         self.slots = 8  # in its entry
         self.is_down = False
+        self.returns_as_new = False  # after a crash, as each start on the platform: under another id
         self.falls, self.fell_at = False, []  # whether it ends when it turns more away than it survives; when it did
         self.says_leaving = False  # in all its answers
         self.left_at = None  # when the store acknowledged that it drains or that its entry is removed
@@ -139,6 +140,10 @@
         self.is_down = True
         await self.crash()
         await asyncio.sleep(1)
+        if self.returns_as_new:
+            await self.leave()
+            await self.site.start_engine(self.service, self.version)
+            return
         self.server = await asyncio.start_server(self.serve, *self.address)
         self.is_down = False
 
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -41,6 +41,7 @@
         self.return_random = random.Random(f"returns {args.seed}")
         self.part_random = random.Random(f"parts {args.seed}")
         self.crash_parts = set()  # of all engines
+        self.bad_versions = set()  # that fail all requests
         self.seconds, self.slack = args.seconds, args.slack
         self.narrow = args.narrow
         self.violations = []
@@ -293,9 +294,10 @@
         self.version_number += 1
         version = f"v{self.version_number}"
         bad = self.random.random() < 0.5
-        new_engines = [await self.start_engine("texts", version) for _ in range(2)]
-        for engine in new_engines:
-            engine.mode = "error" if bad else "ok"
+        if bad:
+            self.bad_versions.add(version)
+        for _ in range(2):
+            await self.start_engine("texts", version)
         order = {"Service": "texts", "Target": version, "RampS": 8}
         await self.site.store.put("op", "rollout/texts", json.dumps(order))
         await asyncio.sleep(9)
@@ -382,7 +384,8 @@
     async def start_engine(self, service, version="v1"):
         """Starts an engine, half of them behind a relay; one that is added during the run is cold."""
         engine = self.site.add_engine(service, version)
-        engine.crash_parts = self.crash_parts
+        engine.crash_parts, engine.returns_as_new = self.crash_parts, True
+        engine.mode = "error" if version in self.bad_versions else "ok"
         if self.until:
             engine.set_cold(COLD_START_S)
         if self.random.random() < 0.5:
