--- a/regress/front/cases_cut.py
+++ b/regress/front/cases_cut.py
@@ -24,6 +24,7 @@
 
     def __init__(self, site, hangs):
         self.sockets = [socket.socket()]
+        self.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # after connections of an earlier case
         self.sockets[0].bind((f"{site.subnet}.250", ENGINE_PORT + 900))
         self.name = "%s:%d" % self.sockets[0].getsockname()
         if not hangs:
