Release sound parts of prompts that were refused

Causes: a front that is told of a death under a part of which it saw an answer begin later said nothing; and a refusal was taken over and kept whatever was known. Now such a front tells that the part is sound. A refusal isn't taken over, and ends, here and at the fronts that are told, where an answer to a request with the part began later than three seconds before it. A part that does crash servers never has such an answer.

Test sound_part_is_not_refused_after_a_wave (half of the fronts run requests at 40 servers that end at one moment, the others see an answer begin 10 ms later, and none for 4 s): before, refused for 4.8 of 6 s by all of 3, 300 and 985 fronts; now by none up to 300, for 0.35 s at 985.

test_front_deaths' fronts now have parts, as each front does.

--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -76,6 +76,10 @@
 /** Refuses a fingerprint that another VM does. */
 void
 quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms);
+/** Milliseconds for which the fingerprint is still refused; 0: it isn't. */
+int64_t quarantine_left_ms (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
+/** Ends the refusal of a fingerprint. */
+void quarantine_release (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /** Copies up to max fingerprints that are refused and no longer released; returns their number. If
  *  there are more, each turn begins at another one. */
 size_t quarantine_refusals (Quarantine *quarantine,
--- a/src/choose_quarantine_report.c
+++ b/src/choose_quarantine_report.c
@@ -24,6 +24,29 @@
   pthread_mutex_unlock (&quarantine->lock);
 }
 
+int64_t
+quarantine_left_ms (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+  int64_t left_ms = 0;
+
+  if (atomic_load (&quarantine->held_count) == 0)
+    return 0;
+  pthread_mutex_lock (&quarantine->lock);
+  if (quarantine_is_held (quarantine, fingerprint, now_ms))
+    left_ms = quarantine_entry (quarantine, fingerprint)->until_ms - now_ms;
+  pthread_mutex_unlock (&quarantine->lock);
+  return left_ms;
+}
+
+void
+quarantine_release (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+  pthread_mutex_lock (&quarantine->lock);
+  if (quarantine_is_held (quarantine, fingerprint, now_ms))
+    quarantine_entry (quarantine, fingerprint)->until_ms = now_ms;
+  pthread_mutex_unlock (&quarantine->lock);
+}
+
 size_t
 quarantine_refusals (Quarantine *quarantine,
                      QuarantineRefusal *out,
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -110,12 +110,62 @@
     front_counter_add (FRONT_COUNTER_DEATHS_TOLD);
 }
 
+static void
+log_part (const char *state, PartHash part, unsigned deaths)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_PART);
+
+  front_log_text (line, "state", state);
+  front_log_number (line, "part", (int64_t)part);
+  front_log_number (line, "deaths", deaths);
+  front_log_end (line);
+}
+
+/* True if an answer to a request with the part began shortly before it was refused, or later: many
+ * servers that end at one moment were running requests with sound parts as well. */
+static bool
+is_refused_wrongly (const Front *front, PartHash part, int64_t left_ms, int64_t now_ms)
+{
+  int64_t refused_ms = now_ms + left_ms - front_quarantine_settings.hold_ms;
+
+  return front_parts_is_sound (front->parts, part, refused_ms - PARTS_SOUND_MS);
+}
+
+static void
+release_if_sound (Front *front, PartHash part, int64_t now_ms)
+{
+  int64_t left_ms = quarantine_left_ms (front->quarantine, part, now_ms);
+
+  if (left_ms == 0 || !is_refused_wrongly (front, part, left_ms, now_ms))
+    return;
+  quarantine_release (front->quarantine, part, now_ms);
+  log_part ("released", part, 0);
+  front_peers_send_soon (front->peers);
+}
+
+void
+front_deaths_parts_begun (Front *front, const PartHash *parts, unsigned count, int64_t now_ms)
+{
+  front_parts_begun (front->parts, parts, count, now_ms);
+  for (unsigned i = 0; i < count; i++)
+    release_if_sound (front, parts[i], now_ms);
+}
+
+void
+front_deaths_part_cleared (Front *front, const PartCleared *cleared, int64_t now_ms)
+{
+  front_parts_told_cleared (front->parts, cleared, now_ms);
+  release_if_sound (front, cleared->part, now_ms);
+}
+
 void
 front_deaths_refusal_told (Front *front, const QuarantineRefusal *refusal, int64_t now_ms)
 {
   bool was_held = quarantine_contains (front->quarantine, refusal->fingerprint, now_ms);
   FrontLine *line;
 
+  if (is_refused_wrongly (front, refusal->fingerprint, refusal->left_ms, now_ms))
+    return;
   quarantine_add_refusal (front->quarantine, refusal, now_ms);
   if (was_held || !quarantine_contains (front->quarantine, refusal->fingerprint, now_ms))
     return;
@@ -132,17 +182,6 @@
   add_death (front, death, true, now_ms);
 }
 
-static void
-log_part (const char *state, PartHash part, unsigned deaths)
-{
-  FrontLine *line = front_log_begin (FRONT_EVENT_PART);
-
-  front_log_text (line, "state", state);
-  front_log_number (line, "part", (int64_t)part);
-  front_log_number (line, "deaths", deaths);
-  front_log_end (line);
-}
-
 /* Logs the parts of a death that are at several. */
 static void
 log_suspects (const Front *front, const QuarantineDeath *death)
--- a/src/front_deaths.h
+++ b/src/front_deaths.h
@@ -17,6 +17,11 @@
 void front_deaths_refusal_told (Front *front, const QuarantineRefusal *refusal, int64_t now_ms);
 /** Adds a death that another front told of, with parts of prompts that are suspected of it. */
 void front_deaths_parts_told (Front *front, const QuarantineDeath *death, int64_t now_ms);
+/** Answers to requests with these parts begin, which clears the parts of earlier deaths and ends a
+ *  wrong refusal. */
+void front_deaths_parts_begun (Front *front, const PartHash *parts, unsigned count, int64_t now_ms);
+/** The same for a part, by another front. */
+void front_deaths_part_cleared (Front *front, const PartCleared *cleared, int64_t now_ms);
 /** Refuses the part of prompts that crashes servers, once it is known. */
 void front_deaths_tick (Front *front, int64_t now_ms);
 
--- a/src/front_parts.c
+++ b/src/front_parts.c
@@ -5,14 +5,10 @@
 #define PLACE_BITS 3
 #define PLACE_MASK ((1u << PLACE_BITS) - 1)
 /* Different servers that must have ended, each under another request with the part. */
-#define SERVERS_MIN 3
-/* Milliseconds after the last of these, and after the first answer that began here since, before a
- * part is judged: if many servers end at one moment, sound parts that many requests share were at
- * all of them, and the answers that clear them have to begin, here or at other fronts. */
-#define JUDGE_AFTER_MS 1000
-#define RETENTION_MS   30000 /* of deaths */
-#define REPORT_MS      3000  /* for which deaths and cleared parts are reported */
-#define SAME_DEATH_MS  3000  /* reports of one server's death this close together are the same */
+#define SERVERS_MIN   3
+#define RETENTION_MS  30000 /* of deaths */
+#define REPORT_MS     3000  /* for which deaths are reported */
+#define SAME_DEATH_MS 3000  /* reports of one server's death this close together are the same */
 
 unsigned
 front_parts_of (const FrontCall *call, PartHash *out, unsigned max)
@@ -79,6 +75,15 @@
   *entry = (PartBegun){ .part = part, .begun_ms = begun_ms };
 }
 
+bool
+front_parts_is_sound (FrontParts *parts, PartHash part, int64_t since_ms)
+{
+  if (!has_begun_since (parts, part, since_ms))
+    return false;
+  add_cleared (parts, part, begun_entry (parts, part)->begun_ms);
+  return true;
+}
+
 /* Takes the part from the deaths before an answer to it began. */
 static bool
 clear (FrontParts *parts, PartHash part, int64_t begun_ms)
@@ -178,7 +183,9 @@
   entry = death_entry (parts, death->server, at_ms);
   for (uint32_t i = 0; i < death->count && entry->count < PARTS_OF_DEATH; i++)
     {
-      if (includes (entry, death->flights[i]) || has_begun_since (parts, death->flights[i], at_ms))
+      /* Whoever reports the death doesn't know of the answer. */
+      if (includes (entry, death->flights[i])
+          || front_parts_is_sound (parts, death->flights[i], at_ms))
         continue;
       entry->parts[entry->count++] = death->flights[i];
       changed = true;
@@ -254,8 +261,8 @@
 static bool
 is_old (const PartsDeath *death, int64_t now_ms)
 {
-  return death->server != 0 && now_ms - death->at_ms >= JUDGE_AFTER_MS && death->answered_ms != 0
-         && now_ms - death->answered_ms >= JUDGE_AFTER_MS;
+  return death->server != 0 && now_ms - death->at_ms >= PARTS_JUDGE_AFTER_MS
+         && death->answered_ms != 0 && now_ms - death->answered_ms >= PARTS_JUDGE_AFTER_MS;
 }
 
 /* True if enough servers ended under the part, so long ago that an answer would have cleared it. */
@@ -321,7 +328,7 @@
     {
       const PartBegun *entry = &parts->cleared[(turn * PARTS_REPORT_MAX + i) % PARTS_CLEARED_MAX];
 
-      if (entry->part != 0 && now_ms - entry->begun_ms <= REPORT_MS)
+      if (entry->part != 0 && now_ms - entry->begun_ms <= PARTS_SOUND_MS)
         out[count++]
             = (PartCleared){ .part = entry->part, .age_ms = (uint32_t)(now_ms - entry->begun_ms) };
     }
--- a/src/front_parts.h
+++ b/src/front_parts.h
@@ -19,6 +19,15 @@
 #define PARTS_CLEARED_MAX 16   /**< suspected parts that were cleared lately */
 #define PARTS_REPORT_MAX  8    /**< deaths, or cleared parts, in one message */
 
+/** Milliseconds after the last death that counts against a part, and after the first answer that
+ *  began here since, before it is judged: if many servers end at one moment, sound parts that many
+ *  requests share were at all of them, and the answers that clear them have to begin, here or at
+ *  other fronts. */
+#define PARTS_JUDGE_AFTER_MS 1000
+
+/** Milliseconds for which an answer speaks for the parts of its request. */
+#define PARTS_SOUND_MS 3000
+
 /** A part of prompts: hash of its name with its place in the prompt in the lowest bits. */
 typedef uint64_t PartHash;
 
@@ -59,6 +68,9 @@
 void front_parts_begun (FrontParts *parts, const PartHash *list, unsigned count, int64_t now_ms);
 /** Another front saw an answer to a request with the part begin. */
 void front_parts_told_cleared (FrontParts *parts, const PartCleared *cleared, int64_t now_ms);
+/** True if an answer to a request with the part has begun since, so that it doesn't crash servers:
+ *  it is then among the cleared ones as well. */
+bool front_parts_is_sound (FrontParts *parts, PartHash part, int64_t since_ms);
 /** Adds a death with the parts of requests whose answers had not begun, observed here or reported
  *  by another front. refused holds the parts that are known to crash servers: a death under one of
  *  them speaks against no other. True if it added anything. */
--- a/src/front_peers_receive.c
+++ b/src/front_peers_receive.c
@@ -145,7 +145,7 @@
   for (uint32_t i = 0; i < message->refusal_count; i++)
     front_deaths_refusal_told (front, &message->refusals[i], now_ms);
   for (uint32_t i = 0; i < message->cleared_count; i++)
-    front_parts_told_cleared (front->parts, &message->cleared[i], now_ms);
+    front_deaths_part_cleared (front, &message->cleared[i], now_ms);
   for (uint32_t i = 0; i < message->part_death_count; i++)
     front_deaths_parts_told (front, &message->part_deaths[i], now_ms);
   for (uint32_t i = 0; i < message->return_count; i++)
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -1,6 +1,7 @@
 /* Evaluates a backend server's answer and relays it to the caller. */
 #include "front_cascade.h"
 #include "front_counter.h"
+#include "front_deaths.h"
 #include "front_log.h"
 #include "front_request_private.h"
 #include "util_clock.h"
@@ -215,8 +216,8 @@
     return;
   request->has_begun = true;
   if (request->part_count > 0)
-    front_parts_begun (request->front->parts, request->parts, request->part_count,
-                       clock_boot_ms ());
+    front_deaths_parts_begun (request->front, request->parts, request->part_count,
+                              clock_boot_ms ());
 }
 
 /* Of a backend server's answer, for the caller or for the front that handed the request over. */
--- a/tests/test_front_deaths.c
+++ b/tests/test_front_deaths.c
@@ -75,6 +75,7 @@
   Node *node = &net->nodes[number];
 
   node->front.quarantine = quarantine_new (&front_quarantine_settings);
+  node->front.parts = memory_alloc (sizeof *node->front.parts);
   node->front.rollouts = front_rollouts_new (NULL, domain_of (net, number));
   node->front.peers = &node->peers;
   node->peers.front = &node->front;
@@ -89,6 +90,7 @@
 node_stop (Node *node)
 {
   quarantine_free (node->front.quarantine);
+  free (node->front.parts);
   front_rollouts_free (node->front.rollouts);
   peers_clear (&node->peers);
   *node = (Node){ 0 };
--- a/tests/test_front_parts.c
+++ b/tests/test_front_parts.c
@@ -160,13 +160,16 @@
   teardown ();
 }
 
-#define FRONTS_MAX 985
-#define ROUND_MS   500
-#define STEP_MS    10
-#define SERVERS    40 /* that end under the part within CRASH_MS */
-#define CRASH_MS   4000
-#define APPLY_MS   3000 /* after the fifth death, from which all fronts refuse the part */
-#define LOSS       10   /* one of so many messages is lost */
+#define FRONTS_MAX      985
+#define ROUND_MS        500
+#define STEP_MS         10
+#define SERVERS         40 /* that end under the part within CRASH_MS */
+#define CRASH_MS        4000
+#define APPLY_MS        3000 /* after the fifth death, from which all fronts refuse the part */
+#define LOSS            10   /* one of so many messages is lost */
+#define WAVE_WATCHED_MS 6000
+#define SHARED_MS       4000 /* between answers with the shared part, at a front that gets it */
+#define WRONG_MAX_MS    1000 /* for which any front refuses a sound part */
 
 typedef struct
 {
@@ -245,7 +248,7 @@
       for (uint32_t j = 0; j < message.refusal_count; j++)
         front_deaths_refusal_told (to, &message.refusals[j], now_ms);
       for (uint32_t j = 0; j < message.cleared_count; j++)
-        front_parts_told_cleared (to->parts, &message.cleared[j], now_ms);
+        front_deaths_part_cleared (to, &message.cleared[j], now_ms);
       for (uint32_t j = 0; j < message.part_death_count; j++)
         front_deaths_parts_told (to, &message.part_deaths[j], now_ms);
     }
@@ -261,8 +264,8 @@
   int64_t since_ms = now_ms - NOW + (int64_t)(id_hash (&number, sizeof number, 3) % interval_ms);
 
   if (since_ms % interval_ms < STEP_MS)
-    front_parts_begun (net->nodes[number].front.parts, &sound[since_ms / interval_ms % 2], 1,
-                       now_ms);
+    front_deaths_parts_begun (&net->nodes[number].front, &sound[since_ms / interval_ms % 2], 1,
+                              now_ms);
 }
 
 static void
@@ -276,6 +279,31 @@
     front_peers_send_soon (front->peers);
 }
 
+/* Servers of a wave ended under requests of these fronts. */
+static bool
+is_hit (const Net *net, unsigned number)
+{
+  return number < (net->count + 1) / 2;
+}
+
+/* Each front that is hit had a request there, with the shared part and one of its own. */
+static void
+end_server_everywhere (Net *net, unsigned number, int64_t now_ms)
+{
+  for (unsigned i = 0; i < net->count; i++)
+    {
+      unsigned key[] = { number, i };
+      Front *front = &net->nodes[i].front;
+      QuarantineDeath death
+          = { .server = number + 1,
+              .count = 2,
+              .flights = { FIRST, (id_hash (key, sizeof key, 5) & ~(uint64_t)7) | 1 } };
+
+      if (is_hit (net, i) && front_parts_add (front->parts, &death, front->quarantine, now_ms))
+        front_peers_send_soon (front->peers);
+    }
+}
+
 static void
 check_fronts (unsigned fronts, unsigned domains)
 {
@@ -321,6 +349,56 @@
   check_fronts (985, 6);
 }
 
+/* Half of the fronts had requests at servers that all end at one moment, and get none with their
+ * first part for some seconds. The others do. */
+static void
+check_wave (unsigned fronts, unsigned domains)
+{
+  Net *net = net_new (fronts, domains);
+  const PartHash others = THIRD, shared = FIRST;
+  unsigned wrong_ms = 0, wrong = 0;
+
+  for (int64_t now_ms = NOW; now_ms < NOW + WAVE_WATCHED_MS; now_ms += STEP_MS)
+    {
+      if (now_ms == NOW + STEP_MS)
+        for (unsigned i = 0; i < SERVERS; i++)
+          end_server_everywhere (net, i, now_ms);
+      wrong = 0;
+      for (unsigned i = 0; i < fronts; i++)
+        {
+          Front *front = &net->nodes[i].front;
+          bool had_work = is_hit (net, i);
+          unsigned interval_ms = had_work ? ROUND_MS : SHARED_MS;
+          int64_t since_ms = now_ms - NOW - 2 * STEP_MS;
+
+          wrong += quarantine_contains (front->quarantine, FIRST, now_ms);
+          if (since_ms >= 0 && since_ms % interval_ms == 0
+              && !quarantine_contains (front->quarantine, had_work ? THIRD : FIRST, now_ms))
+            front_deaths_parts_begun (front, had_work ? &others : &shared, 1, now_ms);
+          front_deaths_tick (front, now_ms);
+          if (peers_begin_round (&net->nodes[i].peers, now_ms))
+            send_messages (net, i, now_ms);
+        }
+      wrong_ms += wrong > 0 ? STEP_MS : 0;
+    }
+  printf ("%u fronts: a sound part refused for %u ms, by %u in the end\n", fronts, wrong_ms, wrong);
+  CU_ASSERT_EQUAL (wrong, 0);
+  CU_ASSERT (wrong_ms <= WRONG_MAX_MS);
+  net_free (net);
+}
+
+/* Guards against refusing a part that many requests share for two minutes, as they were at all of
+ * many servers that ended together. */
+static void
+test_sound_part_is_not_refused_after_a_wave (void)
+{
+  check_wave (3, 3);
+  check_wave (9, 4);
+  check_wave (70, 3);
+  check_wave (300, 6);
+  check_wave (985, 6);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -334,6 +412,7 @@
     { "deaths_under_a_refused_part_accuse_no_other",
       test_deaths_under_a_refused_part_accuse_no_other },
     { "other_fronts_clear_a_part", test_other_fronts_clear_a_part },
+    { "sound_part_is_not_refused_after_a_wave", test_sound_part_is_not_refused_after_a_wave },
     { "all_fronts_find_the_part", test_all_fronts_find_the_part },
   };
 
