--- a/tests/test_front_parts.c
+++ b/tests/test_front_parts.c
@@ -369,7 +369,7 @@
           Front *front = &net->nodes[i].front;
           bool had_work = is_hit (net, i);
           unsigned interval_ms = had_work ? ROUND_MS : SHARED_MS;
-          int64_t since_ms = now_ms - NOW - 2 * STEP_MS;
+          int64_t since_ms = now_ms - NOW - (int64_t)2 * STEP_MS;
 
           wrong += quarantine_contains (front->quarantine, FIRST, now_ms);
           if (since_ms >= 0 && since_ms % interval_ms == 0
