Tell from settings and configuration whether work is ordered under load

The users' two new customers have a service whose callers wait for different times: the objectives of its routes differ by a factor of 2 and 2.7, elsewhere by 1.0 to 1.7. Parts that decide who waits take effect only there: the setting contention_ratio (0, the default, never) is compared with the largest such factor of a model service. hedge_share is checked and read; nothing uses it yet.

Ruled out: the names of services or deployments; the slots of servers (16 and 64 there, 24 to 64 elsewhere).

--- a/src/front.c
+++ b/src/front.c
@@ -7,6 +7,13 @@
   return front->stop_requested_ms == 0 && front->config && front->servers_known;
 }
 
+bool
+front_is_contended (const Front *front)
+{
+  return front->config
+         && front_config_is_contended (front->config, front->settings.contention_ratio);
+}
+
 void
 front_open (Front *front, int64_t now_ms)
 {
--- a/src/front.h
+++ b/src/front.h
@@ -62,6 +62,8 @@
 
 /** True once everything that is needed to serve callers is known, and until a stop is requested. */
 bool front_is_ready (const Front *front);
+/** True if the settings and the configuration in force ask for work to be ordered under load. */
+bool front_is_contended (const Front *front);
 /** Starts to accept callers' connections as soon as front_is_ready, or FRONT_OPEN_DELAY_MS after
  *  the start, when requests that can't be served are refused. Until then connections wait in the
  *  kernel's backlog: after a power loss of all VMs the fronts need 0.02 to 0.6 s to fetch the
--- a/src/front_config.c
+++ b/src/front_config.c
@@ -113,6 +113,58 @@
   return team && team->priority >= 0 ? team->priority : route->priority;
 }
 
+static bool
+may_go_to (const FrontRoute *route, const char *service)
+{
+  for (unsigned i = 0; i < route->target_count; i++)
+    {
+      if (route->targets[i].weight > 0 && strcmp (route->targets[i].service, service) == 0)
+        return true;
+    }
+  return false;
+}
+
+static double
+objective_ratio (const FrontConfig *config, const FrontService *service)
+{
+  int64_t shortest = 0, longest = 0;
+
+  for (unsigned i = 0; i < config->route_count; i++)
+    {
+      const FrontRoute *route = &config->routes[i];
+
+      if (route->model_count == 0 || route->objective_ms <= 0 || !may_go_to (route, service->name))
+        continue;
+      if (shortest == 0 || route->objective_ms < shortest)
+        shortest = route->objective_ms;
+      if (route->objective_ms > longest)
+        longest = route->objective_ms;
+    }
+  return shortest > 0 ? (double)longest / (double)shortest : 0;
+}
+
+void
+front_config_complete (FrontConfig *config)
+{
+  for (unsigned i = 0; i < config->service_count; i++)
+    {
+      FrontService *service = &config->services[i];
+
+      service->objective_ratio = service->kv_tokens > 0 ? objective_ratio (config, service) : 0;
+    }
+}
+
+bool
+front_config_is_contended (const FrontConfig *config, double ratio)
+{
+  for (unsigned i = 0; i < config->service_count; i++)
+    {
+      if (ratio > 0 && config->services[i].objective_ratio >= ratio)
+        return true;
+    }
+  return false;
+}
+
 bool
 front_route_is_idempotent (const FrontRoute *route)
 {
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -54,10 +54,12 @@
 typedef struct
 {
   char *name;
-  unsigned slots;        /**< requests that one server runs at once; 0: not given */
-  int64_t cold_start_ms; /**< how long a server stays cold after its start */
-  double cold_per_s;     /**< requests per second to a cold server; 0: as many as to a warm one */
-  int64_t kv_tokens;     /**< key-value cache of one model engine; 0: a service without models */
+  unsigned slots;         /**< requests that one server runs at once; 0: not given */
+  int64_t cold_start_ms;  /**< how long a server stays cold after its start */
+  double cold_per_s;      /**< requests per second to a cold server; 0: as many as to a warm one */
+  int64_t kv_tokens;      /**< key-value cache of one model engine; 0: a service without models */
+  double objective_ratio; /**< of the longest to the shortest objective of the routes that may go
+                             there and choose among models; 0: there is no such route */
 } FrontService;
 
 /** Limits on what a caller may send. */
@@ -93,6 +95,12 @@
 const FrontService *front_config_service (const FrontConfig *config, const char *name);
 /** Priority of a request from 0, the most urgent: the team's, or else the route's. */
 int64_t front_config_priority (const FrontRoute *route, const FrontTeam *team);
+/** Derives what follows from several parts of the configuration; called once all are read. */
+void front_config_complete (FrontConfig *config);
+/** True if the routes of a model service allow their callers' answers to begin at times that differ
+ *  by this factor or more: who waits there under load is then a decision. A ratio of 0 is never
+ *  reached. */
+bool front_config_is_contended (const FrontConfig *config, double ratio);
 /** True if a request may be sent again after it may have run. */
 bool front_route_is_idempotent (const FrontRoute *route);
 
--- a/src/settings_front.c
+++ b/src/settings_front.c
@@ -13,6 +13,7 @@
 #define COLD_OVERAGE_MAX       100.0   /**< multiple of a cold server's rate */
 #define COLD_SLACK_MAX         1000.0  /**< requests */
 #define SECONDS_MAX            86400.0 /**< a day */
+#define CONTENTION_RATIO_MAX   1000.0  /**< far above any two objectives of one service */
 
 typedef struct
 {
@@ -46,6 +47,8 @@
   FRONT_NUMBER ("cold_overage", cold_overage, COLD_OVERAGE_MAX),
   FRONT_NUMBER ("cold_slack", cold_slack, COLD_SLACK_MAX),
   FRONT_NUMBER ("session_s", session_s, SECONDS_MAX),
+  FRONT_NUMBER ("contention_ratio", contention_ratio, CONTENTION_RATIO_MAX),
+  FRONT_NUMBER ("hedge_share", hedge_share, 1),
 };
 
 static const SettingsFront defaults = {
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -21,15 +21,19 @@
   char *store;       /**< IP:PORT of the platform's store */
   int64_t peer_port; /**< UDP port, the same at each front */
   unsigned seed_count;
-  char *seeds[SEEDS_MAX]; /**< IP:PORT of the control endpoints of some fronts */
-  double stop_s;          /**< from the stop signal until the process is killed */
-  double retry_share;     /**< retries allowed per request, over all fronts */
-  double retry_extra;     /**< retries allowed in addition per window, over all fronts */
-  double retry_window_s;  /**< length of the sliding window of the retry limit */
-  double reuse_window_s;  /**< how long a prompt's parts are assumed to be in a server's cache */
-  double cold_overage;    /**< a cold server may get this multiple of its rate in any second */
-  double cold_slack;      /**< requests that it may get in addition */
-  double session_s;       /**< how long after its last request a session ends */
+  char *seeds[SEEDS_MAX];  /**< IP:PORT of the control endpoints of some fronts */
+  double stop_s;           /**< from the stop signal until the process is killed */
+  double retry_share;      /**< retries allowed per request, over all fronts */
+  double retry_extra;      /**< retries allowed in addition per window, over all fronts */
+  double retry_window_s;   /**< length of the sliding window of the retry limit */
+  double reuse_window_s;   /**< how long a prompt's parts are assumed to be in a server's cache */
+  double cold_overage;     /**< a cold server may get this multiple of its rate in any second */
+  double cold_slack;       /**< requests that it may get in addition */
+  double session_s;        /**< how long after its last request a session ends */
+  double contention_ratio; /**< work at a model service is ordered if the objectives of its routes
+                              differ by this factor; 0: never */
+  double hedge_share;      /**< additional sends of slow requests, as a share of a service's
+                              requests over all fronts; 0: none */
 } SettingsFront;
 
 /** Reads and checks a settings file; false if there are errors, all of which are added to list. */
