Choose servers of plain services by how long they take to answer

Cause: a server's lag is measured against a fixed 60 ms and counts a third, and a missing answer counts only when its caller's time is over. Ruled out: load (18 slots at 30 ms take 600 a second, 98 come); the fronts' distance (other failure domains cost 10 ms).

Now each front learns the usual time by service and the difference by server, and counts a missing answer after three times the usual time.

--- a/src/front.h
+++ b/src/front.h
@@ -6,6 +6,7 @@
 #define FRONT_H
 
 #include "choose_quarantine.h"
+#include "front_answer_time.h"
 #include "front_budget.h"
 #include "front_config.h"
 #include "front_lag.h"
@@ -43,6 +44,7 @@
   FrontParts *parts;
   FrontLag lag; /**< of model engines' answers */
   FrontSpeeds speeds;
+  FrontAnswerTimes answer_times;
   FrontReach reach;
   uint16_t callers_port;       /**< the same at all fronts; network order */
   FrontPrompts caller_prompts; /**< of requests received here, wherever they were sent */
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -137,6 +137,10 @@
   double cost = queue_ms (query, server, now_ms) + prompt_ms (query, server, affinity, now_ms)
                 + front_health_penalty_ms (&server->health, now_ms);
 
+  /* Not part of the prediction, by which the versions of a service are compared: the servers of a
+   * slow one would be expected to be slow. */
+  if (query->typical_ms > 0)
+    cost += answer_time_extra_ms (&server->answer_time, query->typical_ms, now_ms);
   if (!server->is_same_domain)
     cost += fmax (CROSS_DOMAIN_MIN_MS, CROSS_DOMAIN_SHARE * (double)query->objective_ms);
   if (server->cold_until_ms > now_ms)
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -23,6 +23,8 @@
   int64_t objective_ms;     /**< within which the answer should begin */
   unsigned slots;           /**< of a server whose entry gives none; 0: default */
   bool is_model;            /**< a model engine, not a plain service */
+  double typical_ms;        /**< what an answer of a plain service usually takes; 0: not known, or
+                               servers are not compared by it */
   ColdRule cold;            /**< limit for cold servers of the service */
   FrontShare share;         /**< this front's share of what a server may get from all fronts */
   int64_t affinity_tokens;  /**< tokens of the prompt's shared parts that are requested often enough
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -62,6 +62,7 @@
   bool relaying;         /* the attempt's answer is being relayed */
   bool has_begun;        /* part of the attempt's answer was relayed */
   bool counted;          /* the attempt was counted for or against its version */
+  unsigned overdue_count; /* how often the attempt's answer was recorded as overdue */
 
   bool is_waiting;     /* for room at a server */
   int64_t wait_end_ms; /* end of all its waits for room; 0: it never waited */
@@ -116,6 +117,14 @@
 /* Refuses a request that has waited for too long. Frees it. */
 void request_end_wait (FrontRequest *request);
 
+/* front_request_overdue.c */
+/* When the missing answer counts as overdue, or as overdue once more; INT64_MAX: never. */
+int64_t request_overdue_ms (const FrontRequest *request);
+/* Records for its server that the answer is overdue, if it is. */
+void request_record_overdue (FrontRequest *request, int64_t now_ms);
+/* Records for its server how long the answer took. */
+void request_record_answer_time (FrontRequest *request, int64_t now_ms);
+
 /* front_request_handoff.c */
 /* Hands the request to another front, as no server has room for it that this front may use. False
  * if there is none to ask. */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -98,6 +98,8 @@
 
   request->server->pending_ms -= request->pending_ms;
   request->pending_ms = 0;
+  if (!failed)
+    request_record_answer_time (request, now_ms);
   if (failed)
     front_health_failed (&request->server->health, now_ms);
   else
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -113,6 +113,9 @@
     .share.self = request->front->vm_hash,
   };
 
+  if (!query.is_model && front_is_contended (request->front))
+    query.typical_ms = front_answer_times_typical_ms (&request->front->answer_times,
+                                                      request_service_hash (request));
   if (version)
     query.canary_hash_max = front_canary_hash_max (
         front_rollouts_get (request->front->rollouts, request->service), version, clock_boot_ms ());
@@ -190,6 +193,7 @@
   request->relaying = false;
   request->has_begun = false;
   request->counted = false;
+  request->overdue_count = 0;
   if (!query->is_model)
     return;
   request->running_weight = query->running_weight;
@@ -385,10 +389,19 @@
   return request->sent_ms + (int64_t)first_ms;
 }
 
+static int64_t
+next_due_ms (const FrontRequest *request)
+{
+  int64_t silence_ms = silence_due_ms (request);
+  int64_t overdue_ms = request->attempt ? request_overdue_ms (request) : INT64_MAX;
+
+  return overdue_ms < silence_ms ? overdue_ms : silence_ms;
+}
+
 void
 request_arm_timer (FrontRequest *request)
 {
-  int64_t due_ms = silence_due_ms (request);
+  int64_t due_ms = next_due_ms (request);
   int64_t wait_ms = (due_ms < request->end_ms ? due_ms : request->end_ms) - clock_boot_ms ();
   struct timeval wait;
 
@@ -417,7 +430,11 @@
       request_give_up (request, "timeout", 0);
     }
   else if (now_ms < silence_due_ms (request))
-    request_arm_timer (request);
+    {
+      if (request->attempt)
+        request_record_overdue (request, now_ms);
+      request_arm_timer (request);
+    }
   else if (!sent && request->is_handed_off)
     request_handle_front_unreachable (request);
   else if (!sent)
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -5,6 +5,7 @@
 #ifndef FRONT_SERVER_H
 #define FRONT_SERVER_H
 
+#include "front_answer_time.h"
 #include "front_brittle.h"
 #include "front_cold.h"
 #include "front_health.h"
@@ -64,6 +65,7 @@
   double unreported_ms; /**< reading that we sent there and have not reported to other fronts yet */
   double unreported_weight; /**< running requests, likewise */
   FrontHealth health;
+  AnswerTime answer_time; /**< of a plain service's server */
   FrontPrompts prompts;
   ColdSends cold_sends; /* after the fields that each choice of a server reads */
 } FrontServer;
