Soak: routes of different urgency, with work ordered under load and hedged requests

--contended adds a less urgent route of the model service and the settings that order work, which no other case has in effect. A flag of its own, so that the schedules of the known seeds stay as they are.

--- a/mk/soak.mk
+++ b/mk/soak.mk
@@ -7,7 +7,7 @@
 	python3 regress/soak/soak.py --build $(BUILD) --seed $(SEED) --seconds $(SECONDS) --vms $(VMS)
 
 # Real fronts on the platform's protocol under randomised faults: make soak-front SEED=n SECONDS=s
-# FRONTS=n; make soak-front-many runs SEEDS seeds, starting with SEED, JOBS at a time. SOAK=--narrow
+# FRONTS=n; make soak-front-many runs SEEDS seeds, starting with SEED, JOBS at a time. SOAK=--narrow, --contended
 # uses a large configuration and slow links to the store.
 FRONTS ?= 4
 SEEDS ?= 50
--- a/regress/case_front_soak.sh
+++ b/regress/case_front_soak.sh
@@ -11,6 +11,7 @@
 
 run_soak 4
 run_soak 5 --narrow
+run_soak 6 --contended
 while read -r seed _; do
   run_soak "$seed"
 done < <(grep -v '^#' "$here/front/seeds.txt")
--- a/regress/front/check.py
+++ b/regress/front/check.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from site_front import COLD_OVERAGE, COLD_SLACK
+from site_front import COLD_OVERAGE, COLD_SLACK, STREAM_PREFIXES
 
 EVACUATED_S = 2.0  # after this, engines of an evacuated failure domain get no new work
 # Requests that an engine which names a limit of N a second may get within LIMIT_WINDOW_S from fronts that it told:
@@ -24,7 +24,7 @@
             violations.append("success without an engine's signature")
         if not runs:
             violations.append("success although no engine ran the request")
-    elif answer.path.startswith("/text/") and answer.body and 200 <= answer.status < 300:
+    elif answer.path.startswith(STREAM_PREFIXES) and answer.body and 200 <= answer.status < 300:
         if not any(complete.startswith(answer.body) for complete in site.expected(answer)):
             violations.append("truncated stream that is not a prefix of the answer")
     if answer.status in (429, 503, 408, 421) and runs and answer.path.startswith("/once/"):
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -30,6 +30,11 @@
     {"Name": "r-again", "Prefix": "/again/", "Kind": "idempotent", "Service": "orders",
      "TimeoutMs": 2500, "SloMs": 300, "MaxAttempts": 3},
 ]  # fmt: skip
+# A less urgent route of the same service, whose callers can wait, and the settings by which its work is ordered.
+NOTE_ROUTE = {"Name": "r-note", "Prefix": "/note/", "Kind": "streaming", "Service": "texts", "Sizes": MODELS, "Priority": 2,
+              "Resumable": True, "GapAimMs": 300, "TimeoutMs": 7000, "SloMs": 2400, "MaxAttempts": 3}  # fmt: skip
+CONTENDED_SETTINGS = {"contention_ratio": 2, "hedge_share": 0.1}
+STREAM_PREFIXES = ("/text/", "/note/")
 
 
 class Answer:
@@ -67,6 +72,7 @@
             "callers": f"{self.ip}:{CALLERS_PORT}", "ready": f"{self.ip}:{READY_PORT}", "control": f"{self.ip}:{self.control}",
             "store": f"{self.ip}:{STORE_PORT}", "peer_port": PEERS_PORT, "stop_s": 8, "retry_share": 0.9,
             "retry_extra": 50, "session_s": 3, "cold_overage": COLD_OVERAGE, "cold_slack": COLD_SLACK, "seeds": self.seeds or [f"{front.ip}:{CONTROL_PORT}" for front in self.site.fronts[:3]],
+            **self.site.more_settings,
         }  # fmt: skip
 
     async def start(self):
@@ -157,6 +163,7 @@
         self.version = 0  # of the newest configuration
         self.config_acked = {}  # version -> when the store acknowledged it
         self.routes = [dict(route) for route in ROUTES]
+        self.more_settings = {}  # of all fronts
         self.keys = [KEY]
         self.front_of = {}  # request id -> number of the front that it was sent to
         self.senders = {}  # (request id, engine) -> (time, number of the front) of each attempt in the fronts' logs
@@ -274,7 +281,7 @@
 
     def expected(self, answer):
         """Returns the bodies that are a correct and complete answer, one per model for a stream."""
-        if answer.path.startswith("/text/"):
+        if answer.path.startswith(STREAM_PREFIXES):
             after = -1 if answer.after is None else answer.after
             return [complete_stream(model, answer.sent_body, after) for model in MODELS]
         return [plain_answer(answer.method, answer.path, answer.sent_body)]
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -17,7 +17,7 @@
 from check import attempt_violations, evacuation_violations, leaving_violations, limit_violations, part_violations, rest_violations, site_violations
 from engines import digest
 from relay_tcp import Relay
-from site_front import CALLERS_PORT, COLD_START_S, Site, add_routes
+from site_front import CALLERS_PORT, COLD_START_S, CONTENDED_SETTINGS, NOTE_ROUTE, Site, add_routes
 
 UNDISTURBED_S = 3.0  # checks with a time limit apply to a front without a fault for so long
 APPLY_S = 2.0  # a new configuration is in force at a front after this
@@ -44,6 +44,11 @@
         self.bad_versions = set()  # that fail all requests
         self.seconds, self.slack = args.seconds, args.slack
         self.narrow = args.narrow
+        self.kinds = ["/text/", "/once/", "/again/"]
+        if args.contended:
+            self.site.routes.append(dict(NOTE_ROUTE))
+            self.site.more_settings = CONTENDED_SETTINGS
+            self.kinds.append("/note/")
         self.violations = []
         self.answers = []
         # (front number, engine, time) of each answer that a front passed on with a limit, or that says the engine leaves
@@ -348,7 +353,7 @@
                 except (OSError, asyncio.TimeoutError):
                     await asyncio.sleep(0.1)
                     continue
-            kind = rng.choice(["/text/", "/once/", "/again/"])
+            kind = rng.choice(self.kinds)
             key = self.site.keys[-1] if rng.random() < 0.9 else rng.choice(list(self.revoked) or self.site.keys)
             sent = time.monotonic()
             path, body = f"{kind}{number}", b"%d.%d" % (number, rng.getrandbits(60))
@@ -431,7 +436,7 @@
         """Checks that each front is ready and serves each kind of request after the faults."""
         for front in self.site.fronts:
             await self.site.wait(front.is_ready, f"front {front.number} ready again")
-            for kind in ("/text/", "/once/", "/again/"):
+            for kind in self.kinds:
 
                 async def served(front=front, kind=kind):
                     answer = await self.site.call(front, kind, b"after", key=self.site.keys[-1])
@@ -474,6 +479,7 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--slack", type=float, default=0.5, help="seconds added to the time limits of the checks")
     parser.add_argument("--narrow", action="store_true", help="a large configuration over slow links to the store")
+    parser.add_argument("--contended", action="store_true", help="routes of different urgency, with work ordered under load and hedged requests")
     args = parser.parse_args()
     soak = Soak(args)
     try:
