Believe how late answers begin, by server and urgency, and choose by it

What callers saw: under overload answers of model engines began 7 to 13 times later than predicted (medians; 55 to 70 at the ninth decile), as one of 70 fronts counts a seventieth of an engine's queue. The choice of a server, the cascade and repeats all went by that prediction.

Now each front keeps what answers, silences and rejections show beyond known work: by server and class of urgency (front_waits), tells others the late ones (front_peers_waits) and adds the belief to its prediction. The base prediction stays apart, so samples don't feed on themselves; engines' speeds are not learned from answers that are believed late. The belief takes the place of the server's lag in the choice; in the cascade the greater of lag and belief counts. Only what a server's belief exceeds its service's counts in the choice: with the whole belief all fronts went to the servers believed fast, which rejected thousands.

Only where front_is_contended; empty and silent in calm times.

--- a/src/front.h
+++ b/src/front.h
@@ -17,6 +17,7 @@
 #include "front_share.h"
 #include "front_speeds.h"
 #include "front_waiting.h"
+#include "front_waits.h"
 #include "settings_front.h"
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -41,7 +42,9 @@
   FrontBudget *budget;
   Quarantine *quarantine;
   FrontParts *parts;
-  FrontLag lag; /**< of model engines' answers */
+  FrontLag lag;       /**< of model engines' answers */
+  FrontWaits *waits;  /**< of model engines; filled only where front_is_contended */
+  uint32_t wait_keys; /**< of attempts so far, for front_waits */
   FrontSpeeds speeds;
   FrontReach reach;
   uint16_t callers_port;       /**< the same at all fronts; network order */
--- a/src/front_cascade.c
+++ b/src/front_cascade.c
@@ -34,11 +34,13 @@
 #define READING_MAX_MS 1000.0
 
 static double
-keep_threshold (const CascadeCase *c, double first_ms)
+keep_threshold (const CascadeCase *c, const CascadeForecast *forecast)
 {
   const KeepThreshold *threshold = c->has_middle ? &threshold_with_middle : &threshold_two_models;
-  double lag_ms = fmax (c->lag_ms - LAG_BASELINE_MS, 0);
-  double wait = (first_ms + LAG_WEIGHT * lag_ms) / (double)c->objective_ms;
+  /* The forecast's wait and the lag measure the same lateness, which counts once. */
+  double lag_ms = fmax (fmax (c->lag_ms, forecast->wait_ms) - LAG_BASELINE_MS, 0);
+  double known_ms = forecast->first_ms - forecast->wait_ms;
+  double wait = (known_ms + LAG_WEIGHT * lag_ms) / (double)c->objective_ms;
 
   return (c->priority >= LEAST_URGENT_PRIORITY ? threshold->least_urgent : threshold->urgent)
          - threshold->wait_discount * wait;
@@ -61,7 +63,7 @@
       forecast = c->forecast (c->user, step);
     }
   if (!forecast.has_server || forecast.reading_ms > READING_MAX_MS
-      || c->confidence >= keep_threshold (c, forecast.first_ms))
+      || c->confidence >= keep_threshold (c, &forecast))
     return CASCADE_KEEP;
   return step;
 }
--- a/src/front_cascade.h
+++ b/src/front_cascade.h
@@ -21,6 +21,7 @@
 {
   bool has_server;   /**< a server may get it; if not, the times mean nothing */
   double first_ms;   /**< milliseconds until its answer begins */
+  double wait_ms;    /**< part of first_ms that is learned from late answers */
   double reading_ms; /**< part of first_ms spent reading the prompt */
 } CascadeForecast;
 
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -83,14 +83,15 @@
 
   front_counter_metrics (&text);
   front_log_metrics (&text);
-  buffer_printf (&text,
-                 "lovage_front_ready %d\nlovage_front_connections %u\n"
-                 "lovage_front_requests_open %u\nlovage_front_servers %u\n"
-                 "lovage_front_peers_alive %u\nlovage_front_config_version %lld\n",
-                 front_is_ready (front), front->conn_count, front->request_count,
-                 front_servers_count (front->servers),
-                 front_peers_alive (front->peers, clock_boot_ms ()),
-                 front->config ? (long long)front->config->version : 0);
+  buffer_printf (
+      &text,
+      "lovage_front_ready %d\nlovage_front_connections %u\n"
+      "lovage_front_requests_open %u\nlovage_front_servers %u\n"
+      "lovage_front_peers_alive %u\nlovage_front_config_version %lld\n"
+      "lovage_front_wait_rows %u\n",
+      front_is_ready (front), front->conn_count, front->request_count,
+      front_servers_count (front->servers), front_peers_alive (front->peers, clock_boot_ms ()),
+      front->config ? (long long)front->config->version : 0, front_waits_count (front->waits));
   server_metrics (front, &text);
   for (unsigned i = 0; i < STORE_TABLES; i++)
     buffer_printf (&text, "lovage_front_store_lost{table=\"%u\"} %d\n", i,
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -6,6 +6,7 @@
 #include "front_deaths.h"
 #include "front_log.h"
 #include "front_peers.h"
+#include "front_request.h"
 #include "front_socket.h"
 #include "front_store.h"
 #include "settings_arguments.h"
@@ -89,6 +90,9 @@
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
   front_deaths_tick (&self->front, now_ms);
+  front_requests_note_silent (&self->front, now_ms);
+  front_waits_expire (self->front.waits, now_ms);
+  front_peers_send_waits (self->front.peers, now_ms);
   front_budget_set_fronts (self->front.budget, front_peers_alive (self->front.peers, now_ms));
   front_peers_fill_view (self->front.peers, now_ms, &self->front.fronts);
   front_control_tick (self->control, now_ms);
@@ -215,6 +219,7 @@
   });
   front->quarantine = quarantine_new (&front_quarantine_settings);
   front->parts = memory_alloc (sizeof *front->parts);
+  front->waits = front_waits_new ();
   front->peers = front_peers_new (front);
   if (!front->peers)
     return "peers";
@@ -242,6 +247,7 @@
   front_store_free (front->store);
   front_waiting_clear (&front->waiting);
   front_peers_free (front->peers);
+  front_waits_free (front->waits);
   event_free (self->tick);
   event_free (self->signals[0]);
   event_free (self->signals[1]);
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -40,6 +40,8 @@
                             int64_t now_ms);
 /** Tells others that a brittle server turned a request away. */
 void front_peers_send_full (FrontPeers *peers, const FrontServer *server, int64_t now_ms);
+/** Tells others how long answers of model engines take to begin where they begin late. */
+void front_peers_send_waits (FrontPeers *peers, int64_t now_ms);
 /** Where changes of a table are polled for: true and *address if another front of the same failure
  *  domain polls the store for the table and relays its changes; false: this front polls the store
  *  itself. */
--- a/src/front_peers_private.h
+++ b/src/front_peers_private.h
@@ -113,6 +113,9 @@
   unsigned next_death;        /* turn of the next message's deaths and refusals */
   double work_credit_bytes;   /* bytes that may be spent on work messages */
   int64_t work_ms;            /* time at which work_credit_bytes was computed */
+  double waits_credit_bytes;  /* the same for messages of waits */
+  int64_t waits_ms;           /* time at which waits_credit_bytes was computed */
+  int64_t waits_sent_ms;      /* the last of these messages */
   unsigned next_work;         /* first peer considered for the next work message */
   double other_domain_credit; /* fraction of a message to other failure domains, carried over from
                                  the last round */
@@ -209,9 +212,15 @@
 bool peers_may_send_work (FrontPeers *peers, int64_t now_ms);
 /* Sends a message at once, to fronts of the own failure domain first. */
 void peers_send_at_once (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
+/* The same, but neither counted nor paid for by the credit of work messages. Returns the number of
+ * recipients. */
+unsigned peers_send_in_turn (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
 /* front_peers_work.c: false if the data is not a work message. */
 bool peers_receive_work (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
 
+/* front_peers_waits.c: false if the data is not a message of waits. */
+bool peers_receive_waits (FrontPeers *peers, const void *data, size_t len, int64_t now_ms);
+
 #define PEERS_PER_ROUND_MAX 600 /* peers that a round's message is sent to, at most */
 
 /* front_peers_send.c */
--- a/src/front_peers_work.c
+++ b/src/front_peers_work.c
@@ -47,7 +47,6 @@
         continue;
       sendto (peers->fd, data, len, 0, (const struct sockaddr *)&peer->address,
               sizeof peer->address);
-      front_counter_add (FRONT_COUNTER_WORK_MESSAGES);
       sent++;
     }
   return sent;
@@ -65,14 +64,23 @@
   return peers->work_credit_bytes > 0;
 }
 
-void
-peers_send_at_once (FrontPeers *peers, const void *data, size_t len, int64_t now_ms)
+unsigned
+peers_send_in_turn (FrontPeers *peers, const void *data, size_t len, int64_t now_ms)
 {
   unsigned sent = send_to_peers (peers, data, len, true, RECIPIENTS_MAX, now_ms);
 
   sent += send_to_peers (peers, data, len, false, RECIPIENTS_MAX - sent, now_ms);
-  peers->work_credit_bytes -= (double)sent * (double)(len + WORK_HEADER_BYTES);
   peers->next_work++;
+  return sent;
+}
+
+void
+peers_send_at_once (FrontPeers *peers, const void *data, size_t len, int64_t now_ms)
+{
+  unsigned sent = peers_send_in_turn (peers, data, len, now_ms);
+
+  front_counter_add_many (FRONT_COUNTER_WORK_MESSAGES, sent);
+  peers->work_credit_bytes -= (double)sent * (double)(len + WORK_HEADER_BYTES);
 }
 
 void
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -9,6 +9,7 @@
 #include "front_cold.h"
 #include "front_servers.h"
 #include "front_speeds.h"
+#include "front_waits.h"
 
 #define PICK_TRIED_MAX 8
 
@@ -31,6 +32,9 @@
   int64_t reuse_window_ms;  /**< how long a prompt is assumed to stay in a server's cache */
   uint64_t canary_hash_max; /**< servers with a larger hash are used only if the others are loaded;
                                0 or UINT64_MAX: none (front_canary) */
+  const FrontWaits *waits;  /**< of model engines; NULL: the server's own lag counts instead */
+  uint64_t service_hash;    /**< of the service's name; used with waits */
+  WaitClass urgency;        /**< used with waits */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
@@ -50,6 +54,8 @@
 {
   FrontServer *server;   /**< NULL: none */
   double predicted_ms;   /**< milliseconds until the answer begins */
+  double base_ms;        /**< part of predicted_ms that follows from known work */
+  WaitBelief belief;     /**< the rest */
   double prompt_ms;      /**< part of predicted_ms spent reading the prompt */
   int64_t prompt_tokens; /**< prompt tokens that it has to read, as far as known */
   PickWait wait;         /**< why the server was excluded that may get a request first */
--- a/src/front_request.h
+++ b/src/front_request.h
@@ -20,6 +20,8 @@
 
 /** Treats the attempts whose server has restarted like those with a lost connection. */
 void front_requests_cut_restarted (Front *front);
+/** Notes how long requests wait at model engines whose answers have not begun though due. */
+void front_requests_note_silent (Front *front, int64_t now_ms);
 /** Number of requests in progress that were sent to this version of the service. */
 unsigned
 front_requests_count_running (const Front *front, const char *service, const char *version);
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -49,6 +49,9 @@
   FrontAttempt *attempt; /* current attempt; NULL between attempts */
   FrontServer *server;   /* of the current attempt; holds a reference */
   double predicted_ms;   /* from the start of the attempt until the answer begins */
+  WaitBelief belief;     /* by how much later than predicted_ms the answer is expected */
+  bool is_ordered;       /* the attempt is at a model engine, and front_is_contended */
+  uint32_t wait_key;     /* tells the attempt apart in front_waits */
   double prompt_ms;      /* part of predicted_ms spent reading the prompt */
   int64_t prompt_tokens; /* prompt tokens that the server had to read, as far as known */
   bool loaded;           /* the attempt's server is loaded on purpose (front_canary) */
@@ -108,6 +111,16 @@
 /* A connection to the attempt's server was opened. */
 void request_record_reached (FrontRequest *request);
 
+/* front_request_waits.c: samples for front_waits, where front_is_contended. */
+WaitClass request_urgency (const FrontRequest *request);
+/* The attempt's answer has begun. */
+void request_wait_begun (const FrontRequest *request, int64_t now_ms);
+/* The attempt's server turned the request away for lack of room. */
+void request_wait_full (const FrontRequest *request, int64_t now_ms);
+/* True if answers of the attempt's server are known to begin late, so that its times say nothing of
+ * its speed. */
+bool request_wait_is_believed (const FrontRequest *request, int64_t now_ms);
+
 /* front_request_wait.c */
 /* Keeps the request until a server has room for it, or for a while. False if it would wait for too
  * long. */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -102,7 +102,10 @@
     front_health_failed (&request->server->health, now_ms);
   else
     front_health_answered (&request->server->health, now_ms, first_ms, request->predicted_ms);
-  if (!failed && request->route->kind == ROUTE_STREAM)
+  if (!failed)
+    request_wait_begun (request, now_ms);
+  if (!failed && request->route->kind == ROUTE_STREAM
+      && !request_wait_is_believed (request, now_ms))
     request_learn_speed (request, first_ms, now_ms);
   if (!failed && request->model != NO_MODEL)
     front_lag_add (&request->front->lag, first_ms - request->predicted_ms, now_ms);
@@ -359,6 +362,7 @@
       return;
     case REPLY_NOT_RUN:
       front_health_full (&request->server->health, now_ms);
+      request_wait_full (request, now_ms);
       request_retry (request, "server_full", false);
       return;
     case REPLY_GARBLED:
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -113,6 +113,12 @@
     .share.self = request->front->vm_hash,
   };
 
+  if (query.is_model && front_is_contended (request->front))
+    {
+      query.waits = request->front->waits;
+      query.service_hash = request_service_hash (request);
+      query.urgency = request_urgency (request);
+    }
   if (version)
     query.canary_hash_max = front_canary_hash_max (
         front_rollouts_get (request->front->rollouts, request->service), version, clock_boot_ms ());
@@ -137,6 +143,16 @@
   request->version_hash = hash;
 }
 
+/* How much of the prediction is belief, and where that comes from. */
+static void
+log_belief (FrontLine *line, const PickAnswer *pick)
+{
+  front_log_number (line, "wait_ms", (int64_t)pick->belief.ms);
+  front_log_number (line, "wait_age_ms", pick->belief.age_ms);
+  front_log_number (line, "wait_told", pick->belief.is_told);
+  front_log_number (line, "wait_general", pick->belief.is_general);
+}
+
 static void
 log_sent (const FrontRequest *request, const PickAnswer *pick)
 {
@@ -152,11 +168,15 @@
   front_log_span (line, "model", model);
   front_log_text (line, "server", pick->server->entry.id);
   front_log_number (line, "running", pick->server->running);
-  front_log_number (line, "predicted_ms", (int64_t)pick->predicted_ms);
+  front_log_number (line, "predicted_ms",
+                    (int64_t)(request->is_ordered ? request->predicted_ms + pick->belief.ms
+                                                  : pick->predicted_ms));
   front_log_number (line, "prompt_ms", (int64_t)pick->prompt_ms);
   front_log_number (line, "avoided", pick->avoided);
   front_log_number (line, "attempt", request->attempts);
   front_log_number (line, "limited", pick->server->limit.is_named);
+  if (request->is_ordered)
+    log_belief (line, pick);
   front_log_end (line);
 }
 
@@ -176,8 +196,11 @@
   cold_sent (&pick->server->cold_sends, now_ms);
   server_limit_sent (&pick->server->limit, now_ms);
   request->predicted_ms
-      = pick->predicted_ms
+      = pick->base_ms
         + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
+  request->belief = pick->belief;
+  request->is_ordered = query->waits != NULL;
+  request->wait_key = ++request->front->wait_keys;
   request->prompt_ms = pick->prompt_ms;
   request->prompt_tokens = pick->prompt_tokens;
   request->loaded = query->canary_hash_max > 0 && query->canary_hash_max < UINT64_MAX
@@ -305,6 +328,7 @@
   pick = front_pick (request->front->servers, &query, clock_boot_ms ());
   return (CascadeForecast){ .has_server = pick.server != NULL,
                             .first_ms = pick.predicted_ms,
+                            .wait_ms = pick.belief.ms,
                             .reading_ms = pick.prompt_ms };
 }
 
@@ -364,7 +388,7 @@
 {
   const FrontRoute *route = request->route;
   double first_ms = fmax ((double)route->objective_ms * FIRST_BYTE_SHARE,
-                          request->predicted_ms * FIRST_BYTE_FACTOR);
+                          (request->predicted_ms + request->belief.ms) * FIRST_BYTE_FACTOR);
 
   if (request->is_waiting)
     return request->wait_end_ms;
--- a/tests/test_front_cascade.c
+++ b/tests/test_front_cascade.c
@@ -7,6 +7,7 @@
 
 /* Lag of answers against their prediction. */
 static double lag_ms;
+static double wait_ms; /* part of the forecast that is learned from late answers */
 static bool has_middle;
 static bool is_out;                            /* no server may run a larger model now */
 static double reading_ms[CASCADE_LARGEST + 1]; /* of the prompt, by step */
@@ -22,7 +23,8 @@
   const Forecasts *forecasts = user;
 
   return (CascadeForecast){ .has_server = !is_out,
-                            .first_ms = forecasts->larger_ms,
+                            .first_ms = forecasts->larger_ms + wait_ms,
+                            .wait_ms = wait_ms,
                             .reading_ms = reading_ms[step] };
 }
 
@@ -157,7 +159,26 @@
   has_middle = false;
 }
 
+/* Load: answers begin 150 ms late at all servers. The cascade sees it as the front's lag, and in the
+ * forecast as a wait: both together must decide like either alone, and more than none. */
+static void
+test_lateness_counts_once (void)
+{
+  CU_ASSERT (escalates (45, URGENT, 50, 100));
+  lag_ms = 150;
+  CU_ASSERT (escalates (30, URGENT, 50, 100));
+  CU_ASSERT (!escalates (45, URGENT, 50, 100));
+  wait_ms = 150;
+  CU_ASSERT (escalates (30, URGENT, 50, 100));
+  CU_ASSERT (!escalates (45, URGENT, 50, 100));
+  lag_ms = 0;
+  CU_ASSERT (escalates (30, URGENT, 50, 100));
+  CU_ASSERT (!escalates (45, URGENT, 50, 100));
+  wait_ms = 0;
+}
+
 static const SuiteCase cases[] = {
+  { "lateness_counts_once", test_lateness_counts_once },
   { "answer_is_kept_without_server", test_answer_is_kept_without_server },
   { "low_confidence_escalates", test_low_confidence_escalates },
   { "least_urgent_escalates_less", test_least_urgent_escalates_less },
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -288,6 +288,106 @@
     }
 }
 
+#define SERVICE_HASH 7
+
+/* So many answers that began later than predicted by this. */
+static void
+add_waits (FrontWaits *waits, const char *id, unsigned count, double wait_ms)
+{
+  for (unsigned i = 0; i < count; i++)
+    front_waits_add (waits,
+                     &(WaitSample){ .server = front_servers_find (servers, id)->hash,
+                                    .service = SERVICE_HASH,
+                                    .urgency = WAIT_URGENT,
+                                    .wait_ms = wait_ms },
+                     NOW);
+}
+
+static PickQuery
+query_with (const FrontWaits *waits)
+{
+  PickQuery query = query_of ("v1");
+
+  query.waits = waits;
+  query.service_hash = SERVICE_HASH;
+  call.part_count = 0;
+  return query;
+}
+
+/* Load: one server of three turns slow. It is left for another one, also in another failure domain,
+ * for as long as it is believed slow; the prediction contains the belief, and the base of later
+ * samples does not. */
+static void
+test_waits_move_work_from_slow_server (void)
+{
+  FrontWaits *waits = front_waits_new ();
+  PickQuery query;
+  PickAnswer answer;
+
+  setup ();
+  query = query_with (waits);
+  add ("a", "here", "v1");
+  add ("bb", "there", "v1");
+  front_servers_find (servers, "a")->pending_ms = 5;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "a");
+  add_waits (waits, "a", 8, 1500);
+  add_waits (waits, "bb", 8, 0);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "bb");
+  query.tried[query.tried_count++] = front_servers_find (servers, "bb")->hash;
+  answer = front_pick (servers, &query, NOW);
+  CU_ASSERT_STRING_EQUAL (answer.server->entry.id, "a");
+  CU_ASSERT (answer.belief.ms > 1000);
+  CU_ASSERT_DOUBLE_EQUAL (answer.base_ms, 75, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (answer.predicted_ms, answer.base_ms + answer.belief.ms, 1e-9);
+  query.tried_count = 0;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW + 15000), "a");
+  front_waits_free (waits);
+}
+
+/* Load: a burst, all servers late but one. All fronts learn that within a second; if it attracted
+ * their requests, it would reject most of them. It gets no more than its known work allows. */
+static void
+test_fast_server_does_not_attract_all (void)
+{
+  FrontWaits *waits = front_waits_new ();
+  PickQuery query;
+
+  setup ();
+  query = query_with (waits);
+  add ("a", "here", "v1");
+  add ("bb", "here", "v1");
+  add ("ccc", "here", "v1");
+  add_waits (waits, "bb", 4, 0);
+  add_waits (waits, "a", 8, 1500);
+  add_waits (waits, "ccc", 8, 1500);
+  front_servers_find (servers, "bb")->pending_ms = 300;
+  CU_ASSERT (strcmp (picked (&query, NOW), "bb") != 0);
+  front_waits_free (waits);
+}
+
+/* A late answer counts in a server's health and in the belief; a choice must count it once, and
+ * without beliefs as before. */
+static void
+test_lateness_counts_once (void)
+{
+  FrontWaits *waits = front_waits_new ();
+  PickQuery query;
+
+  setup ();
+  query = query_with (waits);
+  add ("a", "here", "v1");
+  add ("bb", "there", "v1");
+  for (unsigned i = 0; i < 6; i++)
+    front_health_answered (&front_servers_find (servers, "a")->health, NOW, 2060, 60);
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "a");
+  query.waits = NULL;
+  CU_ASSERT_STRING_EQUAL (picked (&query, NOW), "bb");
+  CU_ASSERT_EQUAL (front_pick (servers, &query, NOW).belief.ms, 0);
+  CU_ASSERT_DOUBLE_EQUAL (front_pick (servers, &query, NOW).predicted_ms,
+                          front_pick (servers, &query, NOW).base_ms, 1e-9);
+  front_waits_free (waits);
+}
+
 static void
 test_unreachable_server_backs_off (void)
 {
@@ -583,6 +683,9 @@
   { "avoids_failing_server", test_avoids_failing_server },
   { "tolerates_short_lag_not_slow_server", test_tolerates_short_lag_not_slow_server },
   { "crosses_domains_only_for_gain", test_crosses_domains_only_for_gain },
+  { "waits_move_work_from_slow_server", test_waits_move_work_from_slow_server },
+  { "fast_server_does_not_attract_all", test_fast_server_does_not_attract_all },
+  { "lateness_counts_once", test_lateness_counts_once },
   { "unreachable_server_backs_off", test_unreachable_server_backs_off },
   { "filters_by_version_and_tried", test_filters_by_version_and_tried },
   { "draining_is_final", test_draining_is_final },
