Rank requests by team, then by route, where work is ordered under load

Callers of the most urgent kind waited behind a burst of the least urgent: nearly all teams have the same priority, and it took the place of the route's, so model servers saw one rank for all kinds. The rank is now 3 x the place of the team's priority plus the level of the route among the routes of the same services, bounded at 9. A kind comes after a more urgent one only if its callers wait for twice that one's objective, or it would starve. Priorities of teams out of range count as none: the place of the middle team; config_applied logs their number (odd_priorities).

While a service is late, a team that sends far more than others (front_team_use: beyond the max-min part and three times the mean of the others) has requests in turn up to its part; the rest comes behind the other teams. Each front judges by its own sample, without messages.

Ruled out: the route's priority alone (a team's own would not count), a cap of the least urgent kind at a front. Tests: test_front_urgency (burst of the least urgent, starvation beside urgent work, priorities out of range), test_front_team_use (hot team and its return, equal teams, one team, 985 fronts' samples, more teams than records).

--- a/src/front.h
+++ b/src/front.h
@@ -16,6 +16,7 @@
 #include "front_sessions.h"
 #include "front_share.h"
 #include "front_speeds.h"
+#include "front_team_use.h"
 #include "front_waiting.h"
 #include "settings_front.h"
 #include <event2/event.h>
@@ -43,6 +44,7 @@
   FrontParts *parts;
   FrontLag lag; /**< of model engines' answers */
   FrontSpeeds speeds;
+  FrontTeamUse team_use; /**< of requests received here */
   FrontReach reach;
   uint16_t callers_port;       /**< the same at all fronts; network order */
   FrontPrompts caller_prompts; /**< of requests received here, wherever they were sent */
--- a/src/front_config.c
+++ b/src/front_config.c
@@ -1,4 +1,5 @@
 #include "front_config.h"
+#include "front_urgency.h"
 #include "util_memory.h"
 #include <stdlib.h>
 #include <string.h>
@@ -143,9 +144,75 @@
   return shortest > 0 ? (double)longest / (double)shortest : 0;
 }
 
+static bool
+share_service (const FrontRoute *route, const FrontRoute *other)
+{
+  for (unsigned i = 0; i < other->target_count; i++)
+    {
+      if (other->targets[i].weight > 0 && may_go_to (route, other->targets[i].service))
+        return true;
+    }
+  return false;
+}
+
+/* Level of a route among those with which it shares a service. */
+static unsigned
+route_level (const FrontConfig *config, const FrontRoute *route)
+{
+  UrgencyRoute *kinds = memory_array (config->route_count, sizeof *kinds);
+  unsigned *levels = memory_array (config->route_count, sizeof *levels);
+  unsigned count = 0, own = 0, level;
+
+  for (unsigned i = 0; i < config->route_count; i++)
+    {
+      const FrontRoute *other = &config->routes[i];
+
+      if (other != route && !share_service (route, other))
+        continue;
+      if (other == route)
+        own = count;
+      kinds[count++] = (UrgencyRoute){
+        .priority = other->priority,
+        .timeout_ms = other->timeout_ms,
+        .objective_ms = other->objective_ms,
+      };
+    }
+  front_urgency_levels (kinds, count, levels);
+  level = levels[own];
+  free (kinds);
+  free (levels);
+  return level;
+}
+
+static void
+complete_teams (FrontConfig *config)
+{
+  UrgencyTeams teams = { 0 };
+
+  for (unsigned i = 0; i < config->team_count; i++)
+    config->odd_priorities += !front_urgency_add_team (&teams, config->teams[i].priority);
+  for (unsigned i = 0; i < config->team_count; i++)
+    {
+      FrontTeam *team = &config->teams[i];
+
+      team->place = front_urgency_team_place (&teams, team->priority);
+      team->hash = span_hash (span_of (team->name)) | 1;
+    }
+  config->no_team_place = front_urgency_team_place (&teams, URGENCY_PRIORITY_NONE);
+}
+
+unsigned
+front_config_rank (const FrontConfig *config, const FrontRoute *route, const FrontTeam *team)
+{
+  return front_urgency_rank (team ? team->place : config->no_team_place, route->level);
+}
+
 void
 front_config_complete (FrontConfig *config)
 {
+  for (unsigned i = 0; i < config->route_count; i++)
+    config->routes[i].level = route_level (config, &config->routes[i]);
+  complete_teams (config);
   for (unsigned i = 0; i < config->service_count; i++)
     {
       FrontService *service = &config->services[i];
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -31,6 +31,7 @@
   int64_t objective_ms;  /**< latency objective: to the answer, or to the first event of a stream */
   int64_t gap_ms;        /**< longest pause between two events that meets the objective */
   int64_t priority;      /**< 0 is the most urgent */
+  unsigned level;        /**< of its urgency among the routes to the same services; 0 is first */
   unsigned attempts_max; /**< maximum number of backend servers that one request is sent to */
   bool is_public;        /**< needs no API key */
   bool resumable;
@@ -48,6 +49,8 @@
   unsigned key_count;
   char **keys;
   int64_t priority; /**< overrides the route's; -1: none */
+  unsigned place;   /**< of its priority among those of all teams; 0 is first */
+  uint64_t hash;    /**< of the name; never 0 */
 } FrontTeam;
 
 /** A backend service as the configuration describes it. */
@@ -80,6 +83,8 @@
   FrontRoute *routes;
   unsigned team_count;
   FrontTeam *teams;
+  unsigned no_team_place;  /**< FrontTeam.place of requests without a team */
+  unsigned odd_priorities; /**< teams whose priority is out of range, and counts as none */
   unsigned service_count;
   FrontService *services;
 } FrontConfig;
@@ -95,6 +100,10 @@
 const FrontService *front_config_service (const FrontConfig *config, const char *name);
 /** Priority of a request from 0, the most urgent: the team's, or else the route's. */
 int64_t front_config_priority (const FrontRoute *route, const FrontTeam *team);
+/** Rank of a request by the priority of its team, then by the level of its route: 0, the first, to
+ *  URGENCY_RANK_MAX. */
+unsigned
+front_config_rank (const FrontConfig *config, const FrontRoute *route, const FrontTeam *team);
 /** Derives what follows from several parts of the configuration; called once all are read. */
 void front_config_complete (FrontConfig *config);
 /** True if the routes of a model service allow their callers' answers to begin at times that differ
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -250,6 +250,7 @@
   if (route->model_count > 0 && span_is (request->call.model, "*"))
     request->model = 0;
   request->events.last_id = request->call.after_event;
+  request_set_rank (request);
   if (request->call.handed_off_attempts < 0)
     front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
   else
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -31,6 +31,8 @@
   unsigned part_count;
   PartHash parts[PROMPT_PARTS_MAX]; /* of its prompt, which other requests may share */
   bool parts_reported; /* for one death: the next one under its retry is no evidence of its own */
+  int64_t rank;   /* in servers' queues; 0 is first */
+  bool is_behind; /* ranked behind others, as its team is beyond its part */
   const char *service;
   char version[SERVER_TEXT_MAX];
   uint64_t version_hash; /* hash of the version the session is registered on; 0: none */
@@ -75,6 +77,12 @@
   int64_t first_ms; /* from arrival to the first byte relayed; -1: none yet */
 };
 
+/* front_request_rank.c */
+/* Sets the rank from the route, the team and what the team has sent lately. */
+void request_set_rank (FrontRequest *request);
+/* True if answers of the request's service begin late in general, for the request's route. */
+bool request_service_is_late (const FrontRequest *request, int64_t now_ms);
+
 /* front_request_send.c */
 /* Chooses a server and sends the request there; gives up if there is none. May free the request. */
 void request_send (FrontRequest *request);
--- /dev/null
+++ b/src/front_request_rank.c
@@ -0,0 +1,43 @@
+/* Ranks a request when it arrives: by its team and route, and behind others if its team has had its
+ * part of a loaded service. */
+#include "front_counter.h"
+#include "front_request_private.h"
+#include "front_urgency.h"
+
+/* Share of the route's objective by which answers begin late before its service counts as
+ * loaded. */
+#define LOADED_SHARE 0.25
+
+bool
+request_service_is_late (const FrontRequest *request, int64_t now_ms)
+{
+  return request->route->model_count > 0
+         && front_lag_now (&request->front->lag, now_ms)
+                >= LOADED_SHARE * (double)request->route->objective_ms;
+}
+
+/* A request that another front handed over was counted there. */
+static bool
+is_in_turn (const FrontRequest *request)
+{
+  return !request->team || request->call.handed_off_attempts >= 0
+         || front_team_use_add (
+             &request->front->team_use, request_service_hash (request), request->team->hash,
+             request_service_is_late (request, request->arrived_ms), request->arrived_ms);
+}
+
+void
+request_set_rank (FrontRequest *request)
+{
+  if (!front_is_contended (request->front))
+    {
+      request->rank = front_config_priority (request->route, request->team);
+      return;
+    }
+  request->rank = front_config_rank (request->config, request->route, request->team);
+  if (is_in_turn (request))
+    return;
+  request->is_behind = true;
+  request->rank = front_urgency_rank_behind ((unsigned)request->rank);
+  front_counter_add (FRONT_COUNTER_BEHIND);
+}
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -156,6 +156,8 @@
   front_log_number (line, "prompt_ms", (int64_t)pick->prompt_ms);
   front_log_number (line, "avoided", pick->avoided);
   front_log_number (line, "attempt", request->attempts);
+  front_log_number (line, "rank", request->rank);
+  front_log_number (line, "behind", request->is_behind);
   front_log_number (line, "limited", pick->server->limit.is_named);
   front_log_end (line);
 }
@@ -208,7 +210,7 @@
     .team = request->team ? request->team->name : NULL,
     .model = model_name (request, request->model),
     .deadline_ms = left_ms,
-    .priority = front_config_priority (request->route, request->team),
+    .priority = request->rank,
     .after_event = request->head_sent ? request->events.last_id : -1,
   };
   AttemptTarget target = { .address = &pick->server->address, .server = pick->server };
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -40,6 +40,7 @@
   front_log_number (line, "row_version", store_version_number (row->version));
   front_log_number (line, "routes", config->route_count);
   front_log_number (line, "contended", front_is_contended (front));
+  front_log_number (line, "odd_priorities", config->odd_priorities);
   front_log_end (line);
 }
 
