test_front_config: ranks of routes and teams from a configuration

Load: kinds that compete for one service, one of them over a split route; a route of another service, and a target of weight 0, are no competition. A team whose priority is out of range gets the place of the middle one.

--- a/tests/test_front_config.c
+++ b/tests/test_front_config.c
@@ -56,8 +56,43 @@
     CU_ASSERT_EQUAL (is_contended (&tried[i]), tried[i].contended);
 }
 
+/* Load: kinds that compete for one service, one of them over a split route; a route of another
+ * service competes with none of them, and a target of weight 0 is no competition either. */
+static void
+test_ranks_of_routes_and_teams (void)
+{
+  static const char text[]
+      = "{\"Version\":1,\"Routes\":["
+        "{\"Name\":\"a\",\"Host\":\"h\",\"Prefix\":\"/a/\",\"Kind\":\"streaming\",\"SloMs\":1500,"
+        "\"TimeoutMs\":15000,\"Priority\":0,\"Service\":\"x\"},"
+        "{\"Name\":\"b\",\"Host\":\"h\",\"Prefix\":\"/b/\",\"Kind\":\"streaming\",\"SloMs\":4000,"
+        "\"TimeoutMs\":20000,\"Priority\":2,\"TrafficSplit\":[{\"Service\":\"x\",\"Weight\":1},"
+        "{\"Service\":\"y\",\"Weight\":1}]},"
+        "{\"Name\":\"c\",\"Host\":\"h\",\"Prefix\":\"/c/\",\"Kind\":\"idempotent\",\"SloMs\":100,"
+        "\"TimeoutMs\":1000,\"Priority\":2,\"TrafficSplit\":[{\"Service\":\"z\",\"Weight\":1},{"
+        "\"Service\":\"x\",\"Weight\":0}]}],"
+        "\"Tenants\":[{\"Name\":\"s\",\"Priority\":0},{\"Name\":\"t\",\"Priority\":1},"
+        "{\"Name\":\"u\",\"Priority\":77},{\"Name\":\"v\",\"Priority\":1}]}";
+  Status status;
+  FrontConfig *config = wire_config_decode (text, strlen (text), &status);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  if (!config)
+    return;
+  CU_ASSERT_EQUAL (config->routes[0].level, 0);
+  CU_ASSERT_EQUAL (config->routes[1].level, 1);
+  CU_ASSERT_EQUAL (config->routes[2].level, 0);
+  CU_ASSERT_EQUAL (config->odd_priorities, 1);
+  CU_ASSERT_EQUAL (front_config_rank (config, &config->routes[1], &config->teams[0]), 1);
+  CU_ASSERT_EQUAL (front_config_rank (config, &config->routes[1], &config->teams[1]), 4);
+  CU_ASSERT_EQUAL (front_config_rank (config, &config->routes[1], &config->teams[2]), 4);
+  CU_ASSERT_EQUAL (front_config_rank (config, &config->routes[0], NULL), 3);
+  front_config_unref (config);
+}
+
 static const SuiteCase cases[] = {
   { "contended_by_objectives", test_contended_by_objectives },
+  { "ranks_of_routes_and_teams", test_ranks_of_routes_and_teams },
 };
 
 int
