--- a/src/front.h
+++ b/src/front.h
@@ -17,6 +17,7 @@
 #include "front_sessions.h"
 #include "front_share.h"
 #include "front_speeds.h"
+#include "front_team_use.h"
 #include "front_waiting.h"
 #include "front_waits.h"
 #include "settings_front.h"
@@ -48,6 +49,7 @@
   uint32_t wait_keys; /**< of attempts so far, for front_waits */
   FrontSpeeds speeds;
   FrontAnswerTimes answer_times;
+  FrontTeamUse team_use; /**< of requests received here */
   FrontReach reach;
   uint16_t callers_port;       /**< the same at all fronts; network order */
   FrontPrompts caller_prompts; /**< of requests received here, wherever they were sent */
--- a/src/front_request_waits.c
+++ b/src/front_request_waits.c
@@ -39,7 +39,7 @@
 WaitClass
 request_urgency (const FrontRequest *request)
 {
-  return front_waits_class (front_config_priority (request->route, request->team));
+  return front_waits_class (request->rank);
 }
 
 void
