lovage-config: check a configuration before it is sent

What callers saw: a configuration with a slip in it went to the fronts as it was. Of one that they refuse only the first fault was told, in their logs and without its line; one that they take could hide a route that never matches, a team without keys, or a limit that fronts read otherwise than it was written ("Public": "no" is read as true, a time-out in quotes as the default).

Places come from a scan of the text beside json-c, which keeps no positions. Keys are never printed.

Ruled out: a stricter decoder, which would make running fronts refuse what they take today; a second parser with positions, whose verdict could differ.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 BASE = $(wildcard src/util_*.c src/settings*.c src/config*.c src/platform*.c src/rpc_*.c \
   src/cluster*.c src/choose*.c src/bill*.c src/claim*.c src/http_*.c src/session*.c)
 RPC = rpc/lovage_xdr.c rpc/lovage_clnt.c
-PROGRAMS = lovage-gate lovage-steward lovagectl lovage-front
+PROGRAMS = lovage-gate lovage-steward lovagectl lovage-front lovage-config
 # Libraries of lovage-gate's TLS and HTTP filter between the callers and libmicrohttpd.
 GATE_PKGS = libevent libevent_pthreads libevent_openssl libssl libcrypto
 GATE_LIBS = $(shell pkg-config --libs $(GATE_PKGS)) -lhttp_parser
@@ -23,7 +23,13 @@
 FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
   src/http_head.c src/http_request_parser.c src/http_reply.c src/choose_quarantine.c src/choose_quarantine_report.c)
 FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front*.c)) src/settings_front.c \
-  $(wildcard platform/*.c)
+  $(filter-out $(LINT_WIRE),$(wildcard platform/*.c))
+# Modules of lovage-config besides its main; it decodes by the modules of lovage-front.
+LINT_WIRE = $(wildcard platform/wire_lint*.c platform/wire_place*.c)
+LINT_PARTS = $(filter-out src/lint_main.c,$(wildcard src/lint*.c)) $(LINT_WIRE) \
+  platform/wire_config.c platform/wire_json.c src/front_config.c
+LINT_SHARED = $(wildcard src/util_*.c)
+LINT_LIBS = $(shell pkg-config --libs json-c libsodium libxxhash) -lm
 STANDINS = standin-platform standin-engine standin-service
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 TEST_HELPERS = tests/suite.c $(wildcard tests/fake_*.c)
@@ -42,6 +48,7 @@
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
 $(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 benches: $(BENCHES:%=$(BUILD)/%)
 
 $(BUILD)/obj/rpc/%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
@@ -69,6 +76,8 @@
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/lovage-front: $(call obj,src/front_main.c $(FRONT_PARTS) $(FRONT_SHARED))
 	$(CC) $(LDFLAGS) -Wl,--as-needed $^ $(FRONT_LIBS) -o $@
+$(BUILD)/lovage-config: $(call obj,src/lint_main.c $(LINT_PARTS) $(LINT_SHARED))
+	$(CC) $(LDFLAGS) -Wl,--as-needed $^ $(LINT_LIBS) -o $@
 $(BUILD)/lovagectl: $(call obj,$(wildcard src/ctl_*.c)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/standin-platform: $(call obj,$(wildcard standin/platform_*.c standin/common_*.c)) $(LIB)
@@ -90,6 +99,8 @@
 $(BUILD)/test_front_%: $(BUILD)/obj/tests/test_front_%.o \
   $(call obj,$(FRONT_PARTS) $(TEST_HELPERS) $(FRONT_TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
+$(BUILD)/test_lint_%: $(BUILD)/obj/tests/test_lint_%.o $(call obj,$(LINT_PARTS) tests/lint_document.c $(TEST_HELPERS)) $(LIB)
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 # The simulation of a platform's site runs lovage-front's own modules.
