--- a/src/front_waits.c
+++ b/src/front_waits.c
@@ -1,4 +1,5 @@
 #include "front_waits.h"
+#include "front_waits_outbox.h"
 #include "front_waits_row.h"
 #include "util_id.h"
 #include "util_memory.h"
@@ -10,24 +11,15 @@
 /* A request turned away would have waited at least so many milliseconds: about as long as a slot
  * takes to become free. */
 #define FULL_MS 400.0
-/* Samples are told while they are younger than this many milliseconds. */
-#define TELL_MAX_MS 1000
 /* Ranks from which on a request counts as of the middle, and as of the least class. */
 #define MIDDLE_FROM_RANK 3
 #define LEAST_FROM_RANK  6
 
-/* A sample that is worth telling. */
-typedef struct
-{
-  WaitReport report;
-  int64_t at_ms; /* when it was seen; 0: empty */
-} Told;
-
 struct FrontWaits
 {
   Index rows;
   struct cds_list_head order; /* WaitsRow by node, the least recently changed first */
-  Told told[WAITS_TOLD_MAX];
+  WaitsOutbox outbox;
 };
 
 FrontWaits *
@@ -138,32 +130,6 @@
   return row || matters_ms < WAITS_MIN_MS ? row : row_new (waits, subject, urgency, is_service);
 }
 
-/* Keeps a sample to be told: in the place of an earlier one of the request, or of the oldest. */
-static void
-tell (FrontWaits *waits, const WaitSample *sample, double wait_ms, int64_t now_ms)
-{
-  Told *slot = &waits->told[0];
-
-  for (unsigned i = 0; i < WAITS_TOLD_MAX; i++)
-    {
-      Told *told = &waits->told[i];
-
-      if (told->at_ms != 0 && sample->request != 0 && told->report.request == sample->request
-          && told->report.server == sample->server)
-        {
-          slot = told;
-          break;
-        }
-      if (told->at_ms < slot->at_ms)
-        slot = told;
-    }
-  *slot = (Told){ .report = { .server = sample->server,
-                              .request = sample->request,
-                              .wait_ms = (uint32_t)lround (wait_ms),
-                              .urgency = sample->urgency },
-                  .at_ms = now_ms };
-}
-
 static double
 clamp_wait (double wait_ms)
 {
@@ -191,7 +157,7 @@
       waits, row_for (waits, sample->server, sample->urgency, false, fmax (wait_ms, general.ms)),
       &known, now_ms);
   if (taken && fmax (wait_ms, belief.ms) >= WAITS_MIN_MS)
-    tell (waits, sample, wait_ms, now_ms);
+    waits_outbox_put (&waits->outbox, sample, now_ms);
   return true;
 }
 
@@ -228,23 +194,7 @@
 unsigned
 front_waits_take (FrontWaits *waits, WaitReport *out, unsigned max, int64_t now_ms)
 {
-  unsigned count = 0;
-
-  for (unsigned i = 0; i < WAITS_TOLD_MAX && count < max; i++)
-    {
-      Told *told = &waits->told[i];
-      int64_t age_ms = now_ms - told->at_ms;
-
-      if (told->at_ms == 0)
-        continue;
-      if (age_ms >= 0 && age_ms <= TELL_MAX_MS)
-        {
-          out[count] = told->report;
-          out[count++].age_ms = (uint32_t)age_ms;
-        }
-      told->at_ms = 0;
-    }
-  return count;
+  return waits_outbox_take (&waits->outbox, out, max, now_ms);
 }
 
 static WaitBelief
--- a/tests/test_front_waits_message.c
+++ b/tests/test_front_waits_message.c
@@ -5,7 +5,6 @@
 #include "suite.h"
 #include "util_memory.h"
 #include <stdlib.h>
-#include <string.h>
 
 #define NOW 100000 /* milliseconds */
 
@@ -88,7 +87,16 @@
   len = waits_message_encode (&message, data, sizeof data);
   CU_ASSERT_EQUAL (len, 16 + 2 * 16);
   CU_ASSERT (waits_message_decode (&read, data, len));
-  CU_ASSERT_EQUAL (memcmp (&read, &message, sizeof read), 0);
+  CU_ASSERT_EQUAL (read.incarnation, 5);
+  CU_ASSERT_EQUAL (read.count, 2);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      CU_ASSERT_EQUAL (read.reports[i].server, message.reports[i].server);
+      CU_ASSERT_EQUAL (read.reports[i].request, message.reports[i].request);
+      CU_ASSERT_EQUAL (read.reports[i].wait_ms, message.reports[i].wait_ms);
+      CU_ASSERT_EQUAL (read.reports[i].urgency, message.reports[i].urgency);
+      CU_ASSERT_EQUAL (read.reports[i].age_ms, message.reports[i].age_ms);
+    }
   for (size_t i = 0; i < len; i++)
     CU_ASSERT (!waits_message_decode (&read, data, i));
   data[15] = WAITS_TOLD_MAX + 1; /* last byte of the count */
