Waits by each rank, not by three classes of ranks

An answer counts as silent after its usual bound and the believed wait, not four times the wait: at a dark server a stream waited 11 s.

--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -394,7 +394,8 @@
 {
   const FrontRoute *route = request->route;
   double first_ms = fmax ((double)route->objective_ms * FIRST_BYTE_SHARE,
-                          (request->predicted_ms + request->belief.ms) * FIRST_BYTE_FACTOR);
+                          request->predicted_ms * FIRST_BYTE_FACTOR)
+                    + request->belief.ms;
 
   if (request->is_waiting)
     return request->wait_end_ms;
--- a/src/front_waits.c
+++ b/src/front_waits.c
@@ -11,9 +11,6 @@
 /* A request turned away would have waited at least so many milliseconds: about as long as a slot
  * takes to become free. */
 #define FULL_MS 400.0
-/* Ranks from which on a request counts as of the middle, and as of the least class. */
-#define MIDDLE_FROM_RANK 3
-#define LEAST_FROM_RANK  6
 
 struct FrontWaits
 {
@@ -57,9 +54,9 @@
 WaitClass
 front_waits_class (int64_t rank)
 {
-  if (rank >= LEAST_FROM_RANK)
-    return WAIT_LEAST;
-  return rank >= MIDDLE_FROM_RANK ? WAIT_MIDDLE : WAIT_URGENT;
+  if (rank < WAIT_URGENT)
+    return WAIT_URGENT;
+  return rank < WAIT_LEAST ? (WaitClass)rank : WAIT_LEAST;
 }
 
 static uint64_t
--- a/src/front_waits.h
+++ b/src/front_waits.h
@@ -15,16 +15,16 @@
 #define WAITS_ROWS_MAX   1024  /**< beliefs kept; the least recently changed is replaced */
 #define WAITS_MAX_MS     60000 /**< longest wait that is believed; no caller waits as long */
 #define WAITS_MIN_MS     100   /**< from which on a wait is worth a row and a message */
-#define WAITS_AGE_MAX_MS 5000  /**< older samples are not taken in */
+#define WAITS_AGE_MAX_MS 4000  /**< older samples are not taken in */
 #define WAITS_TOLD_MAX   8     /**< samples kept to be told to other fronts */
 
-/** Classes of urgency. Servers run the more urgent requests first, so each has a wait of its
- *  own. */
+/** A request's rank in the servers' queues. They run the more urgent requests first, so each rank has
+ *  a wait of its own. */
 typedef enum
 {
-  WAIT_URGENT,
-  WAIT_MIDDLE,
-  WAIT_LEAST,
+  WAIT_URGENT = 0,
+  WAIT_MIDDLE = 4,
+  WAIT_LEAST = 9,
   WAIT_CLASSES
 } WaitClass;
 
--- a/src/front_waits_message.c
+++ b/src/front_waits_message.c
@@ -6,8 +6,8 @@
 
 /* Bits of a report's last word: the wait, the class, the age. */
 #define WAIT_BITS    16
-#define URGENCY_BITS 3
-#define AGE_BITS     13
+#define URGENCY_BITS 4
+#define AGE_BITS     12
 
 static uint32_t
 mask (unsigned bits)
