Lateness of a service by rank; requests of a hot team come one rank behind

Tests: test_front_rank_lag (burst delays its own rank only, one slow server, few answers, end of the load, bounded table), test_front_urgency (a hot team's kind with a short time-out).

--- a/src/front.h
+++ b/src/front.h
@@ -10,6 +10,7 @@
 #include "front_config.h"
 #include "front_lag.h"
 #include "front_parts.h"
+#include "front_rank_lag.h"
 #include "front_reach.h"
 #include "front_rollouts.h"
 #include "front_servers.h"
@@ -42,7 +43,8 @@
   FrontBudget *budget;
   Quarantine *quarantine;
   FrontParts *parts;
-  FrontLag lag; /**< of model engines' answers */
+  FrontLag lag;          /**< of model engines' answers */
+  FrontRankLag rank_lag; /**< only where front_is_contended */
   FrontSpeeds speeds;
   FrontTeamUse team_use; /**< of requests received here */
   FrontReach reach;
--- a/src/front_config.c
+++ b/src/front_config.c
@@ -155,13 +155,13 @@
   return false;
 }
 
-/* Level of a route among those with which it shares a service. */
-static unsigned
-route_level (const FrontConfig *config, const FrontRoute *route)
+/* Sets what follows for a route from those with which it shares a service. */
+static void
+complete_route (const FrontConfig *config, FrontRoute *route)
 {
   UrgencyRoute *kinds = memory_array (config->route_count, sizeof *kinds);
   unsigned *levels = memory_array (config->route_count, sizeof *levels);
-  unsigned count = 0, own = 0, level;
+  unsigned count = 0, own = 0;
 
   for (unsigned i = 0; i < config->route_count; i++)
     {
@@ -178,10 +178,10 @@
       };
     }
   front_urgency_levels (kinds, count, levels);
-  level = levels[own];
+  route->level = levels[own];
+  route->may_yield = front_urgency_may_yield (kinds, levels, count, own);
   free (kinds);
   free (levels);
-  return level;
 }
 
 static void
@@ -211,7 +211,7 @@
 front_config_complete (FrontConfig *config)
 {
   for (unsigned i = 0; i < config->route_count; i++)
-    config->routes[i].level = route_level (config, &config->routes[i]);
+    complete_route (config, &config->routes[i]);
   complete_teams (config);
   for (unsigned i = 0; i < config->service_count; i++)
     {
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -31,8 +31,8 @@
   unsigned part_count;
   PartHash parts[PROMPT_PARTS_MAX]; /* of its prompt, which other requests may share */
   bool parts_reported; /* for one death: the next one under its retry is no evidence of its own */
-  int64_t rank;   /* in servers' queues; 0 is first */
-  bool is_behind; /* ranked behind others, as its team is beyond its part */
+  int64_t rank;        /* in servers' queues; 0 is first */
+  bool is_behind;      /* ranked one behind, as its team is beyond its part */
   const char *service;
   char version[SERVER_TEXT_MAX];
   uint64_t version_hash; /* hash of the version the session is registered on; 0: none */
@@ -80,6 +80,10 @@
 /* front_request_rank.c */
 /* Sets the rank from the route, the team and what the team has sent lately. */
 void request_set_rank (FrontRequest *request);
+/* Milliseconds by which answers of the request's service and rank begin later than predicted. */
+double request_lag_ms (const FrontRequest *request, int64_t now_ms);
+/* Records an answer that begins first_ms after the attempt. */
+void request_add_lag (const FrontRequest *request, double first_ms, int64_t now_ms);
 /* True if answers of the request's service begin late in general, for the request's route. */
 bool request_service_is_late (const FrontRequest *request, int64_t now_ms);
 
--- a/src/front_request_rank.c
+++ b/src/front_request_rank.c
@@ -1,4 +1,4 @@
-/* Ranks a request when it arrives: by its team and route, and behind others if its team has had its
+/* Ranks a request when it arrives: by its team and route, and one behind if its team has had its
  * part of a loaded service. */
 #include "front_counter.h"
 #include "front_request_private.h"
@@ -8,22 +8,37 @@
  * loaded. */
 #define LOADED_SHARE 0.25
 
+double
+request_lag_ms (const FrontRequest *request, int64_t now_ms)
+{
+  return front_rank_lag_now (&request->front->rank_lag, request_service_hash (request),
+                             request->rank, now_ms);
+}
+
+void
+request_add_lag (const FrontRequest *request, double first_ms, int64_t now_ms)
+{
+  if (front_is_contended (request->front))
+    front_rank_lag_add (&request->front->rank_lag, request_service_hash (request), request->rank,
+                        first_ms - request->predicted_ms, now_ms);
+}
+
 bool
 request_service_is_late (const FrontRequest *request, int64_t now_ms)
 {
-  return request->route->model_count > 0
-         && front_lag_now (&request->front->lag, now_ms)
-                >= LOADED_SHARE * (double)request->route->objective_ms;
+  return request_lag_ms (request, now_ms) >= LOADED_SHARE * (double)request->route->objective_ms;
 }
 
 /* A request that another front handed over was counted there. */
 static bool
 is_in_turn (const FrontRequest *request)
 {
+  bool is_late = request_service_is_late (request, request->arrived_ms);
+
   return !request->team || request->call.handed_off_attempts >= 0
-         || front_team_use_add (
-             &request->front->team_use, request_service_hash (request), request->team->hash,
-             request_service_is_late (request, request->arrived_ms), request->arrived_ms);
+         || front_team_use_add (&request->front->team_use, request_service_hash (request),
+                                request->team->hash, is_late && request->route->may_yield,
+                                request->arrived_ms);
 }
 
 void
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -106,6 +106,8 @@
     request_learn_speed (request, first_ms, now_ms);
   if (!failed && request->model != NO_MODEL)
     front_lag_add (&request->front->lag, first_ms - request->predicted_ms, now_ms);
+  if (!failed)
+    request_add_lag (request, (double)(now_ms - request->attempt_ms), now_ms);
   request_add_evidence (request, failed, now_ms);
 }
 
--- a/src/front_urgency.c
+++ b/src/front_urgency.c
@@ -121,5 +121,19 @@
 unsigned
 front_urgency_rank_behind (unsigned rank)
 {
-  return bounded (rank + URGENCY_LEVELS);
+  return bounded (rank + 1);
+}
+
+bool
+front_urgency_may_yield (const UrgencyRoute *routes,
+                         const unsigned *levels,
+                         unsigned count,
+                         unsigned at)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      if (levels[i] <= levels[at] + 1 && !can_wait_for (&routes[at], &routes[i]))
+        return false;
+    }
+  return true;
 }
--- a/src/front_urgency.h
+++ b/src/front_urgency.h
@@ -38,7 +38,13 @@
 unsigned front_urgency_team_place (const UrgencyTeams *teams, int64_t priority);
 /** Rank of a request, 0 to URGENCY_RANK_MAX. */
 unsigned front_urgency_rank (unsigned team_place, unsigned level);
-/** Rank of a request that comes after those of all teams of the same place. */
+/** Rank of a request that comes after those of the same rank: that of the next one. */
 unsigned front_urgency_rank_behind (unsigned rank);
+/** True if requests of the route at this place can be ranked one behind: their callers can wait for
+ *  all routes up to the next level. */
+bool front_urgency_may_yield (const UrgencyRoute *routes,
+                              const unsigned *levels,
+                              unsigned count,
+                              unsigned at);
 
 #endif
