--- a/src/front.h
+++ b/src/front.h
@@ -12,6 +12,7 @@
 #include "front_lag.h"
 #include "front_parts.h"
 #include "front_reach.h"
+#include "front_returning.h"
 #include "front_rollouts.h"
 #include "front_servers.h"
 #include "front_sessions.h"
@@ -44,9 +45,9 @@
   FrontBudget *budget;
   Quarantine *quarantine;
   FrontParts *parts;
-  FrontLag lag;       /**< of model engines' answers */
-  FrontWaits *waits;  /**< of model engines; filled only where front_is_contended */
-  uint32_t wait_keys; /**< of attempts so far, for front_waits */
+  FrontLag lag;          /**< of model engines' answers */
+  FrontWaits *waits;     /**< of model engines; filled only where front_is_contended */
+  uint32_t wait_keys;    /**< of attempts so far, for front_waits */
   FrontSpeeds speeds;
   FrontAnswerTimes answer_times;
   FrontTeamUse team_use; /**< of requests received here */
@@ -62,6 +63,7 @@
   struct cds_list_head conns;      /**< FrontConn by node */
   struct cds_list_head requests;   /**< FrontRequest by node */
   FrontWaiting waiting;            /**< those of them that wait for room at a server */
+  FrontReturning returning;        /**< and those that go back to a full one */
   unsigned conn_count;
   unsigned request_count;
   int64_t stop_requested_ms; /**< of a graceful stop, boot-time clock; 0: none */
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -37,6 +37,7 @@
   const FrontWaits *waits;  /**< of model engines; NULL: the server's own lag counts instead */
   uint64_t service_hash;    /**< of the service's name; used with waits */
   WaitClass urgency;        /**< used with waits */
+  uint64_t only_server;     /**< hash of the only server that may get it; 0: any */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -31,8 +31,8 @@
   unsigned part_count;
   PartHash parts[PROMPT_PARTS_MAX]; /* of its prompt, which other requests may share */
   bool parts_reported; /* for one death: the next one under its retry is no evidence of its own */
-  int64_t rank;   /* in servers' queues; 0 is first */
-  bool is_behind; /* ranked behind others, as its team is beyond its part */
+  int64_t rank;        /* in servers' queues; 0 is first */
+  bool is_behind;      /* ranked one behind, as its team is beyond its part */
   const char *service;
   char version[SERVER_TEXT_MAX];
   uint64_t version_hash; /* hash of the version the session is registered on; 0: none */
@@ -61,6 +61,7 @@
   double pending_ms;     /* what the attempt adds to the server's pending_ms */
   int64_t attempt_ms;    /* start of the current attempt */
   int64_t sent_ms;       /* the same, but restarted when the attempt has been silent for too long */
+  int64_t checked_ms;    /* when it was last found too late to wait for, or sent */
   int64_t event_ms;      /* time of its last event */
   int64_t relayed_ms;    /* time of the last event relayed on any attempt; 0: none */
   int64_t pause_ms;      /* longest pause between two relayed events, over all attempts */
@@ -73,6 +74,14 @@
   int64_t wait_end_ms; /* end of all its waits for room; 0: it never waited */
   struct cds_list_head waiting_node;
 
+  bool is_returning;      /* waits to go back to a full server */
+  bool return_now;        /* is sent with the current walk of the list */
+  unsigned returns;       /* how often it went back */
+  uint64_t return_to;     /* hash of that server, to which it is bound from then on; 0: none */
+  int64_t return_ms;      /* when it goes back */
+  int64_t turned_away_ms; /* when it first was; 0: never */
+  struct cds_list_head returning_node;
+
   bool is_handed_off;  /* the current attempt is at another front */
   PeerHandoff handoff; /* fronts that it was handed to */
 
@@ -84,6 +93,8 @@
 /* front_request_rank.c */
 /* Sets the rank from the route, the team and what the team has sent lately. */
 void request_set_rank (FrontRequest *request);
+/* Milliseconds by which answers of the request's service and rank begin later than predicted. */
+double request_lag_ms (const FrontRequest *request, int64_t now_ms);
 /* True if answers of the request's service begin late in general, for the request's route. */
 bool request_service_is_late (const FrontRequest *request, int64_t now_ms);
 
@@ -92,6 +103,9 @@
 void request_send (FrontRequest *request);
 /* True if a server may get the request now, besides the current attempt. */
 bool request_has_server (const FrontRequest *request);
+/* False if no server may get the request that it was not sent to; otherwise sets the milliseconds
+ * until its answer would begin at the best one. */
+bool request_other_server (const FrontRequest *request, double *first_ms);
 /* Ends the current attempt, if there is one, and releases its server. */
 void request_drop_attempt (FrontRequest *request);
 /* Predicts the times of a request sent to this model now. */
@@ -145,6 +159,16 @@
 void request_record_overdue (FrontRequest *request, int64_t now_ms);
 /* Records for its server how long the answer took. */
 void request_record_answer_time (FrontRequest *request, int64_t now_ms);
+/* front_request_admit.c */
+/* Refuses a request that was sent to no server yet, if even at the chosen one its answer would
+ * begin after its caller has left. True if it was refused, and freed. */
+bool request_refuse_hopeless (FrontRequest *request, const PickAnswer *pick, double begin_ms);
+
+/* front_request_readmit.c */
+/* Handles a server that turned the request away without running it: the request goes to another
+ * one, or waits to go back if it may go to no further one, or is refused. May free it. */
+void request_handle_full (FrontRequest *request);
+void request_stop_returning (FrontRequest *request);
 
 /* front_request_handoff.c */
 /* Hands the request to another front, as no server has room for it that this front may use. False
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -108,7 +108,8 @@
     .is_model = service && service->kv_tokens > 0,
     .affinity_tokens = affinity_tokens (request, hash),
     .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
-    .tried_count = request->tried_count,
+    .only_server = request->return_to,
+    .tried_count = request->return_to ? 0 : request->tried_count,
     .cold = cold_rule (request->front, service),
     .share.self = request->front->vm_hash,
   };
@@ -185,6 +186,13 @@
   front_log_end (line);
 }
 
+/* Milliseconds from an idle server's acceptance to the beginning of its answer. */
+static double
+overhead_ms (const FrontRequest *request, const PickQuery *query)
+{
+  return query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS;
+}
+
 /* Records the attempt for later choices: the load that it adds, and the prompt that the server will
  * have read. */
 static void
@@ -200,9 +208,7 @@
   front_server_ref (pick->server);
   cold_sent (&pick->server->cold_sends, now_ms);
   server_limit_sent (&pick->server->limit, now_ms);
-  request->predicted_ms
-      = pick->base_ms
-        + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
+  request->predicted_ms = pick->base_ms + overhead_ms (request, query);
   request->belief = pick->belief;
   request->is_ordered = query->waits != NULL;
   request->wait_key = ++request->front->wait_keys;
@@ -214,6 +220,7 @@
   pick->server->pending_ms += pick->prompt_ms;
   request->attempt_ms = now_ms;
   request->sent_ms = now_ms;
+  request->checked_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
   request->has_begun = false;
@@ -287,6 +294,19 @@
   return pick_server (request, &query, clock_boot_ms ()).server != NULL;
 }
 
+bool
+request_other_server (const FrontRequest *request, double *first_ms)
+{
+  PickQuery query
+      = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+  PickAnswer pick = front_pick (request->front->servers, &query, clock_boot_ms ());
+
+  if (!pick.server)
+    return false;
+  *first_ms = pick.predicted_ms + overhead_ms (request, &query);
+  return true;
+}
+
 static void
 send_to_server (FrontRequest *request)
 {
@@ -297,7 +317,7 @@
   PickQuery query = pick_query (request, request->model, version);
   PickAnswer pick = pick_server (request, &query, now_ms);
 
-  if (!pick.server && pick.wait == PICK_WAIT_FULL
+  if (!pick.server && pick.wait == PICK_WAIT_FULL && !request->return_to
       && (request_hand_off_for_room (request) || request_wait_for_room (request)))
     return;
   if (!pick.server)
@@ -305,6 +325,10 @@
       request_give_up (request, no_server_reason (&pick), pick.wait_ms);
       return;
     }
+  if (query.is_model
+      && request_refuse_hopeless (request, &pick,
+                                  pick.predicted_ms + overhead_ms (request, &query)))
+    return;
   version_set (request, version, now_ms);
   record_attempt (request, &query, &pick, now_ms);
   if (!attempt_begin (request, &pick, request->end_ms - now_ms))
@@ -367,6 +391,8 @@
 {
   if (request->server->brittle.is_named)
     front_waiting_room_freed (request->front, request_service_hash (request), clock_boot_ms ());
+  if (request->relaying)
+    front_returning_room_freed (request->front, request->server->hash, clock_boot_ms ());
 }
 
 void
@@ -413,7 +439,7 @@
   if (request->relaying)
     return route->kind == ROUTE_STREAM ? request->event_ms + SILENCE_PAUSES * route->gap_ms
                                        : INT64_MAX;
-  return request->sent_ms + (int64_t)first_ms;
+  return request->checked_ms + (int64_t)first_ms;
 }
 
 static int64_t
