--- a/src/front_config.c
+++ b/src/front_config.c
@@ -145,43 +145,72 @@
 }
 
 static bool
-share_service (const FrontRoute *route, const FrontRoute *other)
+is_of_kind (const FrontRoute *route, const UrgencyRoute *kind)
 {
-  for (unsigned i = 0; i < other->target_count; i++)
-    {
-      if (other->targets[i].weight > 0 && may_go_to (route, other->targets[i].service))
-        return true;
-    }
-  return false;
+  return route->priority == kind->priority && route->timeout_ms == kind->timeout_ms
+         && route->objective_ms == kind->objective_ms;
 }
 
-/* Sets what follows for a route from those with which it shares a service. */
-static void
-complete_route (const FrontConfig *config, FrontRoute *route)
+/* Place of the route's kind among count ones; count if it is not among them. */
+static unsigned
+kind_of (const FrontRoute *route, const UrgencyRoute *kinds, unsigned count)
 {
-  UrgencyRoute *kinds = memory_array (config->route_count, sizeof *kinds);
-  unsigned *levels = memory_array (config->route_count, sizeof *levels);
-  unsigned count = 0, own = 0;
+  unsigned i = 0;
+
+  while (i < count && !is_of_kind (route, &kinds[i]))
+    i++;
+  return i;
+}
+
+static bool
+is_ordered (const FrontRoute *route, const FrontService *service)
+{
+  return route->model_count > 0 && may_go_to (route, service->name);
+}
+
+/* The kinds of the routes that may go to the service; their number. */
+static unsigned
+kinds_of (const FrontConfig *config, const FrontService *service, UrgencyRoute *kinds)
+{
+  unsigned count = 0;
 
   for (unsigned i = 0; i < config->route_count; i++)
     {
-      const FrontRoute *other = &config->routes[i];
+      const FrontRoute *route = &config->routes[i];
 
-      if (other != route && !share_service (route, other))
+      if (!is_ordered (route, service) || kind_of (route, kinds, count) < count
+          || count == URGENCY_KINDS_MAX)
         continue;
-      if (other == route)
-        own = count;
       kinds[count++] = (UrgencyRoute){
-        .priority = other->priority,
-        .timeout_ms = other->timeout_ms,
-        .objective_ms = other->objective_ms,
+        .priority = route->priority,
+        .timeout_ms = route->timeout_ms,
+        .objective_ms = route->objective_ms,
       };
     }
+  return count;
+}
+
+/* Sets the levels of the routes that may go to the service. A route with several services has the
+ * highest of its levels. */
+static void
+complete_routes (FrontConfig *config, const FrontService *service)
+{
+  UrgencyRoute kinds[URGENCY_KINDS_MAX];
+  unsigned levels[URGENCY_KINDS_MAX];
+  unsigned count = kinds_of (config, service, kinds);
+
   front_urgency_levels (kinds, count, levels);
-  route->level = levels[own];
-  route->may_yield = front_urgency_may_yield (kinds, levels, count, own);
-  free (kinds);
-  free (levels);
+  for (unsigned i = 0; i < config->route_count; i++)
+    {
+      FrontRoute *route = &config->routes[i];
+      unsigned kind = is_ordered (route, service) ? kind_of (route, kinds, count) : count;
+
+      if (kind == count)
+        continue;
+      if (levels[kind] > route->level)
+        route->level = levels[kind];
+      route->may_yield |= front_urgency_may_yield (kinds, levels, count, kind);
+    }
 }
 
 static void
@@ -201,6 +230,12 @@
   config->no_team_place = front_urgency_team_place (&teams, URGENCY_PRIORITY_NONE);
 }
 
+unsigned
+front_config_first_rank (const FrontConfig *config, const FrontTeam *team)
+{
+  return front_urgency_rank (team ? team->place : config->no_team_place, 0);
+}
+
 unsigned
 front_config_rank (const FrontConfig *config, const FrontRoute *route, const FrontTeam *team)
 {
@@ -210,14 +245,13 @@
 void
 front_config_complete (FrontConfig *config)
 {
-  for (unsigned i = 0; i < config->route_count; i++)
-    complete_route (config, &config->routes[i]);
   complete_teams (config);
   for (unsigned i = 0; i < config->service_count; i++)
     {
       FrontService *service = &config->services[i];
 
       service->objective_ratio = service->kv_tokens > 0 ? objective_ratio (config, service) : 0;
+      complete_routes (config, service);
     }
 }
 
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -105,6 +105,8 @@
  *  URGENCY_RANK_MAX. */
 unsigned
 front_config_rank (const FrontConfig *config, const FrontRoute *route, const FrontTeam *team);
+/** The first rank of the team's requests, whatever their route. */
+unsigned front_config_first_rank (const FrontConfig *config, const FrontTeam *team);
 /** Derives what follows from several parts of the configuration; called once all are read. */
 void front_config_complete (FrontConfig *config);
 /** True if the routes of a model service allow their callers' answers to begin at times that differ
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -93,6 +93,9 @@
 /* front_request_rank.c */
 /* Sets the rank from the route, the team and what the team has sent lately. */
 void request_set_rank (FrontRequest *request);
+/* Ranks a request that is late already with the first of its team: behind others, some would never
+ * be served. */
+void request_raise_rank (FrontRequest *request, int64_t now_ms);
 /* Milliseconds by which answers of the request's service and rank begin later than predicted. */
 double request_lag_ms (const FrontRequest *request, int64_t now_ms);
 /* True if answers of the request's service begin late in general, for the request's route. */
--- a/src/front_request_rank.c
+++ b/src/front_request_rank.c
@@ -34,6 +34,14 @@
                                 request->arrived_ms);
 }
 
+void
+request_raise_rank (FrontRequest *request, int64_t now_ms)
+{
+  if (front_is_contended (request->front) && !request->is_behind
+      && now_ms - request->arrived_ms >= request->route->objective_ms)
+    request->rank = front_config_first_rank (request->config, request->team);
+}
+
 void
 request_set_rank (FrontRequest *request)
 {
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -344,6 +344,7 @@
 void
 request_send (FrontRequest *request)
 {
+  request_raise_rank (request, clock_boot_ms ());
   if (!request_hand_off (request))
     send_to_server (request);
 }
--- a/src/front_urgency.c
+++ b/src/front_urgency.c
@@ -1,14 +1,21 @@
 #include "front_urgency.h"
 #include <stddef.h>
 
-/* A route's callers can wait for a more urgent route if they wait for this many of its objectives:
- * one for its requests, one for their own. */
+/* Time for a more urgent route, in its objectives: one for its requests, one for their own. */
 #define WAIT_OBJECTIVES 2
 
+/* Callers who wait for the other route are still there afterwards. */
+static bool
+outlasts (const UrgencyRoute *route, const UrgencyRoute *other)
+{
+  return route->timeout_ms >= WAIT_OBJECTIVES * other->objective_ms;
+}
+
+/* Their answers may even begin in time. */
 static bool
 can_wait_for (const UrgencyRoute *route, const UrgencyRoute *urgent)
 {
-  return route->timeout_ms >= WAIT_OBJECTIVES * urgent->objective_ms;
+  return outlasts (route, urgent) && route->objective_ms >= WAIT_OBJECTIVES * urgent->objective_ms;
 }
 
 /* Level of a route, if those of all more urgent ones are set. */
@@ -132,7 +139,7 @@
 {
   for (unsigned i = 0; i < count; i++)
     {
-      if (levels[i] <= levels[at] + 1 && !can_wait_for (&routes[at], &routes[i]))
+      if (levels[i] <= levels[at] + 1 && !outlasts (&routes[at], &routes[i]))
         return false;
     }
   return true;
--- a/src/front_urgency.h
+++ b/src/front_urgency.h
@@ -11,6 +11,7 @@
 #define URGENCY_RANK_MAX      9  /**< last; 0 is first */
 #define URGENCY_LEVELS        3  /**< of the routes of a service */
 #define URGENCY_PRIORITIES    10 /**< of teams: 0, the most urgent, to 9 */
+#define URGENCY_KINDS_MAX     64 /**< of the routes of a service; those beyond are on level 0 */
 #define URGENCY_PRIORITY_NONE (-1)
 
 /** What the level of a route depends on. */
@@ -29,7 +30,8 @@
 
 /** Sets the level of each route, 0 to URGENCY_LEVELS - 1, among all that are given, which compete
  *  for the same servers. A route comes after a more urgent one only if its callers can wait for
- *  twice the objective of that one; otherwise they would leave unserved while it is busy. */
+ *  twice the objective of that one without a late answer; otherwise they would be served late, or
+ *  leave unserved, while it is busy. */
 void front_urgency_levels (const UrgencyRoute *routes, unsigned count, unsigned *levels);
 /** Counts a team; a priority out of range counts as none. True if it is in range or none. */
 bool front_urgency_add_team (UrgencyTeams *teams, int64_t priority);
