Choose servers by their own lag again, and predict by the belief

Cause: the belief is shared and some hundred milliseconds old, so all fronts leave a server together and send their requests to the others until these are late. A server's lag as each front finds it differs between fronts.

Now front_pick's cost is as before all this and the belief enters the prediction only: cascade, repeats, log. Two rows are looked up for each choice, however many servers there are.

--- a/src/front_health.c
+++ b/src/front_health.c
@@ -22,16 +22,10 @@
  * shows a lag of seconds. Counted in full, lag would send requests to other failure domains. */
 #define LAG_WEIGHT 0.3
 
-static double
-kept_share (const FrontHealth *health, int64_t now_ms)
-{
-  return exp2 (-(double)(now_ms - health->decayed_ms) / DECAY_HALF_LIFE_MS);
-}
-
 static void
 decay (FrontHealth *health, int64_t now_ms)
 {
-  double kept = kept_share (health, now_ms);
+  double kept = exp2 (-(double)(now_ms - health->decayed_ms) / DECAY_HALF_LIFE_MS);
 
   health->failures *= kept;
   health->answers *= kept;
@@ -90,17 +84,11 @@
 }
 
 double
-front_health_failures_ms (const FrontHealth *health, int64_t now_ms)
+front_health_penalty_ms (const FrontHealth *health, int64_t now_ms)
 {
-  double kept = kept_share (health, now_ms);
+  double kept = exp2 (-(double)(now_ms - health->decayed_ms) / DECAY_HALF_LIFE_MS);
   double failures = health->failures * kept;
+  double share = failures / (failures + health->answers * kept + PRIOR_ANSWERS);
 
-  return failures / (failures + health->answers * kept + PRIOR_ANSWERS) * FAILURE_COST_MS;
-}
-
-double
-front_health_penalty_ms (const FrontHealth *health, int64_t now_ms)
-{
-  return front_health_failures_ms (health, now_ms)
-         + LAG_WEIGHT * health->lag_ms * kept_share (health, now_ms);
+  return share * FAILURE_COST_MS + LAG_WEIGHT * health->lag_ms * kept;
 }
--- a/src/front_health.h
+++ b/src/front_health.h
@@ -30,8 +30,6 @@
 void front_health_unreachable (FrontHealth *health, int64_t now_ms);
 /** True while it should get no work if there is another server. */
 bool front_health_avoided (const FrontHealth *health, int64_t now_ms);
-/** Milliseconds that a request is expected to lose there through failures. */
-double front_health_failures_ms (const FrontHealth *health, int64_t now_ms);
 /** Milliseconds that a request is expected to lose there through failures and lag. */
 double front_health_penalty_ms (const FrontHealth *health, int64_t now_ms);
 
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -128,15 +128,8 @@
   return (double)server->running / slots * SERVICE_RUNNING_MS + queued * QUEUED_MS;
 }
 
-/* A belief counts all lateness, so a server's own lag would count part of it again. */
-static double
-health_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
-{
-  return query->waits ? front_health_failures_ms (&server->health, now_ms)
-                      : front_health_penalty_ms (&server->health, now_ms);
-}
-
-/* Without what is believed of the server's wait. */
+/* By the server's own lag at this front, not by the shared belief of its wait: all fronts would
+ * leave a late server at once, and send their requests to the others until these were late. */
 static double
 cost_ms (const PickQuery *query,
          const FrontServer *server,
@@ -144,7 +137,7 @@
          int64_t now_ms)
 {
   double cost = queue_ms (query, server, now_ms) + prompt_ms (query, server, affinity, now_ms)
-                + health_ms (query, server, now_ms);
+                + front_health_penalty_ms (&server->health, now_ms);
 
   if (!server->is_same_domain)
     cost += fmax (CROSS_DOMAIN_MIN_MS, CROSS_DOMAIN_SHARE * (double)query->objective_ms);
@@ -261,38 +254,17 @@
   return true;
 }
 
-static WaitBelief
-belief_of (const PickQuery *query,
-           const FrontServer *server,
-           const WaitBelief *general,
-           int64_t now_ms)
-{
-  return front_waits_of (query->waits, server->hash, query->urgency, general, now_ms);
-}
-
-/* What a server's wait costs in the choice: only by how much it exceeds the usual one of its
- * service. Beliefs are shared and some hundred milliseconds old, so a server that is believed
- * faster than the others would get the requests of all fronts until they knew better. */
-static double
-excess_ms (const PickQuery *query,
-            const FrontServer *server,
-            const WaitBelief *general,
-            int64_t now_ms)
-{
-  return fmax (0, belief_of (query, server, general, now_ms).ms - general->ms);
-}
-
 static void
-predict (PickAnswer *answer,
-         const PickQuery *query,
-         const FrontServer *affinity,
-         const WaitBelief *general,
-         int64_t now_ms)
+predict (PickAnswer *answer, const PickQuery *query, const FrontServer *affinity, int64_t now_ms)
 {
+  WaitBelief general
+      = front_waits_general (query->waits, query->service_hash, query->urgency, now_ms);
+
   answer->prompt_ms = prompt_ms (query, answer->server, affinity, now_ms);
   answer->prompt_tokens = prompt_tokens (query, answer->server, affinity, now_ms);
   answer->base_ms = answer->prompt_ms + queue_ms (query, answer->server, now_ms);
-  answer->belief = belief_of (query, answer->server, general, now_ms);
+  answer->belief
+      = front_waits_of (query->waits, answer->server->hash, query->urgency, &general, now_ms);
   answer->predicted_ms = answer->base_ms + answer->belief.ms;
 }
 
@@ -300,8 +272,6 @@
 front_pick (FrontServers *servers, const PickQuery *query, int64_t now_ms)
 {
   const FrontServer *affinity = affinity_server (servers, query, now_ms);
-  WaitBelief general
-      = front_waits_general (query->waits, query->service_hash, query->urgency, now_ms);
   PickAnswer best = { 0 };
   double best_cost = 0;
   FrontServer *server;
@@ -318,9 +288,6 @@
     if (best.server && avoided && !best.avoided)
       continue;
     cost = cost_ms (query, server, affinity, now_ms);
-    if (best.server && avoided == best.avoided && cost >= best_cost)
-      continue;
-    cost += excess_ms (query, server, &general, now_ms);
     if (best.server && avoided == best.avoided && cost >= best_cost)
       continue;
     best.server = server;
@@ -328,6 +295,6 @@
     best_cost = cost;
   }
   if (best.server)
-    predict (&best, query, affinity, &general, now_ms);
+    predict (&best, query, affinity, now_ms);
   return best;
 }
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -32,7 +32,7 @@
   int64_t reuse_window_ms;  /**< how long a prompt is assumed to stay in a server's cache */
   uint64_t canary_hash_max; /**< servers with a larger hash are used only if the others are loaded;
                                0 or UINT64_MAX: none (front_canary) */
-  const FrontWaits *waits;  /**< of model engines; NULL: the server's own lag counts instead */
+  const FrontWaits *waits;  /**< of model engines; NULL: none are believed */
   uint64_t service_hash;    /**< of the service's name; used with waits */
   WaitClass urgency;        /**< used with waits */
   unsigned tried_count;
