Seek a late answer elsewhere only if it begins sooner there

Where work is ordered under load, a late answer was sent again whenever the budget allowed, which takes its place in a queue and loads another one. front_retry_gain compares what can still be expected here (what is left of the prediction, then as long again as it is late) with the prediction of the best other server plus the lag of the service for this rank; nothing is sent again beyond the caller's deadline, or while all servers are late and this one hardly later. The time that an attempt was given is counted from its start: with the old restart at each check, lag and speed were learned from the last part of a wait.

--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -58,6 +58,7 @@
   double pending_ms;     /* what the attempt adds to the server's pending_ms */
   int64_t attempt_ms;    /* start of the current attempt */
   int64_t sent_ms;       /* the same, but restarted when the attempt has been silent for too long */
+  int64_t checked_ms;    /* when it was last found too late to wait for, or sent */
   int64_t event_ms;      /* time of its last event */
   int64_t relayed_ms;    /* time of the last event relayed on any attempt; 0: none */
   int64_t pause_ms;      /* longest pause between two relayed events, over all attempts */
@@ -92,6 +93,9 @@
 void request_send (FrontRequest *request);
 /* True if a server may get the request now, besides the current attempt. */
 bool request_has_server (const FrontRequest *request);
+/* False if no server may get the request that it was not sent to; otherwise sets the milliseconds
+ * until its answer would begin at the best one. */
+bool request_other_server (const FrontRequest *request, double *first_ms);
 /* Ends the current attempt, if there is one, and releases its server. */
 void request_drop_attempt (FrontRequest *request);
 /* Predicts the times of a request sent to this model now. */
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -3,6 +3,7 @@
 #include "front_log.h"
 #include "front_peers.h"
 #include "front_request_private.h"
+#include "front_retry_gain.h"
 #include "util_clock.h"
 #include <string.h>
 
@@ -21,6 +22,9 @@
   RETRY_NO_SERVER,   /* no server may get it, and the attempt may still be answered */
   RETRY_UNSENT,      /* now, as nothing was sent */
   RETRY_QUARANTINED, /* servers die under it */
+  RETRY_NOT_SOONER,  /* the answer would begin no sooner elsewhere */
+  RETRY_ALL_LATE,    /* the service as a whole is late */
+  RETRY_HOPELESS,    /* the caller would have left before it began elsewhere */
 } RetryVerdict;
 
 static const char *const verdict_names[] = {
@@ -32,6 +36,9 @@
   [RETRY_NO_SERVER] = "no_server",
   [RETRY_UNSENT] = "unsent",
   [RETRY_QUARANTINED] = "quarantined",
+  [RETRY_NOT_SOONER] = "not_sooner",
+  [RETRY_ALL_LATE] = "all_late",
+  [RETRY_HOPELESS] = "hopeless",
 };
 
 /* Whether another attempt is allowed; if so, takes it from the budget. */
@@ -173,14 +180,90 @@
   send_again (request);
 }
 
+/* The other server is as late as the service's answers of this rank are lately. */
+static RetryGain
+retry_gain (const FrontRequest *request, double other_ms, int64_t now_ms)
+{
+  return (RetryGain){
+    .elapsed_ms = (double)(now_ms - request->attempt_ms),
+    .predicted_ms = request->predicted_ms,
+    .other_ms = other_ms + request_lag_ms (request, now_ms),
+    .objective_ms = (double)request->route->objective_ms,
+    .caller_ms = (double)(request->end_ms - now_ms),
+  };
+}
+
+static void
+log_gain (const FrontRequest *request, const RetryGain *gain, RetryVerdict verdict)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_RETRY_GAIN);
+
+  front_log_span (line, "request", request->call.id);
+  front_log_text (line, "verdict", verdict_names[verdict]);
+  front_log_text (line, "server", request->server->entry.id);
+  front_log_number (line, "elapsed_ms", (int64_t)gain->elapsed_ms);
+  front_log_number (line, "predicted_ms", (int64_t)gain->predicted_ms);
+  front_log_number (line, "left_ms", (int64_t)front_retry_gain_left_ms (gain));
+  front_log_number (line, "other_ms", (int64_t)gain->other_ms);
+  front_log_end (line);
+}
+
+/* Whether a late answer is sought elsewhere, where work is ordered under load. */
+static RetryVerdict
+gain_verdict (const FrontRequest *request)
+{
+  static const RetryVerdict verdicts[] = {
+    [RETRY_GAIN_SOONER] = RETRY_NOW,
+    [RETRY_GAIN_LATER] = RETRY_NOT_SOONER,
+    [RETRY_GAIN_ALL_LATE] = RETRY_ALL_LATE,
+    [RETRY_GAIN_HOPELESS] = RETRY_HOPELESS,
+  };
+  RetryGain gain;
+  RetryVerdict verdict;
+  int64_t now_ms = clock_boot_ms ();
+  double other_ms;
+
+  if (!request_other_server (request, &other_ms))
+    return RETRY_NO_SERVER;
+  gain = retry_gain (request, other_ms, now_ms);
+  verdict = verdicts[front_retry_gain (&gain)];
+  log_gain (request, &gain, verdict);
+  if (verdict != RETRY_NOW)
+    front_counter_add (FRONT_COUNTER_RETRIES_SPARED);
+  return verdict;
+}
+
+static RetryVerdict
+silence_verdict (FrontRequest *request)
+{
+  RetryVerdict verdict = RETRY_NOW;
+
+  if (!request_has_server (request))
+    return RETRY_NO_SERVER;
+  if (!request->relaying && front_is_contended (request->front))
+    verdict = gain_verdict (request);
+  return verdict == RETRY_NOW ? retry_verdict (request, true) : verdict;
+}
+
+/* Waits for the attempt's answer for as long again. Where work is ordered under load, predictions
+ * are learned from the whole time since it was sent. */
+static void
+keep_attempt (FrontRequest *request, int64_t now_ms)
+{
+  request->event_ms = now_ms;
+  request->checked_ms = now_ms;
+  if (!front_is_contended (request->front))
+    request->sent_ms = now_ms;
+  request_arm_timer (request);
+}
+
 /* Unlike a lost connection, silence doesn't end the answer: the attempt is dropped only for another
  * one, and otherwise kept, since the server may continue. */
 void
 request_handle_silence (FrontRequest *request)
 {
   const char *reason = request->relaying ? "stream_silent" : "answer_late";
-  RetryVerdict verdict
-      = request_has_server (request) ? retry_verdict (request, true) : RETRY_NO_SERVER;
+  RetryVerdict verdict = silence_verdict (request);
   int64_t now_ms = clock_boot_ms ();
 
   log_retry (request, reason, verdict);
@@ -190,9 +273,7 @@
     request_add_evidence (request, false, now_ms);
   if (verdict != RETRY_NOW)
     {
-      request->event_ms = now_ms;
-      request->sent_ms = now_ms;
-      request_arm_timer (request);
+      keep_attempt (request, now_ms);
       return;
     }
   front_health_failed (&request->server->health, now_ms);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -162,6 +162,13 @@
   front_log_end (line);
 }
 
+/* Milliseconds from an idle server's acceptance to the beginning of its answer. */
+static double
+overhead_ms (const FrontRequest *request, const PickQuery *query)
+{
+  return query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS;
+}
+
 /* Records the attempt for later choices: the load that it adds, and the prompt that the server will
  * have read. */
 static void
@@ -177,9 +184,7 @@
   front_server_ref (pick->server);
   cold_sent (&pick->server->cold_sends, now_ms);
   server_limit_sent (&pick->server->limit, now_ms);
-  request->predicted_ms
-      = pick->predicted_ms
-        + (query->is_model ? front_speeds_first_ms (&request->front->speeds) : PLAIN_FIRST_MS);
+  request->predicted_ms = pick->predicted_ms + overhead_ms (request, query);
   request->prompt_ms = pick->prompt_ms;
   request->prompt_tokens = pick->prompt_tokens;
   request->loaded = query->canary_hash_max > 0 && query->canary_hash_max < UINT64_MAX
@@ -188,6 +193,7 @@
   pick->server->pending_ms += pick->prompt_ms;
   request->attempt_ms = now_ms;
   request->sent_ms = now_ms;
+  request->checked_ms = now_ms;
   request->event_ms = now_ms;
   request->relaying = false;
   request->has_begun = false;
@@ -260,6 +266,19 @@
   return pick_server (request, &query, clock_boot_ms ()).server != NULL;
 }
 
+bool
+request_other_server (const FrontRequest *request, double *first_ms)
+{
+  PickQuery query
+      = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+  PickAnswer pick = front_pick (request->front->servers, &query, clock_boot_ms ());
+
+  if (!pick.server)
+    return false;
+  *first_ms = pick.predicted_ms + overhead_ms (request, &query);
+  return true;
+}
+
 static void
 send_to_server (FrontRequest *request)
 {
@@ -384,7 +403,7 @@
   if (request->relaying)
     return route->kind == ROUTE_STREAM ? request->event_ms + SILENCE_PAUSES * route->gap_ms
                                        : INT64_MAX;
-  return request->sent_ms + (int64_t)first_ms;
+  return request->checked_ms + (int64_t)first_ms;
 }
 
 void
