Requests that a full server turned away wait to go back to it

Where a route allows no further server, a caller got a 503 at once although the same server may have room soon after: one of three servers of a plain service left, 149 of 3,627 `pledge-commit` refused.

--- a/src/front.h
+++ b/src/front.h
@@ -12,6 +12,7 @@
 #include "front_parts.h"
 #include "front_rank_lag.h"
 #include "front_reach.h"
+#include "front_returning.h"
 #include "front_rollouts.h"
 #include "front_servers.h"
 #include "front_sessions.h"
@@ -59,6 +60,7 @@
   struct cds_list_head conns;      /**< FrontConn by node */
   struct cds_list_head requests;   /**< FrontRequest by node */
   FrontWaiting waiting;            /**< those of them that wait for room at a server */
+  FrontReturning returning;        /**< and those that go back to a full one */
   unsigned conn_count;
   unsigned request_count;
   int64_t stop_requested_ms; /**< of a graceful stop, boot-time clock; 0: none */
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -203,6 +203,7 @@
   CDS_INIT_LIST_HEAD (&front->conns);
   CDS_INIT_LIST_HEAD (&front->requests);
   front_waiting_init (&front->waiting);
+  front_returning_init (&front->returning);
   front->servers = front_servers_new (settings->failure_domain);
   front->sessions
       = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S) + SESSION_MARGIN_MS);
@@ -241,6 +242,7 @@
   front_control_free (self->control);
   front_store_free (front->store);
   front_waiting_clear (&front->waiting);
+  front_returning_clear (&front->returning);
   front_peers_free (front->peers);
   event_free (self->tick);
   event_free (self->signals[0]);
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -46,6 +46,7 @@
 matches_query (const PickQuery *query, const FrontServer *server)
 {
   return strcmp (server->entry.service, query->service) == 0
+         && (query->only_server == 0 || server->hash == query->only_server)
          && (!query->version || strcmp (server->entry.version, query->version) == 0);
 }
 
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -31,6 +31,7 @@
   int64_t reuse_window_ms;  /**< how long a prompt is assumed to stay in a server's cache */
   uint64_t canary_hash_max; /**< servers with a larger hash are used only if the others are loaded;
                                0 or UINT64_MAX: none (front_canary) */
+  uint64_t only_server;     /**< hash of the only server that may get it; 0: any */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -44,6 +44,7 @@
 {
   request_drop_attempt (request);
   request_stop_waiting (request);
+  request_stop_returning (request);
   if (request->version_hash)
     front_sessions_end (request->front->sessions, request->session, clock_boot_ms ());
   if (request->timer)
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -70,6 +70,14 @@
   int64_t wait_end_ms; /* end of all its waits for room; 0: it never waited */
   struct cds_list_head waiting_node;
 
+  bool is_returning;      /* waits to go back to a full server */
+  bool return_now;        /* is sent with the current walk of the list */
+  unsigned returns;       /* how often it went back */
+  uint64_t return_to;     /* hash of that server, to which it is bound from then on; 0: none */
+  int64_t return_ms;      /* when it goes back */
+  int64_t turned_away_ms; /* when it first was; 0: never */
+  struct cds_list_head returning_node;
+
   bool is_handed_off;  /* the current attempt is at another front */
   PeerHandoff handoff; /* fronts that it was handed to */
 
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -361,7 +361,7 @@
       return;
     case REPLY_NOT_RUN:
       front_health_full (&request->server->health, now_ms);
-      request_retry (request, "server_full", false);
+      request_handle_full (request);
       return;
     case REPLY_GARBLED:
       front_health_failed (&request->server->health, now_ms);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -108,7 +108,8 @@
     .is_model = service && service->kv_tokens > 0,
     .affinity_tokens = affinity_tokens (request, hash),
     .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
-    .tried_count = request->tried_count,
+    .only_server = request->return_to,
+    .tried_count = request->return_to ? 0 : request->tried_count,
     .cold = cold_rule (request->front, service),
     .share.self = request->front->vm_hash,
   };
@@ -289,7 +290,7 @@
   PickQuery query = pick_query (request, request->model, version);
   PickAnswer pick = pick_server (request, &query, now_ms);
 
-  if (!pick.server && pick.wait == PICK_WAIT_FULL
+  if (!pick.server && pick.wait == PICK_WAIT_FULL && !request->return_to
       && (request_hand_off_for_room (request) || request_wait_for_room (request)))
     return;
   if (!pick.server)
@@ -358,6 +359,8 @@
 {
   if (request->server->brittle.is_named)
     front_waiting_room_freed (request->front, request_service_hash (request), clock_boot_ms ());
+  if (request->relaying)
+    front_returning_room_freed (request->front, request->server->hash, clock_boot_ms ());
 }
 
 void
--- a/tests/front_node.c
+++ b/tests/front_node.c
@@ -26,6 +26,7 @@
   CU_ASSERT_EQUAL_FATAL (listen (node->listener, LISTEN), 0);
   CDS_INIT_LIST_HEAD (&node->front.requests);
   front_waiting_init (&node->front.waiting);
+  front_returning_init (&node->front.returning);
   node->front.parts = memory_alloc (sizeof *node->front.parts);
   node->front.base = event_base_new ();
   node->front.store = &node->store;
