Refuse at once what can't begin before its caller leaves

Where work is ordered under load, a request to a model service whose answer is predicted to begin after its caller's deadline, even at the best server, is refused before it is sent: 503, not run, Retry-After by the excess of the wait, spread by rank and chance within a third of the time left (front_admission). request_hopeless names the server, the prediction and the time left.

--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -140,6 +140,17 @@
 /* Refuses a request that has waited for too long. Frees it. */
 void request_end_wait (FrontRequest *request);
 
+/* front_request_admit.c */
+/* Refuses a request that was sent to no server yet, if even at the chosen one its answer would
+ * begin after its caller has left. True if it was refused, and freed. */
+bool request_refuse_hopeless (FrontRequest *request, const PickAnswer *pick, double begin_ms);
+
+/* front_request_readmit.c */
+/* Handles a server that turned the request away without running it: the request goes to another
+ * one, or waits to go back if it may go to no further one, or is refused. May free it. */
+void request_handle_full (FrontRequest *request);
+void request_stop_returning (FrontRequest *request);
+
 /* front_request_handoff.c */
 /* Hands the request to another front, as no server has room for it that this front may use. False
  * if there is none to ask. */
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -298,6 +298,10 @@
       request_give_up (request, no_server_reason (&pick), pick.wait_ms);
       return;
     }
+  if (query.is_model
+      && request_refuse_hopeless (request, &pick,
+                                  pick.predicted_ms + overhead_ms (request, &query)))
+    return;
   version_set (request, version, now_ms);
   record_attempt (request, &query, &pick, now_ms);
   if (!attempt_begin (request, &pick, request->end_ms - now_ms))
