--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -13,6 +13,9 @@
  * a margin. Servers that fail for other reasons (crashes, overload) do so under both versions. */
 #define WORSE_FACTOR  3.0
 #define FAILED_MARGIN 0.06
+/* Standard deviations that chance brings, where the old version fails often as well. */
+#define FAILED_DEVIATIONS       4.0
+#define FAILED_DEVIATIONS_DOUBT 2.0
 /* The same for answers of loaded servers, which are compared with those of the new version's other
  * servers as well. */
 #define LOADED_MARGIN 0.02
@@ -235,11 +238,26 @@
   return delay;
 }
 
+/* Where a fifth or more usually fails, hardly any share is WORSE_FACTOR times larger: then a
+ * version is bad that fails half of what is usually served, and more than chance brings. */
+static double
+bound_beside_failures (double usual, uint32_t answers, double deviations)
+{
+  double chance = deviations * sqrt (usual * (1 - usual) / fmax (answers, 1));
+
+  return usual + fmax ((1 - usual) / 2, chance);
+}
+
 static bool
 fails (const EvidenceCount *new_count, const EvidenceCount *old_count, EvidenceThreshold threshold)
 {
-  uint32_t failed_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : FAILED_MIN;
-  double bound = share (old_count->failed, old_count->answers) * WORSE_FACTOR + FAILED_MARGIN;
+  bool is_doubt = threshold == EVIDENCE_DOUBT;
+  uint32_t failed_min = is_doubt ? DOUBT_MIN : FAILED_MIN;
+  double deviations = is_doubt ? FAILED_DEVIATIONS_DOUBT : FAILED_DEVIATIONS;
+  double usual = share (old_count->failed, old_count->answers);
+  double guessed = (old_count->failed + 1.0) / (old_count->answers + 2.0);
+  double bound = fmin (usual * WORSE_FACTOR + FAILED_MARGIN,
+                       bound_beside_failures (guessed, new_count->answers, deviations));
 
   return new_count->failed >= failed_min && share (new_count->failed, new_count->answers) > bound;
 }
@@ -256,8 +274,11 @@
   double usual
       = fmax (share (old_count->failed, old_count->answers), share (others_failed, others));
 
+  double bound = fmin (usual * WORSE_FACTOR + LOADED_MARGIN,
+                       bound_beside_failures (usual, loaded->answers, FAILED_DEVIATIONS));
+
   return loaded->answers >= LOADED_MIN && loaded->failed >= FAILED_MIN
-         && share (loaded->failed, loaded->answers) > usual * WORSE_FACTOR + LOADED_MARGIN;
+         && share (loaded->failed, loaded->answers) > bound;
 }
 
 static EvidenceLoaded
--- a/tests/test_front_evidence.c
+++ b/tests/test_front_evidence.c
@@ -3,15 +3,22 @@
 #include "front_evidence_code.h"
 #include "suite.h"
 #include <gsl/gsl_randist.h>
+#include <stdio.h>
 #include <string.h>
 
-#define ROUTES       5
-#define NEW_SHARE    0.08  /* of the requests go to the new version */
-#define BAD_MAX      50    /* answers that a bad version may give until it is found */
-#define ANSWERS      20000 /* of both versions in a simulation: minutes of a busy service */
-#define SLOW_FACTOR  8.0
-#define PREDICTED_MS 60.0
-#define FAILED_SHARE 0.01 /* of both versions' answers */
+#define ROUTES         5
+#define NEW_SHARE      0.08  /* of the requests go to the new version */
+#define BAD_MAX        50    /* answers that a bad version may give until it is found */
+#define ANSWERS        20000 /* of both versions in a simulation: minutes of a busy service */
+#define SLOW_FACTOR    8.0
+#define PREDICTED_MS   60.0
+#define FAILED_SHARE   0.01 /* of both versions' answers */
+#define OLD_FAILED     0.4  /* of the old version's answers, where its servers fail */
+#define OLD_PER_NEW    10   /* answers of the old version for each of the new one */
+#define FEW_ANSWERS    5    /* of the new version, at its deadline */
+#define ROLLOUTS       200u
+#define ANSWERS_JUDGED 200  /* of the new version in one roll-out */
+#define BLAMED_MAX     0.01 /* of good versions */
 
 static EvidenceAnswer
 answer_of (EvidenceSide side, unsigned route, bool failed, double first_ms)
@@ -77,6 +84,54 @@
   CU_ASSERT (!front_evidence_is_bad (&evidence, EVIDENCE_DOUBT));
 }
 
+/* Adds answers of the new version, of which so many fail by chance, and of the old one, which fails
+ * two of five. */
+static void
+add_by_chance (FrontEvidence *evidence, gsl_rng *random, unsigned answers, double new_failed)
+{
+  for (unsigned i = 0; i < answers; i++)
+    {
+      add (evidence, EVIDENCE_NEW, i % ROUTES, gsl_ran_flat (random, 0, 1) < new_failed, 70);
+      for (unsigned j = 0; j < OLD_PER_NEW; j++)
+        {
+          unsigned number = i * OLD_PER_NEW + j;
+
+          add (evidence, EVIDENCE_OLD, number % ROUTES, number / ROUTES % 5 < 2, 70);
+        }
+    }
+}
+
+/* Servers of the old version fail two of five requests. Guards against completing a new version
+ * that fails all of its own, and against blaming one that fails as many. */
+static void
+test_version_that_fails_all_is_found_beside_failures (void)
+{
+  gsl_rng *random = gsl_rng_alloc (gsl_rng_mt19937);
+  unsigned blamed = 0;
+
+  for (unsigned i = 0; i < ROLLOUTS; i++)
+    {
+      FrontEvidence bad = { 0 }, good = { 0 };
+
+      add_by_chance (&bad, random, FEW_ANSWERS, 1);
+      CU_ASSERT (front_evidence_is_bad (&bad, EVIDENCE_DOUBT));
+      add_by_chance (&bad, random, BAD_MAX - FEW_ANSWERS, 1);
+      CU_ASSERT (front_evidence_is_bad (&bad, EVIDENCE_CERTAIN));
+      for (unsigned j = 0; j < ANSWERS_JUDGED; j += FEW_ANSWERS)
+        {
+          add_by_chance (&good, random, FEW_ANSWERS, OLD_FAILED);
+          if (front_evidence_is_bad (&good, EVIDENCE_CERTAIN))
+            {
+              blamed++;
+              break;
+            }
+        }
+    }
+  printf ("%u of %u good versions blamed\n", blamed, ROLLOUTS);
+  CU_ASSERT (blamed <= ROLLOUTS * BLAMED_MAX);
+  gsl_rng_free (random);
+}
+
 /* Engines crash during the roll-out of a good version, and requests of both versions fail alike. */
 static void
 test_failures_of_both_versions_are_not_blamed (void)
@@ -266,6 +321,8 @@
 static const SuiteCase cases[] = {
   { "detects_bad_versions", test_detects_bad_versions },
   { "only_answer_failed_is_bad", test_only_answer_failed_is_bad },
+  { "version_that_fails_all_is_found_beside_failures",
+    test_version_that_fails_all_is_found_beside_failures },
   { "failures_of_both_versions_are_not_blamed", test_failures_of_both_versions_are_not_blamed },
   { "slow_version_is_found_at_any_pace", test_slow_version_is_found_at_any_pace },
   { "good_version_is_not_found_slow", test_good_version_is_not_found_slow },
