Compare the pace of streams between versions, too

It reads and generates some four and two times as slowly, but its prompts are short: answers began some hundredths of a second late, and 5% of the objective, which callers don't notice, hid that. What stood out is the time between events of its streams: 55 ms at the least, where streams of the old version had 28 in the median and idle engines of a good version 18.

Now the mean of a stream's first four gaps is compared with the usual one of the old version's streams at the same front, which follows the load (front_pace, no I/O). It is counted in the same classes as delays, in one row for all routes, so messages keep their form and size, and isn't an answer, so completion and shares of failures stay as they were. It counts in the roll-out's first half only: then the new version's servers are loaded less than the old ones'; later a good version would be blamed for being loaded on purpose. What a request shows of its version moved out of front_request_relay into front_request_evidence.

Ruled out: taking the 5% away, as idle servers of good versions read 1.2 times as long as predicted and busy ones 0.6 times.

Tests: slow_streams_of_short_prompts_are_found: without the pace 48 of 50 such roll-outs aren't found by fifty answers; now all but one. good_streams_are_not_found_slow guards good versions, also with three slow servers of eight; paces_are_no_answers and paces_reach_other_fronts (the latter failed with the old code of evidence, which left out rows without answers); test_front_pace.

--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -29,6 +29,8 @@
  * of that of all. */
 #define LATE_SPREAD        0.4
 #define CLASSES_PER_OCTAVE 2.0
+/* The route with which the pace of all streams is counted: engines don't tell routes apart. */
+#define PACE_ROUTE (EVIDENCE_ROUTES - 1)
 
 static unsigned
 delay_class (double first_ms, double predicted_ms)
@@ -68,6 +70,16 @@
     }
 }
 
+void
+front_evidence_add_pace (FrontEvidence *evidence, const EvidencePace *pace)
+{
+  unsigned delay = delay_class (pace->gap_ms, pace->usual_ms);
+
+  evidence->counts[pace->side][PACE_ROUTE].delays[delay]++;
+  if (pace->side == EVIDENCE_NEW)
+    evidence->groups[pace->server % EVIDENCE_GROUPS].delays[delay]++;
+}
+
 static void
 merge_max (uint32_t *into, uint32_t value)
 {
@@ -149,10 +161,11 @@
   return all ? (double)part / all : 0;
 }
 
+/* Number of delays: of answers that didn't fail, and of streams. */
 static uint32_t
-count_served (const EvidenceCount *count)
+count_delays (const EvidenceCount *count)
 {
-  return count->answers > count->failed ? count->answers - count->failed : 0;
+  return evidence_count_late (count, 0);
 }
 
 /* Late and all answers of a group of servers. */
@@ -176,14 +189,14 @@
 is_spread (const FrontEvidence *evidence, unsigned delay)
 {
   EvidenceCount old_total = front_evidence_total (evidence, EVIDENCE_OLD);
-  double usual = share (evidence_count_late (&old_total, delay), count_served (&old_total));
+  double usual = share (evidence_count_late (&old_total, delay), count_delays (&old_total));
   GroupShare shares[EVIDENCE_GROUPS], all = { 0 }, better = { 0 };
   unsigned groups = 0;
 
   for (unsigned i = 0; i < EVIDENCE_GROUPS; i++)
     {
       GroupShare group = { .late = evidence_count_late (&evidence->groups[i], delay),
-                           .answers = count_served (&evidence->groups[i]) };
+                           .answers = count_delays (&evidence->groups[i]) };
 
       if (group.answers == 0)
         continue;
@@ -211,9 +224,9 @@
 {
   uint32_t late_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : LATE_MIN;
   uint32_t late = evidence_count_late (new_count, delay);
-  double answers = count_served (new_count);
+  double answers = count_delays (new_count);
   double usual
-      = (evidence_count_late (old_count, delay - 1) + 1.0) / (count_served (old_count) + 2.0);
+      = (evidence_count_late (old_count, delay - 1) + 1.0) / (count_delays (old_count) + 2.0);
   double deviations = threshold == EVIDENCE_DOUBT || answers < LATE_ANSWERS_MIN
                           ? LATE_DEVIATIONS_FEW
                           : LATE_DEVIATIONS;
--- a/src/front_evidence.h
+++ b/src/front_evidence.h
@@ -5,7 +5,7 @@
  *
  * How slow an answer is, is judged by no fixed time: services answer within milliseconds or
  * seconds. Answers of both versions are counted by how late they began against the same prediction,
- * and the two distributions are compared.
+ * and streams by how slowly they go on; the two distributions are compared.
  */
 #ifndef FRONT_EVIDENCE_H
 #define FRONT_EVIDENCE_H
@@ -35,7 +35,7 @@
 {
   uint32_t answers;                 /**< all answers */
   uint32_t failed;                  /**< server errors */
-  uint32_t delays[EVIDENCE_DELAYS]; /**< the other answers, by class */
+  uint32_t delays[EVIDENCE_DELAYS]; /**< how the others began and went on, by class */
 } EvidenceCount;
 
 /** Those of the new version's answers whose server was loaded on purpose (front_canary). */
@@ -70,6 +70,19 @@
 /** Adds the counts of another front. */
 void front_evidence_sum (FrontEvidence *into, const FrontEvidence *other);
 
+/** How fast a stream goes on. */
+typedef struct
+{
+  EvidenceSide side;
+  uint64_t server; /**< hash */
+  double gap_ms;   /**< between two events */
+  double usual_ms; /**< the same of the old version's streams */
+} EvidencePace;
+
+/** Counts a stream's pace as a delay, besides how its answer began: a version may be slow in
+ *  either. It is no further answer. */
+void front_evidence_add_pace (FrontEvidence *evidence, const EvidencePace *pace);
+
 /** How certain a verdict has to be. */
 typedef enum
 {
@@ -82,8 +95,8 @@
 typedef enum
 {
   EVIDENCE_FINE,
-  EVIDENCE_FAILS,        /**< it fails more often than the old version */
-  EVIDENCE_SLOW,         /**< its answers begin later than those of the old version */
+  EVIDENCE_FAILS, /**< it fails more often than the old version */
+  EVIDENCE_SLOW,  /**< its answers begin later or go on slower than those of the old version */
   EVIDENCE_FAILS_LOADED, /**< it fails at loaded servers */
   EVIDENCE_VERDICTS
 } EvidenceVerdict;
--- a/src/front_evidence_code.c
+++ b/src/front_evidence_code.c
@@ -96,11 +96,18 @@
     }
 }
 
+/* Streams are counted without being answers of their own. */
+static bool
+has_counts (const EvidenceCount *count)
+{
+  return count->answers > 0 || evidence_count_late (count, 0) > 0;
+}
+
 static bool
 has_route (const FrontEvidence *evidence, unsigned route)
 {
-  return evidence->counts[EVIDENCE_NEW][route].answers > 0
-         || evidence->counts[EVIDENCE_OLD][route].answers > 0;
+  return has_counts (&evidence->counts[EVIDENCE_NEW][route])
+         || has_counts (&evidence->counts[EVIDENCE_OLD][route]);
 }
 
 size_t
@@ -112,7 +119,7 @@
   for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
     routes |= has_route (evidence, i) ? 1u << i : 0;
   for (unsigned i = 0; i < EVIDENCE_GROUPS; i++)
-    groups |= evidence->groups[i].answers > 0 ? 1u << i : 0;
+    groups |= has_counts (&evidence->groups[i]) ? 1u << i : 0;
   *at++ = (unsigned char)routes;
   *at++ = (unsigned char)groups;
   for (unsigned i = 0; i < EVIDENCE_ROUTES; i++)
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -8,6 +8,7 @@
 #include "front_call.h"
 #include "front_cascade.h"
 #include "front_events.h"
+#include "front_pace.h"
 #include "front_peers.h"
 #include "front_pick.h"
 #include "front_request.h"
@@ -62,6 +63,7 @@
   bool relaying;         /* the attempt's answer is being relayed */
   bool has_begun;        /* part of the attempt's answer was relayed */
   bool counted;          /* the attempt was counted for or against its version */
+  PaceStream stream;     /* the attempt's */
 
   bool is_waiting;     /* for room at a server */
   int64_t wait_end_ms; /* end of all its waits for room; 0: it never waited */
@@ -136,6 +138,8 @@
 /* front_request_relay.c */
 /* Evaluates what has arrived of the answer. May free the request. */
 void request_handle_progress (FrontRequest *request);
+
+/* front_request_evidence.c */
 /* During a roll-out, counts the current attempt once for or against its version: how its answer
  * began, or that it has not begun yet. Another failure of the request on the same version doesn't
  * count, as some requests fail anywhere. */
@@ -143,6 +147,8 @@
 /* Counts the current attempt as one whose answer has not begun, if it is late. Callers leave sooner
  * the slower a version is, so without these its answers would look better than it is. */
 void request_count_unanswered (FrontRequest *request);
+/* Counts how fast the current attempt's stream goes on, once, when enough events were relayed. */
+void request_add_pace (FrontRequest *request, int64_t now_ms);
 
 /* front_request.c */
 /* Answers with an error status and frees the request. */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -10,10 +10,6 @@
 
 /* Number of models from which a route has one between the smallest and the largest. */
 #define MODELS_WITH_MIDDLE 3
-/* Share of an objective by which callers don't notice a delay. Idle servers of a new version differ
- * from the prediction by tens of milliseconds, a multiple of what a short prompt takes. */
-#define UNNOTICED_SHARE 0.05
-
 typedef enum
 {
   REPLY_STREAM,       /* events, relayed as they arrive */
@@ -51,44 +47,6 @@
   return REPLY_BUFFERED;
 }
 
-void
-request_add_evidence (FrontRequest *request, bool failed, int64_t now_ms)
-{
-  FrontRollout *rollout = front_rollouts_get (request->front->rollouts, request->service);
-  bool is_target = strcmp (request->version, rollout->order.target) == 0;
-  EvidenceAnswer answer = {
-    .side = is_target ? EVIDENCE_NEW : EVIDENCE_OLD,
-    .route = request->route->hash,
-    .server = request->server->hash,
-    .failed = failed,
-    .loaded = request->loaded,
-    .first_ms = (double)(now_ms - request->attempt_ms),
-    .predicted_ms = request->predicted_ms + UNNOTICED_SHARE * (double)request->route->objective_ms,
-  };
-
-  if (request->counted || !front_rollout_is_running (rollout)
-      || (failed && request->failed_version == request->version_hash
-          && request->failed_model == request->model))
-    return;
-  request->counted = true;
-  if (failed)
-    {
-      request->failed_version = request->version_hash;
-      request->failed_model = request->model;
-    }
-  front_evidence_add (&rollout->evidence, &answer);
-}
-
-void
-request_count_unanswered (FrontRequest *request)
-{
-  int64_t now_ms = clock_boot_ms ();
-
-  if (request->server && front_attempt_is_sent (request->attempt) && !request->relaying
-      && (double)(now_ms - request->attempt_ms) > request->predicted_ms)
-    request_add_evidence (request, false, now_ms);
-}
-
 /* Records the start of an answer for its server and, during a roll-out, for its version. */
 static void
 record_answer_start (FrontRequest *request, bool failed)
@@ -296,6 +254,7 @@
       record_first_byte (request);
       record_begun (request);
       record_relayed_event (request);
+      request_add_pace (request, request->event_ms);
       front_conn_stream_data (request->conn, out.data, out.len);
     }
   buffer_free (&out);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -190,6 +190,7 @@
   request->relaying = false;
   request->has_begun = false;
   request->counted = false;
+  request->stream = (PaceStream){ 0 };
   if (!query->is_model)
     return;
   request->running_weight = query->running_weight;
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -143,6 +143,7 @@
   rollout->peer_count = 0;
   rollout->domain_count = 0;
   memset (&rollout->evidence, 0, sizeof rollout->evidence);
+  rollout->pace = (FrontPace){ 0 };
   if (strcmp (rollout->base, order->target) == 0)
     rollout->base[0] = '\0';
   return true;
@@ -315,6 +316,13 @@
          / (double)rollout->order.duration_ms;
 }
 
+bool
+front_rollout_is_first_half (const FrontRollout *rollout, int64_t now_ms)
+{
+  return now_ms - rollout->started_ms
+         < (int64_t)(SECOND_HALF_AT * (double)rollout->order.duration_ms) + SECOND_HALF_MARGIN_MS;
+}
+
 bool
 front_rollout_is_loading (const FrontRollout *rollout, int64_t now_ms)
 {
@@ -374,9 +382,7 @@
                        int64_t now_ms)
 {
   uint64_t runs_on = front_sessions_version (rollouts->sessions, session, now_ms);
-  bool first_half
-      = now_ms - rollout->started_ms
-        < (int64_t)(SECOND_HALF_AT * (double)rollout->order.duration_ms) + SECOND_HALF_MARGIN_MS;
+  bool first_half = front_rollout_is_first_half (rollout, now_ms);
   int64_t hold_ms = stages_of (rollout)->hold_ms;
 
   if (rollout->is_bad)
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -8,6 +8,7 @@
 
 #include "front_domain.h"
 #include "front_evidence.h"
+#include "front_pace.h"
 #include "front_rollout_order.h"
 #include "front_servers.h"
 #include "front_sessions.h"
@@ -74,6 +75,7 @@
   unsigned held_cursor;     /**< start of the next list of held sessions */
   int64_t old_busy_ms;      /**< when a request on the old version was last known to run anywhere */
   FrontEvidence evidence;   /**< counted by this front */
+  FrontPace pace;           /**< of the old version's streams at this front */
   unsigned peer_count;
   RolloutPeer *peers; /**< peer_count entries */
   unsigned domain_count;
@@ -123,6 +125,8 @@
 /** Share of the sessions that begin on the new version now, 0 to 1. */
 double front_rollout_share (const FrontRollout *rollout, int64_t now_ms);
 bool front_rollout_is_running (const FrontRollout *rollout);
+/** True while only a small share of the sessions begins on the new version. */
+bool front_rollout_is_first_half (const FrontRollout *rollout, int64_t now_ms);
 /** True while few of the new version's servers get all of its work: from the second stage on, until
  *  enough answers of these are known or all work has moved. */
 bool front_rollout_is_loading (const FrontRollout *rollout, int64_t now_ms);
