--- a/src/front_evidence.c
+++ b/src/front_evidence.c
@@ -13,6 +13,9 @@
  * a margin. Servers that fail for other reasons (crashes, overload) do so under both versions. */
 #define WORSE_FACTOR  3.0
 #define FAILED_MARGIN 0.06
+/* Standard deviations that chance brings, where the old version fails often as well. */
+#define FAILED_DEVIATIONS       4.0
+#define FAILED_DEVIATIONS_DOUBT 2.0
 /* The same for answers of loaded servers, which are compared with those of the new version's other
  * servers as well. */
 #define LOADED_MARGIN 0.02
@@ -26,6 +29,16 @@
  * of that of all. */
 #define LATE_SPREAD        0.4
 #define CLASSES_PER_OCTAVE 2.0
+/* Milliseconds predicted for reading a prompt from which on the time that it took tells anything.
+ */
+#define READING_MIN_MS 10.0
+/* Times of the prediction that reading may take. Idle engines of a good version take a little
+ * longer than predicted, and busy ones of the old version, which batch, less. */
+#define READING_TOLERANCE 1.7
+/* The routes with which readings and the pace of all streams are counted: engines don't tell routes
+ * apart. */
+#define PACE_ROUTE    (EVIDENCE_ROUTES - 1)
+#define READING_ROUTE (EVIDENCE_ROUTES - 2)
 
 static unsigned
 delay_class (double first_ms, double predicted_ms)
@@ -65,6 +78,35 @@
     }
 }
 
+static void
+add_delay (FrontEvidence *evidence,
+           EvidenceSide side,
+           unsigned row,
+           uint64_t server,
+           unsigned delay)
+{
+  evidence->counts[side][row].delays[delay]++;
+  if (side == EVIDENCE_NEW)
+    evidence->groups[server % EVIDENCE_GROUPS].delays[delay]++;
+}
+
+void
+front_evidence_add_pace (FrontEvidence *evidence, const EvidencePace *pace)
+{
+  add_delay (evidence, pace->side, PACE_ROUTE, pace->server,
+             delay_class (pace->gap_ms, pace->usual_ms));
+}
+
+void
+front_evidence_add_reading (FrontEvidence *evidence, const EvidenceReading *reading)
+{
+  double usual_ms = READING_TOLERANCE * reading->predicted_ms;
+
+  if (reading->predicted_ms >= READING_MIN_MS)
+    add_delay (evidence, reading->side, READING_ROUTE, reading->server,
+               delay_class (fmax (reading->read_ms, usual_ms), usual_ms));
+}
+
 static void
 merge_max (uint32_t *into, uint32_t value)
 {
@@ -146,10 +188,11 @@
   return all ? (double)part / all : 0;
 }
 
+/* Number of delays: of answers that didn't fail, and of streams. */
 static uint32_t
-count_served (const EvidenceCount *count)
+count_delays (const EvidenceCount *count)
 {
-  return count->answers > count->failed ? count->answers - count->failed : 0;
+  return evidence_count_late (count, 0);
 }
 
 /* Late and all answers of a group of servers. */
@@ -173,14 +216,14 @@
 is_spread (const FrontEvidence *evidence, unsigned delay)
 {
   EvidenceCount old_total = front_evidence_total (evidence, EVIDENCE_OLD);
-  double usual = share (evidence_count_late (&old_total, delay), count_served (&old_total));
+  double usual = share (evidence_count_late (&old_total, delay), count_delays (&old_total));
   GroupShare shares[EVIDENCE_GROUPS], all = { 0 }, better = { 0 };
   unsigned groups = 0;
 
   for (unsigned i = 0; i < EVIDENCE_GROUPS; i++)
     {
       GroupShare group = { .late = evidence_count_late (&evidence->groups[i], delay),
-                           .answers = count_served (&evidence->groups[i]) };
+                           .answers = count_delays (&evidence->groups[i]) };
 
       if (group.answers == 0)
         continue;
@@ -208,9 +251,9 @@
 {
   uint32_t late_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : LATE_MIN;
   uint32_t late = evidence_count_late (new_count, delay);
-  double answers = count_served (new_count);
+  double answers = count_delays (new_count);
   double usual
-      = (evidence_count_late (old_count, delay - 1) + 1.0) / (count_served (old_count) + 2.0);
+      = (evidence_count_late (old_count, delay - 1) + 1.0) / (count_delays (old_count) + 2.0);
   double deviations = threshold == EVIDENCE_DOUBT || answers < LATE_ANSWERS_MIN
                           ? LATE_DEVIATIONS_FEW
                           : LATE_DEVIATIONS;
@@ -235,11 +278,26 @@
   return delay;
 }
 
+/* Where a fifth or more usually fails, hardly any share is WORSE_FACTOR times larger: then a
+ * version is bad that fails half of what is usually served, and more than chance brings. */
+static double
+bound_beside_failures (double usual, uint32_t answers, double deviations)
+{
+  double chance = deviations * sqrt (usual * (1 - usual) / fmax (answers, 1));
+
+  return usual + fmax ((1 - usual) / 2, chance);
+}
+
 static bool
 fails (const EvidenceCount *new_count, const EvidenceCount *old_count, EvidenceThreshold threshold)
 {
-  uint32_t failed_min = threshold == EVIDENCE_DOUBT ? DOUBT_MIN : FAILED_MIN;
-  double bound = share (old_count->failed, old_count->answers) * WORSE_FACTOR + FAILED_MARGIN;
+  bool is_doubt = threshold == EVIDENCE_DOUBT;
+  uint32_t failed_min = is_doubt ? DOUBT_MIN : FAILED_MIN;
+  double deviations = is_doubt ? FAILED_DEVIATIONS_DOUBT : FAILED_DEVIATIONS;
+  double usual = share (old_count->failed, old_count->answers);
+  double guessed = (old_count->failed + 1.0) / (old_count->answers + 2.0);
+  double bound = fmin (usual * WORSE_FACTOR + FAILED_MARGIN,
+                       bound_beside_failures (guessed, new_count->answers, deviations));
 
   return new_count->failed >= failed_min && share (new_count->failed, new_count->answers) > bound;
 }
@@ -256,8 +314,11 @@
   double usual
       = fmax (share (old_count->failed, old_count->answers), share (others_failed, others));
 
+  double bound = fmin (usual * WORSE_FACTOR + LOADED_MARGIN,
+                       bound_beside_failures (usual, loaded->answers, FAILED_DEVIATIONS));
+
   return loaded->answers >= LOADED_MIN && loaded->failed >= FAILED_MIN
-         && share (loaded->failed, loaded->answers) > usual * WORSE_FACTOR + LOADED_MARGIN;
+         && share (loaded->failed, loaded->answers) > bound;
 }
 
 static EvidenceLoaded
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -226,6 +226,7 @@
   request->has_begun = false;
   request->counted = false;
   request->overdue_count = 0;
+  request->stream = (PaceStream){ 0 };
   if (!query->is_model)
     return;
   request->running_weight = query->running_weight;
