Send a copy of a late request to another server

Callers of plain requests waited for a server in a slow spell, or frozen, until the silence rule gave the attempt up (four times the predicted time, 240 ms and more where the objective is 150 ms). Once front_hedge finds the answer late, a copy goes to another server; the first complete success is relayed and the other connection closed at once, so that its server stops.

A request keeps one current attempt: front_request_hedge.c holds the other one and exchanges the two when the other has something to handle. If one fails, the other goes on alone and nothing is taken for it from the budget; if both fail, the usual rules for retries apply. Copies take at most half of the retry budget. A cancelled attempt counts for its server as one answered no sooner than then, and not as an answer.

Ruled out: copies of streams (their first event says little of the rest, and the engines' queues are what is scarce) and of requests from other fronts, whose first front may have a copy running.

hedge_share applies on reload; with 0 nothing is allocated or learned.

--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,10 @@
 $(BUILD)/test_front_%: $(BUILD)/obj/tests/test_front_%.o \
   $(call obj,$(FRONT_PARTS) $(TEST_HELPERS) $(FRONT_TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
+# Replaces connections by fakes of its own.
+$(BUILD)/test_front_request_hedge: $(BUILD)/obj/tests/test_front_request_hedge.o \
+  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) $(TEST_HELPERS)) $(LIB)
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 # The simulation of a platform's site runs lovage-front's own modules.
--- a/src/front.h
+++ b/src/front.h
@@ -8,6 +8,7 @@
 #include "choose_quarantine.h"
 #include "front_budget.h"
 #include "front_config.h"
+#include "front_hedge.h"
 #include "front_lag.h"
 #include "front_parts.h"
 #include "front_reach.h"
@@ -39,6 +40,7 @@
   FrontSessions *sessions;
   FrontRollouts *rollouts;
   FrontBudget *budget;
+  FrontHedge *hedge;
   Quarantine *quarantine;
   FrontParts *parts;
   FrontLag lag; /**< of model engines' answers */
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -100,6 +100,12 @@
   return attempt;
 }
 
+void
+front_attempt_set_callbacks (FrontAttempt *attempt, const AttemptCallbacks *callbacks)
+{
+  attempt->callbacks = callbacks;
+}
+
 void
 front_attempt_free (FrontAttempt *attempt)
 {
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -44,6 +44,8 @@
                                    const Buffer *body,
                                    const AttemptCallbacks *callbacks,
                                    void *user);
+/** Sends the attempt's callbacks elsewhere from now on, with the same user. */
+void front_attempt_set_callbacks (FrontAttempt *attempt, const AttemptCallbacks *callbacks);
 /** Closes the connection at once; a server stops working on a request whose connection is
  *  closed. */
 void front_attempt_free (FrontAttempt *attempt);
--- a/src/front_budget.c
+++ b/src/front_budget.c
@@ -13,6 +13,7 @@
 static const double use_shares[] = {
   [BUDGET_RETRY] = 1.0,
   [BUDGET_CASCADE] = 0.8,
+  [BUDGET_HEDGE] = 0.5,
 };
 
 /* This front's share of the fixed allowance. It is at most that of one front in sixteen, so that
@@ -34,7 +35,7 @@
 {
   int64_t number; /* since the clock's start */
   unsigned requests;
-  unsigned retries; /* additional sends, those of cascades included */
+  unsigned retries; /* additional sends, those of cascades and copies included */
   unsigned refused;
 } Slice;
 
--- a/src/front_budget.h
+++ b/src/front_budget.h
@@ -25,6 +25,7 @@
 {
   BUDGET_RETRY,   /**< an attempt failed; without another one the caller gets no answer */
   BUDGET_CASCADE, /**< a smaller model has answered; a larger model's answer would be better */
+  BUDGET_HEDGE,   /**< an answer is late; a copy of the request may be answered sooner */
 } BudgetUse;
 
 FrontBudget *front_budget_new (const BudgetSettings *settings);
--- a/src/front_counter.c
+++ b/src/front_counter.c
@@ -15,6 +15,7 @@
 static const char *const wait_names[FRONT_WAIT_COUNT] = {
   [FRONT_WAIT_FIRST] = "first_byte",
   [FRONT_WAIT_WHOLE] = "whole_answer",
+  [FRONT_WAIT_HEDGE] = "hedge_gain",
 };
 
 /* Upper bounds in milliseconds, from the answer time of a simple service to the longest time-out of
--- a/src/front_counter.h
+++ b/src/front_counter.h
@@ -20,6 +20,7 @@
 {
   FRONT_WAIT_FIRST, /**< until the first byte of the answer */
   FRONT_WAIT_WHOLE, /**< until the end of the answer */
+  FRONT_WAIT_HEDGE, /**< that a copy saved, as expected of the answer that was given up */
   FRONT_WAIT_COUNT
 } FrontWaitId;
 
--- a/src/front_health.c
+++ b/src/front_health.c
@@ -40,17 +40,31 @@
     health->avoid_until_ms = until_ms;
 }
 
+static void
+add_lag (FrontHealth *health, double lag_ms)
+{
+  double lag = fmin (fmax (lag_ms, 0), LAG_MAX_MS);
+
+  health->lag_ms += LAG_SMOOTHING * (lag - health->lag_ms);
+}
+
 void
 front_health_answered (FrontHealth *health, int64_t now_ms, double first_ms, double predicted_ms)
 {
-  double lag = fmin (fmax (first_ms - predicted_ms, 0), LAG_MAX_MS);
-
   decay (health, now_ms);
   health->answers += 1;
-  health->lag_ms += LAG_SMOOTHING * (lag - health->lag_ms);
+  add_lag (health, first_ms - predicted_ms);
   health->unreachable = 0;
 }
 
+void
+front_health_late (FrontHealth *health, int64_t now_ms, double elapsed_ms, double predicted_ms)
+{
+  decay (health, now_ms);
+  if (elapsed_ms - predicted_ms > health->lag_ms)
+    add_lag (health, elapsed_ms - predicted_ms);
+}
+
 void
 front_health_failed (FrontHealth *health, int64_t now_ms)
 {
@@ -83,6 +97,12 @@
   return now_ms < health->avoid_until_ms;
 }
 
+double
+front_health_lag_ms (const FrontHealth *health, int64_t now_ms)
+{
+  return health->lag_ms * exp2 (-(double)(now_ms - health->decayed_ms) / DECAY_HALF_LIFE_MS);
+}
+
 double
 front_health_penalty_ms (const FrontHealth *health, int64_t now_ms)
 {
--- a/src/front_hedge.c
+++ b/src/front_hedge.c
@@ -11,7 +11,7 @@
 /* Shares of the objective: until answers are known, a copy is sent after the first; before the
  * second the caller gains nothing by it. */
 #define PRIOR_SHARE 0.6
-#define EARLY_SHARE 0.2
+#define EARLY_SHARE 0.4
 /* Bounds of the quantile from which on answers count as late. With a limit between them, about as
  * many answers are late as may get a copy. */
 #define QUANTILE_MIN 0.90
@@ -139,15 +139,25 @@
   return &kind->times;
 }
 
+bool
+front_hedge_is_on (const FrontHedge *hedge)
+{
+  return hedge->share > 0;
+}
+
 void
 front_hedge_count_request (FrontHedge *hedge, const char *service, int64_t now_ms)
 {
+  if (!front_hedge_is_on (hedge))
+    return;
   hedge_window_count_request (&service_of (hedge, service)->window, now_ms);
 }
 
 void
 front_hedge_count_full (FrontHedge *hedge, const char *service, int64_t now_ms)
 {
+  if (!front_hedge_is_on (hedge))
+    return;
   service_of (hedge, service)->full_until_ms = now_ms + FULL_PAUSE_MS;
 }
 
@@ -204,7 +214,7 @@
   Service *service = service_of (hedge, c->kind.service);
   HedgeVerdict verdict;
 
-  if (hedge->share <= 0)
+  if (!front_hedge_is_on (hedge))
     return HEDGE_OFF;
   if (!c->is_idempotent)
     return HEDGE_NOT_REPEATABLE;
--- a/src/front_hedge.h
+++ b/src/front_hedge.h
@@ -67,6 +67,7 @@
 void front_hedge_free (FrontHedge *hedge);
 /** Additional sends as a share of a service's requests; 0: none. Applies to the next decision. */
 void front_hedge_set_share (FrontHedge *hedge, double share);
+bool front_hedge_is_on (const FrontHedge *hedge);
 /** Counts a request that a caller sent to this front. */
 void front_hedge_count_request (FrontHedge *hedge, const char *service, int64_t now_ms);
 /** A server of the service turned a request away for lack of room. */
--- a/src/front_hedge_times.c
+++ b/src/front_hedge_times.c
@@ -11,6 +11,9 @@
 #define SPREAD_MIN   1.3
 #define SPREAD_MAX   3.0
 #define SPREAD_PRIOR 2.0
+/* Answers that show how late the latest of them are. With fewer, the spread is at least the prior:
+ * the highest of a few is no rule. */
+#define SPREAD_ANSWERS 64
 /* Later answers needed to expect something of the next one; with fewer, it is expected to take as
  * long again as it has taken. */
 #define LATER_MIN 4
@@ -34,13 +37,13 @@
 {
   double sorted[HEDGE_TIMES_MAX];
   unsigned count = known (times);
+  double min = count < SPREAD_ANSWERS ? SPREAD_PRIOR : SPREAD_MIN;
 
   for (unsigned i = 0; i < count; i++)
     sorted[i] = times->ms[i];
   qsort (sorted, count, sizeof sorted[0], compare);
-  return fmin (
-      fmax (sorted[(unsigned)(quantile * (count - 1))] / fmax (sorted[count / 2], 1), SPREAD_MIN),
-      SPREAD_MAX);
+  return fmin (fmax (sorted[(unsigned)(quantile * (count - 1))] / fmax (sorted[count / 2], 1), min),
+               SPREAD_MAX);
 }
 
 uint64_t
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -124,6 +124,8 @@
     {
       self->front.settings.stop_s = settings.stop_s;
       self->front.settings.reuse_window_s = settings.reuse_window_s;
+      self->front.settings.hedge_share = settings.hedge_share;
+      front_hedge_set_share (self->front.hedge, settings.hedge_share);
       settings_front_clear (&settings);
       front_log_text (line, "outcome", "applied");
     }
@@ -213,6 +215,8 @@
       .extra = settings->retry_extra,
       .window_ms = (int64_t)(settings->retry_window_s * MS_PER_S),
   });
+  front->hedge = front_hedge_new (front->incarnation);
+  front_hedge_set_share (front->hedge, settings->hedge_share);
   front->quarantine = quarantine_new (&front_quarantine_settings);
   front->parts = memory_alloc (sizeof *front->parts);
   front->peers = front_peers_new (front);
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -225,6 +225,17 @@
   return waits_ms[*reason];
 }
 
+/* Whether a server is spared by sending it no copy of a request that another one is working on. */
+static bool
+is_spared (const PickQuery *query,
+           const FrontServer *server,
+           FrontServerState state,
+           int64_t now_ms)
+{
+  return state >= FRONT_SERVER_AVOIDED || is_cold (query, server, now_ms) || server->limit.is_named
+         || server->brittle.is_named;
+}
+
 /* True if the server may get no request now; the reason is added to the answer. */
 static bool
 is_excluded (PickAnswer *answer,
@@ -241,7 +252,14 @@
       answer->evacuated |= state == FRONT_SERVER_EVACUATED;
       return true;
     }
+  if (query->for_copy && is_spared (query, server, state, now_ms))
+    return true;
   wait_ms = server_wait_ms (query, server, now_ms, &reason);
+  if (query->for_copy && server->running >= slots_of (query, server))
+    {
+      reason = PICK_WAIT_FULL;
+      wait_ms = FULL_WAIT_MS;
+    }
   if (wait_ms == 0)
     return false;
   if (answer->wait == PICK_WAIT_NONE || wait_ms < answer->wait_ms)
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -31,6 +31,8 @@
   int64_t reuse_window_ms;  /**< how long a prompt is assumed to stay in a server's cache */
   uint64_t canary_hash_max; /**< servers with a larger hash are used only if the others are loaded;
                                0 or UINT64_MAX: none (front_canary) */
+  bool for_copy;            /**< of a request that runs elsewhere: only a server with a free slot
+                               that is in no way spared */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -43,6 +43,7 @@
 request_free (FrontRequest *request)
 {
   request_drop_attempt (request);
+  request_hedge_free (request);
   request_stop_waiting (request);
   if (request->version_hash)
     front_sessions_end (request->front->sessions, request->session, clock_boot_ms ());
@@ -251,7 +252,10 @@
     request->model = 0;
   request->events.last_id = request->call.after_event;
   if (request->call.handed_off_attempts < 0)
-    front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
+    {
+      front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
+      front_hedge_count_request (request->front->hedge, request->service, request->arrived_ms);
+    }
   else
     request->attempts = request->call.handed_off_attempts < route->attempts_max
                             ? (unsigned)request->call.handed_off_attempts
@@ -269,6 +273,7 @@
 
   cds_list_for_each_entry_safe (request, next, &front->requests, node)
   {
+    request_hedge_cut_restarted (request);
     if (request->attempt && request->server && request->server->restarted)
       request_handle_cut (request);
   }
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -14,6 +14,8 @@
 
 #define NO_MODEL UINT32_MAX
 
+typedef struct RequestHedge RequestHedge;
+
 struct FrontRequest
 {
   struct cds_list_head node;
@@ -46,8 +48,10 @@
   uint32_t failed_model;
   bool may_have_run; /* on an earlier attempt, so "not executed" can no longer be reported */
 
-  FrontAttempt *attempt; /* current attempt; NULL between attempts */
-  FrontServer *server;   /* of the current attempt; holds a reference */
+  /* From here to counted: of the current attempt. front_request_hedge.c exchanges these with
+   * another attempt's. */
+  FrontAttempt *attempt; /* NULL between attempts */
+  FrontServer *server;   /* holds a reference */
   double predicted_ms;   /* from the start of the attempt until the answer begins */
   double prompt_ms;      /* part of predicted_ms spent reading the prompt */
   int64_t prompt_tokens; /* prompt tokens that the server had to read, as far as known */
@@ -73,6 +77,8 @@
   bool head_sent; /* the head of a streamed answer was sent to the caller */
   FrontEvents events;
   int64_t first_ms; /* from arrival to the first byte relayed; -1: none yet */
+
+  RequestHedge *hedge; /* NULL: no copy is considered */
 };
 
 /* front_request_send.c */
@@ -80,8 +86,17 @@
 void request_send (FrontRequest *request);
 /* True if a server may get the request now, besides the current attempt. */
 bool request_has_server (const FrontRequest *request);
-/* Ends the current attempt, if there is one, and releases its server. */
+/* Ends the request's attempts, if there are any, and releases their servers. */
 void request_drop_attempt (FrontRequest *request);
+/* The same for the current attempt alone. */
+void request_release_attempt (FrontRequest *request);
+/* Chooses the server of a copy besides the current attempt. */
+PickAnswer request_pick_copy (const FrontRequest *request, PickQuery *query);
+/* Starts a copy there as the current attempt, of which there must be none. False if no connection
+ * can be started; the attempt is then to be released. */
+bool request_send_copy (FrontRequest *request, const PickQuery *query, const PickAnswer *pick);
+/* Callbacks of the current attempt. */
+extern const AttemptCallbacks request_attempt_callbacks;
 /* Predicts the times of a request sent to this model now. */
 CascadeForecast request_forecast (const FrontRequest *request, uint32_t model);
 /* Sets the timer to the end of the request, or to when the attempt counts as silent if earlier. */
@@ -108,6 +123,26 @@
 /* A connection to the attempt's server was opened. */
 void request_record_reached (FrontRequest *request);
 
+/* front_request_hedge.c */
+/* The request was sent to a server. A copy is sent to another one when the answer is late. */
+void request_hedge_begin (FrontRequest *request);
+/* Learns from an answer that began first_ms after the attempt. */
+void request_hedge_answered (FrontRequest *request, double first_ms);
+/* The current attempt has failed. If another one is running, drops the failed one and goes on with
+ * the other; false if there is none. */
+bool request_hedge_go_on (FrontRequest *request, const char *reason, bool may_have_run);
+/* Ends the wait for a late answer, and the other attempt if there is one. */
+void request_hedge_end (FrontRequest *request, const char *outcome);
+void request_hedge_free (FrontRequest *request);
+/* When the last of the running attempts was sent. */
+int64_t request_hedge_last_sent_ms (const FrontRequest *request);
+/* True if the other attempt's server may have got the request. */
+bool request_hedge_other_is_sent (const FrontRequest *request);
+/* The other attempt, if there is one, has been silent for too long. */
+void request_hedge_other_silent (FrontRequest *request, int64_t now_ms);
+/* Drops an attempt of two whose server has restarted. */
+void request_hedge_cut_restarted (FrontRequest *request);
+
 /* front_request_wait.c */
 /* Keeps the request until a server has room for it, or for a while. False if it would wait for too
  * long. */
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -98,6 +98,8 @@
 
   request->server->pending_ms -= request->pending_ms;
   request->pending_ms = 0;
+  if (!failed)
+    request_hedge_answered (request, first_ms);
   if (failed)
     front_health_failed (&request->server->health, now_ms);
   else
@@ -236,6 +238,7 @@
   FrontConn *conn = request->conn;
   Buffer head = { 0 }, body = reply->body;
 
+  request_hedge_end (request, "answered");
   record_first_byte (request);
   if (is_success (reply->status))
     record_begun (request);
@@ -334,12 +337,23 @@
   bool implies_not_run = reply->status == HTTP_STATUS_TOO_MANY_REQUESTS
                          || reply->status == HTTP_STATUS_SERVICE_UNAVAILABLE;
 
+  if (request_hedge_go_on (request, "server_error", true))
+    return;
   if (may_retry || implies_not_run || request->head_sent || !info->is_signed)
     request_retry (request, "server_error", true);
   else
     send_complete_answer (request);
 }
 
+/* Where another attempt is running, its answer may be a better one than an error. */
+static void
+complete (FrontRequest *request)
+{
+  if (is_success (front_attempt_reply (request->attempt)->status)
+      || !request_hedge_go_on (request, "not_success", true))
+    send_complete_answer (request);
+}
+
 /* Evaluates an answer whose head is complete. */
 static void
 handle_reply_head (FrontRequest *request)
@@ -359,6 +373,7 @@
       return;
     case REPLY_NOT_RUN:
       front_health_full (&request->server->health, now_ms);
+      front_hedge_count_full (request->front->hedge, request->service, now_ms);
       request_retry (request, "server_full", false);
       return;
     case REPLY_GARBLED:
@@ -383,7 +398,7 @@
         record_answer_start (request, false);
       request->relaying = true;
       if (reply->complete)
-        send_complete_answer (request);
+        complete (request);
       return;
     }
 }
@@ -398,5 +413,5 @@
   else if (request->route->kind == ROUTE_STREAM && is_success (reply->status))
     stream_progress (request);
   else if (reply->complete)
-    send_complete_answer (request);
+    complete (request);
 }
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -81,6 +81,8 @@
 {
   RetryVerdict verdict;
 
+  if (request_hedge_go_on (request, reason, may_have_run))
+    return;
   request->may_have_run |= may_have_run;
   verdict = retry_verdict (request, request->may_have_run);
   log_retry (request, reason, verdict);
@@ -161,6 +163,12 @@
 
   front_health_unreachable (&request->server->health, now_ms);
   record_unreached (request, now_ms);
+  if (request_hedge_go_on (request, reason, false))
+    {
+      request->unreached++;
+      request->attempts--;
+      return;
+    }
   if (request->unreached == UNREACHED_MAX || now_ms >= request->end_ms
       || request_is_quarantined (request, now_ms))
     {
@@ -196,6 +204,7 @@
       return;
     }
   front_health_failed (&request->server->health, now_ms);
+  request_hedge_other_silent (request, now_ms);
   request->may_have_run = true;
   send_again (request);
 }
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -32,7 +32,7 @@
 static void on_cut (void *user);
 static void on_timer (evutil_socket_t fd, short what, void *user);
 
-static const AttemptCallbacks attempt_callbacks = {
+const AttemptCallbacks request_attempt_callbacks = {
   .sent = on_sent,
   .head = on_head,
   .progress = on_progress,
@@ -217,7 +217,7 @@
 
   wire_call_encode (&head, request_parser, &headers);
   request->attempt = front_attempt_start (request->front, &target, &head, &request_parser->body,
-                                          &attempt_callbacks, request);
+                                          &request_attempt_callbacks, request);
   buffer_free (&head);
   return request->attempt != NULL;
 }
@@ -249,6 +249,27 @@
   return front_pick (request->front->servers, query, now_ms);
 }
 
+PickAnswer
+request_pick_copy (const FrontRequest *request, PickQuery *query)
+{
+  *query = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+  query->for_copy = true;
+  return front_pick (request->front->servers, query, clock_boot_ms ());
+}
+
+bool
+request_send_copy (FrontRequest *request, const PickQuery *query, const PickAnswer *pick)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  record_attempt (request, query, pick, now_ms);
+  if (!attempt_begin (request, pick, request->end_ms - now_ms))
+    return false;
+  front_counter_add (FRONT_COUNTER_ATTEMPTS);
+  log_sent (request, pick);
+  return true;
+}
+
 bool
 request_has_server (const FrontRequest *request)
 {
@@ -286,6 +307,7 @@
   front_counter_add (FRONT_COUNTER_ATTEMPTS);
   log_sent (request, &pick);
   request_arm_timer (request);
+  request_hedge_begin (request);
 }
 
 void
@@ -341,6 +363,13 @@
 
 void
 request_drop_attempt (FrontRequest *request)
+{
+  request_hedge_end (request, "dropped");
+  request_release_attempt (request);
+}
+
+void
+request_release_attempt (FrontRequest *request)
 {
   if (request->server)
     {
@@ -382,7 +411,7 @@
   if (request->relaying)
     return route->kind == ROUTE_STREAM ? request->event_ms + SILENCE_PAUSES * route->gap_ms
                                        : INT64_MAX;
-  return request->sent_ms + (int64_t)first_ms;
+  return request_hedge_last_sent_ms (request) + (int64_t)first_ms;
 }
 
 void
@@ -411,7 +440,7 @@
     request_end_wait (request);
   else if (now_ms >= request->end_ms)
     {
-      request->may_have_run |= sent;
+      request->may_have_run |= sent || request_hedge_other_is_sent (request);
       request_count_unanswered (request);
       request_drop_attempt (request);
       request_give_up (request, "timeout", 0);
--- a/tests/test_front_hedge.c
+++ b/tests/test_front_hedge.c
@@ -330,7 +330,7 @@
   CU_ASSERT (front_hedge_delay_ms (load->hedge, &load->kind, OBJECTIVE_MS) > OBJECTIVE_MS / 2.0);
   for (unsigned i = 0; i < 50; i++)
     front_hedge_answered (load->hedge, &load->kind, 2);
-  CU_ASSERT (front_hedge_delay_ms (load->hedge, &load->kind, OBJECTIVE_MS) >= 0.2 * OBJECTIVE_MS);
+  CU_ASSERT (front_hedge_delay_ms (load->hedge, &load->kind, OBJECTIVE_MS) >= 0.4 * OBJECTIVE_MS);
   load_free (load);
 }
 
