Tests of late requests: an error that stalls, a fourth server; no silence of its own for a pair

A retry of two failed attempts found no server left that could have got a copy, so the guard against a second copy was not tested; with a fourth server it is.

--- a/src/front_request_hedge.c
+++ b/src/front_request_hedge.c
@@ -428,14 +428,6 @@
     front_hedge_answered (all, &kind, first_ms);
 }
 
-int64_t
-request_hedge_last_sent_ms (const FrontRequest *request)
-{
-  if (has_other (request) && request->hedge->other.sent_ms > request->sent_ms)
-    return request->hedge->other.sent_ms;
-  return request->sent_ms;
-}
-
 bool
 request_hedge_other_is_sent (const FrontRequest *request)
 {
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -134,8 +134,6 @@
 /* Ends the wait for a late answer, and the other attempt if there is one. */
 void request_hedge_end (FrontRequest *request, const char *outcome);
 void request_hedge_free (FrontRequest *request);
-/* When the last of the running attempts was sent. */
-int64_t request_hedge_last_sent_ms (const FrontRequest *request);
 /* True if the other attempt's server may have got the request. */
 bool request_hedge_other_is_sent (const FrontRequest *request);
 /* The other attempt, if there is one, has been silent for too long. */
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -411,7 +411,7 @@
   if (request->relaying)
     return route->kind == ROUTE_STREAM ? request->event_ms + SILENCE_PAUSES * route->gap_ms
                                        : INT64_MAX;
-  return request_hedge_last_sent_ms (request) + (int64_t)first_ms;
+  return request->sent_ms + (int64_t)first_ms;
 }
 
 void
--- a/tests/test_front_hedge.c
+++ b/tests/test_front_hedge.c
@@ -155,7 +155,7 @@
 static int64_t
 usual (unsigned i)
 {
-  return i % 50 == 49 ? 6 * USUAL_MS : 20 + (int64_t)(i * 7 % 20);
+  return i % 50 == 49 ? (int64_t)6 * USUAL_MS : 20 + (int64_t)(i * 7 % 20);
 }
 
 static int64_t
@@ -194,7 +194,7 @@
   Load *load = load_new (1);
   int64_t at_ms = run (load, START_MS, 4000, 20, slow);
 
-  at_ms = run (load, at_ms, 2000, 20, usual);
+  run (load, at_ms, 2000, 20, usual);
   CU_ASSERT (front_hedge_delay_ms (load->hedge, &load->kind, OBJECTIVE_MS) < OBJECTIVE_MS);
   load_free (load);
 }
--- a/tests/test_front_request_hedge.c
+++ b/tests/test_front_request_hedge.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVERS      3
+#define SERVERS      4
 #define SLOTS        4
 #define SENDS_MAX    8
 #define OBJECTIVE_MS 500
@@ -27,6 +27,8 @@
                                 "Content-Length: 2\r\n\r\n";
 static const char server_error[] = "HTTP/1.1 500 Error\r\nLovagehub-Server-Signature: x.y\r\n"
                                    "Content-Length: 0\r\n\r\n";
+static const char server_error_head[] = "HTTP/1.1 500 Error\r\nLovagehub-Server-Signature: x.y\r\n"
+                                        "Content-Length: 2\r\n\r\n";
 static const char not_found[] = "HTTP/1.1 404 None\r\nLovagehub-Server-Signature: x.y\r\n"
                                 "Content-Length: 0\r\n\r\n";
 static const char unsigned_good[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
@@ -71,29 +73,30 @@
 static CDS_LIST_HEAD (timers);
 static int64_t clock_ms;
 
-/* The linker puts these in place of the clock's and libevent's functions. */
-int64_t __wrap_clock_boot_ms (void);
-struct event *__wrap_event_new (struct event_base *base,
-                                evutil_socket_t fd,
-                                short what,
-                                event_callback_fn run,
-                                void *user);
-int __wrap_event_add (struct event *event, const struct timeval *wait);
-int __wrap_event_del (struct event *event);
-void __wrap_event_free (struct event *event);
+/* The linker puts these, under the names given, in place of the clock's and libevent's functions.
+ */
+int64_t fake_clock (void) __asm__("__wrap_clock_boot_ms");
+struct event *fake_event_new (struct event_base *base,
+                              evutil_socket_t fd,
+                              short what,
+                              event_callback_fn run,
+                              void *user) __asm__("__wrap_event_new");
+int fake_event_add (struct event *event, const struct timeval *wait) __asm__("__wrap_event_add");
+int fake_event_del (struct event *event) __asm__("__wrap_event_del");
+void fake_event_free (struct event *event) __asm__("__wrap_event_free");
 
 int64_t
-__wrap_clock_boot_ms (void)
+fake_clock (void)
 {
   return clock_ms;
 }
 
 struct event *
-__wrap_event_new (struct event_base *base UNUSED,
-                  evutil_socket_t fd UNUSED,
-                  short what UNUSED,
-                  event_callback_fn run,
-                  void *user)
+fake_event_new (struct event_base *base UNUSED,
+                evutil_socket_t fd UNUSED,
+                short what UNUSED,
+                event_callback_fn run,
+                void *user)
 {
   struct event *event = memory_alloc (sizeof *event);
 
@@ -104,21 +107,21 @@
 }
 
 int
-__wrap_event_add (struct event *event, const struct timeval *wait)
+fake_event_add (struct event *event, const struct timeval *wait)
 {
   event->due_ms = clock_ms + wait->tv_sec * 1000 + wait->tv_usec / 1000;
   return 0;
 }
 
 int
-__wrap_event_del (struct event *event)
+fake_event_del (struct event *event)
 {
   event->due_ms = 0;
   return 0;
 }
 
 void
-__wrap_event_free (struct event *event)
+fake_event_free (struct event *event)
 {
   cds_list_del (&event->node);
   free (event);
@@ -254,7 +257,7 @@
   return false;
 }
 
-/* A front with a plain service of three servers, and one caller. */
+/* A front with a plain service of four servers, and one caller. */
 typedef struct
 {
   Front front;
@@ -580,22 +583,28 @@
     }
 }
 
-/* Both servers freeze: one retry, only once the copy has been silent for too long as well. */
+/* Both servers freeze, one of them within an error answer: one retry, only once the copy has been
+ * silent for too long as well. */
 static void
 test_two_frozen_servers_bring_one_retry (void)
 {
-  Site *site = site_new ();
+  for (unsigned i = 0; i < 3; i++)
+    {
+      Site *site = site_new ();
 
-  call_until_copied (site);
-  pass (SILENCE_MS - 1);
-  CU_ASSERT_EQUAL (send_count, 2);
-  pass (1);
-  CU_ASSERT_EQUAL_FATAL (send_count, 3);
-  CU_ASSERT (sends[0].closed && sends[1].closed);
-  connect_send (2);
-  answer (2, good);
-  CU_ASSERT (has_answered (site, "HTTP/1.1 200"));
-  site_free (site);
+      call_until_copied (site);
+      if (i > 0)
+        answer (i - 1, server_error_head);
+      pass (SILENCE_MS - 1);
+      CU_ASSERT_EQUAL (send_count, 2);
+      pass (1);
+      CU_ASSERT_EQUAL_FATAL (send_count, 3);
+      CU_ASSERT (sends[0].closed && sends[1].closed);
+      connect_send (2);
+      answer (2, good);
+      CU_ASSERT (has_answered (site, "HTTP/1.1 200"));
+      site_free (site);
+    }
 }
 
 /* The operator withdraws the limit while a copy runs: the copy may still answer, and no further one
