--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -48,7 +48,7 @@
   uint32_t failed_model;
   bool may_have_run; /* on an earlier attempt, so "not executed" can no longer be reported */
 
-  /* From here to counted: of the current attempt. front_request_hedge.c exchanges these with
+  /* From here to counted: of the current attempt. front_request_pair.c exchanges these with
    * another attempt's. */
   FrontAttempt *attempt; /* NULL between attempts */
   FrontServer *server;   /* holds a reference */
@@ -128,12 +128,14 @@
 void request_hedge_begin (FrontRequest *request);
 /* Learns from an answer that began first_ms after the attempt. */
 void request_hedge_answered (FrontRequest *request, double first_ms);
+void request_hedge_free (FrontRequest *request);
+
+/* front_request_pair.c */
 /* The current attempt has failed. If another one is running, drops the failed one and goes on with
  * the other; false if there is none. */
 bool request_hedge_go_on (FrontRequest *request, const char *reason, bool may_have_run);
 /* Ends the wait for a late answer, and the other attempt if there is one. */
 void request_hedge_end (FrontRequest *request, const char *outcome);
-void request_hedge_free (FrontRequest *request);
 /* True if the other attempt's server may have got the request. */
 bool request_hedge_other_is_sent (const FrontRequest *request);
 /* The other attempt, if there is one, has been silent for too long. */
--- a/tests/test_front_request_hedge.c
+++ b/tests/test_front_request_hedge.c
@@ -1,5 +1,6 @@
-/** Requests with two attempts: src/front_request_hedge.c. Connections are replaced by records of
- *  what was asked of them, timers and the clock by ones that the test advances. */
+/** Requests with two attempts: src/front_request_hedge.c, front_request_pair.c. Connections are
+ * replaced by records of what was asked of them, timers and the clock by ones that the test
+ * advances. */
 #include "front_conn.h"
 #include "front_deaths.h"
 #include "front_request.h"
