--- a/src/front_hedge_times.c
+++ b/src/front_hedge_times.c
@@ -1,6 +1,7 @@
 #include "front_hedge_times.h"
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Answers whose median is the typical time. */
 #define RECENT 9
@@ -39,8 +40,7 @@
   unsigned count = known (times);
   double min = count < SPREAD_ANSWERS ? SPREAD_PRIOR : SPREAD_MIN;
 
-  for (unsigned i = 0; i < count; i++)
-    sorted[i] = times->ms[i];
+  memcpy (sorted, times->ms, sizeof sorted);
   qsort (sorted, count, sizeof sorted[0], compare);
   return fmin (fmax (sorted[(unsigned)(quantile * (count - 1))] / fmax (sorted[count / 2], 1), min),
                SPREAD_MAX);
