--- a/src/front.h
+++ b/src/front.h
@@ -9,6 +9,7 @@
 #include "front_answer_time.h"
 #include "front_budget.h"
 #include "front_config.h"
+#include "front_hedge.h"
 #include "front_lag.h"
 #include "front_parts.h"
 #include "front_reach.h"
@@ -43,6 +44,7 @@
   FrontSessions *sessions;
   FrontRollouts *rollouts;
   FrontBudget *budget;
+  FrontHedge *hedge;
   Quarantine *quarantine;
   FrontParts *parts;
   FrontLag lag;          /**< of model engines' answers */
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -38,6 +38,8 @@
   uint64_t service_hash;    /**< of the service's name; used with waits */
   WaitClass urgency;        /**< used with waits */
   uint64_t only_server;     /**< hash of the only server that may get it; 0: any */
+  bool for_copy;            /**< of a request that runs elsewhere: only a server with a free slot
+                               that is in no way spared */
   unsigned tried_count;
   uint64_t tried[PICK_TRIED_MAX]; /**< hashes of the servers that this request was sent to */
 } PickQuery;
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -44,6 +44,7 @@
 request_free (FrontRequest *request)
 {
   request_drop_attempt (request);
+  request_hedge_free (request);
   request_stop_waiting (request);
   request_stop_returning (request);
   if (request->version_hash)
@@ -265,7 +266,10 @@
   request->events.last_id = request->call.after_event;
   request_set_rank (request);
   if (request->call.handed_off_attempts < 0)
-    front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
+    {
+      front_budget_count_request (request->front->budget, request->service, request->arrived_ms);
+      front_hedge_count_request (request->front->hedge, request->service, request->arrived_ms);
+    }
   else
     request->attempts = request->call.handed_off_attempts < route->attempts_max
                             ? (unsigned)request->call.handed_off_attempts
@@ -283,6 +287,7 @@
 
   cds_list_for_each_entry_safe (request, next, &front->requests, node)
   {
+    request_hedge_cut_restarted (request);
     if (request->attempt && request->server && request->server->restarted)
       request_handle_cut (request);
   }
--- a/src/front_request_readmit.c
+++ b/src/front_request_readmit.c
@@ -182,8 +182,11 @@
 request_handle_full (FrontRequest *request)
 {
   int64_t now_ms = clock_boot_ms ();
-  int64_t wait_ms = wait_ms_of (request, now_ms);
+  int64_t wait_ms;
 
+  if (request_hedge_go_on (request, "server_full", false))
+    return;
+  wait_ms = wait_ms_of (request, now_ms);
   if (wait_ms == 0
       || !front_budget_take (request->front->budget, request->service, BUDGET_RETRY, now_ms))
     {
