Keep long reading away from streams

The choice of a server knew what a prompt waits for there, not who waits for it.

A prompt that reads for a third of the allowed pause or more costs 4% of the pause for each stream at the engine, unless a long prompt is read there already. Only where work is ordered under load.

Also: the time that a starting front without configuration names is 0.4 s again: it reached deployments that don't ask for it and spared no refusal.

--- a/src/front_admission.c
+++ b/src/front_admission.c
@@ -7,11 +7,6 @@
 #define RANK_SHARE   0.25
 #define SPREAD_SHARE 0.25
 #define WAIT_MIN_MS  50.0
-/* Bounds while there is no configuration: at first a starting front fetches it within the first of
- * them; callers come back only once or twice, so they are told a longer time the longer it takes.
- */
-#define STARTING_MIN_MS 400
-#define STARTING_MAX_MS 2000
 
 static double
 rank_share (int64_t rank)
@@ -36,11 +31,3 @@
     excess_ms = longest_ms;
   return excess_ms * later > 1 ? (int64_t)(excess_ms * later) : 1;
 }
-
-int64_t
-front_admission_starting_ms (int64_t lacking_ms)
-{
-  if (lacking_ms < STARTING_MIN_MS)
-    return STARTING_MIN_MS;
-  return lacking_ms < STARTING_MAX_MS ? lacking_ms : STARTING_MAX_MS;
-}
--- a/src/front_admission.h
+++ b/src/front_admission.h
@@ -20,8 +20,5 @@
  *  milliseconds: when the excess of the wait is predicted to be over, the most urgent first, at
  *  most a third of the time that it has left. */
 int64_t front_admission_refuse_ms (const AdmissionRequest *request);
-/** Milliseconds after which a caller may come back that is refused since this front has no
- *  configuration yet: as long as the front has lacked it, within bounds. */
-int64_t front_admission_starting_ms (int64_t lacking_ms);
 
 #endif
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -1,4 +1,5 @@
 #include "front_pick.h"
+#include "front_reading.h"
 #include "util_id.h"
 #include <math.h>
 #include <string.h>
@@ -131,6 +132,22 @@
 
 /* By the server's own lag at this front, not by the shared belief of its wait: all fronts would
  * leave a late server at once, and send their requests to the others until these were late. */
+static double
+reading_cost_ms (const PickQuery *query,
+                 const FrontServer *server,
+                 const FrontServer *affinity,
+                 int64_t now_ms)
+{
+  ReadingCase c = { .pause_ms = query->pause_ms };
+
+  if (query->pause_ms <= 0)
+    return 0;
+  c.read_ms = prompt_ms (query, server, affinity, now_ms);
+  c.pending_ms = server->pending_ms + front_peer_load_read_ms (&server->peer_load, now_ms);
+  c.running = server->running_weight + front_peer_load_running (&server->peer_load, now_ms);
+  return front_reading_cost_ms (&c);
+}
+
 static double
 cost_ms (const PickQuery *query,
          const FrontServer *server,
@@ -144,6 +161,7 @@
    * slow one would be expected to be slow. */
   if (query->typical_ms > 0)
     cost += answer_time_extra_ms (&server->answer_time, query->typical_ms, now_ms);
+  cost += reading_cost_ms (query, server, affinity, now_ms);
   if (!server->is_same_domain)
     cost += fmax (CROSS_DOMAIN_MIN_MS, CROSS_DOMAIN_SHARE * (double)query->objective_ms);
   if (server->cold_until_ms > now_ms)
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -34,6 +34,8 @@
   int64_t reuse_window_ms;  /**< how long a prompt is assumed to stay in a server's cache */
   uint64_t canary_hash_max; /**< servers with a larger hash are used only if the others are loaded;
                                0 or UINT64_MAX: none (front_canary) */
+  double pause_ms;          /**< longest pause of a stream that is on time; 0: long reading is not
+                               kept away from streams */
   const FrontWaits *waits;  /**< of model engines; NULL: none are believed */
   uint64_t service_hash;    /**< of the service's name; used with waits */
   WaitClass urgency;        /**< used with waits */
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -195,17 +195,6 @@
   return quarantine_contains (quarantine, request->fingerprint, now_ms);
 }
 
-/* Without a configuration, only the setting tells whether work is ordered under load. */
-static int64_t
-starting_ms (const FrontRequest *request)
-{
-  const Front *front = request->front;
-
-  if (front->settings.contention_ratio <= 0)
-    return RETRY_AFTER_STARTING_MS;
-  return front_admission_starting_ms (request->arrived_ms - front->started_ms);
-}
-
 /* Routes and authenticates the request; false if it was refused. */
 static bool
 admit (FrontRequest *request)
@@ -216,7 +205,7 @@
   if (!config || !front->servers_known)
     {
       request_refuse (request, HTTP_STATUS_SERVICE_UNAVAILABLE, "no_configuration",
-                      starting_ms (request));
+                      RETRY_AFTER_STARTING_MS);
       return false;
     }
   request->config = front_config_ref (config);
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -116,6 +116,7 @@
 
   if (query.is_model && front_is_contended (request->front))
     {
+      query.pause_ms = (double)request->route->gap_ms;
       query.waits = request->front->waits;
       query.service_hash = request_service_hash (request);
       query.urgency = request_urgency (request);
