--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -101,8 +101,8 @@
 /* front_request_rank.c */
 /* Sets the rank from the route, the team and what the team has sent lately. */
 void request_set_rank (FrontRequest *request);
-/* Ranks a request that is late already with the first of its team: behind others, some would never
- * be served. */
+/* Ranks a request that has little time left with the first of its team: behind others, some would
+ * never be served. */
 void request_raise_rank (FrontRequest *request, int64_t now_ms);
 /* Milliseconds by which answers of the request's service and rank begin later than predicted. */
 double request_lag_ms (const FrontRequest *request, int64_t now_ms);
--- a/src/front_request_rank.c
+++ b/src/front_request_rank.c
@@ -38,7 +38,7 @@
 request_raise_rank (FrontRequest *request, int64_t now_ms)
 {
   if (front_is_contended (request->front) && !request->is_behind
-      && now_ms - request->arrived_ms >= request->route->objective_ms)
+      && front_urgency_is_pressed (now_ms - request->arrived_ms, request->end_ms - now_ms))
     request->rank = front_config_first_rank (request->config, request->team);
 }
 
--- a/src/front_urgency.c
+++ b/src/front_urgency.c
@@ -131,6 +131,14 @@
   return bounded (rank + 1);
 }
 
+/* Not as soon as it is late: under a burst of the least urgent kind most of its requests are, and
+ * would come beside the most urgent ones. */
+bool
+front_urgency_is_pressed (int64_t waited_ms, int64_t left_ms)
+{
+  return waited_ms >= left_ms;
+}
+
 bool
 front_urgency_may_yield (const UrgencyRoute *routes,
                          const unsigned *levels,
--- a/src/front_waits.h
+++ b/src/front_waits.h
@@ -62,7 +62,7 @@
 
 FrontWaits *front_waits_new (void);
 void front_waits_free (FrontWaits *waits);
-/** Class of a request of this rank; 0 is the most urgent, 9 the least. */
+/** A rank as it is kept here: bounded to 0, the most urgent, to 9. */
 WaitClass front_waits_class (int64_t rank);
 /** Takes in a sample of this front. False if its values are impossible. */
 bool front_waits_add (FrontWaits *waits, const WaitSample *sample, int64_t now_ms);
--- a/tests/test_front_urgency.c
+++ b/tests/test_front_urgency.c
@@ -144,6 +144,17 @@
   CU_ASSERT (!front_urgency_may_yield (routes, levels, 3, 2));
 }
 
+/* Starvation: a request that was late at two servers; one that is late for the first time, as most
+ * of a burst of its kind are, keeps its place. */
+static void
+test_half_of_the_time_gone_comes_first (void)
+{
+  CU_ASSERT (!front_urgency_is_pressed (0, 20000));
+  CU_ASSERT (!front_urgency_is_pressed (5000, 15000));
+  CU_ASSERT (front_urgency_is_pressed (10000, 10000));
+  CU_ASSERT (front_urgency_is_pressed (19000, 1000));
+}
+
 /* Whatever the places and levels, ranks stay within what servers accept. */
 static void
 test_ranks_are_bounded (void)
@@ -161,6 +172,7 @@
   { "route_counts_within_team", test_route_counts_within_team },
   { "priorities_out_of_range_are_the_middle", test_priorities_out_of_range_are_the_middle },
   { "hot_team_does_not_starve", test_hot_team_does_not_starve },
+  { "half_of_the_time_gone_comes_first", test_half_of_the_time_gone_comes_first },
   { "ranks_are_bounded", test_ranks_are_bounded },
 };
 
