--- a/src/front_request_waits.c
+++ b/src/front_request_waits.c
@@ -36,10 +36,10 @@
     front_counter_add (FRONT_COUNTER_FIRST_PREDICTED);
 }
 
-WaitClass
+WaitRank
 request_urgency (const FrontRequest *request)
 {
-  return front_waits_class (request->rank);
+  return front_waits_rank (request->rank);
 }
 
 void
@@ -69,7 +69,7 @@
 request_wait_is_believed (const FrontRequest *request, int64_t now_ms)
 {
   const FrontWaits *waits = request->front->waits;
-  WaitClass urgency = request_urgency (request);
+  WaitRank urgency = request_urgency (request);
   WaitBelief belief;
 
   if (!is_measured (request))
--- a/src/front_waits.c
+++ b/src/front_waits.c
@@ -51,12 +51,12 @@
   free (waits);
 }
 
-WaitClass
-front_waits_class (int64_t rank)
+WaitRank
+front_waits_rank (int64_t rank)
 {
-  if (rank < WAIT_URGENT)
-    return WAIT_URGENT;
-  return rank < WAIT_LEAST ? (WaitClass)rank : WAIT_LEAST;
+  if (rank < WAIT_RANK_FIRST)
+    return WAIT_RANK_FIRST;
+  return rank < WAIT_RANK_LAST ? (WaitRank)rank : WAIT_RANK_LAST;
 }
 
 static uint64_t
@@ -141,7 +141,7 @@
   WaitBelief general, belief;
   bool taken;
 
-  if (!isfinite (sample->wait_ms) || (unsigned)sample->urgency >= WAIT_CLASSES || now_ms <= 0)
+  if (!isfinite (sample->wait_ms) || (unsigned)sample->urgency >= WAIT_RANKS || now_ms <= 0)
     return false;
   general = front_waits_general (waits, sample->service, sample->urgency, now_ms);
   belief = front_waits_of (waits, sample->server, sample->urgency, &general, now_ms);
@@ -178,7 +178,7 @@
     .ms = (float)report->wait_ms,
   };
 
-  if (report->wait_ms > WAITS_MAX_MS || report->urgency >= WAIT_CLASSES
+  if (report->wait_ms > WAITS_MAX_MS || report->urgency >= WAIT_RANKS
       || report->age_ms > WAITS_AGE_MAX_MS || sample.at_ms <= 0 || author == 0)
     return false;
   row_take (waits,
@@ -206,7 +206,7 @@
 }
 
 WaitBelief
-front_waits_general (const FrontWaits *waits, uint64_t service, WaitClass urgency, int64_t now_ms)
+front_waits_general (const FrontWaits *waits, uint64_t service, WaitRank urgency, int64_t now_ms)
 {
   const WaitsRow *row = row_find (waits, service, urgency, true);
 
@@ -216,7 +216,7 @@
 WaitBelief
 front_waits_of (const FrontWaits *waits,
                 uint64_t server,
-                WaitClass urgency,
+                WaitRank urgency,
                 const WaitBelief *general,
                 int64_t now_ms)
 {
--- a/src/front_waits.h
+++ b/src/front_waits.h
@@ -18,15 +18,15 @@
 #define WAITS_AGE_MAX_MS 4000  /**< older samples are not taken in */
 #define WAITS_TOLD_MAX   8     /**< samples kept to be told to other fronts */
 
-/** A request's rank in the servers' queues. They run the more urgent requests first, so each rank has
- *  a wait of its own. */
+/** A request's rank in the servers' queues. They run the more urgent requests first, so each rank
+ * has a wait of its own. */
 typedef enum
 {
-  WAIT_URGENT = 0,
-  WAIT_MIDDLE = 4,
-  WAIT_LEAST = 9,
-  WAIT_CLASSES
-} WaitClass;
+  WAIT_RANK_FIRST = 0,
+  WAIT_RANK_MIDDLE = 4,
+  WAIT_RANK_LAST = 9,
+  WAIT_RANKS
+} WaitRank;
 
 typedef struct FrontWaits FrontWaits;
 
@@ -43,7 +43,7 @@
 {
   uint64_t server;  /**< FrontServer.hash */
   uint64_t service; /**< hash of the name */
-  WaitClass urgency;
+  WaitRank urgency;
   uint32_t
       request;    /**< tells requests apart: a later sample of one replaces the earlier; 0: none */
   double wait_ms; /**< measured less predicted without any belief; less than 0 counts as 0 */
@@ -63,7 +63,7 @@
 FrontWaits *front_waits_new (void);
 void front_waits_free (FrontWaits *waits);
 /** A rank as it is kept here: bounded to 0, the most urgent, to 9. */
-WaitClass front_waits_class (int64_t rank);
+WaitRank front_waits_rank (int64_t rank);
 /** Takes in a sample of this front. False if its values are impossible. */
 bool front_waits_add (FrontWaits *waits, const WaitSample *sample, int64_t now_ms);
 /** The server turned a request away for lack of room: the sample's wait is ignored. */
@@ -76,11 +76,11 @@
 unsigned front_waits_take (FrontWaits *waits, WaitReport *out, unsigned max, int64_t now_ms);
 /** Belief over all servers of a service. waits NULL: none. */
 WaitBelief
-front_waits_general (const FrontWaits *waits, uint64_t service, WaitClass urgency, int64_t now_ms);
+front_waits_general (const FrontWaits *waits, uint64_t service, WaitRank urgency, int64_t now_ms);
 /** Belief of a server, or the general one of its service where nothing is known of the server. */
 WaitBelief front_waits_of (const FrontWaits *waits,
                            uint64_t server,
-                           WaitClass urgency,
+                           WaitRank urgency,
                            const WaitBelief *general,
                            int64_t now_ms);
 /** Removes beliefs that have aged out. */
--- a/tests/test_front_waits_message.c
+++ b/tests/test_front_waits_message.c
@@ -69,7 +69,7 @@
 {
   WaitBelief general = { 0 };
 
-  return front_waits_of (front->waits, server, WAIT_MIDDLE, &general, NOW).ms;
+  return front_waits_of (front->waits, server, WAIT_RANK_MIDDLE, &general, NOW).ms;
 }
 
 /* A datagram that is cut short, of another kind, or claims too many reports. */
@@ -117,14 +117,14 @@
   uint64_t server = add_server (front);
   WaitsMessage message = { .incarnation = 5, .count = 4 };
 
-  message.reports[0] = (WaitReport){ .server = 4711, .wait_ms = 900, .urgency = WAIT_MIDDLE };
+  message.reports[0] = (WaitReport){ .server = 4711, .wait_ms = 900, .urgency = WAIT_RANK_MIDDLE };
   message.reports[1] = (WaitReport){ .server = server, .wait_ms = UINT32_MAX, .urgency = 1 };
   message.reports[2] = (WaitReport){ .server = server, .wait_ms = 900, .urgency = 77 };
   message.reports[3] = (WaitReport){ .server = server, .wait_ms = 900, .age_ms = UINT32_MAX };
   CU_ASSERT (receive (front, &message));
   CU_ASSERT_EQUAL (front_waits_count (front->waits), 0);
   message.reports[3]
-      = (WaitReport){ .server = server, .request = 3, .wait_ms = 900, .urgency = WAIT_MIDDLE };
+      = (WaitReport){ .server = server, .request = 3, .wait_ms = 900, .urgency = WAIT_RANK_MIDDLE };
   message.incarnation = front->incarnation;
   CU_ASSERT (receive (front, &message));
   CU_ASSERT_EQUAL (front_waits_count (front->waits), 0);
@@ -144,7 +144,8 @@
   WaitsMessage message = { .incarnation = 5, .count = 1 };
 
   front->settings.contention_ratio = 0;
-  message.reports[0] = (WaitReport){ .server = server, .wait_ms = 900, .urgency = WAIT_MIDDLE };
+  message.reports[0]
+      = (WaitReport){ .server = server, .wait_ms = 900, .urgency = WAIT_RANK_MIDDLE };
   CU_ASSERT (receive (front, &message));
   CU_ASSERT_EQUAL (front_waits_count (front->waits), 0);
   front_free (front);
