--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -13,15 +13,7 @@
 #include <stdio.h>
 #include <string.h>
 
-/* A resumable stream continues elsewhere after a silence of this many allowed pauses
- * (FrontRoute.gap_ms): twice what is still on time, and far below the eight after which callers
- * leave. */
-#define SILENCE_PAUSES 2
-/* An idempotent request is sent elsewhere when its answer has not begun within this share of its
- * objective, or within this many times the predicted time if that is longer. */
-#define FIRST_BYTE_SHARE  0.6
-#define FIRST_BYTE_FACTOR 4.0
-#define MS_PER_S          1000
+#define MS_PER_S 1000
 /* Milliseconds from a plain service's acceptance to its answer. An answer after 60 ms is slow but
  * no silence, which starts at four times this. */
 #define PLAIN_FIRST_MS 60.0
@@ -30,7 +22,6 @@
 static void on_head (void *user);
 static void on_progress (void *user);
 static void on_cut (void *user);
-static void on_timer (evutil_socket_t fd, short what, void *user);
 
 const AttemptCallbacks request_attempt_callbacks = {
   .sent = on_sent,
@@ -445,89 +436,6 @@
   request->is_handed_off = false;
 }
 
-/* When the current attempt is given up for its silence, or the request waits for room no longer.
- * INT64_MAX: never before end_ms. */
-static int64_t
-silence_due_ms (const FrontRequest *request)
-{
-  const FrontRoute *route = request->route;
-  double first_ms = fmax ((double)route->objective_ms * FIRST_BYTE_SHARE,
-                          request->predicted_ms * FIRST_BYTE_FACTOR)
-                    + request->belief.ms;
-
-  if (request->is_waiting)
-    return request->wait_end_ms;
-  if (!request->attempt)
-    return INT64_MAX;
-  if (!front_attempt_is_sent (request->attempt))
-    return request->sent_ms + FRONT_CONNECT_TIMEOUT_MS;
-  /* The other front watches its servers itself. */
-  if (request->is_handed_off)
-    return INT64_MAX;
-  /* A request that may run only once is not sent again, so giving up the attempt would gain
-   * nothing. */
-  if (!front_route_is_idempotent (route) || request->attempts >= route->attempts_max)
-    return INT64_MAX;
-  if (request->relaying)
-    return route->kind == ROUTE_STREAM ? request->event_ms + SILENCE_PAUSES * route->gap_ms
-                                       : INT64_MAX;
-  return request->checked_ms + (int64_t)first_ms;
-}
-
-static int64_t
-next_due_ms (const FrontRequest *request)
-{
-  int64_t silence_ms = silence_due_ms (request);
-  int64_t overdue_ms = request->attempt ? request_overdue_ms (request) : INT64_MAX;
-
-  return overdue_ms < silence_ms ? overdue_ms : silence_ms;
-}
-
-void
-request_arm_timer (FrontRequest *request)
-{
-  int64_t due_ms = next_due_ms (request);
-  int64_t wait_ms = (due_ms < request->end_ms ? due_ms : request->end_ms) - clock_boot_ms ();
-  struct timeval wait;
-
-  if (wait_ms < 1)
-    wait_ms = 1;
-  wait = (struct timeval){ .tv_sec = wait_ms / MS_PER_S, .tv_usec = wait_ms % MS_PER_S * MS_PER_S };
-  if (!request->timer)
-    request->timer = evtimer_new (request->front->base, on_timer, request);
-  evtimer_add (request->timer, &wait);
-}
-
-static void
-on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
-{
-  FrontRequest *request = user;
-  int64_t now_ms = clock_boot_ms ();
-  bool sent = request->attempt && front_attempt_is_sent (request->attempt);
-
-  if (request->is_waiting && now_ms >= silence_due_ms (request))
-    request_end_wait (request);
-  else if (now_ms >= request->end_ms)
-    {
-      request->may_have_run |= sent || request_hedge_other_is_sent (request);
-      request_count_unanswered (request);
-      request_drop_attempt (request);
-      request_give_up (request, "timeout", 0);
-    }
-  else if (now_ms < silence_due_ms (request))
-    {
-      if (request->attempt)
-        request_record_overdue (request, now_ms);
-      request_arm_timer (request);
-    }
-  else if (!sent && request->is_handed_off)
-    request_handle_front_unreachable (request);
-  else if (!sent)
-    request_handle_unreachable (request, "connect_timeout");
-  else
-    request_handle_silence (request);
-}
-
 static void
 on_sent (void *user)
 {
