--- a/src/front.h
+++ b/src/front.h
@@ -47,9 +47,9 @@
   FrontHedge *hedge;
   Quarantine *quarantine;
   FrontParts *parts;
-  FrontLag lag;          /**< of model engines' answers */
-  FrontWaits *waits;     /**< of model engines; filled only where front_is_contended */
-  uint32_t wait_keys;    /**< of attempts so far, for front_waits */
+  FrontLag lag;       /**< of model engines' answers */
+  FrontWaits *waits;  /**< of model engines; filled only where front_is_contended */
+  uint32_t wait_keys; /**< of attempts so far, for front_waits */
   FrontSpeeds speeds;
   FrontAnswerTimes answer_times;
   FrontTeamUse team_use; /**< of requests received here */
