Don't say that a change may have been made whose last byte could not be sent

Cause: whether the request may have been executed was judged by whether its last byte was passed to neon, not by whether it was written. The steward resets the connection after the first bytes; if the reset arrives between the two writes, the write of the last byte fails with "Could not send request" and the request counted as complete. neon asks for more of the body once a block is written: from then on it may be complete, and not before.

Ruled out: a timing of the check alone (it goes by neon's text, which says the same as the write's result); a second connection (a session sends one request, which is not marked idempotent).

A body without bytes is ended by a chunk whose writing neon doesn't report: judged as before.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -75,7 +75,10 @@
       x->finished = true;
     }
   if (left == 0)
-    return 0;
+    {
+      x->body_written = true;
+      return 0;
+    }
   size_t n = left == 1 ? 1 : left - 1;
   if (n > size)
     n = size;
@@ -166,14 +169,22 @@
     ne_set_request_body_buffer (x->request, "", 0);
 }
 
+/* False if the peer can't have the whole request. The end of a body without bytes is a chunk, whose
+ * writing isn't observed. */
+static bool
+may_be_complete (const HttpExchange *x, bool with_body)
+{
+  if (!with_body)
+    return true;
+  return x->body_len > 0 ? x->body_written : x->finished;
+}
+
 /* Status code of a request without an answer's head: whether it may have been executed. */
 static StatusCode
 code_without_answer (const HttpExchange *x, bool with_body)
 {
-  if (x->refused || x->untrusted || !x->connected)
+  if (x->refused || x->untrusted || !x->connected || !may_be_complete (x, with_body))
     return STATUS_UNAVAILABLE;
-  if (with_body)
-    return x->finished ? STATUS_UNKNOWN : STATUS_UNAVAILABLE;
   return STATUS_UNKNOWN;
 }
 
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -25,6 +25,7 @@
   HttpUpload *upload; /**< the upload thread; NULL: the caller's thread sends the request */
   bool connected;     /**< the connection was established */
   bool finished;      /**< the end of the request was passed to neon */
+  bool body_written;  /**< all bytes of the body were written to the connection */
   bool refused;       /**< may_finish returned false */
   bool untrusted;     /**< the peer's certificate was refused, before anything was sent */
   bool no_body;       /**< the answer to HEAD has none */
--- a/tests/test_http_finish.c
+++ b/tests/test_http_finish.c
@@ -28,6 +28,21 @@
                         .read_timeout_ms = 5000 };
 }
 
+/* Port of a new listening socket. */
+static int
+listen_on_loopback (int *listener)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+
+  *listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_EQUAL_FATAL (bind (*listener, (struct sockaddr *)&address, len), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (*listener, 1), 0);
+  getsockname (*listener, (struct sockaddr *)&address, &len);
+  return ntohs (address.sin_port);
+}
+
 /* What may_finish observes when it is called, and its answer. */
 typedef struct
 {
@@ -105,6 +120,44 @@
   free (big);
 }
 
+/* Accepts the connection and resets it. */
+static bool
+reset_connection (void *context)
+{
+  const struct linger at_once = { .l_onoff = 1 };
+  int fd = accept (*(int *)context, NULL, NULL);
+
+  CU_ASSERT_EQUAL (setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once), 0);
+  close (fd);
+  return true;
+}
+
+/* Guards against telling an operator that a change may have been made whose last byte could not be
+ * sent, as the peer had reset the connection. */
+static void
+test_reset_before_last_byte_is_not_executed (void)
+{
+  const size_t lengths[] = { 1, strlen (BODY), BIG_SIZE };
+  char *big = memory_alloc (BIG_SIZE);
+
+  memset (big, 'x', BIG_SIZE);
+  for (size_t i = 0; i < SUITE_COUNT (lengths); i++)
+    {
+      int listener, http_status = 0;
+      HttpRequest request = request_to (listen_on_loopback (&listener));
+      Buffer body = { 0 };
+
+      request.body = big;
+      request.body_len = lengths[i];
+      request.may_finish = reset_connection;
+      request.context = &listener;
+      CU_ASSERT_EQUAL (http_call (&request, &http_status, &body, NULL), STATUS_UNAVAILABLE);
+      close (listener);
+      buffer_free (&body);
+    }
+  free (big);
+}
+
 static void
 test_frozen_peer_does_not_block (void)
 {
@@ -113,15 +166,9 @@
    * its buffers are full. The call must return, and since the last byte was not sent, the request
    * has certainly not been executed.
    */
-  struct sockaddr_in listen_address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t len = sizeof listen_address;
-  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  CU_ASSERT_EQUAL_FATAL (bind (listener, (struct sockaddr *)&listen_address, len), 0);
-  CU_ASSERT_EQUAL_FATAL (listen (listener, 1), 0);
-  getsockname (listener, (struct sockaddr *)&listen_address, &len);
+  int listener;
   char *long_body = memory_alloc (FROZEN_SIZE);
-  HttpRequest request = request_to (ntohs (listen_address.sin_port));
+  HttpRequest request = request_to (listen_on_loopback (&listener));
   Buffer body = { 0 };
   Status st;
   int http_status = 0;
@@ -164,6 +211,7 @@
 {
   const SuiteCase cases[]
       = { { "may_finish_is_called_before_last_byte", test_may_finish_is_called_before_last_byte },
+          { "reset_before_last_byte_is_not_executed", test_reset_before_last_byte_is_not_executed },
           { "refused_get_does_not_connect", test_refused_get_does_not_connect },
           { "frozen_peer_does_not_block", test_frozen_peer_does_not_block } };
   return suite_main (argc, argv, "http_finish", cases, SUITE_COUNT (cases));
