Keep the load on a new version's loaded servers when they fail a few requests

Cause: in the second stage the new version's work goes to few of its servers, whose failures are what the stage is for, but a failure among four answers adds 200 to 300 ms to a server's cost, and a server beyond these costs 300 ms. So each front left after one or two failures; three fronts counted four or five, and six are the least that stops a version.

Fewer than six failures as the least were not tried: three requests that fail anywhere, or one failing server, would stop good versions.

Now failures and lag of a loaded server add 200 ms at most. It is left when it is out of reach or most requests fail there (both "avoided", before any cost), or when two requests are queued there.

--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -22,8 +22,12 @@
 #define COLD_MS            40.0 /* added if the server is cold */
 /* Milliseconds added for servers beyond those that get a new version's work: as much as some queued
  * requests, or one failure of five. */
-#define NO_CANARY_MS  300.0
-#define SLOTS_DEFAULT 8
+#define NO_CANARY_MS 300.0
+/* Milliseconds at most that the failures and the lag of a server which gets a new version's work
+ * add: they may be the version's, and show only while the server is loaded. It is left once it is
+ * avoided, or has requests queued. */
+#define CANARY_HEALTH_MAX_MS 200.0
+#define SLOTS_DEFAULT        8
 /* Milliseconds after which a full server is expected to have room. */
 #define FULL_WAIT_MS 100
 /* Milliseconds by which the entries of servers that became cold may arrive later than the end of
@@ -148,6 +152,22 @@
   return front_reading_cost_ms (&c);
 }
 
+static bool
+is_limited_to_canary (const PickQuery *query)
+{
+  return query->canary_hash_max > 0 && query->canary_hash_max < UINT64_MAX;
+}
+
+static double
+health_cost_ms (const PickQuery *query, const FrontServer *server, int64_t now_ms)
+{
+  double cost = front_health_penalty_ms (&server->health, now_ms);
+
+  if (is_limited_to_canary (query) && server->hash <= query->canary_hash_max)
+    return fmin (cost, CANARY_HEALTH_MAX_MS);
+  return cost;
+}
+
 static double
 cost_ms (const PickQuery *query,
          const FrontServer *server,
@@ -155,7 +175,7 @@
          int64_t now_ms)
 {
   double cost = queue_ms (query, server, now_ms) + prompt_ms (query, server, affinity, now_ms)
-                + front_health_penalty_ms (&server->health, now_ms);
+                + health_cost_ms (query, server, now_ms);
 
   /* Not part of the prediction, by which the versions of a service are compared: the servers of a
    * slow one would be expected to be slow. */
@@ -166,7 +186,7 @@
     cost += fmax (CROSS_DOMAIN_MIN_MS, CROSS_DOMAIN_SHARE * (double)query->objective_ms);
   if (server->cold_until_ms > now_ms)
     cost += COLD_MS;
-  if (query->canary_hash_max > 0 && server->hash > query->canary_hash_max)
+  if (is_limited_to_canary (query) && server->hash > query->canary_hash_max)
     cost += NO_CANARY_MS;
   return cost;
 }
--- a/tests/test_front_canary.c
+++ b/tests/test_front_canary.c
@@ -139,11 +139,42 @@
   CU_ASSERT_EQUAL (front_canary_hash_max (rollout, "v1", LOADING), UINT64_MAX);
 }
 
+/* Guards against leaving a server that gets the new version's work after a few failures, which it
+ * was loaded to show: three fronts had counted five by then, one too few to stop the version. Each
+ * second request fails. */
+static void
+test_failures_do_not_end_the_load (void)
+{
+  FrontCall call = { 0 };
+  PickQuery query = { .service = "drafts", .version = "v2", .call = &call, .slots = SLOTS };
+  FrontServer *first;
+
+  setup ();
+  CU_ASSERT_EQUAL (loaded_servers (0, LOADING), 1);
+  query.canary_hash_max = front_canary_hash_max (rollout, "v2", LOADING);
+  first = front_pick (servers, &query, LOADING).server;
+  CU_ASSERT_PTR_NOT_NULL (first);
+  if (!first)
+    return;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      front_health_answered (&first->health, LOADING, 60, 60);
+      front_health_failed (&first->health, LOADING);
+      CU_ASSERT_PTR_EQUAL (front_pick (servers, &query, LOADING).server, first);
+    }
+  first->running = SLOTS + 2;
+  CU_ASSERT (front_pick (servers, &query, LOADING).server != first);
+  first->running = 0;
+  front_health_failed (&first->health, LOADING);
+  CU_ASSERT (front_pick (servers, &query, LOADING).server != first);
+}
+
 static const SuiteCase cases[] = {
   { "second_stage_loads_few_servers", test_second_stage_loads_few_servers },
   { "loaded_service_uses_all_servers", test_loaded_service_uses_all_servers },
   { "enough_answers_end_the_load", test_enough_answers_end_the_load },
   { "choice_prefers_loaded_servers", test_choice_prefers_loaded_servers },
+  { "failures_do_not_end_the_load", test_failures_do_not_end_the_load },
 };
 
 int
