Tell other fronts of the removal of an evacuation that nobody saw

Such a removal was "at second hand" and not passed on, because it seems later with each transfer. But the front that reads it itself takes it for now as well, and so does each other one when it reads it: telling changes only how soon. It is told unless its reader got no rows, of the store or a front, for 10 s: one that was frozen would make fronts that have just started take warm servers for cold for some seconds. Read from another front's rows it isn't told, as that front does so.

Ruled out: the limit's shares (all sends were of fronts that knew of no end); telling with the age of the outage (the end may be as late as now). Not mended: sends before the first front has read it; no message can tell of it.

--- a/src/front_evacuations.c
+++ b/src/front_evacuations.c
@@ -146,7 +146,7 @@
     {
       const EvacuationEnd *end = &evacuations->ends[i];
 
-      if (!end->is_second_hand && now_ms - end->at_ms < EVACUATION_REPORT_MS)
+      if ((!end->is_second_hand || end->is_told_on) && now_ms - end->at_ms < EVACUATION_REPORT_MS)
         out[count++] = *end;
     }
   return count;
--- a/src/front_evacuations.h
+++ b/src/front_evacuations.h
@@ -19,8 +19,9 @@
   uint32_t domain; /**< hash */
   int64_t at_ms;
   int64_t version;     /**< of the order's removal */
-  bool is_second_hand; /**< told by another front, or read without the order; not passed on, as it
-                      seems later than it was */
+  bool is_second_hand; /**< told by another front, or read without the order; seems later than it
+                          was */
+  bool is_told_on;     /**< at second hand, but told to other fronts: all may lack it */
 } EvacuationEnd;
 
 typedef struct
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -12,6 +12,10 @@
 #include "wire_store.h"
 #include <string.h>
 
+/* Milliseconds without rows after which the removal of an order that was never read isn't told to
+ * other fronts: this one was frozen, and they may have known it for long. */
+#define UNSEEN_TOLD_MAX_MS 10000
+
 static void
 apply_config (Front *front, const StoreRow *row)
 {
@@ -138,24 +142,33 @@
 }
 
 void
-store_apply_unseen_ends (FrontStore *store, StoreTable id, const StoreAnswer *changes)
+store_apply_unseen_ends (FrontStore *store,
+                         StoreTable id,
+                         const StoreAnswer *changes,
+                         int64_t since_ms)
 {
   const FrontTable *table = &store->watches[id].table;
   int64_t now_ms = clock_boot_ms ();
+  bool is_told_on = since_ms > 0 && now_ms - since_ms < UNSEEN_TOLD_MAX_MS;
 
   if (id != STORE_OPERATOR)
     return;
   for (unsigned i = 0; i < changes->count; i++)
     {
       const StoreRow *row = &changes->rows[i];
-      EvacuationEnd end = { .at_ms = now_ms, .version = row->version, .is_second_hand = true };
+      EvacuationEnd end = {
+        .at_ms = now_ms, .version = row->version, .is_second_hand = true, .is_told_on = is_told_on
+      };
 
       if (!row->removed || row->version <= table->version
           || !has_prefix (row->key, wire_key_evacuation) || front_table_find (table, row->key))
         continue;
       end.domain = front_failure_domain_hash (row->key + strlen (wire_key_evacuation));
-      if (front_servers_evacuation_ended (store->front->servers, &end, now_ms))
-        log_evacuation (row->key + strlen (wire_key_evacuation), "unseen", row->version);
+      if (!front_servers_evacuation_ended (store->front->servers, &end, now_ms))
+        continue;
+      log_evacuation (row->key + strlen (wire_key_evacuation), "unseen", row->version);
+      if (is_told_on)
+        front_peers_send_soon (store->front->peers);
     }
 }
 
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -38,6 +38,7 @@
   int64_t era_began_ms;      /* when rows of a new era were read, until what was lost was written
                                 again; 0: not */
   int64_t read_ms;           /* when all rows were last read at the store; 0: never */
+  int64_t answered_ms;       /* when rows last came from the store or another front; 0: never */
   bool reads_again_at_peers; /* the front that was asked lacks the changes since this one's version:
                                 all rows are read from such fronts */
   int64_t asked_ms;          /* when the last request was sent */
@@ -76,8 +77,12 @@
 /* Applies the operator's orders and their removals that were left while the era was settling. */
 void store_apply_deferred (FrontStore *store);
 /* To be called before changes are applied: looks for ends of evacuations whose order was never read
- * here, as this front was frozen or the store away. */
-void store_apply_unseen_ends (FrontStore *store, StoreTable id, const StoreAnswer *changes);
+ * here, as this front was frozen or the store away. since_ms: when rows last came before;
+ * 0: the changes are from another front, which tells ends itself. */
+void store_apply_unseen_ends (FrontStore *store,
+                              StoreTable id,
+                              const StoreAnswer *changes,
+                              int64_t since_ms);
 /* Updates what depends on the table as a whole, after its changed rows were applied. */
 void store_apply_end (FrontStore *store, StoreTable id);
 
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -269,11 +269,13 @@
   else
     {
       store_era_begin (watch, answer.version);
-      store_apply_unseen_ends (watch->store, watch->id, &answer);
+      store_apply_unseen_ends (watch->store, watch->id, &answer,
+                               watch->asked_peer ? 0 : watch->answered_ms);
       front_table_apply_changes (&watch->table, &answer, kinds[watch->id].change, watch->store);
       store_apply_end (watch->store, watch->id);
     }
   store_answer_clear (&answer);
+  watch->answered_ms = clock_boot_ms ();
   if (watch->loaded && watch->id == STORE_SERVERS && !watch->asked_peer)
     store_watch_schedule_poll (watch, SERVERS_POLL_DELAY_MS);
   else if (kinds[watch->id].followed || !watch->loaded)
@@ -414,10 +416,11 @@
     front_table_apply_snapshot (&watch->table, answer, kinds[watch->id].change, watch->store);
   else
     {
-      store_apply_unseen_ends (watch->store, watch->id, answer);
+      store_apply_unseen_ends (watch->store, watch->id, answer, 0);
       front_table_apply_changes (&watch->table, answer, kinds[watch->id].change, watch->store);
     }
   store_apply_end (watch->store, watch->id);
+  watch->answered_ms = clock_boot_ms ();
   if (!watch->loaded)
     load_cancel (watch);
 }
--- a/tests/test_front_evacuations.c
+++ b/tests/test_front_evacuations.c
@@ -3,6 +3,7 @@
 #include "front_node.h"
 #include "front_servers.h"
 #include "suite.h"
+#include "util_clock.h"
 #include <stdio.h>
 #include <string.h>
 
@@ -161,6 +162,35 @@
     }
 }
 
+/* Guards against fronts that were all without the store through order and end, and of which each
+ * goes on sending to cold servers until it has read the removal itself. One that was frozen for
+ * long tells nothing. */
+static void
+test_unseen_removal_is_told_to_others (void)
+{
+  static const struct
+  {
+    int64_t since_ms; /* the last answer of the store, before now; 0: from another front */
+    unsigned told;
+  } cases[] = { { 2500, 1 }, { 60000, 0 }, { 0, 0 } };
+  StoreRow row = { .key = (char *)(uintptr_t) "evacuate/b", .removed = true };
+
+  for (size_t i = 0; i < SUITE_COUNT (cases); i++)
+    {
+      FrontNode *node = front_node_new ();
+      int64_t now_ms = clock_boot_ms ();
+      StoreAnswer changes = { .rows = &row, .count = 1 };
+      EvacuationEnd ends[4];
+
+      row.version = store_version (1, 52);
+      store_apply_unseen_ends (&node->store, STORE_OPERATOR, &changes,
+                               cases[i].since_ms ? now_ms - cases[i].since_ms : 0);
+      CU_ASSERT_EQUAL (front_servers_evacuation_ends (node->front.servers, ends, 4, now_ms + 100),
+                       cases[i].told);
+      front_node_free (node);
+    }
+}
+
 static void
 test_more_domains_than_are_kept (void)
 {
@@ -188,6 +218,7 @@
     { "end_is_told_while_the_order_stays_in_force",
       test_end_is_told_while_the_order_stays_in_force },
     { "removal_of_an_unknown_order_ends_it", test_removal_of_an_unknown_order_ends_it },
+    { "unseen_removal_is_told_to_others", test_unseen_removal_is_told_to_others },
     { "more_domains_than_are_kept", test_more_domains_than_are_kept },
   };
   int status;
