lovage-config check --in-force: compare with the version that the platform's store has

Operators had to save the version in force to a file before they could see what a new one changes, and nothing kept that file from being old. The store is now read as a front that starts reads it (wire_store names the call, front_channel makes it): one read of the operator's table, 5 s for all of its requests, no write. What goes wrong is told with step and peer and ends with status 3, as a file that can't be read.

--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,10 @@
 # Modules of lovage-config besides its main; it decodes by the modules of lovage-front.
 LINT_WIRE = $(wildcard platform/wire_lint*.c platform/wire_place*.c)
 LINT_PARTS = $(filter-out src/lint_main.c,$(wildcard src/lint*.c)) $(LINT_WIRE) \
-  platform/wire_config.c platform/wire_json.c src/front_config.c src/front_urgency.c
-LINT_SHARED = $(wildcard src/util_*.c)
-LINT_LIBS = $(shell pkg-config --libs json-c libsodium libxxhash) -lm
+  platform/wire_config.c platform/wire_json.c platform/wire_store.c src/front_config.c src/front_urgency.c \
+  src/front_channel.c src/front_socket.c src/front_row.c src/front_table.c
+LINT_SHARED = $(wildcard src/util_*.c) src/http_head.c src/http_reply.c
+LINT_LIBS = $(shell pkg-config --libs json-c libsodium libxxhash libevent) -lhttp_parser -lm
 STANDINS = standin-platform standin-engine standin-service
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 TEST_HELPERS = tests/suite.c $(wildcard tests/fake_*.c)
@@ -100,7 +101,7 @@
   $(call obj,$(FRONT_PARTS) $(TEST_HELPERS) $(FRONT_TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_lint_%: $(BUILD)/obj/tests/test_lint_%.o $(call obj,$(LINT_PARTS) tests/lint_document.c $(TEST_HELPERS)) $(LIB)
-	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(LINT_LIBS) -lcunit -o $@
 # Replaces connections, timers and the clock by fakes of its own.
 $(BUILD)/test_front_request_hedge: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
 $(BUILD)/test_front_request_hedge: $(BUILD)/obj/tests/test_front_request_hedge.o \
--- a/src/lint_main.c
+++ b/src/lint_main.c
@@ -1,5 +1,6 @@
 /* lovage-config: checks a routing configuration before it is sent to the fronts. */
 #include "lint.h"
+#include "lint_in_force.h"
 #include "util_buffer.h"
 #include "util_memory.h"
 #include <argp.h>
@@ -9,6 +10,7 @@
 
 #define DOCUMENT_MAX_BYTES 16777216
 #define READ_BYTES         65536
+#define STORE_TIMEOUT_MS   5000
 
 /* Exit statuses. */
 typedef enum
@@ -21,8 +23,9 @@
 
 typedef struct
 {
-  const char *file; /* "-": standard input */
-  const char *against;
+  const char *file;     /* "-": standard input */
+  const char *against;  /* file to compare with; NULL: none */
+  const char *in_force; /* address of the store whose version to compare with; NULL: none */
   bool as_json;
   bool has_command;
 } Arguments;
@@ -31,6 +34,10 @@
 
 static const struct argp_option options[] = {
   { .name = "against", .key = 'a', .arg = "FILE", .doc = "Tell what differs from this version" },
+  { .name = "in-force",
+    .key = 'i',
+    .arg = "IP:PORT",
+    .doc = "Tell what differs from the version that the platform's store has" },
   { .name = "json", .key = 'j', .doc = "Print JSON for scripts" },
   { 0 },
 };
@@ -58,6 +65,8 @@
     argp_usage (state);
   if (!arguments->file)
     arguments->file = "-";
+  if (arguments->against && arguments->in_force)
+    argp_error (state, "--against and --in-force exclude each other");
   if (arguments->against && strcmp (arguments->against, "-") == 0
       && strcmp (arguments->file, "-") == 0)
     argp_error (state, "only one of the two documents can be standard input");
@@ -73,6 +82,9 @@
     case 'a':
       arguments->against = arg;
       return 0;
+    case 'i':
+      arguments->in_force = arg;
+      return 0;
     case 'j':
       arguments->as_json = true;
       return 0;
@@ -117,25 +129,47 @@
   return is_read;
 }
 
-/* Reads the version to compare with; NULL after a message if fronts can't have it. */
+static bool
+read_in_force (const char *address, Buffer *text)
+{
+  Status status;
+
+  buffer_add_string (text, "");
+  if (lint_in_force_read (address, STORE_TIMEOUT_MS, text, &status) == STATUS_OK)
+    return true;
+  fprintf (stderr, "lovage-config: %s: %s: %s\n", status.peer, status.step, status.message);
+  return false;
+}
+
+/* NULL after a message if fronts can't have this version. */
 static FrontConfig *
-read_other (const char *file)
+decode_other (const char *source, const Buffer *text)
 {
-  LintReport report = { .file = file };
+  LintReport report = { .file = source };
   LintDocument document = { 0 };
-  Buffer text = { 0 };
   FrontConfig *config = NULL;
 
-  if (read_document (file, &text))
-    {
-      lint_document (&document, text.data, text.len, &report);
-      config = document.config ? front_config_ref (document.config) : NULL;
-      if (!config)
-        fprintf (stderr, "lovage-config: %s: no configuration to compare with: %s\n", file,
-                 report.findings[0].text);
-    }
+  lint_document (&document, text->data, text->len, &report);
+  if (document.config)
+    config = front_config_ref (document.config);
+  else
+    fprintf (stderr, "lovage-config: %s: no configuration to compare with: %s\n", source,
+             report.findings[0].text);
   lint_document_clear (&document);
   lint_report_free (&report);
+  return config;
+}
+
+/* Reads the version to compare with; NULL after a message. */
+static FrontConfig *
+read_other (const Arguments *arguments)
+{
+  const char *source = arguments->in_force ? arguments->in_force : arguments->against;
+  Buffer text = { 0 };
+  FrontConfig *config = NULL;
+
+  if (arguments->in_force ? read_in_force (source, &text) : read_document (source, &text))
+    config = decode_other (source, &text);
   buffer_free (&text);
   return config;
 }
@@ -151,13 +185,21 @@
 static ExitStatus
 check_text (const Arguments *arguments, const Buffer *text, const FrontConfig *other)
 {
+  const LintCompared compared = {
+    .source = arguments->in_force ? arguments->in_force : arguments->against,
+    .is_in_force = arguments->in_force,
+    .version = other ? other->version : 0,
+  };
   LintReport report = { .file = arguments->file };
   LintDocument document;
   ExitStatus status;
 
   lint_document (&document, text->data, text->len, &report);
   if (other && document.config)
-    lint_compare (other, document.config, &report);
+    {
+      lint_compare (other, document.config, &report);
+      report.compared = &compared;
+    }
   lint_report_sort (&report);
   if (arguments->as_json)
     lint_report_print_json (&report, stdout);
@@ -174,10 +216,10 @@
 {
   Buffer text = { 0 };
   FrontConfig *other = NULL;
+  bool compares = arguments->against || arguments->in_force;
   ExitStatus status = EXIT_UNREADABLE;
 
-  if (read_document (arguments->file, &text)
-      && (!arguments->against || (other = read_other (arguments->against))))
+  if (read_document (arguments->file, &text) && (!compares || (other = read_other (arguments))))
     status = check_text (arguments, &text, other);
   front_config_unref (other);
   buffer_free (&text);
--- a/src/lint_print.c
+++ b/src/lint_print.c
@@ -28,6 +28,11 @@
       fprintf (out, " %s: %s%s%s [%s]\n", severity_names[finding->severity], finding->path,
                finding->path[0] ? ": " : "", finding->text, finding->check);
     }
+  if (report->compared)
+    fprintf (out, "%s: compared with version %lld %s %s\n", report->file,
+             (long long)report->compared->version,
+             report->compared->is_in_force ? "in force at the store" : "of",
+             report->compared->source);
   fprintf (out, "%s: %s by fronts: %u errors, %u warnings, %u notes, %u changes\n", report->file,
            verdict (report), report->counts[LINT_ERROR], report->counts[LINT_WARNING],
            report->counts[LINT_NOTE], report->counts[LINT_CHANGE]);
@@ -48,6 +53,17 @@
   return object;
 }
 
+static struct json_object *
+compared_object (const LintCompared *compared)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, compared->is_in_force ? "store" : "file",
+                          json_object_new_string (compared->source));
+  json_object_object_add (object, "version", json_object_new_int64 (compared->version));
+  return object;
+}
+
 void
 lint_report_print_json (const LintReport *report, FILE *out)
 {
@@ -58,6 +74,8 @@
     json_object_array_add (findings, finding_object (&report->findings[i]));
   json_object_object_add (object, "file", json_object_new_string (report->file));
   json_object_object_add (object, "verdict", json_object_new_string (verdict (report)));
+  if (report->compared)
+    json_object_object_add (object, "compared", compared_object (report->compared));
   json_object_object_add (object, "errors", json_object_new_int64 (report->counts[LINT_ERROR]));
   json_object_object_add (object, "warnings", json_object_new_int64 (report->counts[LINT_WARNING]));
   json_object_object_add (object, "notes", json_object_new_int64 (report->counts[LINT_NOTE]));
--- a/src/lint_report.h
+++ b/src/lint_report.h
@@ -7,6 +7,7 @@
 #include "lint_place.h"
 #include "wire_place.h"
 #include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 
 typedef enum
@@ -28,10 +29,19 @@
   char *text;
 } LintFinding;
 
+/** The other version, with which the document was compared. */
 typedef struct
 {
-  const char *file;         /**< name of the document in messages */
-  const WirePlaces *places; /**< of the document; NULL: it can't be read */
+  const char *source; /**< file, or address of the platform's store */
+  bool is_in_force;   /**< it is the store's */
+  int64_t version;
+} LintCompared;
+
+typedef struct
+{
+  const char *file;             /**< name of the document in messages */
+  const LintCompared *compared; /**< NULL: with none */
+  const WirePlaces *places;     /**< of the document; NULL: it can't be read */
   unsigned count, room;
   LintFinding *findings;
   unsigned counts[LINT_SEVERITIES];
