front_waits: a rank is called rank, and is a number from 0 to URGENCY_RANK_MAX

WaitRank had enumerators for 0, 4 and 9 of ten values, and variables that hold a rank were called urgency, which elsewhere is the order of teams and routes from which a rank is made. The log field stays urgency.

--- a/src/front_peers_waits.c
+++ b/src/front_peers_waits.c
@@ -63,7 +63,7 @@
   front_log_number (line, "server", (int64_t)report->server);
   front_log_number (line, "wait_ms", report->wait_ms);
   front_log_number (line, "age_ms", report->age_ms);
-  front_log_number (line, "urgency", report->urgency);
+  front_log_number (line, "urgency", report->rank);
   front_log_end (line);
 }
 
--- a/src/front_pick.c
+++ b/src/front_pick.c
@@ -298,14 +298,13 @@
 static void
 predict (PickAnswer *answer, const PickQuery *query, const FrontServer *affinity, int64_t now_ms)
 {
-  WaitBelief general
-      = front_waits_general (query->waits, query->service_hash, query->urgency, now_ms);
+  WaitBelief general = front_waits_general (query->waits, query->service_hash, query->rank, now_ms);
 
   answer->prompt_ms = prompt_ms (query, answer->server, affinity, now_ms);
   answer->prompt_tokens = prompt_tokens (query, answer->server, affinity, now_ms);
   answer->base_ms = answer->prompt_ms + queue_ms (query, answer->server, now_ms);
   answer->belief
-      = front_waits_of (query->waits, answer->server->hash, query->urgency, &general, now_ms);
+      = front_waits_of (query->waits, answer->server->hash, query->rank, &general, now_ms);
   answer->predicted_ms = answer->base_ms + answer->belief.ms;
 }
 
--- a/src/front_pick.h
+++ b/src/front_pick.h
@@ -38,7 +38,7 @@
                                kept away from streams */
   const FrontWaits *waits;  /**< of model engines; NULL: none are believed */
   uint64_t service_hash;    /**< of the service's name; used with waits */
-  WaitRank urgency;         /**< used with waits */
+  unsigned rank;            /**< used with waits */
   uint64_t only_server;     /**< hash of the only server that may get it; 0: any */
   bool for_copy;            /**< of a request that runs elsewhere: only a server with a free slot
                                that is in no way spared */
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -155,7 +155,7 @@
 void request_record_reached (FrontRequest *request);
 
 /* front_request_waits.c: samples for front_waits, where front_is_contended. */
-WaitRank request_urgency (const FrontRequest *request);
+unsigned request_wait_rank (const FrontRequest *request);
 /* The attempt's answer has begun. */
 void request_wait_begun (const FrontRequest *request, int64_t now_ms);
 /* The attempt's server turned the request away for lack of room. */
--- a/src/front_request_rank.c
+++ b/src/front_request_rank.c
@@ -12,7 +12,7 @@
 request_lag_ms (const FrontRequest *request, int64_t now_ms)
 {
   return front_waits_general (request->front->waits, request_service_hash (request),
-                              request_urgency (request), now_ms)
+                              request_wait_rank (request), now_ms)
       .ms;
 }
 
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -110,7 +110,7 @@
       query.pause_ms = (double)request->route->gap_ms;
       query.waits = request->front->waits;
       query.service_hash = request_service_hash (request);
-      query.urgency = request_urgency (request);
+      query.rank = request_wait_rank (request);
     }
   else if (front_is_contended (request->front))
     query.typical_ms = front_answer_times_typical_ms (&request->front->answer_times,
--- a/src/front_request_waits.c
+++ b/src/front_request_waits.c
@@ -15,7 +15,7 @@
   return (WaitSample){
     .server = request->server->hash,
     .service = request_service_hash (request),
-    .urgency = request_urgency (request),
+    .rank = request_wait_rank (request),
     .request = request->wait_key,
     .wait_ms = (double)(now_ms - request->attempt_ms) - request->predicted_ms,
   };
@@ -36,8 +36,8 @@
     front_counter_add (FRONT_COUNTER_FIRST_PREDICTED);
 }
 
-WaitRank
-request_urgency (const FrontRequest *request)
+unsigned
+request_wait_rank (const FrontRequest *request)
 {
   return front_waits_rank (request->rank);
 }
@@ -69,13 +69,13 @@
 request_wait_is_believed (const FrontRequest *request, int64_t now_ms)
 {
   const FrontWaits *waits = request->front->waits;
-  WaitRank urgency = request_urgency (request);
+  unsigned rank = request_wait_rank (request);
   WaitBelief belief;
 
   if (!is_measured (request))
     return false;
-  belief = front_waits_general (waits, request_service_hash (request), urgency, now_ms);
-  belief = front_waits_of (waits, request->server->hash, urgency, &belief, now_ms);
+  belief = front_waits_general (waits, request_service_hash (request), rank, now_ms);
+  belief = front_waits_of (waits, request->server->hash, rank, &belief, now_ms);
   return belief.ms >= WAITS_MIN_MS / 2.0;
 }
 
--- a/src/front_waits.c
+++ b/src/front_waits.c
@@ -51,40 +51,40 @@
   free (waits);
 }
 
-WaitRank
+unsigned
 front_waits_rank (int64_t rank)
 {
-  if (rank < WAIT_RANK_FIRST)
-    return WAIT_RANK_FIRST;
-  return rank < WAIT_RANK_LAST ? (WaitRank)rank : WAIT_RANK_LAST;
+  if (rank < 0)
+    return 0;
+  return rank < URGENCY_RANK_MAX ? (unsigned)rank : URGENCY_RANK_MAX;
 }
 
 static uint64_t
-row_key (uint64_t subject, unsigned urgency, bool is_service)
+row_key (uint64_t subject, unsigned rank, bool is_service)
 {
-  return id_hash (&subject, sizeof subject, urgency * 2 + is_service);
+  return id_hash (&subject, sizeof subject, rank * 2 + is_service);
 }
 
 static WaitsRow *
-row_find (const FrontWaits *waits, uint64_t subject, unsigned urgency, bool is_service)
+row_find (const FrontWaits *waits, uint64_t subject, unsigned rank, bool is_service)
 {
   IndexEntry *entry;
 
   if (!waits || waits->rows.count == 0)
     return NULL;
-  entry = index_first (&waits->rows, row_key (subject, urgency, is_service));
+  entry = index_first (&waits->rows, row_key (subject, rank, is_service));
   for (; entry; entry = index_next (&waits->rows, entry))
     {
       WaitsRow *row = caa_container_of (entry, WaitsRow, by_key);
 
-      if (row->subject == subject && row->urgency == urgency && row->is_service == is_service)
+      if (row->subject == subject && row->rank == rank && row->is_service == is_service)
         return row;
     }
   return NULL;
 }
 
 static WaitsRow *
-row_new (FrontWaits *waits, uint64_t subject, unsigned urgency, bool is_service)
+row_new (FrontWaits *waits, uint64_t subject, unsigned rank, bool is_service)
 {
   WaitsRow *row;
 
@@ -92,9 +92,9 @@
     row_free (waits, cds_list_first_entry (&waits->order, WaitsRow, node));
   row = memory_alloc (sizeof *row);
   row->subject = subject;
-  row->urgency = urgency;
+  row->rank = rank;
   row->is_service = is_service;
-  index_add (&waits->rows, &row->by_key, row_key (subject, urgency, is_service));
+  index_add (&waits->rows, &row->by_key, row_key (subject, rank, is_service));
   cds_list_add_tail (&row->node, &waits->order);
   return row;
 }
@@ -120,11 +120,11 @@
 /* A row begins only where a wait matters, the subject's own or that of others: until then the table
  * stays empty. */
 static WaitsRow *
-row_for (FrontWaits *waits, uint64_t subject, unsigned urgency, bool is_service, double matters_ms)
+row_for (FrontWaits *waits, uint64_t subject, unsigned rank, bool is_service, double matters_ms)
 {
-  WaitsRow *row = row_find (waits, subject, urgency, is_service);
+  WaitsRow *row = row_find (waits, subject, rank, is_service);
 
-  return row || matters_ms < WAITS_MIN_MS ? row : row_new (waits, subject, urgency, is_service);
+  return row || matters_ms < WAITS_MIN_MS ? row : row_new (waits, subject, rank, is_service);
 }
 
 static double
@@ -141,17 +141,16 @@
   WaitBelief general, belief;
   bool taken;
 
-  if (!isfinite (sample->wait_ms) || (unsigned)sample->urgency >= WAIT_RANKS || now_ms <= 0)
+  if (!isfinite (sample->wait_ms) || sample->rank >= WAITS_RANKS || now_ms <= 0)
     return false;
-  general = front_waits_general (waits, sample->service, sample->urgency, now_ms);
-  belief = front_waits_of (waits, sample->server, sample->urgency, &general, now_ms);
+  general = front_waits_general (waits, sample->service, sample->rank, now_ms);
+  belief = front_waits_of (waits, sample->server, sample->rank, &general, now_ms);
   if (!sample->is_bound || wait_ms > general.ms)
-    row_take (waits, row_for (waits, sample->service, sample->urgency, true, wait_ms), &known,
-              now_ms);
+    row_take (waits, row_for (waits, sample->service, sample->rank, true, wait_ms), &known, now_ms);
   if (sample->is_bound && wait_ms <= belief.ms)
     return true;
   taken = row_take (
-      waits, row_for (waits, sample->server, sample->urgency, false, fmax (wait_ms, general.ms)),
+      waits, row_for (waits, sample->server, sample->rank, false, fmax (wait_ms, general.ms)),
       &known, now_ms);
   if (taken && fmax (wait_ms, belief.ms) >= WAITS_MIN_MS)
     waits_outbox_put (&waits->outbox, sample, now_ms);
@@ -178,11 +177,11 @@
     .ms = (float)report->wait_ms,
   };
 
-  if (report->wait_ms > WAITS_MAX_MS || report->urgency >= WAIT_RANKS
+  if (report->wait_ms > WAITS_MAX_MS || report->rank >= WAITS_RANKS
       || report->age_ms > WAITS_AGE_MAX_MS || sample.at_ms <= 0 || author == 0)
     return false;
   row_take (waits,
-            row_for (waits, report->server, report->urgency, false,
+            row_for (waits, report->server, report->rank, false,
                      waits->rows.count > 0 ? WAITS_MIN_MS : report->wait_ms),
             &sample, now_ms);
   return true;
@@ -206,9 +205,9 @@
 }
 
 WaitBelief
-front_waits_general (const FrontWaits *waits, uint64_t service, WaitRank urgency, int64_t now_ms)
+front_waits_general (const FrontWaits *waits, uint64_t service, unsigned rank, int64_t now_ms)
 {
-  const WaitsRow *row = row_find (waits, service, urgency, true);
+  const WaitsRow *row = row_find (waits, service, rank, true);
 
   return row ? belief_of (row, 0, now_ms) : (WaitBelief){ .age_ms = -1, .is_general = true };
 }
@@ -216,11 +215,11 @@
 WaitBelief
 front_waits_of (const FrontWaits *waits,
                 uint64_t server,
-                WaitRank urgency,
+                unsigned rank,
                 const WaitBelief *general,
                 int64_t now_ms)
 {
-  const WaitsRow *row = row_find (waits, server, urgency, false);
+  const WaitsRow *row = row_find (waits, server, rank, false);
 
   return row ? belief_of (row, general->ms, now_ms) : *general;
 }
--- a/src/front_waits_message.c
+++ b/src/front_waits_message.c
@@ -4,10 +4,10 @@
 
 #define MAGIC 0x4c484254u /* "LHBT"; to be incremented with any change of the format */
 
-/* Bits of a report's last word: the wait, the class, the age. */
-#define WAIT_BITS    16
-#define URGENCY_BITS 4
-#define AGE_BITS     12
+/* Bits of a report's last word: the wait, the rank, the age. */
+#define WAIT_BITS 16
+#define RANK_BITS 4
+#define AGE_BITS  12
 
 static uint32_t
 mask (unsigned bits)
@@ -20,10 +20,10 @@
 pack (const WaitReport *report)
 {
   uint32_t wait = report->wait_ms < mask (WAIT_BITS) ? report->wait_ms : mask (WAIT_BITS);
-  uint32_t urgency = report->urgency < mask (URGENCY_BITS) ? report->urgency : mask (URGENCY_BITS);
+  uint32_t rank = report->rank < mask (RANK_BITS) ? report->rank : mask (RANK_BITS);
   uint32_t age = report->age_ms < mask (AGE_BITS) ? report->age_ms : mask (AGE_BITS);
 
-  return wait | urgency << WAIT_BITS | age << (WAIT_BITS + URGENCY_BITS);
+  return wait | rank << WAIT_BITS | age << (WAIT_BITS + RANK_BITS);
 }
 
 static bool_t
@@ -35,8 +35,8 @@
       || !xdr_uint32_t (xdr, &word))
     return FALSE;
   report->wait_ms = word & mask (WAIT_BITS);
-  report->urgency = word >> WAIT_BITS & mask (URGENCY_BITS);
-  report->age_ms = word >> (WAIT_BITS + URGENCY_BITS);
+  report->rank = word >> WAIT_BITS & mask (RANK_BITS);
+  report->age_ms = word >> (WAIT_BITS + RANK_BITS);
   return TRUE;
 }
 
--- a/src/front_waits_outbox.c
+++ b/src/front_waits_outbox.c
@@ -31,7 +31,7 @@
     .report = { .server = sample->server,
                 .request = sample->request,
                 .wait_ms = (uint32_t)lround (wait_ms),
-                .urgency = sample->urgency },
+                .rank = sample->rank },
     .at_ms = now_ms,
   };
 }
--- a/src/front_waits_row.h
+++ b/src/front_waits_row.h
@@ -25,7 +25,7 @@
   IndexEntry by_key;
   struct cds_list_head node; /**< by time of the last change */
   uint64_t subject;          /**< of a server or service */
-  unsigned urgency;
+  unsigned rank;
   bool is_service;
   WaitsSample samples[WAITS_SAMPLES];
   int64_t at_ms;     /**< when the following were computed */
--- a/tests/test_front_pick.c
+++ b/tests/test_front_pick.c
@@ -298,7 +298,7 @@
     front_waits_add (waits,
                      &(WaitSample){ .server = front_servers_find (servers, id)->hash,
                                     .service = SERVICE_HASH,
-                                    .urgency = WAIT_RANK_FIRST,
+                                    .rank = 0,
                                     .wait_ms = wait_ms },
                      NOW);
 }
--- a/tests/test_front_waits.c
+++ b/tests/test_front_waits.c
@@ -7,6 +7,7 @@
 #define NOW     100000 /* milliseconds */
 #define SERVICE 7
 #define AUTHOR  99
+#define RANK    4U /* of requests where ranks don't matter */
 
 static FrontWaits *waits;
 
@@ -23,7 +24,7 @@
   return front_waits_add (waits,
                           &(WaitSample){ .server = server,
                                          .service = SERVICE,
-                                         .urgency = WAIT_RANK_MIDDLE,
+                                         .rank = RANK,
                                          .request = request,
                                          .wait_ms = wait_ms,
                                          .is_bound = is_bound },
@@ -35,23 +36,22 @@
 {
   return front_waits_told (
       waits,
-      &(WaitReport){
-          .server = server, .request = request, .wait_ms = wait_ms, .urgency = WAIT_RANK_MIDDLE },
+      &(WaitReport){ .server = server, .request = request, .wait_ms = wait_ms, .rank = RANK },
       author, now_ms);
 }
 
 static WaitBelief
-belief_in (uint64_t server, WaitRank urgency, int64_t now_ms)
+belief_in (uint64_t server, unsigned rank, int64_t now_ms)
 {
-  WaitBelief general = front_waits_general (waits, SERVICE, urgency, now_ms);
+  WaitBelief general = front_waits_general (waits, SERVICE, rank, now_ms);
 
-  return front_waits_of (waits, server, urgency, &general, now_ms);
+  return front_waits_of (waits, server, rank, &general, now_ms);
 }
 
 static double
 believed (uint64_t server, int64_t now_ms)
 {
-  return belief_in (server, WAIT_RANK_MIDDLE, now_ms).ms;
+  return belief_in (server, RANK, now_ms).ms;
 }
 
 /* Load: none. Answers that begin about as predicted leave no row, and nothing to tell. */
@@ -65,7 +65,7 @@
     CU_ASSERT (add (i % 50, i, (double)(i % 90) - 45, false, NOW + i));
   CU_ASSERT_EQUAL (front_waits_count (waits), 0);
   CU_ASSERT_EQUAL (front_waits_take (waits, out, WAITS_TOLD_MAX, NOW + 1000), 0);
-  CU_ASSERT_EQUAL (belief_in (1, WAIT_RANK_MIDDLE, NOW + 1000).age_ms, -1);
+  CU_ASSERT_EQUAL (belief_in (1, RANK, NOW + 1000).age_ms, -1);
 }
 
 /* Load: the least urgent kind bursts to four times its rate, and the queue of each of 88 engines
@@ -80,28 +80,28 @@
     add (i % 88, i, 3000, false, NOW + i * 66);
   CU_ASSERT (believed (1000, NOW + 1980) > 2400);
   CU_ASSERT (believed (1000, NOW + 1980) <= 3000);
-  CU_ASSERT (belief_in (1000, WAIT_RANK_MIDDLE, NOW + 1980).is_general);
+  CU_ASSERT (belief_in (1000, RANK, NOW + 1980).is_general);
   setup ();
   for (uint32_t i = 1; i <= 15; i++)
     add (i % 88, i, 3000, false, NOW + i * 66);
   CU_ASSERT (believed (1000, NOW + 990) > 1500);
 }
 
-/* Load: the same burst. It fills the queue of its own class only: the most urgent requests pass it,
- * and what is learned of one class must not be believed of another. */
+/* Load: the same burst. It fills the queue of its own rank only: the most urgent requests pass it,
+ * and what is learned of one rank must not be believed of another. */
 static void
-test_classes_are_apart (void)
+test_ranks_are_apart (void)
 {
   setup ();
   for (uint32_t i = 1; i <= 10; i++)
     add (3, i, 3000, false, NOW + i);
   CU_ASSERT (believed (3, NOW + 10) > 2500);
-  CU_ASSERT_EQUAL (belief_in (3, WAIT_RANK_FIRST, NOW + 10).ms, 0);
-  CU_ASSERT_EQUAL (front_waits_rank (0), WAIT_RANK_FIRST);
-  CU_ASSERT_EQUAL (front_waits_rank (-1), WAIT_RANK_FIRST);
-  CU_ASSERT_EQUAL (front_waits_rank (4), WAIT_RANK_MIDDLE);
-  CU_ASSERT_EQUAL (front_waits_rank (9), WAIT_RANK_LAST);
-  CU_ASSERT_EQUAL (front_waits_rank (INT64_MAX), WAIT_RANK_LAST);
+  CU_ASSERT_EQUAL (belief_in (3, 0, NOW + 10).ms, 0);
+  CU_ASSERT_EQUAL (front_waits_rank (0), 0);
+  CU_ASSERT_EQUAL (front_waits_rank (-1), 0);
+  CU_ASSERT_EQUAL (front_waits_rank (4), RANK);
+  CU_ASSERT_EQUAL (front_waits_rank (9), URGENCY_RANK_MAX);
+  CU_ASSERT_EQUAL (front_waits_rank (INT64_MAX), URGENCY_RANK_MAX);
 }
 
 /* Load: two fifths of the servers go dark under requests, which stay unanswered. Each check finds
@@ -188,7 +188,7 @@
     told (3, i, 4000, AUTHOR + i, NOW);
   for (uint32_t i = 1; i <= 12; i++)
     add (50 + i, i, 800, false, NOW + 5000);
-  belief = belief_in (3, WAIT_RANK_MIDDLE, NOW + 5000);
+  belief = belief_in (3, RANK, NOW + 5000);
   CU_ASSERT (belief.ms < 1800);
   CU_ASSERT (belief.ms > 700);
   CU_ASSERT_EQUAL (belief.age_ms, 5000);
@@ -280,7 +280,7 @@
   CU_ASSERT_EQUAL (front_waits_take (waits, out, WAITS_TOLD_MAX, NOW + 600), 1);
   CU_ASSERT_EQUAL (out[0].server, 3);
   CU_ASSERT_EQUAL (out[0].wait_ms, 900);
-  CU_ASSERT_EQUAL (out[0].urgency, WAIT_RANK_MIDDLE);
+  CU_ASSERT_EQUAL (out[0].rank, RANK);
   CU_ASSERT_EQUAL (out[0].age_ms, 100);
   CU_ASSERT_EQUAL (front_waits_take (waits, out, WAITS_TOLD_MAX, NOW + 600), 0);
   for (uint32_t i = 1; i <= 100; i++)
@@ -296,13 +296,11 @@
 {
   setup ();
   for (uint32_t i = 1; i <= 4; i++)
-    CU_ASSERT (front_waits_full (waits,
-                                 &(WaitSample){ .server = 3,
-                                                .service = SERVICE,
-                                                .urgency = WAIT_RANK_MIDDLE,
-                                                .request = i,
-                                                .wait_ms = -50 },
-                                 NOW));
+    CU_ASSERT (front_waits_full (
+        waits,
+        &(WaitSample){
+            .server = 3, .service = SERVICE, .rank = RANK, .request = i, .wait_ms = -50 },
+        NOW));
   CU_ASSERT (believed (3, NOW) > 200);
 }
 
@@ -311,21 +309,21 @@
 test_impossible_values_are_refused (void)
 {
   static const double odd[] = { NAN, INFINITY, -INFINITY };
-  WaitReport report = { .server = 3, .request = 1, .wait_ms = 500, .urgency = WAIT_RANK_MIDDLE };
+  WaitReport report = { .server = 3, .request = 1, .wait_ms = 500, .rank = RANK };
   WaitReport bad;
 
   setup ();
   for (size_t i = 0; i < SUITE_COUNT (odd); i++)
     CU_ASSERT (!add (3, 1, odd[i], false, NOW));
   CU_ASSERT (!front_waits_add (
-      waits, &(WaitSample){ .server = 3, .urgency = (WaitRank)WAIT_RANKS, .wait_ms = 500 }, NOW));
+      waits, &(WaitSample){ .server = 3, .rank = WAITS_RANKS, .wait_ms = 500 }, NOW));
   bad = report;
   bad.wait_ms = WAITS_MAX_MS + 1;
   CU_ASSERT (!front_waits_told (waits, &bad, AUTHOR, NOW));
   bad.wait_ms = UINT32_MAX;
   CU_ASSERT (!front_waits_told (waits, &bad, AUTHOR, NOW));
   bad = report;
-  bad.urgency = WAIT_RANKS;
+  bad.rank = WAITS_RANKS;
   CU_ASSERT (!front_waits_told (waits, &bad, AUTHOR, NOW));
   bad = report;
   bad.age_ms = (uint32_t)-1; /* from the future */
@@ -336,13 +334,13 @@
   CU_ASSERT_EQUAL (front_waits_count (waits), 0);
   add (3, 1, 1e300, false, NOW);
   CU_ASSERT (believed (3, NOW) <= WAITS_MAX_MS);
-  CU_ASSERT_EQUAL (front_waits_general (NULL, SERVICE, WAIT_RANK_FIRST, NOW).ms, 0);
+  CU_ASSERT_EQUAL (front_waits_general (NULL, SERVICE, 0, NOW).ms, 0);
 }
 
 static const SuiteCase cases[] = {
   { "calm_is_empty", test_calm_is_empty },
   { "burst_is_learned_from_all_servers", test_burst_is_learned_from_all_servers },
-  { "classes_are_apart", test_classes_are_apart },
+  { "ranks_are_apart", test_ranks_are_apart },
   { "silence_of_lost_servers", test_silence_of_lost_servers },
   { "short_silence_says_nothing", test_short_silence_says_nothing },
   { "server_turns_slow_and_back", test_server_turns_slow_and_back },
--- a/tests/test_front_waits_message.c
+++ b/tests/test_front_waits_message.c
@@ -6,7 +6,8 @@
 #include "util_memory.h"
 #include <stdlib.h>
 
-#define NOW 100000 /* milliseconds */
+#define NOW  100000 /* milliseconds */
+#define RANK 4U
 
 static Front *
 front_new (void)
@@ -69,7 +70,7 @@
 {
   WaitBelief general = { 0 };
 
-  return front_waits_of (front->waits, server, WAIT_RANK_MIDDLE, &general, NOW).ms;
+  return front_waits_of (front->waits, server, RANK, &general, NOW).ms;
 }
 
 /* A datagram that is cut short, of another kind, or claims too many reports. */
@@ -83,7 +84,7 @@
 
   message.reports[0] = (WaitReport){ .server = 11, .request = 1, .wait_ms = 900 };
   message.reports[1]
-      = (WaitReport){ .server = 12, .request = 2, .wait_ms = 150, .urgency = 2, .age_ms = 80 };
+      = (WaitReport){ .server = 12, .request = 2, .wait_ms = 150, .rank = 2, .age_ms = 80 };
   len = waits_message_encode (&message, data, sizeof data);
   CU_ASSERT_EQUAL (len, 16 + 2 * 16);
   CU_ASSERT (waits_message_decode (&read, data, len));
@@ -94,7 +95,7 @@
       CU_ASSERT_EQUAL (read.reports[i].server, message.reports[i].server);
       CU_ASSERT_EQUAL (read.reports[i].request, message.reports[i].request);
       CU_ASSERT_EQUAL (read.reports[i].wait_ms, message.reports[i].wait_ms);
-      CU_ASSERT_EQUAL (read.reports[i].urgency, message.reports[i].urgency);
+      CU_ASSERT_EQUAL (read.reports[i].rank, message.reports[i].rank);
       CU_ASSERT_EQUAL (read.reports[i].age_ms, message.reports[i].age_ms);
     }
   for (size_t i = 0; i < len; i++)
@@ -117,14 +118,13 @@
   uint64_t server = add_server (front);
   WaitsMessage message = { .incarnation = 5, .count = 4 };
 
-  message.reports[0] = (WaitReport){ .server = 4711, .wait_ms = 900, .urgency = WAIT_RANK_MIDDLE };
-  message.reports[1] = (WaitReport){ .server = server, .wait_ms = UINT32_MAX, .urgency = 1 };
-  message.reports[2] = (WaitReport){ .server = server, .wait_ms = 900, .urgency = 77 };
+  message.reports[0] = (WaitReport){ .server = 4711, .wait_ms = 900, .rank = RANK };
+  message.reports[1] = (WaitReport){ .server = server, .wait_ms = UINT32_MAX, .rank = 1 };
+  message.reports[2] = (WaitReport){ .server = server, .wait_ms = 900, .rank = 77 };
   message.reports[3] = (WaitReport){ .server = server, .wait_ms = 900, .age_ms = UINT32_MAX };
   CU_ASSERT (receive (front, &message));
   CU_ASSERT_EQUAL (front_waits_count (front->waits), 0);
-  message.reports[3]
-      = (WaitReport){ .server = server, .request = 3, .wait_ms = 900, .urgency = WAIT_RANK_MIDDLE };
+  message.reports[3] = (WaitReport){ .server = server, .request = 3, .wait_ms = 900, .rank = RANK };
   message.incarnation = front->incarnation;
   CU_ASSERT (receive (front, &message));
   CU_ASSERT_EQUAL (front_waits_count (front->waits), 0);
@@ -144,8 +144,7 @@
   WaitsMessage message = { .incarnation = 5, .count = 1 };
 
   front->settings.contention_ratio = 0;
-  message.reports[0]
-      = (WaitReport){ .server = server, .wait_ms = 900, .urgency = WAIT_RANK_MIDDLE };
+  message.reports[0] = (WaitReport){ .server = server, .wait_ms = 900, .rank = RANK };
   CU_ASSERT (receive (front, &message));
   CU_ASSERT_EQUAL (front_waits_count (front->waits), 0);
   front_free (front);
