--- a/tests/test_front_team_use.c
+++ b/tests/test_front_team_use.c
@@ -108,6 +108,40 @@
   CU_ASSERT_EQUAL (world.in_turn[3], world.sent[3]);
 }
 
+/* Load: four of 24 teams send twenty times as much as the others. Together they have what the
+ * others leave, not three times what these send. */
+static void
+test_several_hot_teams_share_what_is_served (void)
+{
+  double weights[TEAMS];
+
+  equal_weights (weights, TEAMS);
+  for (unsigned i = 0; i < 4; i++)
+    weights[i] = 20;
+  world_reset ();
+  play (weights, TEAMS, 200, true, START, START + 5000);
+  play (weights, TEAMS, 200, true, START + 5000, START + 25000);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      CU_ASSERT (share_in_turn (i) > 0.68);
+      CU_ASSERT (share_in_turn (i) < 1);
+    }
+}
+
+/* Load: one team sends two and a half times as much as each of the others, within what it may. This
+ * front gets a random sample of that, and sets it back for hardly one request of a hundred. */
+static void
+test_chance_sets_nobody_back (void)
+{
+  double weights[TEAMS];
+
+  equal_weights (weights, TEAMS);
+  weights[3] = 2.5;
+  world_reset ();
+  play (weights, TEAMS, 100, true, START, START + 100000);
+  CU_ASSERT (share_in_turn (3) > 0.99);
+}
+
 /* Load: teams that all send the same, on a busy day: chance alone sets nobody back. */
 static void
 test_equal_teams_stay_in_turn (void)
@@ -189,6 +223,8 @@
 static const SuiteCase cases[] = {
   { "hot_team_comes_behind", test_hot_team_comes_behind },
   { "hot_team_comes_back", test_hot_team_comes_back },
+  { "several_hot_teams_share_what_is_served", test_several_hot_teams_share_what_is_served },
+  { "chance_sets_nobody_back", test_chance_sets_nobody_back },
   { "equal_teams_stay_in_turn", test_equal_teams_stay_in_turn },
   { "unloaded_service_serves_all_in_turn", test_unloaded_service_serves_all_in_turn },
   { "single_team_stays_in_turn", test_single_team_stays_in_turn },
--- a/tests/test_front_urgency.c
+++ b/tests/test_front_urgency.c
@@ -144,6 +144,23 @@
   CU_ASSERT (!front_urgency_may_yield (routes, levels, 3, 2));
 }
 
+/* Load: a hot team. Its requests come one behind, so a kind two levels later, for which they can't
+ * wait, doesn't keep them before the others. */
+static void
+test_only_the_next_level_is_waited_for (void)
+{
+  static const UrgencyRoute routes[] = {
+    { .priority = 0, .timeout_ms = 9000, .objective_ms = 1000 },
+    { .priority = 1, .timeout_ms = 30000, .objective_ms = 2000 },
+    { .priority = 2, .timeout_ms = 60000, .objective_ms = 8000 },
+  };
+  unsigned levels[KINDS_MAX];
+
+  front_urgency_levels (routes, 3, levels);
+  CU_ASSERT_EQUAL (levels[2], 2);
+  CU_ASSERT (front_urgency_may_yield (routes, levels, 3, 0));
+}
+
 /* Starvation: a request that was late at two servers; one that is late for the first time, as most
  * of a burst of its kind are, keeps its place. */
 static void
@@ -151,6 +168,7 @@
 {
   CU_ASSERT (!front_urgency_is_pressed (0, 20000));
   CU_ASSERT (!front_urgency_is_pressed (5000, 15000));
+  CU_ASSERT (!front_urgency_is_pressed (9999, 10001));
   CU_ASSERT (front_urgency_is_pressed (10000, 10000));
   CU_ASSERT (front_urgency_is_pressed (19000, 1000));
 }
@@ -172,6 +190,7 @@
   { "route_counts_within_team", test_route_counts_within_team },
   { "priorities_out_of_range_are_the_middle", test_priorities_out_of_range_are_the_middle },
   { "hot_team_does_not_starve", test_hot_team_does_not_starve },
+  { "only_the_next_level_is_waited_for", test_only_the_next_level_is_waited_for },
   { "half_of_the_time_gone_comes_first", test_half_of_the_time_gone_comes_first },
   { "ranks_are_bounded", test_ranks_are_bounded },
 };
--- a/tests/test_front_waits.c
+++ b/tests/test_front_waits.c
@@ -129,6 +129,24 @@
   CU_ASSERT (believed (1, NOW + 1000) < 500);
 }
 
+/* Load: requests stay unanswered at lost servers and are found silent each tenth of a second, while
+ * the few answers of the others begin as predicted. After three seconds a server that was not asked
+ * is expected to answer as these do. */
+static void
+test_silence_does_not_outlive_answers (void)
+{
+  setup ();
+  for (uint32_t step = 1; step <= 30; step++)
+    {
+      for (uint32_t server = 1; server <= 4; server++)
+        add (server, server, step * 100, true, NOW + step * 100);
+      if (step % 5 == 0)
+        add (10 + step, 100 + step, 0, false, NOW + step * 100);
+    }
+  CU_ASSERT (believed (1, NOW + 3000) > 400);
+  CU_ASSERT (believed (1000, NOW + 3000) < 100);
+}
+
 /* A silence shorter than what is believed anyway says nothing, and doesn't lower the belief. */
 static void
 test_short_silence_says_nothing (void)
@@ -193,6 +211,7 @@
   CU_ASSERT (belief.ms > 700);
   CU_ASSERT_EQUAL (belief.age_ms, 5000);
   CU_ASSERT (belief.is_told);
+  CU_ASSERT (believed (3, NOW + 8000) >= believed (1000, NOW + 8000));
   CU_ASSERT (believed (3, NOW + 20000) < 20);
   front_waits_expire (waits, NOW + 20000);
   CU_ASSERT_EQUAL (front_waits_count (waits), 0);
@@ -342,6 +361,7 @@
   { "burst_is_learned_from_all_servers", test_burst_is_learned_from_all_servers },
   { "ranks_are_apart", test_ranks_are_apart },
   { "silence_of_lost_servers", test_silence_of_lost_servers },
+  { "silence_does_not_outlive_answers", test_silence_does_not_outlive_answers },
   { "short_silence_says_nothing", test_short_silence_says_nothing },
   { "server_turns_slow_and_back", test_server_turns_slow_and_back },
   { "outlier_counts_little", test_outlier_counts_little },
--- a/tests/test_front_waits_message.c
+++ b/tests/test_front_waits_message.c
@@ -109,6 +109,29 @@
   CU_ASSERT_EQUAL (waits_message_encode (&message, data, sizeof data), WAITS_MESSAGE_MAX);
 }
 
+/* Values that don't fit are sent as ones that are refused, not as others that would be taken in. */
+static void
+test_values_too_large_do_not_wrap (void)
+{
+  static const WaitReport reports[] = {
+    { .server = 11, .wait_ms = (1u << 16) + 900, .rank = RANK },
+    { .server = 11, .wait_ms = 900, .rank = (1u << 4) + RANK },
+    { .server = 11, .wait_ms = 900, .rank = RANK, .age_ms = (1u << 12) + 5 },
+  };
+
+  for (size_t i = 0; i < SUITE_COUNT (reports); i++)
+    {
+      WaitsMessage message = { .incarnation = 5, .count = 1, .reports = { reports[i] } };
+      FrontWaits *waits = front_waits_new ();
+      unsigned char data[WAITS_MESSAGE_MAX];
+      size_t len = waits_message_encode (&message, data, sizeof data);
+
+      CU_ASSERT (waits_message_decode (&message, data, len));
+      CU_ASSERT (!front_waits_told (waits, &message.reports[0], 5, NOW));
+      front_waits_free (waits);
+    }
+}
+
 /* Beliefs of servers that this front doesn't know, of impossible values, or of its own are not
  * taken in; a good one beside them is. */
 static void
@@ -189,6 +212,7 @@
 
 static const SuiteCase cases[] = {
   { "only_complete_messages_are_decoded", test_only_complete_messages_are_decoded },
+  { "values_too_large_do_not_wrap", test_values_too_large_do_not_wrap },
   { "bad_reports_change_nothing", test_bad_reports_change_nothing },
   { "off_takes_nothing_in", test_off_takes_nothing_in },
   { "bytes_are_bounded", test_bytes_are_bounded },
