A split route may yield only if it may at all of its services

What callers saw: under load, requests of a hot team are ranked one behind if their route can wait for those of the next level. For a route split over several services the answers of these were joined by or, so its callers could be ranked behind, at one service, a route whose answers may begin after their time-out. Now by and; a route of more kinds than are told apart doesn't yield, as before.

Ruled out: the levels, which are documented as the highest of a route's services and are not changed.

--- a/src/front_config.c
+++ b/src/front_config.c
@@ -190,8 +190,8 @@
   return count;
 }
 
-/* Sets the levels of the routes that may go to the service. A route with several services has the
- * highest of its levels. */
+/* Sets the levels of the routes that may go to the service, and whether they may yield. A route
+ * with several services has the highest of its levels, and may yield if it may at each of them. */
 static void
 complete_routes (FrontConfig *config, const FrontService *service)
 {
@@ -203,13 +203,14 @@
   for (unsigned i = 0; i < config->route_count; i++)
     {
       FrontRoute *route = &config->routes[i];
-      unsigned kind = is_ordered (route, service) ? kind_of (route, kinds, count) : count;
+      unsigned kind;
 
-      if (kind == count)
+      if (!is_ordered (route, service))
         continue;
-      if (levels[kind] > route->level)
+      kind = kind_of (route, kinds, count);
+      if (kind < count && levels[kind] > route->level)
         route->level = levels[kind];
-      route->may_yield |= front_urgency_may_yield (kinds, levels, count, kind);
+      route->may_yield &= kind < count && front_urgency_may_yield (kinds, levels, count, kind);
     }
 }
 
@@ -246,6 +247,8 @@
 front_config_complete (FrontConfig *config)
 {
   complete_teams (config);
+  for (unsigned i = 0; i < config->route_count; i++)
+    config->routes[i].may_yield = config->routes[i].model_count > 0;
   for (unsigned i = 0; i < config->service_count; i++)
     {
       FrontService *service = &config->services[i];
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -32,7 +32,8 @@
   int64_t gap_ms;        /**< longest pause between two events that meets the objective */
   int64_t priority;      /**< 0 is the most urgent */
   unsigned level;        /**< of its urgency among the routes to the same services; 0 is first */
-  bool may_yield;        /**< its requests can wait for those of the next level */
+  bool may_yield;        /**< at all of its services its requests can wait for those of the next
+                              level */
   unsigned attempts_max; /**< maximum number of backend servers that one request is sent to */
   bool is_public;        /**< needs no API key */
   bool resumable;
--- a/tests/test_front_config.c
+++ b/tests/test_front_config.c
@@ -92,9 +92,50 @@
   front_config_unref (config);
 }
 
+/* Load: a hot team of a route that is split over two services. Its requests can wait for the other
+ * route at one of them and not at the other, so they are not ranked behind. */
+static void
+test_split_route_yields_only_where_it_can_wait (void)
+{
+  static const char format[]
+      = "{\"Version\":1,\"Routes\":["
+        "{\"Name\":\"a\",\"Host\":\"h\",\"Prefix\":\"/a/\",\"Kind\":\"streaming\",\"SloMs\":1500,"
+        "\"TimeoutMs\":15000,\"Service\":\"x\",\"Sizes\":[\"s\"]},"
+        "{\"Name\":\"b\",\"Host\":\"h\",\"Prefix\":\"/b/\",\"Kind\":\"streaming\",\"SloMs\":%d,"
+        "\"TimeoutMs\":60000,\"Service\":\"y\",\"Sizes\":[\"s\"]},"
+        "{\"Name\":\"c\",\"Host\":\"h\",\"Prefix\":\"/c/\",\"Kind\":\"streaming\",\"SloMs\":4000,"
+        "\"TimeoutMs\":20000,\"Priority\":2,\"Sizes\":[\"s\"],\"TrafficSplit\":[{\"Service\":\"%"
+        "s\","
+        "\"Weight\":1},{\"Service\":\"%s\",\"Weight\":1}]}],"
+        "\"Services\":[{\"Name\":\"x\"},{\"Name\":\"y\"}]}";
+  static const struct
+  {
+    int objective_ms; /* of the route at the second service */
+    const char *first, *second;
+    bool may_yield;
+  } tried[] = {
+    { 12000, "x", "y", false }, { 12000, "y", "x", false }, { 8000, "x", "y", true },
+    { 12000, "x", "x", true },  { 12000, "y", "y", false },
+  };
+
+  for (unsigned i = 0; i < SUITE_COUNT (tried); i++)
+    {
+      char text[TEXT_MAX];
+      FrontConfig *config;
+      Status status;
+
+      snprintf (text, sizeof text, format, tried[i].objective_ms, tried[i].first, tried[i].second);
+      config = wire_config_decode (text, strlen (text), &status);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+      CU_ASSERT_EQUAL (config->routes[2].may_yield, tried[i].may_yield);
+      front_config_unref (config);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "contended_by_objectives", test_contended_by_objectives },
   { "ranks_of_routes_and_teams", test_ranks_of_routes_and_teams },
+  { "split_route_yields_only_where_it_can_wait", test_split_route_yields_only_where_it_can_wait },
 };
 
 int
