--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
 $(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_front_pick $(BUILD)/test_front_pick_prompts $(BUILD)/test_front_pick_late: $(call obj,tests/pick_world.c)
 $(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 benches: $(BENCHES:%=$(BUILD)/%)
 
