--- a/tests/test_front_config.c
+++ b/tests/test_front_config.c
@@ -127,6 +127,8 @@
       snprintf (text, sizeof text, format, tried[i].objective_ms, tried[i].first, tried[i].second);
       config = wire_config_decode (text, strlen (text), &status);
       CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+      if (!config)
+        return;
       CU_ASSERT_EQUAL (config->routes[2].may_yield, tried[i].may_yield);
       front_config_unref (config);
     }
