--- a/tests/test_front_evidence.c
+++ b/tests/test_front_evidence.c
@@ -1,9 +1,7 @@
-/** What the answers of two versions show: src/front_evidence.c, front_evidence_code.c. */
+/** What the answers of two versions show: src/front_evidence.c. */
 #include "front_evidence.h"
-#include "front_evidence_code.h"
 #include "suite.h"
 #include <gsl/gsl_randist.h>
-#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -18,12 +16,7 @@
 #define OLD_PER_NEW    10   /* answers of the old version for each of the new one */
 #define FEW_ANSWERS    5    /* of the new version, at its deadline */
 #define ROLLOUTS       200u
-#define ANSWERS_JUDGED 200 /* of the new version in one roll-out */
-#define SERVERS        8
-#define OLD_GAP_MS     28.0 /* median time between two events of the old version's streams */
-#define UNNOTICED_MS   75.0 /* added to the prediction */
-#define READER_MAX     300  /* answers of a version that reads slowly until it is found */
-#define READ_MS        4.0  /* median time to read a prompt */
+#define ANSWERS_JUDGED 200  /* of the new version in one roll-out */
 #define BLAMED_MAX     0.01 /* of good versions */
 
 static EvidenceAnswer
@@ -248,97 +241,6 @@
     }
 }
 
-/* A service of model engines whose prompts are short. Answers begin 55 ms after sending plus the
- * time to read the prompt, and the prediction has what callers don't notice on top, which hides a
- * slow reading. The gaps between events vary with the load of the engines. */
-typedef struct
-{
-  double read_factor;    /* the new version takes so many times as long to read as predicted */
-  double gap_ms;         /* median of the new version's streams; the old one's is OLD_GAP_MS */
-  unsigned slow_servers; /* of the new version's SERVERS, with streams four times as slow */
-} Streams;
-
-/* Number of the new version's answers when it is found bad; -1: it isn't. */
-static int
-streams_until_bad (const Streams *streams, unsigned long seed)
-{
-  gsl_rng *random = gsl_rng_alloc (gsl_rng_mt19937);
-  FrontEvidence evidence = { 0 };
-  int answers = 0, found = -1;
-
-  gsl_rng_set (random, seed);
-  for (unsigned i = 0; i < ANSWERS / 4 && found < 0; i++)
-    {
-      bool is_new = gsl_rng_uniform (random) < NEW_SHARE;
-      double read_ms = gsl_ran_lognormal (random, log (READ_MS), 0.8);
-      uint64_t server = gsl_rng_get (random) % SERVERS;
-      bool is_slow = is_new && server < streams->slow_servers;
-      EvidenceAnswer answer = { .side = is_new ? EVIDENCE_NEW : EVIDENCE_OLD,
-                                .route = gsl_rng_get (random) % ROUTES,
-                                .server = server,
-                                .first_ms = 55 + read_ms * (is_new ? streams->read_factor : 0.7),
-                                .predicted_ms = 55 + read_ms + UNNOTICED_MS };
-      EvidencePace pace
-          = { .side = answer.side,
-              .server = server,
-              .gap_ms = (is_new ? streams->gap_ms : OLD_GAP_MS)
-                        * gsl_ran_lognormal (random, 0, is_new ? 0.2 : 0.4) * (is_slow ? 4 : 1),
-              .usual_ms = OLD_GAP_MS };
-
-      EvidenceReading reading = { .side = answer.side,
-                                  .server = server,
-                                  .read_ms = (answer.first_ms - 55) * (is_slow ? 4 : 1),
-                                  .predicted_ms = read_ms };
-
-      answers += is_new;
-      front_evidence_add (&evidence, &answer);
-      front_evidence_add_reading (&evidence, &reading);
-      /* Half of the streams are too short to be measured. */
-      if (gsl_rng_uniform (random) < 0.5)
-        front_evidence_add_pace (&evidence, &pace);
-      if (is_new && front_evidence_is_bad (&evidence, EVIDENCE_CERTAIN))
-        found = answers;
-    }
-  gsl_rng_free (random);
-  return found;
-}
-
-/* Failure: a version of model engines reads and generates several times as slowly, while prompts
- * are short, so that its answers begin a few hundredths of a second late, which nobody notices, and
- * fronts found one late in a hundred. It must be found by its first fifty answers. One that only
- * reads slowly must be found, too, though few of its prompts are long enough to tell. */
-static void
-test_slow_streams_of_short_prompts_are_found (void)
-{
-  for (unsigned long seed = 1; seed <= 50; seed++)
-    {
-      Streams slow = { .read_factor = 4, .gap_ms = 63 };
-      Streams slow_reader = { .read_factor = 4, .gap_ms = 20 };
-      int of_slow = streams_until_bad (&slow, seed);
-      int of_reader = streams_until_bad (&slow_reader, seed);
-
-      CU_ASSERT (of_slow > 0 && of_slow <= BAD_MAX);
-      CU_ASSERT (of_reader > 0 && of_reader <= READER_MAX);
-    }
-}
-
-/* Guards against the opposite: a good version, whose engines are idle and whose answers begin a
- * little later than the old one's; one of which some servers are slow. */
-static void
-test_good_streams_are_not_found_slow (void)
-{
-  for (unsigned long seed = 1; seed <= 50; seed++)
-    {
-      Streams good = { .read_factor = 1.2, .gap_ms = 20 };
-      Streams as_fast = { .read_factor = 1.2, .gap_ms = OLD_GAP_MS };
-      Streams some = { .read_factor = 1.2, .gap_ms = 20, .slow_servers = 3 };
-
-      CU_ASSERT_EQUAL (streams_until_bad (&good, seed), -1);
-      CU_ASSERT_EQUAL (streams_until_bad (&as_fast, seed), -1);
-      CU_ASSERT_EQUAL (streams_until_bad (&some, seed), -1);
-    }
-}
-
 /* Guards against taking the pace of streams for further answers, of which the time of completion
  * and the share of failures go. */
 static void
@@ -393,56 +295,6 @@
   CU_ASSERT_EQUAL (front_evidence_judge (&evidence, EVIDENCE_CERTAIN).verdict, EVIDENCE_FINE);
 }
 
-static void
-test_encoding_survives_round_trip (void)
-{
-  FrontEvidence in = { 0 }, out;
-  unsigned char code[EVIDENCE_CODE_MAX];
-  size_t len;
-
-  CU_ASSERT_EQUAL (front_evidence_encode (&in, code), 2);
-  memset (&in, 0xff, sizeof in);
-  in.counts[EVIDENCE_NEW][2].answers = 128;
-  in.counts[EVIDENCE_NEW][2].delays[0] = 0;
-  len = front_evidence_encode (&in, code);
-  CU_ASSERT (len <= sizeof code);
-  CU_ASSERT (front_evidence_decode (&out, code, len));
-  CU_ASSERT_EQUAL (memcmp (&in, &out, sizeof in), 0);
-}
-
-/* Guards against losing the pace of streams between fronts: no answer is counted with it. */
-static void
-test_paces_reach_other_fronts (void)
-{
-  FrontEvidence in = { 0 }, out;
-  EvidencePace pace = { .side = EVIDENCE_NEW, .server = 3, .gap_ms = 90, .usual_ms = 30 };
-  unsigned char code[EVIDENCE_CODE_MAX];
-
-  front_evidence_add_pace (&in, &pace);
-  CU_ASSERT (front_evidence_decode (&out, code, front_evidence_encode (&in, code)));
-  CU_ASSERT_EQUAL (memcmp (&in, &out, sizeof in), 0);
-}
-
-static void
-test_bad_encodings_are_refused (void)
-{
-  FrontEvidence in = { 0 }, out;
-  unsigned char code[EVIDENCE_CODE_MAX + 1];
-  size_t len;
-  /* A count of more than 32 bits, and a class of delay that doesn't exist. */
-  static const unsigned char large[] = { 1, 0, 0xff, 0xff, 0xff, 0xff, 0x7f, 0, 0, 0, 0, 0, 0, 0 };
-  static const unsigned char unknown[] = { 1, 0, 1, 0, 0, 0x80, 0, 0, 0, 0 };
-
-  add_answers (&in, 3, 2, 300, true);
-  len = front_evidence_encode (&in, code);
-  for (size_t shorter = 0; shorter < len; shorter++)
-    CU_ASSERT (!front_evidence_decode (&out, code, shorter));
-  code[len] = 0;
-  CU_ASSERT (!front_evidence_decode (&out, code, len + 1));
-  CU_ASSERT (!front_evidence_decode (&out, large, sizeof large));
-  CU_ASSERT (!front_evidence_decode (&out, unknown, sizeof unknown));
-}
-
 static const SuiteCase cases[] = {
   { "detects_bad_versions", test_detects_bad_versions },
   { "only_answer_failed_is_bad", test_only_answer_failed_is_bad },
@@ -452,14 +304,9 @@
   { "slow_version_is_found_at_any_pace", test_slow_version_is_found_at_any_pace },
   { "good_version_is_not_found_slow", test_good_version_is_not_found_slow },
   { "slow_servers_are_no_slow_version", test_slow_servers_are_no_slow_version },
-  { "slow_streams_of_short_prompts_are_found", test_slow_streams_of_short_prompts_are_found },
-  { "good_streams_are_not_found_slow", test_good_streams_are_not_found_slow },
   { "paces_are_no_answers", test_paces_are_no_answers },
   { "failures_under_load_are_found", test_failures_under_load_are_found },
   { "failing_servers_are_no_failure_under_load", test_failing_servers_are_no_failure_under_load },
-  { "encoding_survives_round_trip", test_encoding_survives_round_trip },
-  { "paces_reach_other_fronts", test_paces_reach_other_fronts },
-  { "bad_encodings_are_refused", test_bad_encodings_are_refused },
 };
 
 int
