--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,8 @@
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
 $(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
 $(BUILD)/test_front_pick $(BUILD)/test_front_pick_prompts $(BUILD)/test_front_pick_late: $(call obj,tests/pick_world.c)
+$(BUILD)/test_front_rollouts $(BUILD)/test_front_rollouts_verdict: $(call obj,tests/rollouts_world.c)
+$(BUILD)/test_front_peers $(BUILD)/test_front_peers_sessions: $(call obj,tests/peers_net.c)
 $(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 benches: $(BENCHES:%=$(BUILD)/%)
 
