A service on time isn't loaded for a route whose objective is 0

What callers saw: a front takes a route with an objective of 0 (lovage-config warns), and the lateness of its service, 0 in calm times, was at least a quarter of that. So where work is ordered under load, the team that sends most to the route came behind others without any load. Now answers have to be late at all.

--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -104,10 +104,6 @@
 /* Ranks a request that has little time left with the first of its team: behind others, some would
  * never be served. */
 void request_raise_rank (FrontRequest *request, int64_t now_ms);
-/* Milliseconds by which answers of the request's service and rank begin later than predicted. */
-double request_lag_ms (const FrontRequest *request, int64_t now_ms);
-/* True if answers of the request's service begin late in general, for the request's route. */
-bool request_service_is_late (const FrontRequest *request, int64_t now_ms);
 
 /* front_request_send.c */
 /* Chooses a server and sends the request there; gives up if there is none. May free the request. */
--- a/src/front_request_rank.c
+++ b/src/front_request_rank.c
@@ -4,34 +4,24 @@
 #include "front_request_private.h"
 #include "front_urgency.h"
 
-/* Share of the route's objective by which answers begin late before its service counts as
- * loaded. */
-#define LOADED_SHARE 0.25
-
-double
-request_lag_ms (const FrontRequest *request, int64_t now_ms)
+/* True if answers of the request's service begin late in general, for the request's route. */
+static bool
+is_loaded (const FrontRequest *request)
 {
-  return front_waits_general (request->front->waits, request_service_hash (request),
-                              request_wait_rank (request), now_ms)
-      .ms;
-}
+  WaitBelief belief = front_waits_general (request->front->waits, request_service_hash (request),
+                                           request_wait_rank (request), request->arrived_ms);
 
-bool
-request_service_is_late (const FrontRequest *request, int64_t now_ms)
-{
-  return request_lag_ms (request, now_ms) >= LOADED_SHARE * (double)request->route->objective_ms;
+  return front_urgency_is_loaded (belief.ms, request->route->objective_ms);
 }
 
 /* A request that another front handed over was counted there. */
 static bool
 is_in_turn (const FrontRequest *request)
 {
-  bool is_late = request_service_is_late (request, request->arrived_ms);
-
   return !request->team || request->call.handed_off_attempts >= 0
-         || front_team_use_add (&request->front->team_use, request_service_hash (request),
-                                request->team->hash, is_late && request->route->may_yield,
-                                request->arrived_ms);
+         || front_team_use_add (
+             &request->front->team_use, request_service_hash (request), request->team->hash,
+             is_loaded (request) && request->route->may_yield, request->arrived_ms);
 }
 
 void
--- a/src/front_urgency.c
+++ b/src/front_urgency.c
@@ -3,6 +3,8 @@
 
 /* Time for a more urgent route, in its objectives: one for its requests, one for their own. */
 #define WAIT_OBJECTIVES 2
+/* Share of the objective by which answers begin late before their service counts as loaded. */
+#define LOADED_SHARE 0.25
 
 /* Callers who wait for the other route are still there afterwards. */
 static bool
@@ -131,6 +133,12 @@
   return bounded (rank + 1);
 }
 
+bool
+front_urgency_is_loaded (double late_ms, int64_t objective_ms)
+{
+  return late_ms > 0 && late_ms >= LOADED_SHARE * (double)objective_ms;
+}
+
 /* Not as soon as it is late: under a burst of the least urgent kind most of its requests are, and
  * would come beside the most urgent ones. */
 bool
--- a/src/front_urgency.h
+++ b/src/front_urgency.h
@@ -42,6 +42,8 @@
 unsigned front_urgency_rank (unsigned team_place, unsigned level);
 /** Rank of a request that comes after those of the same rank: that of the next one. */
 unsigned front_urgency_rank_behind (unsigned rank);
+/** True if a service whose answers begin so many milliseconds late counts as loaded for a route. */
+bool front_urgency_is_loaded (double late_ms, int64_t objective_ms);
 /** True if a request has waited for so long, compared with the time that is left until its caller
  *  leaves, that it comes before others when it is sent again. */
 bool front_urgency_is_pressed (int64_t waited_ms, int64_t left_ms);
--- a/tests/test_front_urgency.c
+++ b/tests/test_front_urgency.c
@@ -173,6 +173,18 @@
   CU_ASSERT (front_urgency_is_pressed (19000, 1000));
 }
 
+/* Load: none. A route whose objective is 0 counts its service as loaded no sooner than answers are
+ * late; otherwise its hottest team would always come behind. */
+static void
+test_service_on_time_is_not_loaded (void)
+{
+  CU_ASSERT (!front_urgency_is_loaded (0, 1500));
+  CU_ASSERT (!front_urgency_is_loaded (374, 1500));
+  CU_ASSERT (front_urgency_is_loaded (375, 1500));
+  CU_ASSERT (!front_urgency_is_loaded (0, 0));
+  CU_ASSERT (front_urgency_is_loaded (100, 0));
+}
+
 /* Whatever the places and levels, ranks stay within what servers accept. */
 static void
 test_ranks_are_bounded (void)
@@ -192,6 +204,7 @@
   { "hot_team_does_not_starve", test_hot_team_does_not_starve },
   { "only_the_next_level_is_waited_for", test_only_the_next_level_is_waited_for },
   { "half_of_the_time_gone_comes_first", test_half_of_the_time_gone_comes_first },
+  { "service_on_time_is_not_loaded", test_service_on_time_is_not_loaded },
   { "ranks_are_bounded", test_ranks_are_bounded },
 };
 
