front_retry_gain, FrontRequest: comments that were no longer true

RETRY_GAIN_ALL_LATE said that the present server is no later, which is RETRY_GAIN_LATER; the comment on the fields that a copy exchanges ended before two of them and passed over two that it doesn't; retry_gain was given the other server's time long ago.

--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -51,8 +51,8 @@
   uint32_t failed_model;
   bool may_have_run; /* on an earlier attempt, so "not executed" can no longer be reported */
 
-  /* From here to counted: of the current attempt. front_request_pair.c exchanges these with
-   * another attempt's. */
+  /* From here to stream, but for relayed_ms and pause_ms: of the current attempt.
+   * front_request_pair.c exchanges these with another attempt's. */
   FrontAttempt *attempt; /* NULL between attempts */
   FrontServer *server;   /* holds a reference */
   double predicted_ms;   /* from the start of the attempt until the answer begins */
--- a/src/front_request_retry.c
+++ b/src/front_request_retry.c
@@ -188,7 +188,6 @@
   send_again (request);
 }
 
-/* The other server is as late as the service's answers of this rank are lately. */
 static RetryGain
 retry_gain (const FrontRequest *request, double other_ms, int64_t now_ms)
 {
--- a/src/front_retry_gain.h
+++ b/src/front_retry_gain.h
@@ -22,7 +22,8 @@
 {
   RETRY_GAIN_SOONER,   /**< it would begin sooner elsewhere */
   RETRY_GAIN_LATER,    /**< it wouldn't */
-  RETRY_GAIN_ALL_LATE, /**< it would, but after the objective, and the present server is no later */
+  RETRY_GAIN_ALL_LATE, /**< it would, but the other server is late as well, and the present one
+                            doesn't seem to have stopped */
   RETRY_GAIN_HOPELESS, /**< the caller would have left */
 } RetryGainVerdict;
 
