--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -51,8 +51,8 @@
   uint32_t failed_model;
   bool may_have_run; /* on an earlier attempt, so "not executed" can no longer be reported */
 
-  /* From here to counted: of the current attempt. front_request_pair.c exchanges these with
-   * another attempt's. */
+  /* From here to stream, but for relayed_ms and pause_ms: of the current attempt.
+   * front_request_pair.c exchanges these with another attempt's. */
   FrontAttempt *attempt; /* NULL between attempts */
   FrontServer *server;   /* holds a reference */
   double predicted_ms;   /* from the start of the attempt until the answer begins */
@@ -104,10 +104,6 @@
 /* Ranks a request that has little time left with the first of its team: behind others, some would
  * never be served. */
 void request_raise_rank (FrontRequest *request, int64_t now_ms);
-/* Milliseconds by which answers of the request's service and rank begin later than predicted. */
-double request_lag_ms (const FrontRequest *request, int64_t now_ms);
-/* True if answers of the request's service begin late in general, for the request's route. */
-bool request_service_is_late (const FrontRequest *request, int64_t now_ms);
 
 /* front_request_send.c */
 /* Chooses a server and sends the request there; gives up if there is none. May free the request. */
@@ -155,7 +151,7 @@
 void request_record_reached (FrontRequest *request);
 
 /* front_request_waits.c: samples for front_waits, where front_is_contended. */
-WaitRank request_urgency (const FrontRequest *request);
+unsigned request_wait_rank (const FrontRequest *request);
 /* The attempt's answer has begun. */
 void request_wait_begun (const FrontRequest *request, int64_t now_ms);
 /* The attempt's server turned the request away for lack of room. */
