--- a/Makefile
+++ b/Makefile
@@ -49,10 +49,11 @@
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
 $(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 $(BUILD)/test_front_pick $(BUILD)/test_front_pick_prompts $(BUILD)/test_front_pick_late: $(call obj,tests/pick_world.c)
 $(BUILD)/test_front_rollouts $(BUILD)/test_front_rollouts_verdict: $(call obj,tests/rollouts_world.c)
 $(BUILD)/test_front_peers $(BUILD)/test_front_peers_sessions: $(call obj,tests/peers_net.c)
-$(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
+$(BUILD)/test_lint_%: LDLIBS += $(LINT_LIBS)
 benches: $(BENCHES:%=$(BUILD)/%)
 
 $(BUILD)/obj/rpc/%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
@@ -104,7 +105,7 @@
   $(call obj,$(FRONT_PARTS) $(TEST_HELPERS) $(FRONT_TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_lint_%: $(BUILD)/obj/tests/test_lint_%.o $(call obj,$(LINT_PARTS) tests/lint_document.c $(TEST_HELPERS)) $(LIB)
-	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(LINT_LIBS) -lcunit -o $@
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
 # Replaces connections, timers and the clock by fakes of its own.
 $(BUILD)/test_front_request_hedge: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
 $(BUILD)/test_front_request_hedge: $(BUILD)/obj/tests/test_front_request_hedge.o \
