Connections to backend servers are kept after an answer and used again, where the settings ask for it

front_keep decides (no I/O), front_pool holds the idle connections, front_attempt uses them; docs/design/connections.md says who may use one and what happens when a server closes it, restarts, answers late or is cut off. Requests that may run only once, and last attempts, always open one. Off by default (keep_connections_ms 0) and where work isn't ordered under load; requests then say Connection: close as before.

tests/test_front_request_hedge.c: its fake connections get the two new functions; no case is changed.

--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -33,7 +33,7 @@
 # A less urgent route of the same service, whose callers can wait, and the settings by which its work is ordered.
 NOTE_ROUTE = {"Name": "r-note", "Prefix": "/note/", "Kind": "streaming", "Service": "texts", "Sizes": MODELS, "Priority": 2,
               "Resumable": True, "GapAimMs": 300, "TimeoutMs": 7000, "SloMs": 2400, "MaxAttempts": 3}  # fmt: skip
-CONTENDED_SETTINGS = {"contention_ratio": 2, "hedge_share": 0.1}
+CONTENDED_SETTINGS = {"contention_ratio": 2, "hedge_share": 0.1, "keep_connections_ms": 2000}
 STREAM_PREFIXES = ("/text/", "/note/")
 
 
--- a/src/front.c
+++ b/src/front.c
@@ -14,6 +14,13 @@
          && front_config_is_contended (front->config, front->settings.contention_ratio);
 }
 
+bool
+front_keeps_connections (const Front *front)
+{
+  return front->settings.keep_connections_ms > 0 && front->stop_requested_ms == 0
+         && front_is_contended (front);
+}
+
 void
 front_open (Front *front, int64_t now_ms)
 {
--- a/src/front.h
+++ b/src/front.h
@@ -54,6 +54,7 @@
   FrontAnswerTimes answer_times;
   FrontTeamUse team_use; /**< of requests received here */
   FrontReach reach;
+  struct FrontPool *pool;      /**< idle connections to backend servers */
   uint16_t callers_port;       /**< the same at all fronts; network order */
   FrontPrompts caller_prompts; /**< of requests received here, wherever they were sent */
   FrontStore *store;
@@ -75,6 +76,8 @@
 bool front_is_ready (const Front *front);
 /** True if the settings and the configuration in force ask for work to be ordered under load. */
 bool front_is_contended (const Front *front);
+/** True if connections to backend servers are kept after an answer, and used again. */
+bool front_keeps_connections (const Front *front);
 /** Starts to accept callers' connections as soon as front_is_ready, or FRONT_OPEN_DELAY_MS after
  *  the start, when requests that can't be served are refused. Until then connections wait in the
  *  kernel's backlog: after a power loss of all VMs the fronts need 0.02 to 0.6 s to fetch the
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -1,7 +1,12 @@
 #include "front_attempt.h"
+#include "front_counter.h"
+#include "front_keep.h"
+#include "front_pool.h"
 #include "front_socket.h"
+#include "util_clock.h"
 #include "util_memory.h"
 #include "util_unused.h"
+#include <event2/buffer.h>
 #include <stdlib.h>
 
 /* Milliseconds without an acknowledgement after which a connection counts as dead, which is the
@@ -10,13 +15,17 @@
 
 struct FrontAttempt
 {
+  Front *front;
   FrontServer *server; /* NULL: another front */
   struct bufferevent *bev;
   Buffer head;
   const Buffer *body;
   HttpReply reply;
   bool sent;
-  bool has_head; /* the head callback was called */
+  bool has_head;    /* the head callback was called */
+  bool is_kept;     /* the connection had carried another request before */
+  bool is_believed; /* the answer is this server's to this request */
+  bool has_ended;   /* the connection is closed */
   const AttemptCallbacks *callbacks;
   void *user;
 };
@@ -39,6 +48,8 @@
   front_socket_feed_reply (bev, &attempt->reply);
   if (attempt->reply.status && !attempt->has_head)
     {
+      if (attempt->is_kept)
+        front_socket_set_unacked_timeout (bufferevent_getfd (bev), UNACKED_TIMEOUT_MS);
       attempt->has_head = true;
       attempt->callbacks->head (attempt->user);
     }
@@ -55,10 +66,13 @@
 
   if (what & BEV_EVENT_CONNECTED)
     {
+      if (attempt->server)
+        front_counter_add (FRONT_COUNTER_CONNECTIONS);
       send_request (attempt);
       attempt->callbacks->sent (attempt->user);
       return;
     }
+  attempt->has_ended = true;
   /* Only an orderly close ends an answer that has no length; a reset truncates it. */
   if (what & BEV_EVENT_EOF)
     http_reply_end (&attempt->reply);
@@ -68,6 +82,19 @@
     attempt->callbacks->cut (attempt->user);
 }
 
+static struct bufferevent *
+take_kept (const Front *front, const AttemptTarget *target)
+{
+  struct bufferevent *bev;
+
+  if (!target->may_use_kept || !front_keeps_connections (front))
+    return NULL;
+  bev = front_pool_take (front->pool, target->server, clock_boot_ms ());
+  if (bev)
+    front_counter_add (FRONT_COUNTER_KEPT_USED);
+  return bev;
+}
+
 FrontAttempt *
 front_attempt_start (Front *front,
                      const AttemptTarget *target,
@@ -76,13 +103,18 @@
                      const AttemptCallbacks *callbacks,
                      void *user)
 {
-  struct bufferevent *bev = front_socket_connect (front->base, target->address, UNACKED_TIMEOUT_MS);
+  struct bufferevent *bev = take_kept (front, target);
+  bool is_kept = bev != NULL;
   FrontAttempt *attempt;
 
+  if (!bev)
+    bev = front_socket_connect (front->base, target->address, UNACKED_TIMEOUT_MS);
   if (!bev)
     return NULL;
   attempt = memory_alloc (sizeof *attempt);
+  attempt->front = front;
   attempt->server = target->server;
+  attempt->is_kept = is_kept;
   attempt->bev = bev;
   attempt->head = *head;
   *head = (Buffer){ 0 };
@@ -97,6 +129,11 @@
     }
   bufferevent_setcb (bev, on_read, NULL, on_event, attempt);
   bufferevent_enable (bev, EV_READ | EV_WRITE);
+  if (is_kept)
+    {
+      front_socket_set_unacked_timeout (bufferevent_getfd (bev), KEEP_UNACKED_TIMEOUT_MS);
+      send_request (attempt);
+    }
   return attempt;
 }
 
@@ -106,10 +143,50 @@
   attempt->callbacks = callbacks;
 }
 
+static KeepCase
+keep_case (const FrontAttempt *attempt)
+{
+  const Front *front = attempt->front;
+
+  return (KeepCase){
+    .is_believed = attempt->is_believed,
+    .is_framed = attempt->reply.may_continue,
+    .has_surplus = attempt->reply.surplus,
+    .is_written = evbuffer_get_length (bufferevent_get_output (attempt->bev)) == 0,
+    .has_ended = attempt->has_ended,
+    .takes_work = front_server_takes_work (attempt->server),
+    .told_ms = front_keep_told_ms (http_head_get (&attempt->reply.head, "Keep-Alive")),
+    .max_ms = (int64_t)front->settings.keep_connections_ms,
+    .there = attempt->server->kept,
+    .fronts = front->fronts.fronts,
+  };
+}
+
+/* Keeps the connection or closes it. */
+static void
+release_connection (FrontAttempt *attempt)
+{
+  KeepCase c;
+  int64_t keep_ms;
+
+  if (!attempt->server || !front_keeps_connections (attempt->front))
+    {
+      bufferevent_free (attempt->bev);
+      return;
+    }
+  c = keep_case (attempt);
+  keep_ms = front_keep_ms (&c);
+  if (keep_ms > 0)
+    front_pool_add (attempt->front->pool, attempt->bev, attempt->server,
+                    clock_boot_ms () + keep_ms);
+  else
+    bufferevent_free (attempt->bev);
+}
+
 void
 front_attempt_free (FrontAttempt *attempt)
 {
-  bufferevent_free (attempt->bev);
+  release_connection (attempt);
   http_reply_clear (&attempt->reply);
   buffer_free (&attempt->head);
   if (attempt->server)
@@ -132,6 +209,18 @@
   return attempt->sent;
 }
 
+bool
+front_attempt_is_kept (const FrontAttempt *attempt)
+{
+  return attempt->is_kept;
+}
+
+void
+front_attempt_set_believed (FrontAttempt *attempt)
+{
+  attempt->is_believed = true;
+}
+
 void
 front_attempt_pause (FrontAttempt *attempt, bool pause)
 {
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -1,7 +1,7 @@
 /**
- * One attempt to send a request to one backend server, or to another front. Each attempt has a
- * connection of its own, so neither late bytes of an earlier answer nor an idle connection that the
- * server is closing can interfere.
+ * One attempt to send a request to one backend server, or to another front. It has a connection of
+ * its own, so neither late bytes of an earlier answer nor an idle connection that the server is
+ * closing can interfere; where front_keeps_connections, requests that may run again use kept ones.
  */
 #ifndef FRONT_ATTEMPT_H
 #define FRONT_ATTEMPT_H
@@ -18,7 +18,8 @@
 /** Callbacks from the event loop. Each may free the attempt; none is called after that. */
 typedef struct
 {
-  /** The connection is open; the request is being sent and may run from here on. */
+  /** The connection is open; the request is being sent and may run from here on. Not called for a
+   *  kept connection, on which it is sent at once. */
   void (*sent) (void *user);
   /** The head of the answer has arrived; the rest may be missing or spoiled. Must not free the
    *  attempt. */
@@ -34,6 +35,7 @@
 {
   const struct sockaddr_in *address;
   FrontServer *server; /**< at that address; NULL: another front */
+  bool may_use_kept;   /**< a connection that the server may be closing will do */
 } AttemptTarget;
 
 /** Takes over head's buffer; body must outlive the attempt. NULL if no connection can be
@@ -46,13 +48,17 @@
                                    void *user);
 /** Sends the attempt's callbacks elsewhere from now on, with the same user. */
 void front_attempt_set_callbacks (FrontAttempt *attempt, const AttemptCallbacks *callbacks);
-/** Closes the connection at once; a server stops working on a request whose connection is
- *  closed. */
+/** Closes the connection at once, unless it is kept; a server stops working on a request whose
+ *  connection is closed. */
 void front_attempt_free (FrontAttempt *attempt);
 /** The answer as far as it has arrived; valid until the attempt is freed. */
 HttpReply *front_attempt_reply (FrontAttempt *attempt);
 /** True once bytes of the request may have reached the server. */
 bool front_attempt_is_sent (const FrontAttempt *attempt);
+/** True if the request was sent on a kept connection. */
+bool front_attempt_is_kept (const FrontAttempt *attempt);
+/** The complete answer is the server's own to this request: the connection may be kept. */
+void front_attempt_set_believed (FrontAttempt *attempt);
 /** Pauses or resumes reading, for a caller that is slower than the server. */
 void front_attempt_pause (FrontAttempt *attempt, bool pause);
 
--- a/src/front_call.h
+++ b/src/front_call.h
@@ -43,6 +43,7 @@
   int64_t deadline_ms;   /**< remaining time */
   int64_t priority;      /**< 0: most urgent */
   int64_t after_event;   /**< -1: none */
+  bool keeps_connection; /**< the connection may be used again after the answer */
 } CallHeaders;
 
 /** Headers that the front sets on a request that it hands to another front. */
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -6,6 +6,7 @@
 #include "front_deaths.h"
 #include "front_log.h"
 #include "front_peers.h"
+#include "front_pool.h"
 #include "front_request.h"
 #include "front_socket.h"
 #include "front_store.h"
@@ -86,6 +87,7 @@
 
   front_open (&self->front, now_ms);
   front_servers_expire (self->front.servers, now_ms);
+  front_pool_sweep (self->front.pool, now_ms);
   front_conn_sweep (&self->front, now_ms);
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
@@ -109,6 +111,7 @@
   if (self->front.stop_requested_ms != 0)
     return;
   self->front.stop_requested_ms = clock_boot_ms ();
+  front_pool_clear (self->front.pool);
   line = front_log_begin (FRONT_EVENT_STOP);
   front_log_text (line, "phase", "asked");
   front_log_number (line, "requests", self->front.request_count);
@@ -130,6 +133,7 @@
       self->front.settings.reuse_window_s = settings.reuse_window_s;
       self->front.settings.hedge_share = settings.hedge_share;
       front_hedge_set_share (self->front.hedge, settings.hedge_share);
+      self->front.settings.keep_connections_ms = settings.keep_connections_ms;
       settings_front_clear (&settings);
       front_log_text (line, "outcome", "applied");
     }
@@ -225,6 +229,7 @@
   front->quarantine = quarantine_new (&front_quarantine_settings);
   front->parts = memory_alloc (sizeof *front->parts);
   front->waits = front_waits_new ();
+  front->pool = front_pool_new ();
   front->peers = front_peers_new (front);
   if (!front->peers)
     return "peers";
@@ -254,6 +259,7 @@
   front_returning_clear (&front->returning);
   front_peers_free (front->peers);
   front_waits_free (front->waits);
+  front_pool_free (front->pool);
   event_free (self->tick);
   event_free (self->signals[0]);
   event_free (self->signals[1]);
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -134,6 +134,8 @@
 void request_arm_timer (FrontRequest *request);
 /* Learns the engine's speed from an answer that began first_ms after the attempt. */
 void request_learn_speed (FrontRequest *request, double first_ms, int64_t now_ms);
+
+/* front_request_cut.c */
 /* Handles the loss of the attempt's connection or of its server. May free the request. */
 void request_handle_cut (FrontRequest *request);
 
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -26,10 +26,19 @@
   return status >= HTTP_STATUS_OK && status < HTTP_STATUS_MULTIPLE_CHOICES;
 }
 
+/* On a kept connection a late answer to an earlier request may arrive first. */
+static bool
+is_answer_to (const FrontRequest *request, const ReplyInfo *info)
+{
+  if (!info->request_id.text)
+    return !front_attempt_is_kept (request->attempt);
+  return span_equal (info->request_id, request->call.id);
+}
+
 static ReplyKind
 reply_kind (const FrontRequest *request, const HttpReply *reply, const ReplyInfo *info)
 {
-  if (info->request_id.text && !span_equal (info->request_id, request->call.id))
+  if (!is_answer_to (request, info))
     return REPLY_GARBLED;
   if (reply->status == HTTP_STATUS_MISDIRECTED_REQUEST && info->other_server)
     return REPLY_OTHER_SERVER;
@@ -208,6 +217,7 @@
     record_begun (request);
   log_answered (request, reply->status);
   encode_head (request, &head);
+  front_attempt_set_believed (request->attempt);
   reply->body = (Buffer){ 0 };
   request_free (request);
   front_conn_answer (conn, &head, &body);
@@ -220,6 +230,7 @@
   FrontConn *conn = request->conn;
 
   log_answered (request, front_attempt_reply (request->attempt)->status);
+  front_attempt_set_believed (request->attempt);
   request_free (request);
   front_conn_stream_end (conn);
 }
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -2,7 +2,7 @@
  * connections. */
 #include "front_canary.h"
 #include "front_counter.h"
-#include "front_deaths.h"
+#include "front_keep.h"
 #include "front_log.h"
 #include "front_peers.h"
 #include "front_request_private.h"
@@ -173,6 +173,7 @@
   front_log_number (line, "rank", request->rank);
   front_log_number (line, "behind", request->is_behind);
   front_log_number (line, "limited", pick->server->limit.is_named);
+  front_log_number (line, "kept", front_attempt_is_kept (request->attempt));
   if (request->is_ordered)
     log_belief (line, pick);
   front_log_end (line);
@@ -229,6 +230,19 @@
                          query->running_weight, now_ms);
 }
 
+static bool
+may_use_kept (const FrontRequest *request)
+{
+  const KeepUse use = {
+    .is_idempotent = front_route_is_idempotent (request->route),
+    .body_len = front_conn_request_parser (request->conn)->body.len,
+    .attempts = request->attempts,
+    .attempts_max = request->route->attempts_max,
+  };
+
+  return front_keep_may_use (&use);
+}
+
 static bool
 attempt_begin (FrontRequest *request, const PickAnswer *pick, int64_t left_ms)
 {
@@ -239,8 +253,13 @@
     .deadline_ms = left_ms,
     .priority = request->rank,
     .after_event = request->head_sent ? request->events.last_id : -1,
+    .keeps_connection = front_keeps_connections (request->front),
+  };
+  AttemptTarget target = {
+    .address = &pick->server->address,
+    .server = pick->server,
+    .may_use_kept = may_use_kept (request),
   };
-  AttemptTarget target = { .address = &pick->server->address, .server = pick->server };
   HttpRequestParser *request_parser = front_conn_request_parser (request->conn);
   Buffer head = { 0 };
 
@@ -248,6 +267,8 @@
   request->attempt = front_attempt_start (request->front, &target, &head, &request_parser->body,
                                           &request_attempt_callbacks, request);
   buffer_free (&head);
+  if (request->attempt && front_attempt_is_kept (request->attempt))
+    cold_connected (&pick->server->cold_sends, request->sent_ms, clock_boot_ms ());
   return request->attempt != NULL;
 }
 
@@ -449,6 +470,10 @@
 static void
 on_head (void *user)
 {
+  FrontRequest *request = user;
+
+  if (front_attempt_is_kept (request->attempt))
+    request_record_reached (request);
   request_handle_head (user);
 }
 
@@ -463,29 +488,3 @@
 {
   request_handle_cut (user);
 }
-
-static void
-check_server (FrontRequest *request)
-{
-  DeathFlight flight = { .fingerprint = request->fingerprint, .parts = request->parts };
-
-  if (!request->has_begun && !request->parts_reported)
-    flight.part_count = request->part_count;
-  request->parts_reported |= flight.part_count > 0;
-  front_deaths_check (request->front, request->server, &flight);
-}
-
-void
-request_handle_cut (FrontRequest *request)
-{
-  int64_t now_ms = clock_boot_ms ();
-
-  if (!front_attempt_is_sent (request->attempt))
-    {
-      request_handle_unreachable (request, "not_connected");
-      return;
-    }
-  front_health_failed (&request->server->health, now_ms);
-  check_server (request);
-  request_retry (request, request->relaying ? "stream_cut" : "answer_cut", true);
-}
--- a/src/front_server.h
+++ b/src/front_server.h
@@ -56,7 +56,8 @@
   int64_t rest_until_ms; /**< end of the rest that it asked this front for; 0: it asked for none */
   ServerLimit limit;
   ServerBrittle brittle;
-  unsigned references; /**< number of attempts that use it */
+  unsigned references; /**< number of attempts and idle connections that use it */
+  unsigned kept;       /**< idle connections of front_pool */
   unsigned running;    /**< our requests in progress there */
   double pending_ms;   /**< predicted reading of the prompts that we sent and whose answers have not
                           begun */
--- a/src/front_socket.c
+++ b/src/front_socket.c
@@ -29,13 +29,19 @@
   return inet_pton (AF_INET, ip, &out->sin_addr) == 1;
 }
 
+void
+front_socket_set_unacked_timeout (evutil_socket_t fd, int timeout_ms)
+{
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
 void
 front_socket_set_options (evutil_socket_t fd, int timeout_ms)
 {
   int on = 1, interval_s = KEEPALIVE_INTERVAL_S, probes = KEEPALIVE_PROBES;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  front_socket_set_unacked_timeout (fd, timeout_ms);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s, sizeof interval_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
--- a/src/http_reply.c
+++ b/src/http_reply.c
@@ -18,6 +18,7 @@
   HttpReply *reply = parser->data;
 
   reply->complete = true;
+  reply->may_continue = http_should_keep_alive (parser) != 0;
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -76,6 +77,7 @@
   http_head_clear (&reply->head);
   http_parser_init (&reply->parser, HTTP_RESPONSE);
   reply->complete = false;
+  reply->may_continue = false;
 }
 
 static void
--- a/src/http_reply.h
+++ b/src/http_reply.h
@@ -20,8 +20,10 @@
   Buffer body; /**< received but not yet consumed by the caller (buffer_consume) */
   int status;  /**< HTTP status; 0 until the head is complete */
   bool complete;
-  bool broken;  /**< malformed or truncated */
-  bool surplus; /**< bytes followed the complete answer; they belong to no request */
+  bool broken;       /**< malformed or truncated */
+  bool may_continue; /**< the end of the complete answer was shown by a length or by chunks, and the
+                        server doesn't ask to close the connection */
+  bool surplus;      /**< bytes followed the complete answer; they belong to no request */
 } HttpReply;
 
 void http_reply_init (HttpReply *reply);
--- a/src/settings_front.c
+++ b/src/settings_front.c
@@ -13,6 +13,7 @@
 #define COLD_OVERAGE_MAX       100.0   /**< multiple of a cold server's rate */
 #define COLD_SLACK_MAX         1000.0  /**< requests */
 #define SECONDS_MAX            86400.0 /**< a day */
+#define KEEP_CONNECTIONS_MAX   60000.0 /**< a minute: servers close idle ones sooner */
 #define CONTENTION_RATIO_MAX   1000.0  /**< far above any two objectives of one service */
 
 typedef struct
@@ -49,6 +50,7 @@
   FRONT_NUMBER ("session_s", session_s, SECONDS_MAX),
   FRONT_NUMBER ("contention_ratio", contention_ratio, CONTENTION_RATIO_MAX),
   FRONT_NUMBER ("hedge_share", hedge_share, 1),
+  FRONT_NUMBER ("keep_connections_ms", keep_connections_ms, KEEP_CONNECTIONS_MAX),
 };
 
 static const SettingsFront defaults = {
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -34,6 +34,8 @@
                               differ by this factor; 0: never */
   double hedge_share;      /**< additional sends of slow requests, as a share of a service's
                               requests over all fronts; 0: none */
+  double keep_connections_ms; /**< longest time for which an idle connection to a backend server is
+                                 kept, where work is ordered; 0: none is kept */
 } SettingsFront;
 
 /** Reads and checks a settings file; false if there are errors, all of which are added to list. */
--- a/tests/test_front_request_hedge.c
+++ b/tests/test_front_request_hedge.c
@@ -199,6 +199,17 @@
   return &attempt->reply;
 }
 
+bool
+front_attempt_is_kept (const FrontAttempt *attempt UNUSED)
+{
+  return false;
+}
+
+void
+front_attempt_set_believed (FrontAttempt *attempt UNUSED)
+{
+}
+
 bool
 front_attempt_is_sent (const FrontAttempt *attempt)
 {
