Engines of the soak keep connections, forget some and repeat answers; only a success leaves a connection

A 404 that isn't signed may be an intermediary's: its connection is closed. The soak's engines close idle connections, close one in twenty as the next request arrives, and send an answer to nobody after one in thirty.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -7,15 +7,22 @@
 import asyncio
 import hashlib
 import json
+import random
 import time
 from dataclasses import dataclass
 
-from wire import abort, answer, read_request
+from wire import Truncated, abort, answer, read_request
 
 EVENTS = 12  # events of a streamed answer
 EVENT_INTERVAL_S = 0.004
 LONG_BYTES = 3_000_000  # of the answer in mode long
 FALLEN_S = 2  # until an engine that fell over has started again
+IDLE_S = 1  # for which it keeps an idle connection, as it promises
+FRAMED_MODES = ("ok", "full", "error", "foreign", "unsigned", "long")  # in which a connection can carry another request
+FORGETS_SHARE = 0.05  # of requests on a connection that was idle: it is closed as they arrive
+REPEATS_SHARE = 0.03  # of answers that leave an idle connection: they arrive there once more, up to REPEAT_S later
+REPEAT_S = 0.05
+ENDS_CHECK_S = 0.01  # between two looks whether a caller has closed its connection
 NOT_RUN = {"Lovagehub_Not_Executed": 1}
 
 
@@ -77,6 +84,8 @@
         self.refuses_without_notices = False  # its refusals don't name its limit
         self.limit, self.limit_since = None, 0.0  # requests per second, named in all its answers; None: no limit
         self.writers = set()
+        self.random = random.Random(name)
+        self.kept_requests = self.forgotten = self.repeated = 0
         self.born_ms = time.time_ns() // 1_000_000
         self.cold_since = self.cold_until = 0.0
         self.turns_away, self.rest = False, None  # as in mode full; seconds that its refusals ask for
@@ -170,14 +179,41 @@
                 await reader.readexactly(1)
                 while self.mode == "deaf":
                     await asyncio.sleep(0.1)
-            elif request := await read_request(reader):
+            born_ms, request = self.born_ms, await read_request(reader)
+            while request:
+                if self.born_ms != born_ms:  # its process is gone, behind a cut that holds back the end
+                    await asyncio.sleep(3600)
+                mode = self.mode
                 await self.handle(request, reader, writer)
+                may_keep = mode in FRAMED_MODES and mode == self.mode and request.fields.get("connection") != "close"
+                request = await self.next_request(reader, writer) if may_keep and not reader.at_eof() else None
         except (OSError, ConnectionError, asyncio.CancelledError):  # cancelled as the site stops
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    async def next_request(self, reader, writer):
+        """The next request of a connection that was used before, as its owner may find it; None: it ends."""
+        if self.random.random() < REPEATS_SHARE:
+            await asyncio.sleep(self.random.uniform(0, REPEAT_S))
+            writer.write(answer(200, b"late", Lovagehub_Request_Id="earlier", Lovagehub_Server_Signature=f"sig.{self.name}"))
+            self.repeated += 1
+        try:
+            request = await asyncio.wait_for(read_request(reader), IDLE_S)
+        except (asyncio.TimeoutError, Truncated):
+            return None
+        if request and self.random.random() < FORGETS_SHARE:
+            self.forgotten += 1
+            return None
+        self.kept_requests += request is not None
+        return request
+
+    async def caller_ends(self, reader):
+        """Returns when the caller has closed its connection; reads nothing, as the next request may follow."""
+        while not reader.at_eof() and reader.exception() is None:
+            await asyncio.sleep(ENDS_CHECK_S)
+
     async def handle(self, request, reader, writer):
         run = Run(request.fields.get("lovagehub-request-id", ""), self, request.fields, time.monotonic())
         run.limit, run.limit_since = self.limit, self.limit_since
@@ -201,7 +237,7 @@
         run.cold, run.cold_since = self.cold_left_ms() > 0, self.cold_since
         run.body = request.body
         run.line = (request.method, request.target)
-        caller_closed = asyncio.ensure_future(reader.read(1))  # completes when the caller closes its connection
+        caller_closed = asyncio.ensure_future(self.caller_ends(reader))
         self.running += 1
         work = asyncio.ensure_future(self.work(request, writer))
         await asyncio.wait([caller_closed, work], return_when=asyncio.FIRST_COMPLETED)
@@ -224,6 +260,8 @@
         """Header fields of an answer."""
         asked = request.fields.get("lovagehub-request-id", "")
         fields = {"Lovagehub_Request_Id": "other" if self.mode == "foreign" else asked, **self.notices(), **more}
+        if request.fields.get("connection") != "close":
+            fields["Keep_Alive"] = f"timeout={IDLE_S}"
         if self.mode != "unsigned":
             fields["Lovagehub_Server_Signature"] = f"sig.{self.name}"
         return fields
--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -465,6 +465,8 @@
             reached = sum(part in run.fields.get("lovagehub-prompt-prefix", "") for run in self.site.runs)
             self.count(f"parts of which {reached} requests reached engines")
             self.violations += part_violations(self.site, part, PART_APPLY_S + self.slack, self.was_in_touch)
+        for what in ("kept_requests", "forgotten", "repeated"):
+            self.count(f"{what} {sum(getattr(engine, what) for engine in self.site.engines)}")
         self.count(f"answers that say an engine leaves {len(self.told_leaving)}")
         self.count(f"runs within a limit {sum(run.limit is not None and self.was_told(run) for run in self.site.runs)}")
 
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -57,7 +57,8 @@
 bool front_attempt_is_sent (const FrontAttempt *attempt);
 /** True if the request was sent on a kept connection. */
 bool front_attempt_is_kept (const FrontAttempt *attempt);
-/** The complete answer is the server's own to this request: the connection may be kept. */
+/** The complete answer is a success of the server's own to this request: the connection may be
+ *  kept. */
 void front_attempt_set_believed (FrontAttempt *attempt);
 /** Pauses or resumes reading, for a caller that is slower than the server. */
 void front_attempt_pause (FrontAttempt *attempt, bool pause);
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -217,7 +217,8 @@
     record_begun (request);
   log_answered (request, reply->status);
   encode_head (request, &head);
-  front_attempt_set_believed (request->attempt);
+  if (is_success (reply->status))
+    front_attempt_set_believed (request->attempt);
   reply->body = (Buffer){ 0 };
   request_free (request);
   front_conn_answer (conn, &head, &body);
--- a/tests/test_front_pool.c
+++ b/tests/test_front_pool.c
@@ -457,6 +457,20 @@
   site_free (site);
 }
 
+/* An answer that isn't signed may be an intermediary's, and another one may be behind it. */
+static void
+test_only_a_success_leaves_a_connection (void)
+{
+  Site *site = site_new (ROUTE_IDEMPOTENT);
+
+  CU_ASSERT (call (site, "aaaa1111aaaa1111") == 0);
+  server_write (site, 0, "HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n");
+  pass (site, QUIET_MS);
+  CU_ASSERT (strncmp (site->answer, "HTTP/1.1 404", 12) == 0);
+  CU_ASSERT (front_pool_count (site->front.pool) == 0);
+  site_free (site);
+}
+
 static void
 test_a_server_that_asks_to_close_is_obeyed (void)
 {
@@ -570,6 +584,7 @@
   { "bytes_on_an_idle_connection_close_it", test_bytes_on_an_idle_connection_close_it },
   { "a_late_answer_is_not_believed", test_a_late_answer_is_not_believed },
   { "bytes_after_an_answer_close_the_connection", test_bytes_after_an_answer_close_the_connection },
+  { "only_a_success_leaves_a_connection", test_only_a_success_leaves_a_connection },
   { "a_server_that_asks_to_close_is_obeyed", test_a_server_that_asks_to_close_is_obeyed },
   { "a_connection_belongs_to_one_id", test_a_connection_belongs_to_one_id },
   { "a_connection_belongs_to_one_service", test_a_connection_belongs_to_one_service },
