--- a/tests/test_front_keep.c
+++ b/tests/test_front_keep.c
@@ -1,6 +1,10 @@
 /** Which connections to backend servers are kept, and who may use them: src/front_keep.c. */
 #include "front_keep.h"
+#include "settings_front.h"
 #include "suite.h"
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 #define SETTING_MS 2000
 
@@ -169,6 +173,34 @@
     CU_ASSERT (told_ms (bad[i]) == KEEP_NOT_TOLD);
 }
 
+/* True if the setting is found wrong. */
+static bool
+is_complained_of (const char *value)
+{
+  CheckList list = { .file = "front.json" };
+  SettingsFront settings;
+  char path[SUITE_PATH_SIZE], text[128];
+  bool found;
+
+  snprintf (text, sizeof text, "{ \"keep_connections_ms\": %s }", value);
+  suite_file (path, text);
+  CU_ASSERT (!settings_front_read (path, &settings, &list)); /* other settings are missing */
+  found = strstr (list.text.data, "keep_connections_ms") != NULL;
+  check_free (&list);
+  unlink (path);
+  return found;
+}
+
+static void
+test_the_setting_is_checked (void)
+{
+  CU_ASSERT (!is_complained_of ("0"));
+  CU_ASSERT (!is_complained_of ("20000"));
+  CU_ASSERT (is_complained_of ("-1"));
+  CU_ASSERT (is_complained_of ("60001"));
+  CU_ASSERT (is_complained_of ("\"2 s\""));
+}
+
 static const SuiteCase cases[] = {
   { "a_good_answer_leaves_a_connection", test_a_good_answer_leaves_a_connection },
   { "kept_for_no_longer_than_half_of_what_the_server_tells",
@@ -185,6 +217,7 @@
   { "a_long_body_gets_a_new_connection", test_a_long_body_gets_a_new_connection },
   { "keep_alive_header", test_keep_alive_header },
   { "bad_keep_alive_headers_promise_nothing", test_bad_keep_alive_headers_promise_nothing },
+  { "the_setting_is_checked", test_the_setting_is_checked },
 };
 
 int
