--- a/src/front.h
+++ b/src/front.h
@@ -10,6 +10,7 @@
 #include "front_budget.h"
 #include "front_config.h"
 #include "front_hedge.h"
+#include "front_holding.h"
 #include "front_lag.h"
 #include "front_parts.h"
 #include "front_reach.h"
@@ -66,6 +67,7 @@
   struct cds_list_head requests;   /**< FrontRequest by node */
   FrontWaiting waiting;            /**< those of them that wait for room at a server */
   FrontReturning returning;        /**< and those that go back to a full one */
+  FrontHolding holding;            /**< and those that are held while engines are full */
   unsigned conn_count;
   unsigned request_count;
   int64_t stop_requested_ms; /**< of a graceful stop, boot-time clock; 0: none */
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -210,6 +210,7 @@
   CDS_INIT_LIST_HEAD (&front->requests);
   front_waiting_init (&front->waiting);
   front_returning_init (&front->returning);
+  front_holding_init (&front->holding);
   front->servers = front_servers_new (settings->failure_domain);
   front->sessions
       = front_sessions_new ((int64_t)(settings->session_s * MS_PER_S) + SESSION_MARGIN_MS);
@@ -252,6 +253,7 @@
   front_store_free (front->store);
   front_waiting_clear (&front->waiting);
   front_returning_clear (&front->returning);
+  front_holding_clear (&front->holding);
   front_peers_free (front->peers);
   front_waits_free (front->waits);
   event_free (self->tick);
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -47,6 +47,7 @@
   request_hedge_free (request);
   request_stop_waiting (request);
   request_stop_returning (request);
+  request_stop_hold (request);
   if (request->version_hash)
     front_sessions_end (request->front->sessions, request->session, clock_boot_ms ());
   if (request->timer)
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -88,6 +88,14 @@
   int64_t turned_away_ms; /* when it first was; 0: never */
   struct cds_list_head returning_node;
 
+  bool is_held;         /* until an engine is expected to have room */
+  bool is_let_out;      /* goes out after it was held, or is sent again */
+  unsigned turned_away; /* how often an engine did */
+  uint64_t held_to;     /* hash of an engine where room became free; 0: none */
+  int64_t held_due_ms;  /* not before, unless room becomes free */
+  int64_t held_end_ms;  /* it is refused */
+  struct cds_list_head held_node;
+
   bool is_handed_off;  /* the current attempt is at another front */
   PeerHandoff handoff; /* fronts that it was handed to */
 
@@ -210,6 +218,21 @@
 void request_handle_full (FrontRequest *request);
 void request_stop_returning (FrontRequest *request);
 
+/* front_request_hold.c */
+/* Holds a request that was not sent yet while engines turn requests away. False if it is to be
+ * sent. */
+bool request_hold_arrival (FrontRequest *request);
+/* Holds a request that an engine turned away, or refuses it. False if it is none for an engine or
+ * may not be held. May free it. */
+bool request_hold_turned_away (FrontRequest *request);
+void request_stop_hold (FrontRequest *request);
+/* Refuses a request for which no room was found in time. Frees it. */
+void request_end_hold (FrontRequest *request);
+/* The attempt's answer has begun. */
+void request_hold_begun (const FrontRequest *request, int64_t now_ms);
+/* The attempt's answer is whole. */
+void request_hold_answered (const FrontRequest *request, int64_t now_ms);
+
 /* front_request_handoff.c */
 /* Hands the request to another front, as no server has room for it that this front may use. False
  * if there is none to ask. */
--- a/src/front_request_readmit.c
+++ b/src/front_request_readmit.c
@@ -186,6 +186,8 @@
 
   if (request_hedge_go_on (request, "server_full", false))
     return;
+  if (request_hold_turned_away (request))
+    return;
   wait_ms = wait_ms_of (request, now_ms);
   if (wait_ms == 0
       || !front_budget_take (request->front->budget, request->service, BUDGET_RETRY, now_ms))
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -66,7 +66,10 @@
   else
     front_health_answered (&request->server->health, now_ms, first_ms, request->predicted_ms);
   if (!failed)
-    request_wait_begun (request, now_ms);
+    {
+      request_wait_begun (request, now_ms);
+      request_hold_begun (request, now_ms);
+    }
   if (!failed && request->route->kind == ROUTE_STREAM
       && !request_wait_is_believed (request, now_ms))
     request_learn_speed (request, first_ms, now_ms);
@@ -163,6 +166,8 @@
   front_log_number (line, "attempts", request->attempts);
   front_log_end (line);
   front_counter_add (FRONT_COUNTER_ANSWERED);
+  if (is_success (status))
+    request_hold_answered (request, clock_boot_ms ());
   front_counter_add_wait (FRONT_WAIT_WHOLE, whole_ms);
 }
 
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -196,6 +196,9 @@
   if (request->tried_count < PICK_TRIED_MAX)
     request->tried[request->tried_count++] = pick->server->hash;
   request->attempts++;
+  if (request->is_let_out)
+    request->return_to = 0;
+  request->is_let_out = false;
   request->server = pick->server;
   front_server_ref (pick->server);
   cold_sent (&pick->server->cold_sends, now_ms);
@@ -343,6 +346,8 @@
       && request_refuse_hopeless (request, &pick,
                                   pick.predicted_ms + overhead_ms (request, &query)))
     return;
+  if (query.is_model && request_hold_arrival (request))
+    return;
   version_set (request, version, now_ms);
   record_attempt (request, &query, &pick, now_ms);
   if (!attempt_begin (request, &pick, request->end_ms - now_ms))
@@ -408,7 +413,10 @@
   if (request->server->brittle.is_named)
     front_waiting_room_freed (request->front, request_service_hash (request), clock_boot_ms ());
   if (request->relaying)
-    front_returning_room_freed (request->front, request->server->hash, clock_boot_ms ());
+    {
+      front_returning_room_freed (request->front, request->server->hash, clock_boot_ms ());
+      front_holding_room_freed (request->front, request->server->hash, clock_boot_ms ());
+    }
 }
 
 void
--- a/src/front_request_timer.c
+++ b/src/front_request_timer.c
@@ -29,6 +29,8 @@
 
   if (request->is_waiting)
     return request->wait_end_ms;
+  if (request->is_held)
+    return request->held_end_ms;
   if (!request->attempt)
     return INT64_MAX;
   if (!front_attempt_is_sent (request->attempt))
@@ -80,6 +82,8 @@
 
   if (request->is_waiting && now_ms >= silence_due_ms (request))
     request_end_wait (request);
+  else if (request->is_held && now_ms >= request->held_end_ms)
+    request_end_hold (request);
   else if (now_ms >= request->end_ms)
     {
       request->may_have_run |= sent || request_hedge_other_is_sent (request);
--- a/tests/front_node.c
+++ b/tests/front_node.c
@@ -27,6 +27,7 @@
   CDS_INIT_LIST_HEAD (&node->front.requests);
   front_waiting_init (&node->front.waiting);
   front_returning_init (&node->front.returning);
+  front_holding_init (&node->front.holding);
   node->front.parts = memory_alloc (sizeof *node->front.parts);
   node->front.base = event_base_new ();
   node->front.store = &node->store;
