--- a/src/front_request_hold.c
+++ b/src/front_request_hold.c
@@ -4,6 +4,7 @@
 #include "front_counter.h"
 #include "front_log.h"
 #include "front_request_private.h"
+#include "front_urgency.h"
 #include "util_clock.h"
 #include "util_id.h"
 #include "util_unused.h"
@@ -101,6 +102,20 @@
   return strcmp (request->service, other->service) == 0;
 }
 
+/* Within a rank the servers serve in the order of arrival; here the more urgent route comes first,
+ * but whoever has waited for half of its caller's time comes before all. */
+static bool
+is_before (const FrontRequest *request, const FrontRequest *other)
+{
+  if (request->rank != other->rank)
+    return request->rank < other->rank;
+  if (request->is_pressed != other->is_pressed)
+    return request->is_pressed;
+  if (!request->is_pressed && request->route->priority != other->route->priority)
+    return request->route->priority < other->route->priority;
+  return request->arrived_ms < other->arrived_ms;
+}
+
 /* Held requests that go out before it. */
 static unsigned
 count_before (const FrontRequest *request)
@@ -110,7 +125,7 @@
 
   cds_list_for_each_entry (other, &request->front->holding.requests, held_node)
   {
-    if (other == request || other->rank > request->rank)
+    if (other == request || is_before (request, other))
       break;
     count += is_of_service (request, other);
   }
@@ -140,7 +155,6 @@
          && front->holding.count < HOLD_MAX && !request_is_quarantined (request, now_ms);
 }
 
-/* More urgent requests come first, then those that arrived first. */
 static void
 add (FrontHolding *holding, FrontRequest *request)
 {
@@ -148,8 +162,7 @@
 
   cds_list_for_each_entry_reverse (other, &holding->requests, held_node)
   {
-    if (other->rank < request->rank
-        || (other->rank == request->rank && other->arrived_ms <= request->arrived_ms))
+    if (!is_before (request, other))
       break;
   }
   cds_list_add (&request->held_node, &other->held_node);
@@ -167,6 +180,24 @@
   request->front->holding.count--;
 }
 
+/* Moves those forward that have become pressed. */
+static void
+raise_pressed (FrontHolding *holding, int64_t now_ms)
+{
+  FrontRequest *request, *next;
+
+  cds_list_for_each_entry_safe (request, next, &holding->requests, held_node)
+  {
+    if (request->is_pressed
+        || !front_urgency_is_pressed (now_ms - request->arrived_ms, request->end_ms - now_ms))
+      continue;
+    request->is_pressed = true;
+    request_raise_rank (request, now_ms);
+    request_stop_hold (request);
+    add (holding, request);
+  }
+}
+
 static void
 log_hold (const FrontRequest *request, const HoldRequest *hold, int64_t now_ms)
 {
@@ -335,7 +366,8 @@
         request->held_to = 0;
         continue;
       }
-    front_hold_sent (pace, now_ms);
+    if (!request->held_to)
+      front_hold_sent (pace, now_ms);
     return request;
   }
   return NULL;
@@ -376,6 +408,7 @@
   if (front->stop_requested_ms != 0)
     refuse_all (holding, "stopping", RETRY_AFTER_STOPPING_MS);
   refuse_quarantined (holding, now_ms);
+  raise_pressed (holding, now_ms);
   for (unsigned i = 0; i < WALK_SENDS_MAX && (request = next_due (front, now_ms)); i++)
     let_out (request);
   if (!cds_list_empty (&holding->requests))
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -90,6 +90,7 @@
 
   bool is_held;         /* until an engine is expected to have room */
   bool is_let_out;      /* goes out after it was held, or is sent again */
+  bool is_pressed;      /* it has waited for half of its caller's time */
   unsigned turned_away; /* how often an engine did */
   uint64_t held_to;     /* hash of an engine where room became free; 0: none */
   int64_t held_due_ms;  /* not before, unless room becomes free */
