--- a/src/front_hold.c
+++ b/src/front_hold.c
@@ -7,16 +7,18 @@
 #define GAP_MAX_MS 250.0
 /* Below it, a gap is less than the time between two requests. */
 #define GAP_MIN_MS 4.0
-/* With these, one of seven is turned away while there is too little room: the pace follows the
- * room, and servers reject little. */
+/* With these, one of five is turned away while there is too little room: the pace follows the room,
+ * and servers reject few. */
 #define GAP_GROWTH    1.5
-#define GAP_REDUCTION 0.935
+#define GAP_REDUCTION 0.90
 /* Milliseconds without a rejection in which the gap halves: as long as a long answer holds its
  * slot. */
 #define GAP_HALF_LIFE_MS 500.0
-/* Share by which a need is corrected by one answer, for the quarter that takes less. */
-#define NEED_STEP  0.08
-#define NEED_BELOW 0.25
+/* Share by which one answer corrects a need: a burst changes it within a second or two. */
+#define NEED_STEP 0.04
+/* Largest need, as a part of the caller's time: where answers end with servers that are lost, they
+ * say nothing of the others. */
+#define NEED_SHARE_MAX 0.5
 /* Milliseconds before a request is sent again, doubled each time. */
 #define AGAIN_FIRST_MS  50
 #define AGAIN_MAX_TIMES 4
@@ -25,6 +27,27 @@
 #define ACCEPTED_SHARE     (1.0 / 3)
 #define RETRY_AFTER_MIN_MS 250.0
 #define RETRY_AFTER_SPREAD 0.25
+/* Share of that time for routes of the highest priority. */
+#define URGENT_SHARE 0.25
+
+/* When the request should go out at the latest. */
+static double
+turn_ms (const HoldTurn *turn)
+{
+  double begin_ms = (double)(turn->end_ms - turn->arrived_ms) - turn->need_ms;
+  double wait_ms = fmax (fmin ((double)turn->objective_ms, begin_ms), 0);
+  double share = turn->priority <= 0 ? URGENT_SHARE : 1;
+
+  return (double)turn->arrived_ms + share * wait_ms;
+}
+
+bool
+front_hold_is_before (const HoldTurn *turn, const HoldTurn *other)
+{
+  if (turn->rank != other->rank)
+    return turn->rank < other->rank;
+  return turn_ms (turn) < turn_ms (other);
+}
 
 double
 front_hold_gap_ms (const HoldPace *pace, int64_t now_ms)
@@ -71,16 +94,22 @@
 }
 
 void
-front_hold_need_add (HoldNeed *need, double ms)
+front_hold_need_add (HoldNeed *need, double ms, bool is_whole)
 {
   if (!isfinite (ms) || ms <= 0)
     return;
   if (need->ms <= 0)
     need->ms = ms;
-  else if (ms < need->ms)
-    need->ms *= 1 - NEED_STEP * (1 - NEED_BELOW);
+  else if (is_whole && ms < need->ms)
+    need->ms *= 1 - NEED_STEP;
   else
-    need->ms *= 1 + NEED_STEP * NEED_BELOW;
+    need->ms *= 1 + NEED_STEP;
+}
+
+double
+front_hold_need_ms (const HoldNeed *need, int64_t all_ms)
+{
+  return fmin (need->ms, NEED_SHARE_MAX * (double)all_ms);
 }
 
 int64_t
--- a/src/front_hold.h
+++ b/src/front_hold.h
@@ -22,7 +22,7 @@
 /** What the answers of one kind of request need, once sent. Zeroed at first. */
 typedef struct
 {
-  double ms; /**< exceeded by three quarters of the answers; 0: not known */
+  double ms; /**< median; 0: not known */
 } HoldNeed;
 
 typedef struct
@@ -33,6 +33,21 @@
   double wait_ms;    /**< until those before it and it have gone out, at the present pace */
 } HoldRequest;
 
+/** What decides whose turn it is. */
+typedef struct
+{
+  int64_t rank;       /**< in the servers' queues */
+  int64_t priority;   /**< of the route */
+  int64_t arrived_ms; /**< at this front */
+  int64_t objective_ms;
+  int64_t end_ms; /**< its caller's deadline */
+  double need_ms; /**< HoldNeed.ms of its kind */
+} HoldTurn;
+
+/** True if the first request goes out before the second: by rank, and within a rank who should
+ *  go out the sooner to begin in time, or for its answer to be whole before its caller leaves. A
+ *  route of the highest priority has a part of that time. */
+bool front_hold_is_before (const HoldTurn *turn, const HoldTurn *other);
 /** A server of the service turned a request of this front away. */
 void front_hold_turned_away (HoldPace *pace, int64_t now_ms);
 /** A server of the service began to answer one. */
@@ -43,8 +58,10 @@
 bool front_hold_is_due (const HoldPace *pace, int64_t now_ms);
 /** A request goes out. */
 void front_hold_sent (HoldPace *pace, int64_t now_ms);
-/** An answer was whole so long after its request was sent. */
-void front_hold_need_add (HoldNeed *need, double ms);
+/** An answer was whole so long after its request was sent, or wasn't yet when its caller left. */
+void front_hold_need_add (HoldNeed *need, double ms, bool is_whole);
+/** What a request needs whose caller waits for all_ms. */
+double front_hold_need_ms (const HoldNeed *need, int64_t all_ms);
 /** How long the request may be held at most; 0: not at all. */
 int64_t front_hold_longest_ms (const HoldRequest *request);
 /** Milliseconds until a request that was turned away so often, at least once, may be sent again.
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -122,6 +122,7 @@
 front_request_cancel (FrontRequest *request)
 {
   request_count_unanswered (request);
+  request_hold_ended (request, false, clock_boot_ms ());
   front_log_end (log_begin (request, FRONT_EVENT_CANCELLED, "caller_left"));
   front_counter_add (FRONT_COUNTER_CANCELLED);
   request_free (request);
--- a/src/front_request_hold.c
+++ b/src/front_request_hold.c
@@ -82,6 +82,14 @@
   return NULL;
 }
 
+static double
+need_ms (const FrontRequest *request)
+{
+  const HoldNeed *need = need_of (request);
+
+  return need ? front_hold_need_ms (need, request->end_ms - request->arrived_ms) : 0;
+}
+
 static double
 random_spread (void)
 {
@@ -102,30 +110,34 @@
   return strcmp (request->service, other->service) == 0;
 }
 
-/* Within a rank the servers serve in the order of arrival; here the more urgent route comes first,
- * but whoever has waited for half of its caller's time comes before all. */
+static HoldTurn
+turn_of (const FrontRequest *request)
+{
+  return (HoldTurn){ .rank = request->rank,
+                     .priority = request->route->priority,
+                     .arrived_ms = request->arrived_ms,
+                     .objective_ms = request->route->objective_ms,
+                     .end_ms = request->end_ms,
+                     .need_ms = need_ms (request) };
+}
+
 static bool
 is_before (const FrontRequest *request, const FrontRequest *other)
 {
-  if (request->rank != other->rank)
-    return request->rank < other->rank;
-  if (request->is_pressed != other->is_pressed)
-    return request->is_pressed;
-  if (!request->is_pressed && request->route->priority != other->route->priority)
-    return request->route->priority < other->route->priority;
-  return request->arrived_ms < other->arrived_ms;
+  return front_hold_is_before (&request->turn, &other->turn);
 }
 
 /* Held requests that go out before it. */
 static unsigned
 count_before (const FrontRequest *request)
 {
+  const HoldTurn turn = turn_of (request);
   const FrontRequest *other;
   unsigned count = 0;
 
   cds_list_for_each_entry (other, &request->front->holding.requests, held_node)
   {
-    if (other == request || is_before (request, other))
+    if (other == request || front_hold_is_before (&turn, &other->turn))
       break;
     count += is_of_service (request, other);
   }
@@ -135,12 +147,10 @@
 static HoldRequest
 hold_of (const FrontRequest *request, int64_t now_ms)
 {
-  const HoldNeed *need = need_of (request);
-
   return (HoldRequest){
     .may_have_run = request->may_have_run,
     .left_ms = request->end_ms - now_ms,
-    .need_ms = need ? need->ms : 0,
+    .need_ms = need_ms (request),
     .wait_ms = front_hold_gap_ms (pace_of (request), now_ms) * (count_before (request) + 1),
   };
 }
@@ -160,6 +170,7 @@
 {
   FrontRequest *other;
 
+  request->turn = turn_of (request);
   cds_list_for_each_entry_reverse (other, &holding->requests, held_node)
   {
     if (!is_before (request, other))
@@ -306,12 +317,12 @@
 }
 
 void
-request_hold_answered (const FrontRequest *request, int64_t now_ms)
+request_hold_ended (const FrontRequest *request, bool is_whole, int64_t now_ms)
 {
-  HoldNeed *need = request->is_ordered ? need_of (request) : NULL;
+  HoldNeed *need = request->attempt && request->is_ordered ? need_of (request) : NULL;
 
   if (need)
-    front_hold_need_add (need, (double)(now_ms - request->attempt_ms));
+    front_hold_need_add (need, (double)(now_ms - request->attempt_ms), is_whole);
 }
 
 static bool
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -95,6 +95,7 @@
   uint64_t held_to;     /* hash of an engine where room became free; 0: none */
   int64_t held_due_ms;  /* not before, unless room becomes free */
   int64_t held_end_ms;  /* it is refused */
+  HoldTurn turn; /* as of when it was added to the list */
   struct cds_list_head held_node;
 
   bool is_handed_off;  /* the current attempt is at another front */
@@ -231,8 +232,8 @@
 void request_end_hold (FrontRequest *request);
 /* The attempt's answer has begun. */
 void request_hold_begun (const FrontRequest *request, int64_t now_ms);
-/* The attempt's answer is whole. */
-void request_hold_answered (const FrontRequest *request, int64_t now_ms);
+/* The attempt's answer is whole, or its caller leaves without it. */
+void request_hold_ended (const FrontRequest *request, bool is_whole, int64_t now_ms);
 
 /* front_request_handoff.c */
 /* Hands the request to another front, as no server has room for it that this front may use. False
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -167,7 +167,7 @@
   front_log_end (line);
   front_counter_add (FRONT_COUNTER_ANSWERED);
   if (is_success (status))
-    request_hold_answered (request, clock_boot_ms ());
+    request_hold_ended (request, true, clock_boot_ms ());
   front_counter_add_wait (FRONT_WAIT_WHOLE, whole_ms);
 }
 
--- a/src/front_request_timer.c
+++ b/src/front_request_timer.c
@@ -88,6 +88,7 @@
     {
       request->may_have_run |= sent || request_hedge_other_is_sent (request);
       request_count_unanswered (request);
+      request_hold_ended (request, false, now_ms);
       request_drop_attempt (request);
       request_give_up (request, "timeout", 0);
     }
