--- a/src/front_hold.c
+++ b/src/front_hold.c
@@ -23,6 +23,10 @@
 #define AGAIN_FIRST_MS  50
 #define AGAIN_MAX_TIMES 4
 #define SPREAD_SHARE    0.5
+/* The pace doubles within half a second without rejections, so that half of a long wait is
+ * doubtful.
+ */
+#define SURE_SHARE 0.5
 /* Callers wait as told for at most this part of the time that they have left. */
 #define ACCEPTED_SHARE     (1.0 / 3)
 #define RETRY_AFTER_MIN_MS 250.0
@@ -117,7 +121,7 @@
 {
   double longest_ms = (double)request->left_ms - request->need_ms;
 
-  if (request->may_have_run || longest_ms <= 0 || request->wait_ms > longest_ms)
+  if (request->may_have_run || longest_ms <= 0 || SURE_SHARE * request->wait_ms > longest_ms)
     return 0;
   return (int64_t)longest_ms;
 }
--- a/src/front_holding.h
+++ b/src/front_holding.h
@@ -8,7 +8,7 @@
 #include <event2/event.h>
 #include <urcu/list.h>
 
-#define HOLDING_SERVICES_MAX 8  /**< paces kept; the one that was full the longest ago is replaced */
+#define HOLDING_SERVICES_MAX 8  /**< whose pace is kept; the last one full is kept longest */
 #define HOLDING_KINDS_MAX    32 /**< of requests, by route; those beyond need no time */
 
 typedef struct Front Front;
@@ -36,6 +36,10 @@
 
 void front_holding_init (FrontHolding *holding);
 void front_holding_clear (FrontHolding *holding);
+/** The pace of a service, by the hash of its name. */
+HoldPace *front_holding_pace (FrontHolding *holding, uint64_t service);
+/** What requests of a route need, by the hash of its name. NULL: there are too many routes. */
+HoldNeed *front_holding_need (FrontHolding *holding, uint64_t route);
 /** A request of this front has ended at the server. Sends the first that may go there. */
 void front_holding_room_freed (Front *front, uint64_t server, int64_t now_ms);
 
--- a/src/front_request_hold.c
+++ b/src/front_request_hold.c
@@ -16,26 +16,10 @@
 /* Requests that go out in one walk. */
 #define WALK_SENDS_MAX 16
 /* Milliseconds after which the retry budget is asked again. */
-#define NO_BUDGET_MS            50
-#define RETRY_AFTER_STOPPING_MS 50 /* another front accepts the request at once */
+#define NO_BUDGET_MS 50
 
 static void on_timer (evutil_socket_t fd, short what, void *user);
 
-void
-front_holding_init (FrontHolding *holding)
-{
-  CDS_INIT_LIST_HEAD (&holding->requests);
-  holding->timer = NULL;
-}
-
-void
-front_holding_clear (FrontHolding *holding)
-{
-  if (holding->timer)
-    event_free (holding->timer);
-  holding->timer = NULL;
-}
-
 static void
 arm (Front *front, int64_t wait_ms)
 {
@@ -49,43 +33,13 @@
 static HoldPace *
 pace_of (const FrontRequest *request)
 {
-  FrontHolding *holding = &request->front->holding;
-  uint64_t service = request_service_hash (request);
-  HoldingService *oldest = &holding->services[0];
-
-  for (unsigned i = 0; i < HOLDING_SERVICES_MAX; i++)
-    {
-      HoldingService *known = &holding->services[i];
-
-      if (known->service == service)
-        return &known->pace;
-      if (known->pace.full_ms < oldest->pace.full_ms)
-        oldest = known;
-    }
-  *oldest = (HoldingService){ .service = service };
-  return &oldest->pace;
-}
-
-/* NULL: there are too many routes. */
-static HoldNeed *
-need_of (const FrontRequest *request)
-{
-  HoldingKind *kinds = request->front->holding.kinds;
-
-  for (unsigned i = 0; i < HOLDING_KINDS_MAX; i++)
-    {
-      if (kinds[i].route == 0)
-        kinds[i].route = request->route->hash;
-      if (kinds[i].route == request->route->hash)
-        return &kinds[i].need;
-    }
-  return NULL;
+  return front_holding_pace (&request->front->holding, request_service_hash (request));
 }
 
 static double
 need_ms (const FrontRequest *request)
 {
-  const HoldNeed *need = need_of (request);
+  const HoldNeed *need = front_holding_need (&request->front->holding, request->route->hash);
 
   return need ? front_hold_need_ms (need, request->end_ms - request->arrived_ms) : 0;
 }
@@ -104,12 +58,6 @@
   return service && service->kv_tokens > 0;
 }
 
-static bool
-is_of_service (const FrontRequest *request, const FrontRequest *other)
-{
-  return strcmp (request->service, other->service) == 0;
-}
-
 static HoldTurn
 turn_of (const FrontRequest *request)
 {
@@ -121,12 +69,6 @@
                      .need_ms = need_ms (request) };
 }
 
-static bool
-is_before (const FrontRequest *request, const FrontRequest *other)
-{
-  return front_hold_is_before (&request->turn, &other->turn);
-}
-
 /* Held requests that go out before it. */
 static unsigned
 count_before (const FrontRequest *request)
@@ -139,7 +81,7 @@
   {
     if (other == request || front_hold_is_before (&turn, &other->turn))
       break;
-    count += is_of_service (request, other);
+    count += strcmp (request->service, other->service) == 0;
   }
   return count;
 }
@@ -173,7 +115,7 @@
   request->turn = turn_of (request);
   cds_list_for_each_entry_reverse (other, &holding->requests, held_node)
   {
-    if (!is_before (request, other))
+    if (!front_hold_is_before (&request->turn, &other->turn))
       break;
   }
   cds_list_add (&request->held_node, &other->held_node);
@@ -295,7 +237,11 @@
       front_hold_sent (pace, now_ms);
       return false;
     }
-  return hold (request, now_ms, now_ms);
+  if (need_ms (request) >= (double)(request->end_ms - now_ms))
+    return false;
+  if (!hold (request, now_ms, now_ms))
+    request_end_hold (request);
+  return true;
 }
 
 void
@@ -305,8 +251,7 @@
 
   request_stop_hold (request);
   front_counter_add (FRONT_COUNTER_HELD_REFUSED);
-  request_give_up (request, "no_room_in_time",
-                   front_hold_retry_after_ms (&held, random_spread ()));
+  request_give_up (request, "no_room_in_time", front_hold_retry_after_ms (&held, random_spread ()));
 }
 
 void
@@ -319,8 +264,11 @@
 void
 request_hold_ended (const FrontRequest *request, bool is_whole, int64_t now_ms)
 {
-  HoldNeed *need = request->attempt && request->is_ordered ? need_of (request) : NULL;
+  HoldNeed *need;
 
+  if (!request->attempt || !request->is_ordered)
+    return;
+  need = front_holding_need (&request->front->holding, request->route->hash);
   if (need)
     front_hold_need_add (need, (double)(now_ms - request->attempt_ms), is_whole);
 }
@@ -342,6 +290,18 @@
   return request->attempts < request->route->attempts_max || was_tried (request, server);
 }
 
+/* The next of the servers that turned it away, of which some may have gone since. */
+static void
+choose_return (FrontRequest *request)
+{
+  for (unsigned i = 0; i < request->tried_count; i++)
+    {
+      request->return_to = request->tried[(request->turned_away + i) % request->tried_count];
+      if (request_has_server (request))
+        return;
+    }
+}
+
 /* Sends the request to a server that is chosen as for any other, or back to one that turned it away
  * if it may go to no further one. */
 static void
@@ -353,7 +313,7 @@
   if (request->return_to && !request_has_server (request))
     request->return_to = 0;
   if (!request->return_to && request->attempts >= request->route->attempts_max)
-    request->return_to = request->tried[request->turned_away % request->tried_count];
+    choose_return (request);
   request_stop_hold (request);
   request_send (request);
 }
@@ -384,27 +344,19 @@
   return NULL;
 }
 
+/* Those that may not go out any more. */
 static void
-refuse_all (FrontHolding *holding, const char *reason, int64_t wait_ms)
+refuse_barred (Front *front, int64_t now_ms)
 {
+  bool is_stopping = front->stop_requested_ms != 0;
   FrontRequest *request, *next;
 
-  cds_list_for_each_entry_safe (request, next, &holding->requests, held_node)
+  cds_list_for_each_entry_safe (request, next, &front->holding.requests, held_node)
   {
+    if (!is_stopping && !request_is_quarantined (request, now_ms))
+      continue;
     front_counter_add (FRONT_COUNTER_HELD_REFUSED);
-    request_give_up (request, reason, wait_ms);
-  }
-}
-
-static void
-refuse_quarantined (FrontHolding *holding, int64_t now_ms)
-{
-  FrontRequest *request, *next;
-
-  cds_list_for_each_entry_safe (request, next, &holding->requests, held_node)
-  {
-    if (request_is_quarantined (request, now_ms))
-      request_give_up (request, "quarantined", 0);
+    request_give_up (request, is_stopping ? "stopping" : "quarantined", 0);
   }
 }
 
@@ -416,9 +368,7 @@
   int64_t now_ms = clock_boot_ms ();
   FrontRequest *request;
 
-  if (front->stop_requested_ms != 0)
-    refuse_all (holding, "stopping", RETRY_AFTER_STOPPING_MS);
-  refuse_quarantined (holding, now_ms);
+  refuse_barred (front, now_ms);
   raise_pressed (holding, now_ms);
   for (unsigned i = 0; i < WALK_SENDS_MAX && (request = next_due (front, now_ms)); i++)
     let_out (request);
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -95,7 +95,7 @@
   uint64_t held_to;     /* hash of an engine where room became free; 0: none */
   int64_t held_due_ms;  /* not before, unless room becomes free */
   int64_t held_end_ms;  /* it is refused */
-  HoldTurn turn; /* as of when it was added to the list */
+  HoldTurn turn;        /* as of when it was added to the list */
   struct cds_list_head held_node;
 
   bool is_handed_off;  /* the current attempt is at another front */
@@ -221,8 +221,8 @@
 void request_stop_returning (FrontRequest *request);
 
 /* front_request_hold.c */
-/* Holds a request that was not sent yet while engines turn requests away. False if it is to be
- * sent. */
+/* Holds a request that was not sent yet while engines turn requests away, or refuses it if its
+ * turn would come too late. False if it is to be sent. May free it. */
 bool request_hold_arrival (FrontRequest *request);
 /* Holds a request that an engine turned away, or refuses it. False if it is none for an engine or
  * may not be held. May free it. */
