--- a/Makefile
+++ b/Makefile
@@ -101,10 +101,10 @@
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_lint_%: $(BUILD)/obj/tests/test_lint_%.o $(call obj,$(LINT_PARTS) tests/lint_document.c $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
-# Replaces connections, timers and the clock by fakes of its own.
-$(BUILD)/test_front_request_hedge: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
-$(BUILD)/test_front_request_hedge: $(BUILD)/obj/tests/test_front_request_hedge.o \
-  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) $(TEST_HELPERS)) $(LIB)
+# These replace connections, timers and the clock by fakes.
+$(BUILD)/test_front_request_%: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
+$(BUILD)/test_front_request_%: $(BUILD)/obj/tests/test_front_request_%.o \
+  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) tests/front_fakes.c $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- a/tests/test_front_request_hedge.c
+++ b/tests/test_front_request_hedge.c
@@ -1,8 +1,8 @@
 /** Requests with two attempts: src/front_request_hedge.c, front_request_pair.c. Connections are
  * replaced by records of what was asked of them, timers and the clock by ones that the test
  * advances. */
-#include "front_conn.h"
 #include "front_deaths.h"
+#include "front_fakes.h"
 #include "front_request.h"
 #include "front_request_private.h"
 #include "suite.h"
@@ -15,12 +15,10 @@
 
 #define SERVERS      4
 #define SLOTS        4
-#define SENDS_MAX    8
 #define OBJECTIVE_MS 500
 #define COPY_MS      250 /* a copy is sent after half of the objective */
 #define SILENCE_MS   300 /* an attempt is given up after three fifths of it */
 #define TIMEOUT_MS   4000
-#define STATUS_MAX   128
 
 static const char good[] = "HTTP/1.1 200 OK\r\nLovagehub-Server-Signature: x.y\r\n"
                            "Content-Length: 2\r\n\r\nab";
@@ -36,228 +34,6 @@
 static const char not_executed[] = "HTTP/1.1 503 Full\r\nLovagehub-Server-Signature: x.y\r\n"
                                    "Lovagehub-Not-Executed: true\r\nContent-Length: 0\r\n\r\n";
 
-struct FrontAttempt
-{
-  FrontServer *server;
-  HttpReply reply;
-  const AttemptCallbacks *callbacks;
-  void *user;
-  bool sent;
-};
-
-struct FrontConn
-{
-  HttpRequestParser parser;
-  unsigned answers;
-  char status[STATUS_MAX]; /* start of the last answer */
-};
-
-/* One send of a request, as its server sees it. */
-typedef struct
-{
-  FrontAttempt *attempt;
-  FrontServer *server;
-  bool closed;
-} Send;
-
-static Send sends[SENDS_MAX];
-static unsigned send_count;
-
-struct event
-{
-  struct cds_list_head node;
-  event_callback_fn run;
-  void *user;
-  int64_t due_ms; /* 0: not armed */
-};
-
-static CDS_LIST_HEAD (timers);
-static int64_t clock_ms;
-
-/* The linker puts these, under the names given, in place of the clock's and libevent's functions.
- */
-int64_t fake_clock (void) __asm__("__wrap_clock_boot_ms");
-struct event *fake_event_new (struct event_base *base,
-                              evutil_socket_t fd,
-                              short what,
-                              event_callback_fn run,
-                              void *user) __asm__("__wrap_event_new");
-int fake_event_add (struct event *event, const struct timeval *wait) __asm__("__wrap_event_add");
-int fake_event_del (struct event *event) __asm__("__wrap_event_del");
-void fake_event_free (struct event *event) __asm__("__wrap_event_free");
-
-int64_t
-fake_clock (void)
-{
-  return clock_ms;
-}
-
-struct event *
-fake_event_new (struct event_base *base UNUSED,
-                evutil_socket_t fd UNUSED,
-                short what UNUSED,
-                event_callback_fn run,
-                void *user)
-{
-  struct event *event = memory_alloc (sizeof *event);
-
-  event->run = run;
-  event->user = user;
-  cds_list_add_tail (&event->node, &timers);
-  return event;
-}
-
-int
-fake_event_add (struct event *event, const struct timeval *wait)
-{
-  event->due_ms = clock_ms + wait->tv_sec * 1000 + wait->tv_usec / 1000;
-  return 0;
-}
-
-int
-fake_event_del (struct event *event)
-{
-  event->due_ms = 0;
-  return 0;
-}
-
-void
-fake_event_free (struct event *event)
-{
-  cds_list_del (&event->node);
-  free (event);
-}
-
-/* Runs a timer that is due; false if there is none. */
-static bool
-run_timer (void)
-{
-  struct event *event;
-
-  cds_list_for_each_entry (event, &timers, node)
-  {
-    if (event->due_ms == 0 || event->due_ms > clock_ms)
-      continue;
-    event->due_ms = 0;
-    event->run (-1, EV_TIMEOUT, event->user);
-    return true;
-  }
-  return false;
-}
-
-static void
-pass (int64_t ms)
-{
-  for (int64_t i = 0; i < ms; i++)
-    {
-      clock_ms++;
-      while (run_timer ())
-        continue;
-    }
-}
-
-FrontAttempt *
-front_attempt_start (Front *front UNUSED,
-                     const AttemptTarget *target,
-                     Buffer *head,
-                     const Buffer *body UNUSED,
-                     const AttemptCallbacks *callbacks,
-                     void *user)
-{
-  FrontAttempt *attempt = memory_alloc (sizeof *attempt);
-
-  buffer_free (head);
-  *head = (Buffer){ 0 };
-  attempt->server = target->server;
-  attempt->callbacks = callbacks;
-  attempt->user = user;
-  http_reply_init (&attempt->reply);
-  front_server_ref (attempt->server);
-  attempt->server->running++;
-  CU_ASSERT_FATAL (send_count < SENDS_MAX);
-  sends[send_count++] = (Send){ .attempt = attempt, .server = target->server };
-  return attempt;
-}
-
-void
-front_attempt_free (FrontAttempt *attempt)
-{
-  for (unsigned i = 0; i < send_count; i++)
-    {
-      if (sends[i].attempt == attempt)
-        sends[i].closed = true;
-    }
-  http_reply_clear (&attempt->reply);
-  attempt->server->running--;
-  front_server_unref (attempt->server);
-  free (attempt);
-}
-
-HttpReply *
-front_attempt_reply (FrontAttempt *attempt)
-{
-  return &attempt->reply;
-}
-
-bool
-front_attempt_is_sent (const FrontAttempt *attempt)
-{
-  return attempt->sent;
-}
-
-void
-front_attempt_set_callbacks (FrontAttempt *attempt, const AttemptCallbacks *callbacks)
-{
-  attempt->callbacks = callbacks;
-}
-
-void
-front_attempt_pause (FrontAttempt *attempt UNUSED, bool pause UNUSED)
-{
-}
-
-HttpRequestParser *
-front_conn_request_parser (FrontConn *conn)
-{
-  return &conn->parser;
-}
-
-void
-front_conn_answer (FrontConn *conn, const Buffer *head, Buffer *body)
-{
-  conn->answers++;
-  snprintf (conn->status, sizeof conn->status, "%.*s", (int)head->len, (const char *)head->data);
-  buffer_free (body);
-}
-
-void
-front_conn_stream_begin (FrontConn *conn UNUSED, const Buffer *head UNUSED)
-{
-  CU_FAIL ("a buffered answer was streamed");
-}
-
-void
-front_conn_stream_data (FrontConn *conn UNUSED, const void *data UNUSED, size_t len UNUSED)
-{
-}
-
-void
-front_conn_stream_end (FrontConn *conn UNUSED)
-{
-}
-
-void
-front_conn_abort (FrontConn *conn)
-{
-  conn->answers++;
-}
-
-bool
-front_conn_output_is_full (const FrontConn *conn UNUSED)
-{
-  return false;
-}
-
 /* A front with a plain service of four servers, and one caller. */
 typedef struct
 {
@@ -359,28 +135,6 @@
   front_request_start (site->request);
 }
 
-/* The attempt's connection opens, as soon as it is started. */
-static void
-connect_send (unsigned i)
-{
-  sends[i].attempt->sent = true;
-  sends[i].attempt->callbacks->sent (sends[i].attempt->user);
-}
-
-/* Bytes of an answer arrive. */
-static void
-answer (unsigned i, const char *text)
-{
-  FrontAttempt *attempt = sends[i].attempt;
-  bool had_head = attempt->reply.status != 0;
-
-  CU_ASSERT_FATAL (!sends[i].closed);
-  http_reply_feed (&attempt->reply, text, strlen (text));
-  if (!had_head)
-    attempt->callbacks->head (attempt->user);
-  attempt->callbacks->progress (attempt->user);
-}
-
 /* Sends a request and waits until a copy of it was sent, too. */
 static void
 call_until_copied (Site *site)
