--- a/src/front_request.c
+++ b/src/front_request.c
@@ -47,6 +47,7 @@
   request_hedge_free (request);
   request_stop_waiting (request);
   request_stop_returning (request);
+  request_stop_hold (request);
   if (request->version_hash)
     front_sessions_end (request->front->sessions, request->session, clock_boot_ms ());
   if (request->timer)
@@ -121,6 +122,7 @@
 front_request_cancel (FrontRequest *request)
 {
   request_count_unanswered (request);
+  request_hold_ended (request, false, clock_boot_ms ());
   front_log_end (log_begin (request, FRONT_EVENT_CANCELLED, "caller_left"));
   front_counter_add (FRONT_COUNTER_CANCELLED);
   request_free (request);
--- a/src/front_request_timer.c
+++ b/src/front_request_timer.c
@@ -29,6 +29,8 @@
 
   if (request->is_waiting)
     return request->wait_end_ms;
+  if (request->is_held)
+    return request->held_end_ms;
   if (!request->attempt)
     return INT64_MAX;
   if (!front_attempt_is_sent (request->attempt))
@@ -80,10 +82,13 @@
 
   if (request->is_waiting && now_ms >= silence_due_ms (request))
     request_end_wait (request);
+  else if (request->is_held && now_ms >= request->held_end_ms)
+    request_end_hold (request);
   else if (now_ms >= request->end_ms)
     {
       request->may_have_run |= sent || request_hedge_other_is_sent (request);
       request_count_unanswered (request);
+      request_hold_ended (request, false, now_ms);
       request_drop_attempt (request);
       request_give_up (request, "timeout", 0);
     }
