Split the tests of copies by what they test

Each of the new programs has one job: the decision (front_hedge), loads (front_hedge_load), the operator's limit (front_hedge_window), when a request gets a copy (front_request_hedge), which of two attempts wins (front_request_pair). Fakes, the site and the load that two of them share are in hedge_fakes.c, hedge_site.c and hedge_load.c.

Cases are moved as they were.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
 $(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_front_hedge $(BUILD)/test_front_hedge_load: $(call obj,tests/hedge_load.c)
 $(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 benches: $(BENCHES:%=$(BUILD)/%)
 
@@ -101,10 +102,12 @@
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_lint_%: $(BUILD)/obj/tests/test_lint_%.o $(call obj,$(LINT_PARTS) tests/lint_document.c $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
-# Replaces connections, timers and the clock by fakes of its own.
-$(BUILD)/test_front_request_hedge: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
-$(BUILD)/test_front_request_hedge: $(BUILD)/obj/tests/test_front_request_hedge.o \
-  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) $(TEST_HELPERS)) $(LIB)
+# These replace connections, timers and the clock by fakes of their own.
+HEDGE_TESTS = $(BUILD)/test_front_request_hedge $(BUILD)/test_front_request_pair
+$(HEDGE_TESTS): LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
+$(HEDGE_TESTS): $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o \
+  $(call obj,tests/hedge_site.c tests/hedge_fakes.c \
+    $(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- /dev/null
+++ b/tests/hedge_fakes.c
@@ -0,0 +1,246 @@
+/* The functions that tests of a request's attempts replace: connections, timers and the clock. */
+#include "hedge_site.h"
+#include "suite.h"
+#include "util_memory.h"
+#include "util_unused.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct FrontAttempt
+{
+  FrontServer *server;
+  HttpReply reply;
+  const AttemptCallbacks *callbacks;
+  void *user;
+  bool sent;
+};
+
+struct event
+{
+  struct cds_list_head node;
+  event_callback_fn run;
+  void *user;
+  int64_t due_ms; /* 0: not armed */
+};
+
+HedgeSend site_sends[SITE_SENDS_MAX];
+unsigned site_send_count;
+int64_t site_clock_ms;
+static CDS_LIST_HEAD (timers);
+
+/* The linker puts these, under the names given, in place of the clock's and libevent's functions.
+ */
+int64_t fake_clock (void) __asm__("__wrap_clock_boot_ms");
+struct event *fake_event_new (struct event_base *base,
+                              evutil_socket_t fd,
+                              short what,
+                              event_callback_fn run,
+                              void *user) __asm__("__wrap_event_new");
+int fake_event_add (struct event *event, const struct timeval *wait) __asm__("__wrap_event_add");
+int fake_event_del (struct event *event) __asm__("__wrap_event_del");
+void fake_event_free (struct event *event) __asm__("__wrap_event_free");
+
+int64_t
+fake_clock (void)
+{
+  return site_clock_ms;
+}
+
+struct event *
+fake_event_new (struct event_base *base UNUSED,
+                evutil_socket_t fd UNUSED,
+                short what UNUSED,
+                event_callback_fn run,
+                void *user)
+{
+  struct event *event = memory_alloc (sizeof *event);
+
+  event->run = run;
+  event->user = user;
+  cds_list_add_tail (&event->node, &timers);
+  return event;
+}
+
+int
+fake_event_add (struct event *event, const struct timeval *wait)
+{
+  event->due_ms = site_clock_ms + wait->tv_sec * 1000 + wait->tv_usec / 1000;
+  return 0;
+}
+
+int
+fake_event_del (struct event *event)
+{
+  event->due_ms = 0;
+  return 0;
+}
+
+void
+fake_event_free (struct event *event)
+{
+  cds_list_del (&event->node);
+  free (event);
+}
+
+/* Runs a timer that is due; false if there is none. */
+static bool
+run_timer (void)
+{
+  struct event *event;
+
+  cds_list_for_each_entry (event, &timers, node)
+  {
+    if (event->due_ms == 0 || event->due_ms > site_clock_ms)
+      continue;
+    event->due_ms = 0;
+    event->run (-1, EV_TIMEOUT, event->user);
+    return true;
+  }
+  return false;
+}
+
+void
+site_pass (int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i++)
+    {
+      site_clock_ms++;
+      while (run_timer ())
+        continue;
+    }
+}
+
+FrontAttempt *
+front_attempt_start (Front *front UNUSED,
+                     const AttemptTarget *target,
+                     Buffer *head,
+                     const Buffer *body UNUSED,
+                     const AttemptCallbacks *callbacks,
+                     void *user)
+{
+  FrontAttempt *attempt = memory_alloc (sizeof *attempt);
+
+  buffer_free (head);
+  *head = (Buffer){ 0 };
+  attempt->server = target->server;
+  attempt->callbacks = callbacks;
+  attempt->user = user;
+  http_reply_init (&attempt->reply);
+  front_server_ref (attempt->server);
+  attempt->server->running++;
+  CU_ASSERT_FATAL (site_send_count < SITE_SENDS_MAX);
+  site_sends[site_send_count++] = (HedgeSend){ .attempt = attempt, .server = target->server };
+  return attempt;
+}
+
+void
+front_attempt_free (FrontAttempt *attempt)
+{
+  for (unsigned i = 0; i < site_send_count; i++)
+    {
+      if (site_sends[i].attempt == attempt)
+        site_sends[i].closed = true;
+    }
+  http_reply_clear (&attempt->reply);
+  attempt->server->running--;
+  front_server_unref (attempt->server);
+  free (attempt);
+}
+
+HttpReply *
+front_attempt_reply (FrontAttempt *attempt)
+{
+  return &attempt->reply;
+}
+
+bool
+front_attempt_is_sent (const FrontAttempt *attempt)
+{
+  return attempt->sent;
+}
+
+void
+front_attempt_set_callbacks (FrontAttempt *attempt, const AttemptCallbacks *callbacks)
+{
+  attempt->callbacks = callbacks;
+}
+
+void
+front_attempt_pause (FrontAttempt *attempt UNUSED, bool pause UNUSED)
+{
+}
+
+HttpRequestParser *
+front_conn_request_parser (FrontConn *conn)
+{
+  return &conn->parser;
+}
+
+void
+front_conn_answer (FrontConn *conn, const Buffer *head, Buffer *body)
+{
+  conn->answers++;
+  snprintf (conn->status, sizeof conn->status, "%.*s", (int)head->len, (const char *)head->data);
+  buffer_free (body);
+}
+
+void
+front_conn_stream_begin (FrontConn *conn UNUSED, const Buffer *head UNUSED)
+{
+  CU_FAIL ("a buffered answer was streamed");
+}
+
+void
+front_conn_stream_data (FrontConn *conn UNUSED, const void *data UNUSED, size_t len UNUSED)
+{
+}
+
+void
+front_conn_stream_end (FrontConn *conn UNUSED)
+{
+}
+
+void
+front_conn_abort (FrontConn *conn)
+{
+  conn->answers++;
+}
+
+bool
+front_conn_output_is_full (const FrontConn *conn UNUSED)
+{
+  return false;
+}
+
+bool
+site_has_no_timers (void)
+{
+  return cds_list_empty (&timers);
+}
+
+void
+site_connect (unsigned i)
+{
+  site_sends[i].attempt->sent = true;
+  site_sends[i].attempt->callbacks->sent (site_sends[i].attempt->user);
+}
+
+void
+site_cut (unsigned i)
+{
+  site_sends[i].attempt->callbacks->cut (site_sends[i].attempt->user);
+}
+
+void
+site_answer (unsigned i, const char *text)
+{
+  FrontAttempt *attempt = site_sends[i].attempt;
+  bool had_head = attempt->reply.status != 0;
+
+  CU_ASSERT_FATAL (!site_sends[i].closed);
+  http_reply_feed (&attempt->reply, text, strlen (text));
+  if (!had_head)
+    attempt->callbacks->head (attempt->user);
+  attempt->callbacks->progress (attempt->user);
+}
