Consider a late request again if its answer is later than expected

The decision was made once, when the request first counted as late. A server that freezes looks like one that is a little late at that moment.

A request with one of these two verdicts is now considered again when the answer is later than was expected, and at the earliest after a quarter of the time passed, so some ten times at most. Its time is entered once and replaced. The limit and the budget apply as before, and the load of a service that is slow as a whole passes with the same bounds.

Before the fix front_hedge_load:frozen_server_beside_shortly_late_answers and front_request_hedge:copy_is_sent_when_the_answer_is_later_than_expected failed. The load of the tests (hedge_load.c) asks again as the front does; verdicts are counted as the last one given.

--- a/src/front_hedge.c
+++ b/src/front_hedge.c
@@ -22,6 +22,9 @@
  * many answers are late as may get a copy. */
 #define QUANTILE_MIN 0.90
 #define QUANTILE_MAX 0.98
+/* Share of the time passed before a request is considered again, at least: some ten times until
+ * most callers leave. */
+#define AGAIN_SHARE 0.25
 /* Milliseconds without copies after a server had no room. */
 #define FULL_PAUSE_MS 1000
 
@@ -202,6 +205,18 @@
   return hedge_times_left (times_of (hedge, kind), elapsed_ms);
 }
 
+bool
+front_hedge_is_provisional (HedgeVerdict verdict)
+{
+  return verdict == HEDGE_NOT_SOONER || verdict == HEDGE_NO_SERVER;
+}
+
+double
+front_hedge_again_ms (FrontHedge *hedge, const HedgeKind *kind, double elapsed_ms)
+{
+  return fmax (front_hedge_left_ms (hedge, kind, elapsed_ms), AGAIN_SHARE * elapsed_ms);
+}
+
 /* Verdict on the server of a copy. */
 static HedgeVerdict
 judge_server (FrontHedge *hedge, const HedgeCase *c)
--- a/src/front_hedge.h
+++ b/src/front_hedge.h
@@ -82,6 +82,10 @@
 double front_hedge_delay_ms (FrontHedge *hedge, const HedgeKind *kind, int64_t objective_ms);
 /** Milliseconds that an answer of the kind is expected to take from now on. */
 double front_hedge_left_ms (FrontHedge *hedge, const HedgeKind *kind, double elapsed_ms);
+/** True if a request with this verdict is considered again when its answer is later still. */
+bool front_hedge_is_provisional (HedgeVerdict verdict);
+/** Milliseconds after which it is considered again. */
+double front_hedge_again_ms (FrontHedge *hedge, const HedgeKind *kind, double elapsed_ms);
 /** Decides; HEDGE_SEND counts as a copy. */
 HedgeVerdict front_hedge_decide (FrontHedge *hedge, const HedgeCase *c, int64_t now_ms);
 /** True once in each window in which the limit withholds copies of the service. */
--- a/src/front_request_hedge.c
+++ b/src/front_request_hedge.c
@@ -125,13 +125,9 @@
 }
 
 static void
-arm (RequestHedge *hedge)
+arm (RequestHedge *hedge, double delay_ms)
 {
-  const FrontRequest *request = hedge->request;
-  HedgeKind kind = pair_kind (request);
-  double delay_ms
-      = ceil (front_hedge_delay_ms (request->front->hedge, &kind, request->route->objective_ms));
-  int64_t wait_ms = (int64_t)delay_ms - (clock_boot_ms () - request->attempt_ms);
+  int64_t wait_ms = (int64_t)ceil (delay_ms) - (clock_boot_ms () - hedge->request->attempt_ms);
   struct timeval wait;
 
   if (wait_ms < 1)
@@ -141,6 +137,29 @@
   evtimer_add (hedge->due, &wait);
 }
 
+static void
+arm_first (RequestHedge *hedge)
+{
+  const FrontRequest *request = hedge->request;
+  HedgeKind kind = pair_kind (request);
+
+  arm (hedge, front_hedge_delay_ms (request->front->hedge, &kind, request->route->objective_ms));
+}
+
+/* Enters the time passed, as a lower bound of what the answer takes. */
+static void
+record_late (RequestHedge *hedge, double elapsed_ms)
+{
+  FrontHedge *all = hedge->request->front->hedge;
+  HedgeKind kind = pair_kind (hedge->request);
+
+  if (hedge->is_timed)
+    front_hedge_replace (all, &kind, hedge->time_number, elapsed_ms);
+  else
+    hedge->time_number = front_hedge_answered (all, &kind, elapsed_ms);
+  hedge->is_timed = true;
+}
+
 static void
 on_due (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
@@ -148,6 +167,7 @@
   FrontRequest *request = hedge->request;
   HedgeKind kind = pair_kind (request);
   int64_t now_ms = clock_boot_ms ();
+  double elapsed_ms = (double)(now_ms - request->attempt_ms);
   HedgeVerdict verdict;
 
   if (!request->attempt || pair_has_begun (request))
@@ -155,16 +175,16 @@
   verdict = decide (hedge, now_ms);
   if (verdict == HEDGE_TOO_EARLY)
     {
-      arm (hedge);
+      arm_first (hedge);
       return;
     }
   if (verdict == HEDGE_OFF)
     return;
-  hedge->is_decided = true;
-  hedge->is_timed = true;
-  hedge->time_number
-      = front_hedge_answered (request->front->hedge, &kind, (double)(now_ms - request->attempt_ms));
-  if (verdict == HEDGE_SEND)
+  record_late (hedge, elapsed_ms);
+  hedge->is_decided = !front_hedge_is_provisional (verdict);
+  if (!hedge->is_decided)
+    arm (hedge, elapsed_ms + front_hedge_again_ms (request->front->hedge, &kind, elapsed_ms));
+  else if (verdict == HEDGE_SEND)
     send_copy (hedge, now_ms);
   else if (verdict == HEDGE_LIMIT)
     record_limited (request, now_ms);
@@ -184,7 +204,7 @@
       hedge->due = evtimer_new (request->front->base, on_due, hedge);
       request->hedge = hedge;
     }
-  arm (hedge);
+  arm_first (hedge);
 }
 
 void
--- a/tests/hedge_load.c
+++ b/tests/hedge_load.c
@@ -61,6 +61,30 @@
   front_hedge_count_request (load->hedge, load->kind.service, now_ms);
 }
 
+/* The i-th request may be late. */
+static void
+consider (HedgeLoad *load, unsigned i, int64_t now_ms)
+{
+  double elapsed_ms = (double)(now_ms - load->running[i].sent_ms);
+  HedgeCase c = hedge_load_case (load, elapsed_ms);
+  HedgeVerdict verdict;
+
+  if (load->running[i].decided || elapsed_ms < load->running[i].due_ms)
+    return;
+  verdict = front_hedge_decide (load->hedge, &c, now_ms);
+  load->running[i].verdict = verdict;
+  if (verdict == HEDGE_TOO_EARLY)
+    return;
+  if (load->running[i].is_timed)
+    front_hedge_replace (load->hedge, &load->kind, load->running[i].number, elapsed_ms);
+  else
+    load->running[i].number = front_hedge_answered (load->hedge, &load->kind, elapsed_ms);
+  load->running[i].is_timed = true;
+  load->running[i].decided = !front_hedge_is_provisional (verdict);
+  load->running[i].due_ms
+      = elapsed_ms + front_hedge_again_ms (load->hedge, &load->kind, elapsed_ms);
+}
+
 /* Handles what happens to the requests in one millisecond. */
 static void
 step (HedgeLoad *load, int64_t now_ms)
@@ -68,27 +92,19 @@
   for (unsigned i = 0; i < load->count; i++)
     {
       int64_t elapsed_ms = now_ms - load->running[i].sent_ms;
-      HedgeCase c = hedge_load_case (load, (double)elapsed_ms);
 
       if (load->running[i].done)
         continue;
-      if (elapsed_ms >= load->running[i].takes_ms)
+      if (elapsed_ms < load->running[i].takes_ms)
         {
-          load->running[i].done = true;
-          if (load->running[i].decided)
-            front_hedge_replace (load->hedge, &load->kind, load->running[i].number,
-                                 (double)elapsed_ms);
-          else
-            front_hedge_answered (load->hedge, &load->kind, (double)elapsed_ms);
+          consider (load, i, now_ms);
           continue;
         }
-      if (load->running[i].decided)
-        continue;
-      load->running[i].verdict = front_hedge_decide (load->hedge, &c, now_ms);
-      load->running[i].decided = load->running[i].verdict != HEDGE_TOO_EARLY;
-      if (load->running[i].decided)
-        load->running[i].number
-            = front_hedge_answered (load->hedge, &load->kind, (double)elapsed_ms);
+      load->running[i].done = true;
+      if (load->running[i].is_timed)
+        front_hedge_replace (load->hedge, &load->kind, load->running[i].number, (double)elapsed_ms);
+      else
+        front_hedge_answered (load->hedge, &load->kind, (double)elapsed_ms);
     }
 }
 
@@ -114,7 +130,7 @@
   unsigned count = 0;
 
   for (unsigned i = 0; i < load->count; i++)
-    count += load->running[i].decided && load->running[i].verdict == verdict
+    count += load->running[i].is_timed && load->running[i].verdict == verdict
              && load->running[i].sent_ms >= from_ms && load->running[i].sent_ms < to_ms;
   return count;
 }
--- a/tests/hedge_load.h
+++ b/tests/hedge_load.h
@@ -10,6 +10,7 @@
 #define HEDGE_LOAD_OBJECTIVE_MS 150
 #define HEDGE_LOAD_USUAL_MS     30
 #define HEDGE_LOAD_SLOW_MS      300
+#define HEDGE_LOAD_FROZEN_MS    3000
 #define HEDGE_LOAD_MAX          4000
 
 typedef struct
@@ -24,7 +25,8 @@
   {
     int64_t sent_ms;
     int64_t takes_ms;
-    bool decided, done;
+    bool is_timed, decided, done;
+    double due_ms; /**< when it is considered again, since it was sent */
     uint64_t number;
     HedgeVerdict verdict;
   } running[HEDGE_LOAD_MAX];
--- a/tests/test_front_hedge_load.c
+++ b/tests/test_front_hedge_load.c
@@ -83,12 +83,43 @@
   hedge_load_free (load);
 }
 
+/* One answer of six comes shortly after the others, when requests already count as late. */
+static int64_t
+shortly_late (unsigned i)
+{
+  if (i % 12 == 1)
+    return 75;
+  return i % 12 == 7 ? 65 : 40;
+}
+
+static int64_t
+shortly_late_or_frozen (unsigned i)
+{
+  return i % 3 == 0 ? HEDGE_LOAD_FROZEN_MS : shortly_late (i);
+}
+
+/* Load: late answers usually come shortly, so a late request isn't worth a copy at first; then one
+ * of three servers freezes. Its requests get copies once their answers are later than these. */
+static void
+test_frozen_server_beside_shortly_late_answers (void)
+{
+  HedgeLoad *load = hedge_load_new (1);
+  int64_t at_ms = hedge_load_run (load, HEDGE_LOAD_START_MS, 4000, 20, shortly_late);
+  int64_t end_ms;
+
+  CU_ASSERT_EQUAL (hedge_load_copies (load, HEDGE_LOAD_START_MS + 1000, at_ms), 0);
+  end_ms = hedge_load_run (load, at_ms, 2000, 20, shortly_late_or_frozen);
+  CU_ASSERT (hedge_load_copies (load, at_ms, end_ms - HEDGE_LOAD_OBJECTIVE_MS) >= 28);
+  hedge_load_free (load);
+}
+
 static const SuiteCase cases[] = {
   { "service_slow_as_a_whole_gets_no_storm", test_service_slow_as_a_whole_gets_no_storm },
   { "recovered_service_gets_copies_again", test_recovered_service_gets_copies_again },
   { "one_slow_server_of_three", test_one_slow_server_of_three },
   { "burst_stays_within_limit", test_burst_stays_within_limit },
   { "changed_limit_applies_at_once", test_changed_limit_applies_at_once },
+  { "frozen_server_beside_shortly_late_answers", test_frozen_server_beside_shortly_late_answers },
 };
 
 int
--- a/tests/test_front_request_hedge.c
+++ b/tests/test_front_request_hedge.c
@@ -183,8 +183,32 @@
   site_free (site);
 }
 
+/* Late answers of this kind usually come within 40 ms, so that a copy isn't sent at first. The
+ * server has frozen: the copy is sent once the answer is later than these, and answers. */
+static void
+test_copy_is_sent_when_the_answer_is_later_than_expected (void)
+{
+  HedgeSite *site = site_new ();
+  HedgeKind kind = { .service = "ledger", .route = site->route.hash };
+
+  for (unsigned i = 0; i < 64; i++)
+    front_hedge_answered (site->front.hedge, &kind, i % 12 == 0 ? 240 : 120);
+  site_call (site, "");
+  site_connect (0);
+  site_pass (200);
+  CU_ASSERT_EQUAL (site_send_count, 1);
+  site_pass (SITE_SILENCE_MS - 201);
+  CU_ASSERT_EQUAL_FATAL (site_send_count, 2);
+  site_connect (1);
+  site_answer (1, good);
+  CU_ASSERT (site_has_answered (site, "HTTP/1.1 200"));
+  site_free (site);
+}
+
 static const SuiteCase cases[] = {
   { "limit_withdrawn_while_a_copy_runs", test_limit_withdrawn_while_a_copy_runs },
+  { "copy_is_sent_when_the_answer_is_later_than_expected",
+    test_copy_is_sent_when_the_answer_is_later_than_expected },
   { "no_copy_is_sent", test_no_copy_is_sent },
   { "quarantined_request_gets_no_copy", test_quarantined_request_gets_no_copy },
 };
