--- a/tests/test_front_request_hedge.c
+++ b/tests/test_front_request_hedge.c
@@ -205,10 +205,37 @@
   site_free (site);
 }
 
+/* All other servers rest when the answer counts as late, and no longer do shortly after. */
+static void
+test_copy_is_sent_once_a_server_may_have_it (void)
+{
+  HedgeSite *site = site_new ();
+  HedgeKind kind = { .service = "ledger", .route = site->route.hash };
+  FrontServer *server;
+
+  for (unsigned i = 0; i < 64; i++)
+    front_hedge_answered (site->front.hedge, &kind, i % 12 == 0 ? 240 : 120);
+  site_call (site, "");
+  site_connect (0);
+  cds_list_for_each_entry (server, front_servers_list (site->front.servers), node)
+  {
+    front_server_rest (server, 230, site_clock_ms);
+  }
+  site_pass (229);
+  CU_ASSERT_EQUAL (site_send_count, 1);
+  site_pass (SITE_SILENCE_MS - 230);
+  CU_ASSERT_EQUAL_FATAL (site_send_count, 2);
+  site_connect (1);
+  site_answer (1, good);
+  CU_ASSERT (site_has_answered (site, "HTTP/1.1 200"));
+  site_free (site);
+}
+
 static const SuiteCase cases[] = {
   { "limit_withdrawn_while_a_copy_runs", test_limit_withdrawn_while_a_copy_runs },
   { "copy_is_sent_when_the_answer_is_later_than_expected",
     test_copy_is_sent_when_the_answer_is_later_than_expected },
+  { "copy_is_sent_once_a_server_may_have_it", test_copy_is_sent_once_a_server_may_have_it },
   { "no_copy_is_sent", test_no_copy_is_sent },
   { "quarantined_request_gets_no_copy", test_quarantined_request_gets_no_copy },
 };
