--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
 $(BUILD)/test_front_places: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_front_hedge $(BUILD)/test_front_hedge_load: $(call obj,tests/hedge_load.c)
 $(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 $(BUILD)/test_front_pick $(BUILD)/test_front_pick_prompts $(BUILD)/test_front_pick_late: $(call obj,tests/pick_world.c)
 $(BUILD)/test_front_rollouts $(BUILD)/test_front_rollouts_verdict: $(call obj,tests/rollouts_world.c)
@@ -109,7 +110,7 @@
 # These replace connections, timers and the clock by fakes.
 $(BUILD)/test_front_request_%: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
 $(BUILD)/test_front_request_%: $(BUILD)/obj/tests/test_front_request_%.o \
-  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) tests/front_fakes.c $(TEST_HELPERS)) $(LIB)
+  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) tests/front_fakes.c tests/hedge_site.c $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- a/tests/front_fakes.c
+++ b/tests/front_fakes.c
@@ -7,8 +7,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-Send sends[SENDS_MAX];
-unsigned send_count;
+struct FrontAttempt
+{
+  FrontServer *server;
+  HttpReply reply;
+  const AttemptCallbacks *callbacks;
+  void *user;
+  bool sent;
+};
+
+FakeSend fake_sends[FAKE_SENDS_MAX];
+unsigned fake_send_count;
 
 struct event
 {
@@ -18,8 +27,8 @@
   int64_t due_ms; /* 0: not armed */
 };
 
-CDS_LIST_HEAD (timers);
-int64_t clock_ms;
+static CDS_LIST_HEAD (timers);
+int64_t fake_now_ms;
 
 /* The linker puts these, under the names given, in place of the clock's and libevent's functions.
  */
@@ -36,7 +45,7 @@
 int64_t
 fake_clock (void)
 {
-  return clock_ms;
+  return fake_now_ms;
 }
 
 struct event *
@@ -57,7 +66,7 @@
 int
 fake_event_add (struct event *event, const struct timeval *wait)
 {
-  event->due_ms = clock_ms + wait->tv_sec * 1000 + wait->tv_usec / 1000;
+  event->due_ms = fake_now_ms + wait->tv_sec * 1000 + wait->tv_usec / 1000;
   return 0;
 }
 
@@ -83,7 +92,7 @@
 
   cds_list_for_each_entry (event, &timers, node)
   {
-    if (event->due_ms == 0 || event->due_ms > clock_ms)
+    if (event->due_ms == 0 || event->due_ms > fake_now_ms)
       continue;
     event->due_ms = 0;
     event->run (-1, EV_TIMEOUT, event->user);
@@ -93,11 +102,11 @@
 }
 
 void
-pass (int64_t ms)
+fake_pass (int64_t ms)
 {
   for (int64_t i = 0; i < ms; i++)
     {
-      clock_ms++;
+      fake_now_ms++;
       while (run_timer ())
         continue;
     }
@@ -121,18 +130,18 @@
   http_reply_init (&attempt->reply);
   front_server_ref (attempt->server);
   attempt->server->running++;
-  CU_ASSERT_FATAL (send_count < SENDS_MAX);
-  sends[send_count++] = (Send){ .attempt = attempt, .server = target->server };
+  CU_ASSERT_FATAL (fake_send_count < FAKE_SENDS_MAX);
+  fake_sends[fake_send_count++] = (FakeSend){ .attempt = attempt, .server = target->server };
   return attempt;
 }
 
 void
 front_attempt_free (FrontAttempt *attempt)
 {
-  for (unsigned i = 0; i < send_count; i++)
+  for (unsigned i = 0; i < fake_send_count; i++)
     {
-      if (sends[i].attempt == attempt)
-        sends[i].closed = true;
+      if (fake_sends[i].attempt == attempt)
+        fake_sends[i].closed = true;
     }
   http_reply_clear (&attempt->reply);
   attempt->server->running--;
@@ -217,19 +226,31 @@
 }
 
 void
-connect_send (unsigned i)
+fake_connect (unsigned i)
+{
+  fake_sends[i].attempt->sent = true;
+  fake_sends[i].attempt->callbacks->sent (fake_sends[i].attempt->user);
+}
+
+void
+fake_cut (unsigned i)
+{
+  fake_sends[i].attempt->callbacks->cut (fake_sends[i].attempt->user);
+}
+
+bool
+fake_has_no_timers (void)
 {
-  sends[i].attempt->sent = true;
-  sends[i].attempt->callbacks->sent (sends[i].attempt->user);
+  return cds_list_empty (&timers);
 }
 
 void
-answer (unsigned i, const char *text)
+fake_answer (unsigned i, const char *text)
 {
-  FrontAttempt *attempt = sends[i].attempt;
+  FrontAttempt *attempt = fake_sends[i].attempt;
   bool had_head = attempt->reply.status != 0;
 
-  CU_ASSERT_FATAL (!sends[i].closed);
+  CU_ASSERT_FATAL (!fake_sends[i].closed);
   http_reply_feed (&attempt->reply, text, strlen (text));
   if (!had_head)
     attempt->callbacks->head (attempt->user);
--- a/tests/front_fakes.h
+++ b/tests/front_fakes.h
@@ -1,29 +1,20 @@
 /**
- * Connections of requests, replaced by records of what was asked of them, and timers and a clock
- * that a test advances. The test is linked without front_attempt.c and front_conn.c.
+ * Connections of requests, replaced by records of what was asked of them, and timers and a
+ * clock that a test advances. The test is linked without front_attempt.c and front_conn.c.
  */
 #ifndef FRONT_FAKES_H
 #define FRONT_FAKES_H
 
 #include "front_request_private.h"
 
-#define SENDS_MAX  32
-#define STATUS_MAX 256
-
-struct FrontAttempt
-{
-  FrontServer *server;
-  HttpReply reply;
-  const AttemptCallbacks *callbacks;
-  void *user;
-  bool sent;
-};
+#define FAKE_SENDS_MAX  32
+#define FAKE_STATUS_MAX 256
 
 struct FrontConn
 {
   HttpRequestParser parser;
   unsigned answers;
-  char status[STATUS_MAX]; /**< start of the last answer */
+  char status[FAKE_STATUS_MAX]; /**< start of the last answer */
 };
 
 /** One send of a request, as its server sees it. */
@@ -32,18 +23,20 @@
   FrontAttempt *attempt;
   FrontServer *server;
   bool closed;
-} Send;
+} FakeSend;
 
-extern Send sends[SENDS_MAX]; /**< since send_count was last set to 0 */
-extern unsigned send_count;
-extern int64_t clock_ms;
-extern struct cds_list_head timers;
+extern FakeSend fake_sends[FAKE_SENDS_MAX]; /**< since fake_send_count was last set to 0 */
+extern unsigned fake_send_count;
+extern int64_t fake_now_ms;
 
+bool fake_has_no_timers (void);
 /** Advances the clock, and runs the timers that become due. */
-void pass (int64_t ms);
+void fake_pass (int64_t ms);
 /** The attempt's connection opens, as soon as it is started. */
-void connect_send (unsigned i);
+void fake_connect (unsigned i);
+/** The connection of a send is lost, or was never opened. */
+void fake_cut (unsigned i);
 /** Bytes of an answer arrive. */
-void answer (unsigned i, const char *text);
+void fake_answer (unsigned i, const char *text);
 
 #endif
--- a/tests/test_front_request_hold.c
+++ b/tests/test_front_request_hold.c
@@ -74,9 +74,9 @@
   Site *site = memory_alloc (sizeof *site);
   Front *front = &site->front;
 
-  memset (sends, 0, sizeof sends);
-  send_count = 0;
-  clock_ms = 1000000;
+  memset (fake_sends, 0, sizeof fake_sends);
+  fake_send_count = 0;
+  fake_now_ms = 1000000;
   set_config (site);
   front->config = &site->config;
   front->settings.contention_ratio = 4;
@@ -104,7 +104,7 @@
 
       snprintf (entry.id, sizeof entry.id, "i-%u", i);
       snprintf (entry.address, sizeof entry.address, "127.0.0.1:%u", i + 1);
-      CU_ASSERT_FATAL (front_servers_set (front->servers, &entry, clock_ms, &changed));
+      CU_ASSERT_FATAL (front_servers_set (front->servers, &entry, fake_now_ms, &changed));
     }
   return site;
 }
@@ -117,8 +117,8 @@
   CU_ASSERT (cds_list_empty (&front->requests));
   CU_ASSERT (cds_list_empty (&front->holding.requests));
   CU_ASSERT_EQUAL (front->holding.count, 0);
-  for (unsigned i = 0; i < send_count; i++)
-    CU_ASSERT (sends[i].closed);
+  for (unsigned i = 0; i < fake_send_count; i++)
+    CU_ASSERT (fake_sends[i].closed);
   for (unsigned i = 0; i < site->callers; i++)
     http_request_parser_reset (&site->conns[i].parser);
   front_holding_clear (&front->holding);
@@ -130,7 +130,7 @@
   front_rollouts_free (front->rollouts);
   front_sessions_free (front->sessions);
   front_servers_free (front->servers);
-  CU_ASSERT (cds_list_empty (&timers));
+  CU_ASSERT (fake_has_no_timers ());
   free (site);
 }
 
@@ -166,12 +166,12 @@
 {
   for (int64_t i = 0; i < for_ms; i++)
     {
-      for (; from < send_count; from++)
+      for (; from < fake_send_count; from++)
         {
-          connect_send (from);
-          answer (from, full);
+          fake_connect (from);
+          fake_answer (from, full);
         }
-      pass (1);
+      fake_pass (1);
     }
   return from;
 }
@@ -184,15 +184,15 @@
   Site *site = site_new ();
   unsigned caller = call (site, "draft"), next;
 
-  CU_ASSERT_EQUAL (send_count, 1);
+  CU_ASSERT_EQUAL (fake_send_count, 1);
   next = turn_away (0, 100);
-  CU_ASSERT (send_count <= 3);
+  CU_ASSERT (fake_send_count <= 3);
   CU_ASSERT_EQUAL (site->conns[caller].answers, 0);
-  for (unsigned i = 0; i < 1000 && send_count == next; i++)
-    pass (1);
-  CU_ASSERT_FATAL (send_count > next);
-  connect_send (next);
-  answer (next, good);
+  for (unsigned i = 0; i < 1000 && fake_send_count == next; i++)
+    fake_pass (1);
+  CU_ASSERT_FATAL (fake_send_count > next);
+  fake_connect (next);
+  fake_answer (next, good);
   CU_ASSERT (has_answered (site, caller, "HTTP/1.1 200"));
   site_free (site);
 }
@@ -207,13 +207,13 @@
 
   turn_away (0, TIMEOUT_MS);
   CU_ASSERT (has_answered (site, caller, "HTTP/1.1 503"));
-  CU_ASSERT (send_count >= 4 && send_count <= 16);
-  for (unsigned i = 0; i < send_count; i++)
+  CU_ASSERT (fake_send_count >= 4 && fake_send_count <= 16);
+  for (unsigned i = 0; i < fake_send_count; i++)
     {
       bool is_new = true;
 
       for (unsigned j = 0; j < i; j++)
-        is_new &= sends[j].server != sends[i].server;
+        is_new &= fake_sends[j].server != fake_sends[i].server;
       servers += is_new;
     }
   CU_ASSERT_EQUAL (servers, 3);
@@ -229,11 +229,11 @@
   for (unsigned i = 0; i < CALLERS; i++)
     {
       call (site, "draft");
-      CU_ASSERT_EQUAL_FATAL (send_count, i + 1);
-      connect_send (i);
+      CU_ASSERT_EQUAL_FATAL (fake_send_count, i + 1);
+      fake_connect (i);
     }
   for (unsigned i = 0; i < CALLERS; i++)
-    answer (i, good);
+    fake_answer (i, good);
   site_free (site);
 }
 
@@ -250,19 +250,19 @@
   CU_ASSERT_EQUAL (call (site, "draft"), 1);
   call (site, "draft");
   report = call (site, "report");
-  CU_ASSERT_EQUAL (send_count, next);
-  while (send_count == next)
-    pass (1);
-  connect_send (next);
-  answer (next, good);
+  CU_ASSERT_EQUAL (fake_send_count, next);
+  while (fake_send_count == next)
+    fake_pass (1);
+  fake_connect (next);
+  fake_answer (next, good);
   CU_ASSERT (has_answered (site, report, "HTTP/1.1 200"));
   for (next++; !cds_list_empty (&site->front.requests);)
     {
-      pass (1);
-      for (; next < send_count; next++)
+      fake_pass (1);
+      for (; next < fake_send_count; next++)
         {
-          connect_send (next);
-          answer (next, good);
+          fake_connect (next);
+          fake_answer (next, good);
         }
     }
   for (unsigned i = 0; i < site->callers; i++)
@@ -278,18 +278,18 @@
   Site *site = site_new ();
 
   call (site, "draft");
-  connect_send (0);
-  answer (0, good_head);
+  fake_connect (0);
+  fake_answer (0, good_head);
   call (site, "draft");
-  connect_send (1);
-  answer (1, full);
-  CU_ASSERT_EQUAL (send_count, 2);
-  answer (0, "ab");
-  pass (1);
-  CU_ASSERT_EQUAL_FATAL (send_count, 3);
-  CU_ASSERT (sends[2].server == sends[0].server);
-  connect_send (2);
-  answer (2, good);
+  fake_connect (1);
+  fake_answer (1, full);
+  CU_ASSERT_EQUAL (fake_send_count, 2);
+  fake_answer (0, "ab");
+  fake_pass (1);
+  CU_ASSERT_EQUAL_FATAL (fake_send_count, 3);
+  CU_ASSERT (fake_sends[2].server == fake_sends[0].server);
+  fake_connect (2);
+  fake_answer (2, good);
   CU_ASSERT (has_answered (site, 1, "HTTP/1.1 200"));
   site_free (site);
 }
@@ -303,8 +303,8 @@
   unsigned caller = call (site, "draft");
 
   turn_away (0, 1);
-  site->front.stop_requested_ms = clock_ms;
-  pass (20);
+  site->front.stop_requested_ms = fake_now_ms;
+  fake_pass (20);
   CU_ASSERT (has_answered (site, caller, "HTTP/1.1 503"));
   site_free (site);
 }
@@ -319,8 +319,8 @@
   turn_away (0, 1);
   CU_ASSERT_EQUAL (site->front.holding.count, 1);
   front_request_cancel (cds_list_first_entry (&site->front.requests, FrontRequest, node));
-  pass (100);
-  CU_ASSERT_EQUAL (send_count, 1);
+  fake_pass (100);
+  CU_ASSERT_EQUAL (fake_send_count, 1);
   site_free (site);
 }
 
@@ -334,7 +334,7 @@
   site->front.settings.contention_ratio = 0;
   caller = call (site, "draft");
   turn_away (0, 3);
-  CU_ASSERT_EQUAL (send_count, 3);
+  CU_ASSERT_EQUAL (fake_send_count, 3);
   CU_ASSERT (has_answered (site, caller, "HTTP/1.1 503"));
   site_free (site);
 }
