--- a/tests/hedge_site.c
+++ b/tests/hedge_site.c
@@ -47,6 +47,7 @@
   CDS_INIT_LIST_HEAD (&front->conns);
   front_waiting_init (&front->waiting);
   front_returning_init (&front->returning);
+  front_holding_init (&front->holding);
   for (unsigned i = 0; i < SERVERS; i++)
     {
       ServerEntry entry
