--- a/tests/test_lint_in_force.c
+++ b/tests/test_lint_in_force.c
@@ -63,10 +63,9 @@
 
       CU_ASSERT_EQUAL (read_port (fake_http_server_port (server), TIMEOUT_MS, &text, &st),
                        stores[i].code);
-      if (stores[i].code == STATUS_OK)
-        CU_ASSERT_STRING_EQUAL (text.data, stores[i].text)
-      else
-        CU_ASSERT_PTR_NOT_NULL (strstr (st.message, stores[i].text));
+      CU_ASSERT_PTR_NOT_NULL (
+          strstr (stores[i].code == STATUS_OK ? text.data : st.message, stores[i].text));
+      CU_ASSERT (stores[i].code != STATUS_OK || text.len == strlen (stores[i].text));
       CU_ASSERT_EQUAL (fake_http_server_requests (server), stores[i].requests);
       buffer_free (&text);
       fake_http_server_free (server);
