--- a/regress/front/soak.py
+++ b/regress/front/soak.py
@@ -481,7 +481,7 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--slack", type=float, default=0.5, help="seconds added to the time limits of the checks")
     parser.add_argument("--narrow", action="store_true", help="a large configuration over slow links to the store")
-    parser.add_argument("--contended", action="store_true", help="routes of different urgency, with work ordered under load and hedged requests")
+    parser.add_argument("--contended", action="store_true", help="routes of different urgency, with work ordered under load, hedged requests and kept connections")
     args = parser.parse_args()
     soak = Soak(args)
     try:
