--- a/src/front_hold.h
+++ b/src/front_hold.h
@@ -13,9 +13,8 @@
 /** The pace at which the servers of a service take requests of this front. Zeroed at first. */
 typedef struct
 {
-  double gap_ms;   /**< between two requests, as of changed_ms; 0: none was turned away lately */
+  double gap_ms;   /**< between two requests, as of full_ms; 0: none was turned away lately */
   int64_t full_ms; /**< when one was last turned away */
-  int64_t changed_ms;
   int64_t next_ms; /**< from then on the next one may go out */
 } HoldPace;
 
--- a/src/front_request_private.h
+++ b/src/front_request_private.h
@@ -115,6 +115,16 @@
  * never be served. */
 void request_raise_rank (FrontRequest *request, int64_t now_ms);
 
+/* front_request_query.c */
+/* Empty: none. */
+Span request_model_name (const FrontRequest *request, uint32_t model);
+/* What the request asks of the choice of a server. version NULL: any. */
+PickQuery request_pick_query (const FrontRequest *request, uint32_t model, const char *version);
+/* Predicts the times of a request sent to this model now. */
+CascadeForecast request_forecast (const FrontRequest *request, uint32_t model);
+/* Learns the engine's speed from an answer that began first_ms after the attempt. */
+void request_learn_speed (FrontRequest *request, double first_ms, int64_t now_ms);
+
 /* front_request_send.c */
 /* Chooses a server and sends the request there; gives up if there is none. May free the request. */
 void request_send (FrontRequest *request);
@@ -134,12 +144,10 @@
 bool request_send_copy (FrontRequest *request, const PickQuery *query, const PickAnswer *pick);
 /* Callbacks of the current attempt. */
 extern const AttemptCallbacks request_attempt_callbacks;
-/* Predicts the times of a request sent to this model now. */
-CascadeForecast request_forecast (const FrontRequest *request, uint32_t model);
+
+/* front_request_timer.c */
 /* Sets the timer to the end of the request, or to when the attempt counts as silent if earlier. */
 void request_arm_timer (FrontRequest *request);
-/* Learns the engine's speed from an answer that began first_ms after the attempt. */
-void request_learn_speed (FrontRequest *request, double first_ms, int64_t now_ms);
 
 /* front_request_cut.c */
 /* Handles the loss of the attempt's connection or of its server. May free the request. */
--- a/src/front_request_send.c
+++ b/src/front_request_send.c
@@ -1,6 +1,4 @@
-/* Chooses a server for a request, sends the request there, and handles time-outs and lost
- * connections. */
-#include "front_canary.h"
+/* Chooses a server for a request, sends the request there, and releases it again. */
 #include "front_counter.h"
 #include "front_keep.h"
 #include "front_log.h"
@@ -13,7 +11,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define MS_PER_S 1000
 /* Milliseconds from a plain service's acceptance to its answer. An answer after 60 ms is slow but
  * no silence, which starts at four times this. */
 #define PLAIN_FIRST_MS 60.0
@@ -30,99 +27,6 @@
   .cut = on_cut,
 };
 
-static ReadTime
-read_prior (const FrontRequest *request, uint32_t model)
-{
-  unsigned count = request->route->model_count;
-
-  return model == NO_MODEL ? front_speeds_prior (0, 1) : front_speeds_prior (model, count);
-}
-
-static Span
-model_name (const FrontRequest *request, uint32_t model)
-{
-  if (model == NO_MODEL)
-    return (Span){ 0 };
-  return span_of (request->route->models[model]);
-}
-
-static uint64_t
-model_hash (const FrontRequest *request, uint32_t model)
-{
-  return span_hash (model == NO_MODEL ? request->call.model : model_name (request, model));
-}
-
-/* The configuration gives the rate that cold servers tolerate; the settings say by how much it may
- * be exceeded. */
-static ColdRule
-cold_rule (const Front *front, const FrontService *service)
-{
-  const SettingsFront *settings = &front->settings;
-
-  if (!service || service->cold_per_s <= 0)
-    return (ColdRule){ 0 };
-  return (ColdRule){
-    .max_per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack,
-    .start_ms = service->cold_start_ms,
-  };
-}
-
-/* Each of the n fronts of a failure domain gets about one of n requests. A shared part that was
- * requested here within the last n reuse windows is thus requested about once per window in the
- * whole domain, and so stays cached. */
-static int64_t
-affinity_tokens (const FrontRequest *request, uint64_t model)
-{
-  const Front *front = request->front;
-  double window_ms = front->settings.reuse_window_s * MS_PER_S * front->fronts.domain_fronts;
-
-  return front_prompts_cached (&front->caller_prompts, &request->call, model, clock_boot_ms (),
-                               (int64_t)window_ms);
-}
-
-static PickQuery
-pick_query (const FrontRequest *request, uint32_t model, const char *version)
-{
-  const FrontService *service = front_config_service (request->config, request->service);
-  uint64_t hash = model_hash (request, model);
-  ReadTime prior = read_prior (request, model);
-  ReadTime time = front_speeds_of (&request->front->speeds, hash, &prior);
-  PickQuery query = {
-    .service = request->service,
-    .version = version,
-    .call = &request->call,
-    .model = hash,
-    .running_weight = front_speeds_weight (&time),
-    .read_time = time,
-    .objective_ms = request->route->objective_ms,
-    .slots = service ? service->slots : 0,
-    .is_model = service && service->kv_tokens > 0,
-    .affinity_tokens = affinity_tokens (request, hash),
-    .reuse_window_ms = (int64_t)(request->front->settings.reuse_window_s * MS_PER_S),
-    .only_server = request->return_to,
-    .tried_count = request->return_to ? 0 : request->tried_count,
-    .cold = cold_rule (request->front, service),
-    .share.self = request->front->vm_hash,
-  };
-
-  if (query.is_model && front_is_contended (request->front))
-    {
-      query.pause_ms = (double)request->route->gap_ms;
-      query.waits = request->front->waits;
-      query.service_hash = request_service_hash (request);
-      query.rank = request_wait_rank (request);
-    }
-  else if (front_is_contended (request->front))
-    query.typical_ms = front_answer_times_typical_ms (&request->front->answer_times,
-                                                      request_service_hash (request));
-  if (version)
-    query.canary_hash_max = front_canary_hash_max (
-        front_rollouts_get (request->front->rollouts, request->service), version, clock_boot_ms ());
-  front_share_set (&query.share, &request->front->fronts);
-  memcpy (query.tried, request->tried, sizeof query.tried);
-  return query;
-}
-
 /* Registers the session on the version that it runs on from now on. */
 static void
 version_set (FrontRequest *request, const char *version, int64_t now_ms)
@@ -153,7 +57,7 @@
 log_sent (const FrontRequest *request, const PickAnswer *pick)
 {
   FrontLine *line = front_log_begin (FRONT_EVENT_SENT);
-  Span model = model_name (request, request->model);
+  Span model = request_model_name (request, request->model);
 
   front_log_span (line, "request", request->call.id);
   front_log_text (line, "route", request->route->name);
@@ -252,7 +156,7 @@
   CallHeaders headers = {
     .server_id = pick->server->entry.id,
     .team = request->team ? request->team->name : NULL,
-    .model = model_name (request, request->model),
+    .model = request_model_name (request, request->model),
     .deadline_ms = left_ms,
     .priority = request->rank,
     .after_event = request->head_sent ? request->events.last_id : -1,
@@ -305,7 +209,8 @@
 PickAnswer
 request_pick_copy (const FrontRequest *request, PickQuery *query)
 {
-  *query = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+  *query
+      = request_pick_query (request, request->model, request->version[0] ? request->version : NULL);
   query->for_copy = true;
   return front_pick (request->front->servers, query, clock_boot_ms ());
 }
@@ -327,7 +232,7 @@
 request_has_server (const FrontRequest *request)
 {
   PickQuery query
-      = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+      = request_pick_query (request, request->model, request->version[0] ? request->version : NULL);
 
   return pick_server (request, &query, clock_boot_ms ()).server != NULL;
 }
@@ -336,7 +241,7 @@
 request_other_server (const FrontRequest *request, double *first_ms)
 {
   PickQuery query
-      = pick_query (request, request->model, request->version[0] ? request->version : NULL);
+      = request_pick_query (request, request->model, request->version[0] ? request->version : NULL);
   PickAnswer pick = front_pick (request->front->servers, &query, clock_boot_ms ());
 
   if (!pick.server)
@@ -352,7 +257,7 @@
   int64_t now_ms = clock_boot_ms ();
   const char *version = front_rollouts_choose (front->rollouts, front->servers, request->service,
                                                request->session, now_ms);
-  PickQuery query = pick_query (request, request->model, version);
+  PickQuery query = request_pick_query (request, request->model, version);
   PickAnswer pick = pick_server (request, &query, now_ms);
 
   if (!pick.server && pick.wait == PICK_WAIT_FULL && !request->return_to
@@ -390,37 +295,6 @@
     send_to_server (request);
 }
 
-CascadeForecast
-request_forecast (const FrontRequest *request, uint32_t model)
-{
-  PickQuery query = pick_query (request, model, request->version[0] ? request->version : NULL);
-  PickAnswer pick;
-
-  query.tried_count = 0;
-  pick = front_pick (request->front->servers, &query, clock_boot_ms ());
-  return (CascadeForecast){ .has_server = pick.server != NULL,
-                            .first_ms = pick.predicted_ms,
-                            .wait_ms = pick.belief.ms,
-                            .reading_ms = pick.prompt_ms };
-}
-
-void
-request_learn_speed (FrontRequest *request, double first_ms, int64_t now_ms)
-{
-  FrontSpeeds *speeds = &request->front->speeds;
-  SpeedSample sample = {
-    .model = model_hash (request, request->model),
-    .prior = read_prior (request, request->model),
-    .tokens = request->prompt_tokens,
-    .prompt_tokens = request->call.prompt_tokens,
-    .read_ms = first_ms - (request->predicted_ms - request->prompt_ms),
-    .overhead_ms = first_ms - request->predicted_ms + front_speeds_first_ms (speeds),
-  };
-
-  if (request->call.prompt_tokens > 0)
-    front_speeds_add (speeds, &sample, now_ms);
-}
-
 static void
 pending_clear (FrontRequest *request)
 {
