--- a/tests/test_front_pool.c
+++ b/tests/test_front_pool.c
@@ -189,6 +189,7 @@
   CDS_INIT_LIST_HEAD (&front->conns);
   front_waiting_init (&front->waiting);
   front_returning_init (&front->returning);
+  front_holding_init (&front->holding);
   site_list (site, "i-1", "ledger", site->server.address);
   caller_connect (site);
   return site;
