Log how many rivals a suspected request has, and that a refusal was released

The log of a request that servers died under showed at how many deaths it was and at how many not. It couldn't tell why one at most deaths was not refused (others are at as many), nor that a refusal was taken back by other deaths. Both are logged. The deaths of a fingerprint are a set now, in a module of their own; the verdicts are as before.

--- a/src/choose_quarantine.c
+++ b/src/choose_quarantine.c
@@ -80,112 +80,41 @@
   return false;
 }
 
-/** Counts of the deaths that include a fingerprint, and of those around them that don't. */
-typedef struct
-{
-  unsigned servers; /**< different servers that died while running the fingerprint */
-  unsigned others;  /**< deaths that don't include it within outage_ms of the latest that does */
-  int64_t latest_ms;
-} DeathCounts;
-
-static bool
-server_seen (const Quarantine *quarantine, unsigned before, uint64_t fingerprint, uint64_t server)
-{
-  unsigned i;
-
-  for (i = 0; i < before; i++)
-    {
-      const Death *death = &quarantine->deaths[i];
-
-      if (death->server == server && death_includes (death, fingerprint))
-        return true;
-    }
-  return false;
-}
-
-static DeathCounts
-count_deaths (const Quarantine *quarantine, uint64_t fingerprint)
-{
-  DeathCounts counts = { .latest_ms = INT64_MIN };
-  unsigned i;
-
-  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
-    {
-      const Death *death = &quarantine->deaths[i];
-
-      if (death->server == 0 || !death_includes (death, fingerprint))
-        continue;
-      counts.servers += !server_seen (quarantine, i, fingerprint, death->server);
-      if (death->at_ms > counts.latest_ms)
-        counts.latest_ms = death->at_ms;
-    }
-  if (counts.servers == 0)
-    return counts;
-  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
-    {
-      const Death *death = &quarantine->deaths[i];
-      int64_t apart = death->at_ms - counts.latest_ms;
-
-      if (death->server == 0 || death_includes (death, fingerprint))
-        continue;
-      counts.others += llabs (apart) < quarantine->settings.outage_ms;
-    }
-  return counts;
-}
-
 QuarantineEvidence
 quarantine_evidence (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
 {
   QuarantineEvidence evidence;
-  DeathCounts counts;
+  Suspects suspects;
+  DeathSet deaths;
 
   pthread_mutex_lock (&quarantine->lock);
-  counts = count_deaths (quarantine, fingerprint);
+  quarantine_suspects_collect (quarantine, &suspects);
+  deaths = quarantine_deaths_of (&suspects, fingerprint);
   evidence = (QuarantineEvidence){
-    .servers = counts.servers,
-    .others = counts.others,
+    .servers = quarantine_count_servers (quarantine, deaths),
+    .others = quarantine_count_others (quarantine, deaths),
+    .rivals = quarantine_count_rivals (quarantine, &suspects, fingerprint),
     .is_held = quarantine_is_held (quarantine, fingerprint, now_ms),
   };
   pthread_mutex_unlock (&quarantine->lock);
   return evidence;
 }
 
-/** True if another fingerprint was in flight at as many of the deaths: either may be the cause, so
- *  neither is quarantined until another death tells them apart. */
-static bool
-is_ambiguous (const Quarantine *quarantine, uint64_t fingerprint, const DeathCounts *counts)
-{
-  unsigned i, j;
-
-  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
-    {
-      const Death *death = &quarantine->deaths[i];
-
-      if (death->server == 0 || !death_includes (death, fingerprint))
-        continue;
-      for (j = 0; j < death->count; j++)
-        {
-          if (death->flights[j] == fingerprint)
-            continue;
-          if (count_deaths (quarantine, death->flights[j]).servers >= counts->servers)
-            return true;
-        }
-    }
-  return false;
-}
-
 /** A request is assumed to be the cause if enough different servers died while running it, if it
  *  was in flight at more of the deaths around them than it was not, and if no other request was in
- *  flight at as many. In an outage of a whole pool servers die while running many requests, none of
- *  which was in flight at most of the deaths. */
+ *  flight at as many: either may be the cause then, until another death tells them apart. In an
+ *  outage of a whole pool servers die while running many requests, none of which was in flight at
+ *  most of the deaths. */
 static bool
-is_cause (const Quarantine *quarantine, uint64_t fingerprint)
+is_cause (const Quarantine *quarantine, const Suspects *suspects, uint64_t fingerprint)
 {
-  DeathCounts counts = count_deaths (quarantine, fingerprint);
+  DeathSet deaths = quarantine_deaths_of (suspects, fingerprint);
+  unsigned servers = quarantine_count_servers (quarantine, deaths);
 
-  if (counts.servers < quarantine->settings.servers || counts.others >= counts.servers)
+  if (servers < quarantine->settings.servers
+      || quarantine_count_others (quarantine, deaths) >= servers)
     return false;
-  return !is_ambiguous (quarantine, fingerprint, &counts);
+  return quarantine_count_rivals (quarantine, suspects, fingerprint) == 0;
 }
 
 QuarantineEntry *
@@ -232,25 +161,57 @@
     }
 }
 
-/** Releases fingerprints that, by the deaths known now, are no longer the likely cause: the first
- *  two servers of a pool that dies one by one look like two killed by a request. */
 static void
-review_entries (Quarantine *quarantine, int64_t now_ms)
+add_released (Quarantine *quarantine, uint64_t fingerprint)
+{
+  if (quarantine->released_count < QUARANTINE_RELEASED_MAX)
+    quarantine->released[quarantine->released_count++] = fingerprint;
+}
+
+size_t
+quarantine_take_released (Quarantine *quarantine, uint64_t *out, size_t max)
+{
+  size_t count;
+
+  pthread_mutex_lock (&quarantine->lock);
+  for (count = 0; count < quarantine->released_count && count < max; count++)
+    out[count] = quarantine->released[count];
+  quarantine->released_count = 0;
+  pthread_mutex_unlock (&quarantine->lock);
+  return count;
+}
+
+/** True if the deaths known now speak against the fingerprint. If all deaths that include it have
+ *  expired, none does. */
+static bool
+is_cleared (const Quarantine *quarantine, const Suspects *suspects, const QuarantineEntry *held)
+{
+  DeathSet deaths = quarantine_deaths_of (suspects, held->fingerprint);
+
+  return !held->is_final && deaths != 0
+         && quarantine_count_others (quarantine, deaths)
+                >= quarantine_count_servers (quarantine, deaths);
+}
+
+/** Ends refusals that are over, or that deaths speak against: the first two servers of a pool that
+ *  dies one by one look like two killed by a request. */
+static void
+review_entries (Quarantine *quarantine, const Suspects *suspects, int64_t now_ms)
 {
   unsigned i;
 
   for (i = 0; i < QUARANTINE_HELD_MAX; i++)
     {
       QuarantineEntry *held = &quarantine->held[i];
-      DeathCounts counts;
 
       if (held->fingerprint == 0)
         continue;
-      counts = count_deaths (quarantine, held->fingerprint);
-      /* If all deaths that include it have expired, it stays refused until until_ms. */
-      if (held->until_ms > now_ms
-          && (held->is_final || counts.servers == 0 || counts.others < counts.servers))
-        continue;
+      if (held->until_ms > now_ms)
+        {
+          if (!is_cleared (quarantine, suspects, held))
+            continue;
+          add_released (quarantine, held->fingerprint);
+        }
       *held = (QuarantineEntry){ .fingerprint = 0 };
       atomic_fetch_sub (&quarantine->held_count, 1);
     }
@@ -350,11 +311,27 @@
   return changed;
 }
 
+/** Refuses the fingerprints of this death that are the cause, and reviews what is refused. */
+static void
+judge (Quarantine *quarantine, const Death *death, int64_t now_ms)
+{
+  Suspects suspects;
+  unsigned i;
+
+  quarantine_suspects_collect (quarantine, &suspects);
+  for (i = 0; i < death->count; i++)
+    {
+      if (is_cause (quarantine, &suspects, death->flights[i]))
+        quarantine_request (quarantine, death->flights[i], now_ms);
+    }
+  quarantine_make_final (quarantine, now_ms);
+  review_entries (quarantine, &suspects, now_ms);
+}
+
 bool
 quarantine_add (Quarantine *quarantine, const QuarantineDeath *reported, int64_t now_ms)
 {
   Death *death;
-  uint32_t i;
   bool changed, is_new;
 
   if (reported->server == 0 || reported->age_ms > quarantine->settings.retention_ms)
@@ -363,13 +340,8 @@
   quarantine_drop_expired (quarantine, now_ms);
   death = death_entry (quarantine, reported->server, now_ms - reported->age_ms, &is_new);
   changed = merge_flights (quarantine, death, reported);
-  for (i = 0; i < death->count && (changed || is_new); i++)
-    {
-      if (is_cause (quarantine, death->flights[i]))
-        quarantine_request (quarantine, death->flights[i], now_ms);
-    }
-  quarantine_make_final (quarantine, now_ms);
-  review_entries (quarantine, now_ms);
+  if (changed || is_new)
+    judge (quarantine, death, now_ms);
   pthread_mutex_unlock (&quarantine->lock);
   return changed;
 }
--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -9,9 +9,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define QUARANTINE_FLIGHT_MAX 32  /**< fingerprints kept per death */
-#define QUARANTINE_DEATHS_MAX 64  /**< deaths kept; the oldest is dropped first */
-#define QUARANTINE_HELD_MAX   256 /**< fingerprints refused at a time */
+#define QUARANTINE_FLIGHT_MAX   32  /**< fingerprints kept per death */
+#define QUARANTINE_DEATHS_MAX   64  /**< deaths kept; the oldest is dropped first */
+#define QUARANTINE_HELD_MAX     256 /**< fingerprints refused at a time */
+#define QUARANTINE_RELEASED_MAX 16  /**< released fingerprints kept until they are taken */
 typedef struct
 {
   unsigned servers;     /**< different servers that must have died while running a fingerprint */
@@ -54,6 +55,7 @@
 {
   unsigned servers; /**< different servers that died while running it */
   unsigned others;  /**< deaths around the latest of these that don't include it */
+  unsigned rivals;  /**< other fingerprints at one of these deaths, and at as many */
   bool is_held;     /**< requests with it are to be refused */
 } QuarantineEvidence;
 
@@ -78,6 +80,9 @@
 quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms);
 /** Milliseconds for which the fingerprint is still refused; 0: it isn't. */
 int64_t quarantine_left_ms (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
+/** Copies up to max fingerprints that deaths have released since the last call; returns their
+ *  number. Of more than QUARANTINE_RELEASED_MAX only the first are kept. */
+size_t quarantine_take_released (Quarantine *quarantine, uint64_t *out, size_t max);
 /** Ends the refusal of a fingerprint. */
 void quarantine_release (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /** Copies up to max fingerprints that are refused and no longer released; returns their number. If
--- a/src/choose_quarantine_private.h
+++ b/src/choose_quarantine_private.h
@@ -5,6 +5,7 @@
 #define CHOOSE_QUARANTINE_PRIVATE_H
 
 #include "choose_quarantine.h"
+#include <assert.h>
 #include <pthread.h>
 #include <stdatomic.h>
 
@@ -31,8 +32,42 @@
   pthread_mutex_t lock;
   Death deaths[QUARANTINE_DEATHS_MAX];
   QuarantineEntry held[QUARANTINE_HELD_MAX];
+  size_t released_count;
+  uint64_t released[QUARANTINE_RELEASED_MAX];
 };
 
+/** Set of deaths: bits by their places in Quarantine.deaths. */
+typedef uint64_t DeathSet;
+
+#define DEATH_BIT(place) (UINT64_C (1) << (place))
+
+static_assert (QUARANTINE_DEATHS_MAX <= 64, "a DeathSet has a bit for each death");
+
+typedef struct
+{
+  uint64_t fingerprint;
+  DeathSet deaths; /**< that include it */
+} Suspect;
+
+/** All fingerprints of the known deaths, in ascending order. */
+typedef struct
+{
+  size_t count;
+  Suspect list[QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX];
+} Suspects;
+
+void quarantine_suspects_collect (const Quarantine *quarantine, Suspects *out);
+/** Deaths that include the fingerprint. */
+DeathSet quarantine_deaths_of (const Suspects *suspects, uint64_t fingerprint);
+/** Different servers of these deaths. */
+unsigned quarantine_count_servers (const Quarantine *quarantine, DeathSet deaths);
+/** Deaths within outage_ms of the latest of these that aren't among them. */
+unsigned quarantine_count_others (const Quarantine *quarantine, DeathSet deaths);
+/** Other fingerprints that were in flight at one of its deaths, and at as many. */
+unsigned quarantine_count_rivals (const Quarantine *quarantine,
+                                  const Suspects *suspects,
+                                  uint64_t fingerprint);
+
 bool quarantine_is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /* The entry of the fingerprint, or the one that it replaces. */
 QuarantineEntry *quarantine_entry (Quarantine *quarantine, uint64_t fingerprint);
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -74,9 +74,20 @@
   front_log_number (line, "server", (int64_t)server);
   front_log_number (line, "with", evidence->servers);
   front_log_number (line, "without", evidence->others);
+  front_log_number (line, "rivals", evidence->rivals);
   front_log_end (line);
 }
 
+static void
+log_released (Front *front)
+{
+  uint64_t released[QUARANTINE_RELEASED_MAX];
+  size_t count = quarantine_take_released (front->quarantine, released, QUARANTINE_RELEASED_MAX);
+
+  for (size_t i = 0; i < count; i++)
+    front_log_end (log_begin ("released", released[i]));
+}
+
 /* Adds a death or a report of one. What others need in order to refuse the same requests is sent to
  * them at once. False if all was known. */
 static bool
@@ -88,6 +99,7 @@
     was_held[i] = quarantine_contains (front->quarantine, death->flights[i], now_ms);
   if (!quarantine_add (front->quarantine, death, now_ms))
     return false;
+  log_released (front);
   for (uint32_t i = 0; i < death->count; i++)
     {
       QuarantineEvidence evidence
