--- a/tests/test_front_deaths.c
+++ b/tests/test_front_deaths.c
@@ -13,7 +13,8 @@
 #define ROUND_MS     500 /* interval of messages, within which the fronts begin theirs */
 #define STEP_MS      10  /* of simulated time */
 #define NOW          1000000
-#define CRASHER      0x1001
+#define CRASHER      0x1001 /* of the first crashing request; others follow, all odd */
+#define KINDS_MAX    4      /* crashing requests at once */
 #define ATTEMPTS_MAX 3
 #define CRASH_MS     150  /* from the sending of the crashing request to the server's end */
 #define WAVE_MS      1200 /* within which it reaches the fronts that it is sent to */
@@ -27,7 +28,8 @@
 {
   Front front;
   FrontPeers peers;
-  int64_t copy_ms;   /* when the crashing request arrives; 0: it doesn't */
+  unsigned kind;     /* number of the crashing request that arrives */
+  int64_t copy_ms;   /* when it arrives; 0: it doesn't */
   int64_t death_ms;  /* when the server that it was sent to ends; 0: it is at none */
   unsigned attempts; /* at servers, of this copy */
   bool is_cut;       /* messages from and to it are lost */
@@ -41,7 +43,8 @@
       bystanders; /* of a hundred fronts, those that run other requests at a server that ends */
   unsigned sent;  /* messages */
   unsigned deaths;
-  int64_t third_ms; /* of the third death; 0: not yet */
+  unsigned kind_deaths[KINDS_MAX]; /* under each crashing request */
+  int64_t third_ms[KINDS_MAX];     /* of the third death under it; 0: not yet */
   Node nodes[FRONTS_MAX];
 } Net;
 
@@ -63,10 +66,16 @@
   return 1 + number % net->domains;
 }
 
+static uint64_t
+crasher (unsigned kind)
+{
+  return CRASHER + 2 * (uint64_t)kind;
+}
+
 static bool
-refuses (const Node *node, int64_t now_ms)
+refuses (const Node *node, unsigned kind, int64_t now_ms)
 {
-  return quarantine_contains (node->front.quarantine, CRASHER, now_ms);
+  return quarantine_contains (node->front.quarantine, crasher (kind), now_ms);
 }
 
 static void
@@ -128,9 +137,11 @@
 static void
 server_ends (Net *net, unsigned sender, int64_t now_ms)
 {
+  unsigned kind = net->nodes[sender].kind;
+
   net->deaths++;
-  if (net->deaths == 3)
-    net->third_ms = now_ms;
+  if (++net->kind_deaths[kind] == 3)
+    net->third_ms[kind] = now_ms;
   for (unsigned i = 0; i < net->count; i++)
     {
       QuarantineDeath death = { .server = net->deaths };
@@ -141,7 +152,7 @@
         death.flights[death.count++] = draw (net, i * 3 + j) | 1;
       death.flights[death.count++] = id_hash (&i, sizeof i, net->deaths / ATTEMPTS_MAX) | 1;
       if (i == sender)
-        death.flights[death.count++] = CRASHER;
+        death.flights[death.count++] = crasher (kind);
       front_deaths_seen (&net->nodes[i].front, &death, now_ms);
     }
 }
@@ -153,7 +164,7 @@
 
   if (node->death_ms != 0 && now_ms >= node->death_ms)
     {
-      bool sends_again = node->attempts < ATTEMPTS_MAX && !refuses (node, now_ms);
+      bool sends_again = node->attempts < ATTEMPTS_MAX && !refuses (node, node->kind, now_ms);
 
       node->death_ms = sends_again ? now_ms + CRASH_MS : 0;
       node->attempts++;
@@ -162,7 +173,7 @@
   if (node->copy_ms == 0 || now_ms < node->copy_ms)
     return;
   node->copy_ms = 0;
-  if (refuses (node, now_ms))
+  if (refuses (node, node->kind, now_ms))
     return;
   node->attempts = 1;
   node->death_ms = now_ms + CRASH_MS;
@@ -214,21 +225,26 @@
     }
 }
 
-/* The crashing request is sent to COPIES fronts within WAVE_MS. */
+/* So many crashing requests in turn are sent to COPIES fronts within WAVE_MS. */
 static void
-wave (Net *net, int64_t now_ms)
+wave (Net *net, unsigned kinds, int64_t now_ms)
 {
   for (unsigned i = 0; i < COPIES; i++)
-    net->nodes[i * net->count / COPIES].copy_ms = now_ms + (int64_t)(i * WAVE_MS / COPIES);
+    {
+      Node *node = &net->nodes[i * net->count / COPIES];
+
+      node->kind = i % kinds;
+      node->copy_ms = now_ms + (int64_t)(i * WAVE_MS / COPIES);
+    }
 }
 
 static unsigned
-fronts_that_send (const Net *net, int64_t now_ms)
+fronts_that_send (const Net *net, unsigned kind, int64_t now_ms)
 {
   unsigned count = 0;
 
   for (unsigned i = 0; i < net->count; i++)
-    count += !refuses (&net->nodes[i], now_ms);
+    count += !refuses (&net->nodes[i], kind, now_ms);
   return count;
 }
 
@@ -246,10 +262,10 @@
   Net *net = net_new (size->fronts, size->domains, bystanders);
   unsigned sending;
 
-  wave (net, NOW);
+  wave (net, 1, NOW);
   simulate (net, NOW, NOW + WAVE_MS);
-  simulate (net, NOW + WAVE_MS, net->third_ms + APPLY_MS);
-  sending = fronts_that_send (net, net->third_ms + APPLY_MS);
+  simulate (net, NOW + WAVE_MS, net->third_ms[0] + APPLY_MS);
+  sending = fronts_that_send (net, 0, net->third_ms[0] + APPLY_MS);
   printf ("%u fronts, %u%% bystanders: %u servers ended, %u fronts still send the request\n",
           size->fronts, bystanders, net->deaths, sending);
   CU_ASSERT (net->deaths >= 3);
@@ -293,7 +309,7 @@
 
       for (size_t j = 0; j < SUITE_COUNT (cut); j++)
         cut[j]->is_cut = true;
-      wave (net, NOW);
+      wave (net, 1, NOW);
       simulate (net, NOW, back_ms);
       for (size_t j = 0; j < SUITE_COUNT (cut); j++)
         cut[j]->is_cut = false;
@@ -301,11 +317,64 @@
       node_start (net, 3, back_ms);
       simulate (net, back_ms, back_ms + APPLY_MS);
       for (unsigned j = 1; j <= 3; j++)
-        CU_ASSERT (refuses (&net->nodes[j], back_ms + APPLY_MS));
+        CU_ASSERT (refuses (&net->nodes[j], 0, back_ms + APPLY_MS));
       net_free (net);
     }
 }
 
+static int64_t
+latest_third (const Net *net, unsigned kinds)
+{
+  int64_t latest_ms = NOW;
+
+  for (unsigned i = 0; i < kinds; i++)
+    {
+      CU_ASSERT (net->kind_deaths[i] >= 3);
+      if (net->third_ms[i] > latest_ms)
+        latest_ms = net->third_ms[i];
+    }
+  return latest_ms;
+}
+
+static void
+check_all_refuse_all (const SiteSize *size, unsigned kinds, unsigned bystanders)
+{
+  Net *net = net_new (size->fronts, size->domains, bystanders);
+  int64_t end_ms;
+
+  wave (net, kinds, NOW);
+  simulate (net, NOW, NOW + 2 * WAVE_MS);
+  end_ms = latest_third (net, kinds) + APPLY_MS;
+  simulate (net, NOW + 2 * WAVE_MS, end_ms);
+  for (unsigned i = 0; i < kinds; i++)
+    {
+      unsigned sending = fronts_that_send (net, i, end_ms);
+
+      printf ("%u fronts, %u%% bystanders, request %u of %u: %u servers ended, %u fronts still "
+              "send it\n",
+              size->fronts, bystanders, i + 1, kinds, net->kind_deaths[i], sending);
+      CU_ASSERT_EQUAL (sending, 0);
+    }
+  net_free (net);
+}
+
+/* Two to four requests that crash servers reach nine fronts together. Guards against deaths under
+ * one of them that count against the others. */
+static void
+test_several_crashing_requests_are_refused (void)
+{
+  for (size_t i = 1; i < SUITE_COUNT (sizes); i++)
+    {
+      for (unsigned kinds = 2; kinds <= KINDS_MAX; kinds++)
+        {
+          if (sizes[i].fronts != fleet.fronts || kinds == KINDS_MAX)
+            check_all_refuse_all (&sizes[i], kinds, 50);
+          if (sizes[i].fronts != fleet.fronts)
+            check_all_refuse_all (&sizes[i], kinds, 10);
+        }
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -313,6 +382,7 @@
     { "all_fronts_refuse_after_a_wave", test_all_fronts_refuse_after_a_wave },
     { "fleet_refuses_though_all_saw_the_deaths", test_fleet_refuses_though_all_saw_the_deaths },
     { "fronts_that_were_away_refuse", test_fronts_that_were_away_refuse },
+    { "several_crashing_requests_are_refused", test_several_crashing_requests_are_refused },
   };
 
   return suite_main (argc, argv, "front_deaths", cases, SUITE_COUNT (cases));
