Deaths under a request that is known to crash servers speak against no other

Cause: a request was refused if it was at most of the deaths around it. Deaths under another such request counted against it, so that none of several had most of them. Ruled out: fronts that aren't told (all nine knew the same numbers within 0.2 s).

Now the request at the most deaths, four and more, is taken for a cause whatever else died, its deaths are explained, and the next one is sought among the rest; a harmless request that was retried beside a cause has no unexplained deaths left. Fewer than four are judged as before, by the unexplained ones. Reports of deaths begin with the causes and then with what is at most unexplained deaths, and a full death keeps what is at most others: harmless retried requests left no room for the second to fourth cause.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
 FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
   src/http_head.c src/http_request_parser.c src/http_reply.c src/choose_quarantine.c src/choose_quarantine_report.c \
-  src/choose_quarantine_suspects.c)
+  src/choose_quarantine_suspects.c src/choose_quarantine_cause.c)
 FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front*.c)) src/settings_front.c \
   $(filter-out $(LINT_WIRE),$(wildcard platform/*.c))
 # Modules of lovage-config besides its main; it decodes by the modules of lovage-front.
--- a/src/choose_quarantine.c
+++ b/src/choose_quarantine.c
@@ -9,6 +9,7 @@
 
 const QuarantineSettings quarantine_settings_default = {
   .servers = 2,
+  .repeated_servers = 0,
   .retention_ms = 600000,
   .outage_ms = 120000,
   .same_death_ms = 5000,
@@ -80,41 +81,38 @@
   return false;
 }
 
-QuarantineEvidence
-quarantine_evidence (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+static QuarantineEvidence
+evidence_of (const Quarantine *quarantine,
+             const Suspects *suspects,
+             uint64_t fingerprint,
+             int64_t now_ms)
 {
-  QuarantineEvidence evidence;
-  Suspects suspects;
-  DeathSet deaths;
-
-  pthread_mutex_lock (&quarantine->lock);
-  quarantine_suspects_collect (quarantine, &suspects);
-  deaths = quarantine_deaths_of (&suspects, fingerprint);
-  evidence = (QuarantineEvidence){
-    .servers = quarantine_count_servers (quarantine, deaths),
-    .others = quarantine_count_others (quarantine, deaths),
-    .rivals = quarantine_count_rivals (quarantine, &suspects, fingerprint),
-    .is_held = quarantine_is_held (quarantine, fingerprint, now_ms),
-  };
-  pthread_mutex_unlock (&quarantine->lock);
+  QuarantineEvidence evidence = { .is_held = quarantine_is_held (quarantine, fingerprint, now_ms) };
+  const Suspect *suspect = quarantine_suspect (suspects, fingerprint);
+
+  if (!suspect)
+    return evidence;
+  evidence.servers = quarantine_count_servers (quarantine, suspect->deaths);
+  evidence.others = quarantine_count_others (quarantine, suspects, suspect->deaths);
+  if (evidence.servers > 1)
+    evidence.rivals = quarantine_count_rivals (quarantine, suspects, suspect);
   return evidence;
 }
 
-/** A request is assumed to be the cause if enough different servers died while running it, if it
- *  was in flight at more of the deaths around them than it was not, and if no other request was in
- *  flight at as many: either may be the cause then, until another death tells them apart. In an
- *  outage of a whole pool servers die while running many requests, none of which was in flight at
- *  most of the deaths. */
-static bool
-is_cause (const Quarantine *quarantine, const Suspects *suspects, uint64_t fingerprint)
+void
+quarantine_evidence (Quarantine *quarantine,
+                     const QuarantineDeath *death,
+                     QuarantineEvidence *out,
+                     int64_t now_ms)
 {
-  DeathSet deaths = quarantine_deaths_of (suspects, fingerprint);
-  unsigned servers = quarantine_count_servers (quarantine, deaths);
+  Suspects suspects;
+  uint32_t i;
 
-  if (servers < quarantine->settings.servers
-      || quarantine_count_others (quarantine, deaths) >= servers)
-    return false;
-  return quarantine_count_rivals (quarantine, suspects, fingerprint) == 0;
+  pthread_mutex_lock (&quarantine->lock);
+  quarantine_suspects_judge (quarantine, &suspects, now_ms);
+  for (i = 0; i < death->count; i++)
+    out[i] = evidence_of (quarantine, &suspects, death->flights[i], now_ms);
+  pthread_mutex_unlock (&quarantine->lock);
 }
 
 QuarantineEntry *
@@ -161,13 +159,6 @@
     }
 }
 
-static void
-add_released (Quarantine *quarantine, uint64_t fingerprint)
-{
-  if (quarantine->released_count < QUARANTINE_RELEASED_MAX)
-    quarantine->released[quarantine->released_count++] = fingerprint;
-}
-
 size_t
 quarantine_take_released (Quarantine *quarantine, uint64_t *out, size_t max)
 {
@@ -181,42 +172,6 @@
   return count;
 }
 
-/** True if the deaths known now speak against the fingerprint. If all deaths that include it have
- *  expired, none does. */
-static bool
-is_cleared (const Quarantine *quarantine, const Suspects *suspects, const QuarantineEntry *held)
-{
-  DeathSet deaths = quarantine_deaths_of (suspects, held->fingerprint);
-
-  return !held->is_final && deaths != 0
-         && quarantine_count_others (quarantine, deaths)
-                >= quarantine_count_servers (quarantine, deaths);
-}
-
-/** Ends refusals that are over, or that deaths speak against: the first two servers of a pool that
- *  dies one by one look like two killed by a request. */
-static void
-review_entries (Quarantine *quarantine, const Suspects *suspects, int64_t now_ms)
-{
-  unsigned i;
-
-  for (i = 0; i < QUARANTINE_HELD_MAX; i++)
-    {
-      QuarantineEntry *held = &quarantine->held[i];
-
-      if (held->fingerprint == 0)
-        continue;
-      if (held->until_ms > now_ms)
-        {
-          if (!is_cleared (quarantine, suspects, held))
-            continue;
-          add_released (quarantine, held->fingerprint);
-        }
-      *held = (QuarantineEntry){ .fingerprint = 0 };
-      atomic_fetch_sub (&quarantine->held_count, 1);
-    }
-}
-
 void
 quarantine_drop_expired (Quarantine *quarantine, int64_t now_ms)
 {
@@ -255,39 +210,42 @@
   return found;
 }
 
-/** True if another death includes the fingerprint. */
-static bool
-is_at_another_death (const Quarantine *quarantine, const Death *death, uint64_t fingerprint)
+/** Number of other deaths that include the fingerprint. */
+static unsigned
+count_other_deaths (const Quarantine *quarantine, const Death *death, uint64_t fingerprint)
 {
-  unsigned i;
+  unsigned count = 0, i;
 
   for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
     {
       const Death *other = &quarantine->deaths[i];
 
-      if (other != death && other->server != 0 && death_includes (other, fingerprint))
-        return true;
+      count += other != death && other->server != 0 && death_includes (other, fingerprint);
     }
-  return false;
+  return count;
 }
 
-/** A place for one more fingerprint. In a full death it is that of one which is at no other death;
- *  NULL if there is none, or if the new one is at no other death either. */
+/** A place for one more fingerprint. In a full death it is that of the one which is at the fewest
+ *  other deaths; NULL if the new one is at no more of them. */
 static uint64_t *
 flight_place (const Quarantine *quarantine, Death *death, uint64_t fingerprint)
 {
-  unsigned i;
+  uint64_t *place = NULL;
+  unsigned fewest, i;
 
   if (death->count < QUARANTINE_FLIGHT_MAX)
     return &death->flights[death->count++];
-  if (!is_at_another_death (quarantine, death, fingerprint))
-    return NULL;
-  for (i = 0; i < death->count; i++)
+  fewest = count_other_deaths (quarantine, death, fingerprint);
+  for (i = 0; i < death->count && fewest > 0; i++)
     {
-      if (!is_at_another_death (quarantine, death, death->flights[i]))
-        return &death->flights[i];
+      unsigned others = count_other_deaths (quarantine, death, death->flights[i]);
+
+      if (others >= fewest)
+        continue;
+      fewest = others;
+      place = &death->flights[i];
     }
-  return NULL;
+  return place;
 }
 
 static bool
@@ -311,23 +269,6 @@
   return changed;
 }
 
-/** Refuses the fingerprints of this death that are the cause, and reviews what is refused. */
-static void
-judge (Quarantine *quarantine, const Death *death, int64_t now_ms)
-{
-  Suspects suspects;
-  unsigned i;
-
-  quarantine_suspects_collect (quarantine, &suspects);
-  for (i = 0; i < death->count; i++)
-    {
-      if (is_cause (quarantine, &suspects, death->flights[i]))
-        quarantine_request (quarantine, death->flights[i], now_ms);
-    }
-  quarantine_make_final (quarantine, now_ms);
-  review_entries (quarantine, &suspects, now_ms);
-}
-
 bool
 quarantine_add (Quarantine *quarantine, const QuarantineDeath *reported, int64_t now_ms)
 {
@@ -341,7 +282,7 @@
   death = death_entry (quarantine, reported->server, now_ms - reported->age_ms, &is_new);
   changed = merge_flights (quarantine, death, reported);
   if (changed || is_new)
-    judge (quarantine, death, now_ms);
+    quarantine_judge (quarantine, death, now_ms);
   pthread_mutex_unlock (&quarantine->lock);
   return changed;
 }
--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -15,7 +15,10 @@
 #define QUARANTINE_RELEASED_MAX 16  /**< released fingerprints kept until they are taken */
 typedef struct
 {
-  unsigned servers;     /**< different servers that must have died while running a fingerprint */
+  unsigned servers; /**< different servers that must have died while running a fingerprint */
+  unsigned
+      repeated_servers; /**< servers that must have died while running a fingerprint for it to
+                           be the cause whatever else died around them; 0: no number is enough */
   int64_t retention_ms; /**< how long deaths are kept */
   int64_t outage_ms; /**< deaths this close together may have a common cause other than a request */
   int64_t same_death_ms;  /**< reports of one server's death this close together are the same */
@@ -73,8 +76,11 @@
  *  this VM or reported by another one. True if it added any fingerprint; adding the same death
  *  again changes nothing. */
 bool quarantine_add (Quarantine *quarantine, const QuarantineDeath *death, int64_t now_ms);
-QuarantineEvidence
-quarantine_evidence (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
+/** Fills in the evidence against each fingerprint of the death. */
+void quarantine_evidence (Quarantine *quarantine,
+                          const QuarantineDeath *death,
+                          QuarantineEvidence *out,
+                          int64_t now_ms);
 /** Refuses a fingerprint that another VM does. */
 void
 quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms);
--- a/src/choose_quarantine_private.h
+++ b/src/choose_quarantine_private.h
@@ -47,26 +47,37 @@
 {
   uint64_t fingerprint;
   DeathSet deaths; /**< that include it */
+  bool is_cause;   /**< whatever else died around them */
 } Suspect;
 
 /** All fingerprints of the known deaths, in ascending order. */
 typedef struct
 {
+  DeathSet explained; /**< deaths whose cause is known */
   size_t count;
   Suspect list[QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX];
 } Suspects;
 
+/** No death is explained, and no fingerprint a cause. */
 void quarantine_suspects_collect (const Quarantine *quarantine, Suspects *out);
+/** The same, with the causes that are at many deaths and the deaths that they explain. */
+void quarantine_suspects_judge (const Quarantine *quarantine, Suspects *out, int64_t now_ms);
+/** NULL if no death includes the fingerprint. */
+const Suspect *quarantine_suspect (const Suspects *suspects, uint64_t fingerprint);
 /** Deaths that include the fingerprint. */
 DeathSet quarantine_deaths_of (const Suspects *suspects, uint64_t fingerprint);
 /** Different servers of these deaths. */
 unsigned quarantine_count_servers (const Quarantine *quarantine, DeathSet deaths);
-/** Deaths within outage_ms of the latest of these that aren't among them. */
-unsigned quarantine_count_others (const Quarantine *quarantine, DeathSet deaths);
-/** Other fingerprints that were in flight at one of its deaths, and at as many. */
+/** Unexplained deaths within outage_ms of the latest of these that aren't among them. */
+unsigned
+quarantine_count_others (const Quarantine *quarantine, const Suspects *suspects, DeathSet deaths);
+/** Other fingerprints that were in flight at one of its unexplained deaths, and at as many. */
 unsigned quarantine_count_rivals (const Quarantine *quarantine,
                                   const Suspects *suspects,
-                                  uint64_t fingerprint);
+                                  const Suspect *suspect);
+/** Refuses what the deaths show to be the cause, and releases what they speak against. death is the
+ *  one that was added last. */
+void quarantine_judge (Quarantine *quarantine, const Death *death, int64_t now_ms);
 
 bool quarantine_is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /* The entry of the fingerprint, or the one that it replaces. */
--- a/src/choose_quarantine_report.c
+++ b/src/choose_quarantine_report.c
@@ -82,7 +82,7 @@
   uint64_t fingerprint;
   uint64_t draw;  /* order among equal ones; differs from turn to turn */
   unsigned death; /* index */
-  unsigned rank;  /* recent deaths that include the fingerprint */
+  unsigned rank;
 } Flight;
 
 /* A recent death. */
@@ -107,14 +107,6 @@
   return id_hash (&subject, sizeof subject, turn);
 }
 
-static int
-by_fingerprint (const void *a, const void *b)
-{
-  const Flight *x = a, *y = b;
-
-  return (x->fingerprint > y->fingerprint) - (x->fingerprint < y->fingerprint);
-}
-
 static int
 flight_order (const void *a, const void *b)
 {
@@ -135,57 +127,79 @@
   return (x->draw > y->draw) - (x->draw < y->draw);
 }
 
+/* Known causes come first, then what was in flight at the most deaths that they don't explain:
+ * harmless requests that were retried together with a cause would else crowd out the next one. */
+static unsigned
+rank_of (const Suspects *suspects, const Suspect *suspect)
+{
+  if (suspect->is_cause)
+    return QUARANTINE_DEATHS_MAX;
+  return (unsigned)__builtin_popcountll (suspect->deaths & ~suspects->explained);
+}
+
 static void
-collect_recent (const Quarantine *quarantine,
-                Ranking *ranking,
-                int64_t age_ms,
-                unsigned turn,
-                int64_t now_ms)
+add_flights (Ranking *ranking,
+             const Quarantine *quarantine,
+             const Suspect *suspect,
+             unsigned rank,
+             unsigned turn)
 {
-  unsigned i, j;
+  size_t i;
 
-  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
+  for (i = 0; i < ranking->death_count; i++)
     {
-      const Death *death = &quarantine->deaths[i];
+      ReportedDeath *reported = &ranking->deaths[i];
 
-      if (death->server == 0 || now_ms - death->at_ms > age_ms)
+      if (!(suspect->deaths & DEATH_BIT (reported->death)))
         continue;
-      ranking->deaths[ranking->death_count++]
-          = (ReportedDeath){ .draw = draw (death->server, turn), .death = i };
-      for (j = 0; j < death->count; j++)
-        ranking->flights[ranking->flight_count++] = (Flight){
-          .fingerprint = death->flights[j],
-          .draw = draw (death->flights[j] ^ death->server, turn),
-          .death = i,
-        };
+      ranking->flights[ranking->flight_count++] = (Flight){
+        .fingerprint = suspect->fingerprint,
+        .draw = draw (suspect->fingerprint ^ quarantine->deaths[reported->death].server, turn),
+        .death = reported->death,
+        .rank = rank,
+      };
+      if (rank > reported->rank)
+        reported->rank = rank;
     }
 }
 
-/* Ranks fingerprints by the number of deaths that include them, and deaths by their highest one. */
 static void
-rank_all (Ranking *ranking)
+add_deaths (Ranking *ranking,
+            const Quarantine *quarantine,
+            int64_t age_ms,
+            unsigned turn,
+            int64_t now_ms)
 {
-  size_t first = 0, i, j;
-  unsigned highest[QUARANTINE_DEATHS_MAX] = { 0 };
+  unsigned i;
 
-  qsort (ranking->flights, ranking->flight_count, sizeof *ranking->flights, by_fingerprint);
-  for (i = 1; i <= ranking->flight_count; i++)
+  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
     {
-      if (i < ranking->flight_count
-          && ranking->flights[i].fingerprint == ranking->flights[first].fingerprint)
-        continue;
-      for (j = first; j < i; j++)
-        {
-          unsigned rank = (unsigned)(i - first);
-
-          ranking->flights[j].rank = rank;
-          if (rank > highest[ranking->flights[j].death])
-            highest[ranking->flights[j].death] = rank;
-        }
-      first = i;
+      const Death *death = &quarantine->deaths[i];
+
+      if (death->server != 0 && now_ms - death->at_ms <= age_ms)
+        ranking->deaths[ranking->death_count++]
+            = (ReportedDeath){ .draw = draw (death->server, turn), .death = i };
     }
-  for (i = 0; i < ranking->death_count; i++)
-    ranking->deaths[i].rank = highest[ranking->deaths[i].death];
+}
+
+static void
+rank_all (Ranking *ranking,
+          const Quarantine *quarantine,
+          int64_t age_ms,
+          unsigned turn,
+          int64_t now_ms)
+{
+  Suspects suspects;
+  size_t i;
+
+  ranking->death_count = ranking->flight_count = 0;
+  add_deaths (ranking, quarantine, age_ms, turn, now_ms);
+  if (ranking->death_count == 0)
+    return;
+  quarantine_suspects_judge (quarantine, &suspects, now_ms);
+  for (i = 0; i < suspects.count; i++)
+    add_flights (ranking, quarantine, &suspects.list[i], rank_of (&suspects, &suspects.list[i]),
+                 turn);
   qsort (ranking->deaths, ranking->death_count, sizeof *ranking->deaths, death_order);
   qsort (ranking->flights, ranking->flight_count, sizeof *ranking->flights, flight_order);
 }
@@ -233,10 +247,8 @@
   Ranking ranking;
   size_t count;
 
-  ranking.death_count = ranking.flight_count = 0;
   pthread_mutex_lock (&quarantine->lock);
-  collect_recent (quarantine, &ranking, limit->age_ms, turn, now_ms);
-  rank_all (&ranking);
+  rank_all (&ranking, quarantine, limit->age_ms, turn, now_ms);
   count = report (quarantine, &ranking, out, limit, now_ms);
   pthread_mutex_unlock (&quarantine->lock);
   return count;
--- a/src/choose_quarantine_suspects.c
+++ b/src/choose_quarantine_suspects.c
@@ -33,6 +33,7 @@
   unsigned i, j;
 
   out->count = 0;
+  out->explained = 0;
   for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
     {
       const Death *death = &quarantine->deaths[i];
@@ -45,37 +46,49 @@
   merge_equal (out);
 }
 
+const Suspect *
+quarantine_suspect (const Suspects *suspects, uint64_t fingerprint)
+{
+  Suspect key = { .fingerprint = fingerprint };
+
+  return bsearch (&key, suspects->list, suspects->count, sizeof key, by_fingerprint);
+}
+
 DeathSet
 quarantine_deaths_of (const Suspects *suspects, uint64_t fingerprint)
 {
-  Suspect key = { .fingerprint = fingerprint };
-  const Suspect *found
-      = bsearch (&key, suspects->list, suspects->count, sizeof key, by_fingerprint);
+  const Suspect *suspect = quarantine_suspect (suspects, fingerprint);
 
-  return found ? found->deaths : 0;
+  return suspect ? suspect->deaths : 0;
 }
 
-static bool
-is_same_server_before (const Quarantine *quarantine, DeathSet deaths, unsigned number)
+static unsigned
+first_of (DeathSet deaths)
 {
-  unsigned i;
+  return (unsigned)__builtin_ctzll (deaths);
+}
+
+/* The deaths of the same server among these. */
+static DeathSet
+deaths_of_server (const Quarantine *quarantine, DeathSet deaths, uint64_t server)
+{
+  DeathSet same = 0;
 
-  for (i = 0; i < number; i++)
+  for (; deaths != 0; deaths &= deaths - 1)
     {
-      if (deaths & DEATH_BIT (i)
-          && quarantine->deaths[i].server == quarantine->deaths[number].server)
-        return true;
+      if (quarantine->deaths[first_of (deaths)].server == server)
+        same |= deaths & -deaths;
     }
-  return false;
+  return same;
 }
 
 unsigned
 quarantine_count_servers (const Quarantine *quarantine, DeathSet deaths)
 {
-  unsigned count = 0, i;
+  unsigned count = 0;
 
-  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
-    count += deaths & DEATH_BIT (i) && !is_same_server_before (quarantine, deaths, i);
+  for (; deaths != 0; count++)
+    deaths &= ~deaths_of_server (quarantine, deaths, quarantine->deaths[first_of (deaths)].server);
   return count;
 }
 
@@ -83,18 +96,17 @@
 latest_of (const Quarantine *quarantine, DeathSet deaths)
 {
   int64_t latest_ms = INT64_MIN;
-  unsigned i;
 
-  for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
+  for (; deaths != 0; deaths &= deaths - 1)
     {
-      if (deaths & DEATH_BIT (i) && quarantine->deaths[i].at_ms > latest_ms)
-        latest_ms = quarantine->deaths[i].at_ms;
+      if (quarantine->deaths[first_of (deaths)].at_ms > latest_ms)
+        latest_ms = quarantine->deaths[first_of (deaths)].at_ms;
     }
   return latest_ms;
 }
 
 unsigned
-quarantine_count_others (const Quarantine *quarantine, DeathSet deaths)
+quarantine_count_others (const Quarantine *quarantine, const Suspects *suspects, DeathSet deaths)
 {
   int64_t latest_ms = latest_of (quarantine, deaths);
   unsigned count = 0, i;
@@ -103,28 +115,9 @@
     {
       const Death *death = &quarantine->deaths[i];
 
-      count += death->server != 0 && !(deaths & DEATH_BIT (i))
-               && llabs (death->at_ms - latest_ms) < quarantine->settings.outage_ms;
-    }
-  return count;
-}
-
-unsigned
-quarantine_count_rivals (const Quarantine *quarantine,
-                         const Suspects *suspects,
-                         uint64_t fingerprint)
-{
-  DeathSet deaths = quarantine_deaths_of (suspects, fingerprint);
-  unsigned servers = quarantine_count_servers (quarantine, deaths);
-  unsigned count = 0;
-  size_t i;
-
-  for (i = 0; i < suspects->count; i++)
-    {
-      const Suspect *other = &suspects->list[i];
-
-      count += other->fingerprint != fingerprint && other->deaths & deaths
-               && quarantine_count_servers (quarantine, other->deaths) >= servers;
+      if (death->server == 0 || (deaths | suspects->explained) & DEATH_BIT (i))
+        continue;
+      count += llabs (death->at_ms - latest_ms) < quarantine->settings.outage_ms;
     }
   return count;
 }
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -42,6 +42,7 @@
 
 const QuarantineSettings front_quarantine_settings = {
   .servers = 3,           /* two may die by coincidence during one caller's retries */
+  .repeated_servers = 4,  /* a caller's request has three attempts on most routes */
   .retention_ms = 60000,  /* callers retry such a request within seconds */
   .outage_ms = 1000,      /* servers of one rack die together */
   .same_death_ms = 3000,  /* a dead server restarts within seconds, under another id */
@@ -94,23 +95,24 @@
 add_death (Front *front, const QuarantineDeath *death, bool is_own, int64_t now_ms)
 {
   bool was_held[QUARANTINE_FLIGHT_MAX];
+  QuarantineEvidence all[QUARANTINE_FLIGHT_MAX];
 
   for (uint32_t i = 0; i < death->count; i++)
     was_held[i] = quarantine_contains (front->quarantine, death->flights[i], now_ms);
   if (!quarantine_add (front->quarantine, death, now_ms))
     return false;
   log_released (front);
+  quarantine_evidence (front->quarantine, death, all, now_ms);
   for (uint32_t i = 0; i < death->count; i++)
     {
-      QuarantineEvidence evidence
-          = quarantine_evidence (front->quarantine, death->flights[i], now_ms);
+      const QuarantineEvidence *evidence = &all[i];
 
       /* Reports repeat for seconds, each with some requests more. */
-      if (evidence.servers < SUSPECT_DEATHS_MIN || (!is_own && evidence.is_held == was_held[i]))
+      if (evidence->servers < SUSPECT_DEATHS_MIN || (!is_own && evidence->is_held == was_held[i]))
         continue;
-      if (is_own || evidence.is_held)
+      if (is_own || evidence->is_held)
         front_peers_send_soon (front->peers);
-      log_suspect (death->flights[i], death->server, &evidence);
+      log_suspect (death->flights[i], death->server, evidence);
     }
   return true;
 }
--- a/tests/test_choose_quarantine.c
+++ b/tests/test_choose_quarantine.c
@@ -168,6 +168,14 @@
                                                 .same_death_ms = 3000,
                                                 .hold_ms = 120000,
                                                 .final_after_ms = 1000 };
+/* The same, where some number of deaths is enough whatever else died. */
+static const QuarantineSettings repeated = { .servers = 3,
+                                             .repeated_servers = 4,
+                                             .retention_ms = 60000,
+                                             .outage_ms = 1000,
+                                             .same_death_ms = 3000,
+                                             .hold_ms = 120000,
+                                             .final_after_ms = 1000 };
 static const QuarantineReportLimit report_limit = { .deaths = 24, .flights = 32, .age_ms = 3000 };
 
 static bool
@@ -184,6 +192,83 @@
   return false;
 }
 
+/* Three requests crash servers in turn, within a second. Guards against deaths under one of them
+ * that speak against the others. */
+static void
+test_several_causes_are_refused (void)
+{
+  quarantine = quarantine_new (&repeated);
+  for (uint64_t i = 0; i < 12; i++)
+    add_death (i + 1, CRASHER + 2 * (i % 3), 0, 1000 + 50 * (int64_t)i);
+  for (uint64_t i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (quarantine_contains (quarantine, CRASHER + 2 * i, 2000));
+  quarantine_free (quarantine);
+}
+
+/* A harmless request is retried at three servers that another one crashes. Guards against its
+ * refusal, and against the other's being put off. */
+static void
+test_retried_beside_a_cause_is_not_refused (void)
+{
+  quarantine = quarantine_new (&repeated);
+  for (uint64_t i = 0; i < 5; i++)
+    add_death (i + 1, CRASHER, i > 0 && i < 4 ? BYSTANDER : 0, 1000 + 100 * (int64_t)i);
+  CU_ASSERT_TRUE (quarantine_contains (quarantine, CRASHER, 2000));
+  CU_ASSERT_FALSE (quarantine_contains (quarantine, BYSTANDER, 2000));
+  quarantine_free (quarantine);
+}
+
+/* All four servers of a service die under two requests that were at each of them. Guards against a
+ * wait for a death that tells them apart, which costs another server each time. */
+static void
+test_causes_at_the_same_deaths_are_refused (void)
+{
+  quarantine = quarantine_new (&repeated);
+  for (uint64_t i = 0; i < 4; i++)
+    add_death (i + 1, CRASHER, CRASHER + 2, 1000 + 100 * (int64_t)i);
+  CU_ASSERT_TRUE (quarantine_contains (quarantine, CRASHER, 2000));
+  CU_ASSERT_TRUE (quarantine_contains (quarantine, CRASHER + 2, 2000));
+  quarantine_free (quarantine);
+}
+
+/* A pool dies within two seconds, and each request is retried at three of its servers at most. */
+static void
+test_outage_refuses_nothing_though_retried (void)
+{
+  quarantine = quarantine_new (&repeated);
+  for (uint64_t i = 0; i < 18; i++)
+    add_death (i + 1, 0x5001 + 2 * (i / 3), 0x7001 + 2 * ((i + 1) / 3), 1000 + 110 * (int64_t)i);
+  for (uint64_t i = 0; i < 7; i++)
+    {
+      CU_ASSERT_FALSE (quarantine_contains (quarantine, 0x5001 + 2 * i, 4000));
+      CU_ASSERT_FALSE (quarantine_contains (quarantine, 0x7001 + 2 * i, 4000));
+    }
+  quarantine_free (quarantine);
+}
+
+/* A request is retried at three servers beside one that crashes them, and another one crashes three
+ * servers. Guards against reports without the latter, which others have to know. */
+static void
+test_reports_put_unexplained_deaths_first (void)
+{
+  QuarantineReportLimit limit = { .deaths = 24, .flights = 8, .age_ms = 3000 };
+  QuarantineDeath news[24];
+
+  quarantine = quarantine_new (&repeated);
+  for (uint64_t i = 0; i < 5; i++)
+    add_death (i + 1, CRASHER, i > 0 && i < 4 ? BYSTANDER : 0, 1000);
+  for (uint64_t i = 5; i < 8; i++)
+    add_death (i + 1, CRASHER + 2, 0, 1000);
+  for (unsigned turn = 0; turn < 20; turn++)
+    {
+      size_t count = quarantine_report (quarantine, news, &limit, turn, 1500);
+
+      for (uint64_t i = 0; i < 8; i++)
+        CU_ASSERT (reports (news, count, i + 1, i < 5 ? CRASHER : CRASHER + 2));
+    }
+  quarantine_free (quarantine);
+}
+
 /* Twenty servers die with seven requests each, which is more than a message holds. A request that
  * was at several of the deaths must be in each message, and the others in some. */
 static void
@@ -334,6 +419,11 @@
     { "slow_pool_outage_releases", test_slow_pool_outage_releases },
     { "old_deaths_expire", test_old_deaths_expire },
     { "deaths_reported_between_vms", test_deaths_reported_between_vms },
+    { "several_causes_are_refused", test_several_causes_are_refused },
+    { "retried_beside_a_cause_is_not_refused", test_retried_beside_a_cause_is_not_refused },
+    { "causes_at_the_same_deaths_are_refused", test_causes_at_the_same_deaths_are_refused },
+    { "outage_refuses_nothing_though_retried", test_outage_refuses_nothing_though_retried },
+    { "reports_put_unexplained_deaths_first", test_reports_put_unexplained_deaths_first },
     { "reports_begin_with_suspects", test_reports_begin_with_suspects },
     { "full_death_keeps_suspects", test_full_death_keeps_suspects },
     { "final_refusal_is_told_and_kept", test_final_refusal_is_told_and_kept },
