Refuse a request for ten seconds when three servers died under it

Whatever three servers died under, and isn't shown to be the cause, is now refused until ten seconds after the latest of these deaths, by each front for itself: it isn't told to others and isn't final. If one comes back later and a server dies under it, no others die around it, and it is refused for two minutes as before. Neither counts for a request that was answered completely within three seconds before the latest death, or later, at this front: requests that many callers send alike run at many servers of a pool that dies.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -531,7 +531,7 @@
         await site.add_engine("orders").start()
     crash_request_body = digest(b"killer").encode()
     for engine in site.engines:
-        engine.crash_body = crash_request_body
+        engine.crash_bodies = {crash_request_body}
     refused = 0
     for number in range(8):
         answer = await site.call(site.fronts[number % len(site.fronts)], "/again/kill", crash_request_body)
--- a/regress/front/cases_crash.py
+++ b/regress/front/cases_crash.py
@@ -13,7 +13,8 @@
 from site_front import Front
 
 FRONTS, ENGINES = 9, 18
-CRASHER = digest(b"crasher").encode()
+CRASHERS = [digest(b"crasher %d" % number).encode() for number in range(4)]
+CRASHER = CRASHERS[0]
 ENGINE_DELAY_S = 1.5  # until an engine's answer begins: requests overlap many deaths
 CRASH_DELAY_S = 0.15  # until an engine has read the crashing request's prompt and crashes
 CALLS_PER_S = 120
@@ -22,7 +23,7 @@
 
 
 async def grow(site):
-    """Makes the site as large as these cases need; all engines then crash under the body CRASHER."""
+    """Makes the site as large as these cases need; all engines then crash under each of CRASHERS."""
     for number in range(len(site.fronts), FRONTS):
         front = Front(site, number)
         site.fronts.append(front)
@@ -31,7 +32,7 @@
     while sum(engine.service == "texts" for engine in site.engines) < ENGINES:
         await site.start_engine("texts")
     for engine in site.engines:
-        engine.crash_body, engine.crash_delay = CRASHER, CRASH_DELAY_S
+        engine.crash_bodies, engine.crash_delay = set(CRASHERS), CRASH_DELAY_S
         engine.delay = ENGINE_DELAY_S if engine.service == "texts" else 0
     for front in site.fronts:
         await site.wait(front.is_ready, f"front {front.number} ready")
@@ -47,17 +48,26 @@
     return await asyncio.gather(*calls)
 
 
-async def send_to_all(site, fronts, spread_s):
-    """Sends the crashing request to each of these fronts, spread over so many seconds."""
+async def send_to_all(site, fronts, spread_s, bodies=(CRASHER,)):
+    """Sends these crashing requests, in turn, to each of these fronts, spread over so many seconds."""
     calls = []
-    for front in fronts:
-        calls.append(asyncio.ensure_future(site.call(front, "/text/kill", CRASHER)))
+    for number, front in enumerate(fronts):
+        calls.append(asyncio.ensure_future(site.call(front, "/text/kill", bodies[number % len(bodies)])))
         await asyncio.sleep(spread_s / len(fronts))
     return await asyncio.gather(*calls)
 
 
-def crash_times(site):
-    return sorted(run.at for run in site.runs if run.body == CRASHER)
+def crash_times(site, body=CRASHER):
+    return sorted(run.at for run in site.runs if run.body == body)
+
+
+def check_sent(site, third, body=CRASHER):
+    """Raises AssertionError if the request was sent to servers again too often."""
+    at = crash_times(site, body)
+    late = sum(moment > third + APPLY_S for moment in at)
+    print(f"{len(at)} engines crashed, {late} of them later than {APPLY_S} s after the third", flush=True)
+    if late > RETRIES_MAX:
+        raise AssertionError(f"sent to engines {late} times later than {APPLY_S} s after the third death; {RETRIES_MAX} are allowed")
 
 
 async def send_in_waves(site, disturb, settle_s=0.0):
@@ -72,11 +82,7 @@
     await asyncio.sleep(max(third + 5 - time.monotonic(), settle_s))
     await send_to_all(site, site.fronts, 1.0)
     await load
-    at = crash_times(site)
-    late = sum(moment > third + APPLY_S for moment in at)
-    print(f"{len(at)} engines crashed, {late} of them later than {APPLY_S} s after the third", flush=True)
-    if late > RETRIES_MAX:
-        raise AssertionError(f"sent to engines {late} times later than {APPLY_S} s after the third death; {RETRIES_MAX} are allowed")
+    check_sent(site, third)
 
 
 async def fronts_agree_on_crashing_request(site):
@@ -120,9 +126,25 @@
     await send_in_waves(site, restart_all, APPLY_S)
 
 
+async def several_crashing_requests_are_refused(site):
+    """Four requests reach all fronts within 0.3 s, in three waves. Guards against deaths under one of them that count
+    against the others."""
+    await grow(site)
+    load = asyncio.ensure_future(background(site, time.monotonic() + 14))
+    await asyncio.sleep(2)
+    for _ in range(3):
+        await send_to_all(site, site.fronts * 2, 0.3, CRASHERS)
+        await asyncio.sleep(3.5)
+    await load
+    for body in CRASHERS:
+        at = crash_times(site, body)
+        if len(at) > 2:
+            check_sent(site, at[2], body)
+
+
 CASES = [
     fronts_agree_on_crashing_request, restarted_fronts_refuse_crashing_request,
-    all_fronts_restart_and_refuse_crashing_request,
+    all_fronts_restart_and_refuse_crashing_request, several_crashing_requests_are_refused,
 ]  # fmt: skip
 
 if __name__ == "__main__":
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -67,7 +67,7 @@
     set), error (runs it and answers 500), unsigned (no signature), foreign (answers with another request's id),
     unframed (neither a Content-Length nor chunks; the connection ends with the answer), torn (the same, and a stream
     ends within an event), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
-    deaf (stops reading after the first byte). A request whose body equals crash_body crashes the engine, which
+    deaf (stops reading after the first byte). A request whose body is one of crash_bodies crashes the engine, which
     listens again after a second.
     """
 
@@ -77,7 +77,7 @@
         self.address, self.version, self.domain, self.models = address, version, domain, models
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
-        self.crash_body, self.crash_delay = None, 0.0  # seconds from the arrival to the crash
+        self.crash_bodies, self.crash_delay = set(), 0.0  # seconds from the arrival to the crash
         self.crash_parts = set()  # it crashes as it begins to answer a prompt with one of these parts, after its delay
         self.fail_bodies = set()  # requests with these bodies are answered 500
         self.fails_from, self.running = None, 0  # half of the answers are 500 while so many requests run; None: none
@@ -267,7 +267,7 @@
         return fields
 
     async def work(self, request, writer):
-        if self.crash_body is not None and request.body == self.crash_body:
+        if request.body in self.crash_bodies:
             await asyncio.sleep(self.crash_delay)
             asyncio.ensure_future(self.crash_and_restart())
             await asyncio.sleep(3600)
--- a/src/choose_quarantine.c
+++ b/src/choose_quarantine.c
@@ -10,6 +10,7 @@
 const QuarantineSettings quarantine_settings_default = {
   .servers = 2,
   .repeated_servers = 0,
+  .suspect_hold_ms = 0,
   .retention_ms = 600000,
   .outage_ms = 120000,
   .same_death_ms = 5000,
@@ -40,8 +41,8 @@
   return id_hash (body, len, id_hash_string (team, 0)) | 1;
 }
 
-bool
-quarantine_is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+const QuarantineEntry *
+quarantine_find (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
 {
   unsigned i;
 
@@ -50,9 +51,15 @@
       const QuarantineEntry *held = &quarantine->held[i];
 
       if (held->fingerprint == fingerprint && held->until_ms > now_ms)
-        return true;
+        return held;
     }
-  return false;
+  return NULL;
+}
+
+bool
+quarantine_is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+  return quarantine_find (quarantine, fingerprint, now_ms) != NULL;
 }
 
 bool
@@ -133,18 +140,37 @@
   return found;
 }
 
+static void
+occupy (Quarantine *quarantine, QuarantineEntry *held, const QuarantineEntry *with)
+{
+  if (held->fingerprint == 0)
+    atomic_fetch_add (&quarantine->held_count, 1);
+  *held = *with;
+}
+
 void
 quarantine_request (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
 {
   QuarantineEntry *held = quarantine_entry (quarantine, fingerprint);
+  QuarantineEntry fresh = { .fingerprint = fingerprint, .since_ms = now_ms };
 
-  if (held->fingerprint == 0)
-    atomic_fetch_add (&quarantine->held_count, 1);
-  if (held->fingerprint != fingerprint || held->until_ms <= now_ms)
-    *held = (QuarantineEntry){ .fingerprint = fingerprint, .since_ms = now_ms };
+  if (held->fingerprint != fingerprint || held->until_ms <= now_ms || held->is_suspended)
+    occupy (quarantine, held, &fresh);
   held->until_ms = now_ms + quarantine->settings.hold_ms;
 }
 
+void
+quarantine_suspend (Quarantine *quarantine, uint64_t fingerprint, int64_t until_ms, int64_t now_ms)
+{
+  QuarantineEntry *held = quarantine_entry (quarantine, fingerprint);
+  QuarantineEntry suspended = {
+    .fingerprint = fingerprint, .since_ms = now_ms, .until_ms = until_ms, .is_suspended = true
+  };
+
+  if (until_ms > now_ms && !quarantine_is_held (quarantine, fingerprint, now_ms))
+    occupy (quarantine, held, &suspended);
+}
+
 void
 quarantine_make_final (Quarantine *quarantine, int64_t now_ms)
 {
@@ -154,11 +180,39 @@
     {
       QuarantineEntry *held = &quarantine->held[i];
 
-      held->is_final |= held->fingerprint != 0
+      held->is_final |= held->fingerprint != 0 && !held->is_suspended
                         && now_ms - held->since_ms >= quarantine->settings.final_after_ms;
     }
 }
 
+static unsigned
+answer_place (uint64_t fingerprint)
+{
+  return (fingerprint >> 1) % ANSWERS_MAX; /* the lowest bit is always set */
+}
+
+int64_t
+quarantine_answered_ms (const Quarantine *quarantine, uint64_t fingerprint)
+{
+  const CompleteAnswer *answer = &quarantine->answers[answer_place (fingerprint)];
+
+  return answer->fingerprint == fingerprint ? answer->at_ms : INT64_MIN;
+}
+
+void
+quarantine_note_answer (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+  QuarantineEntry *held;
+
+  pthread_mutex_lock (&quarantine->lock);
+  quarantine->answers[answer_place (fingerprint)]
+      = (CompleteAnswer){ .fingerprint = fingerprint, .at_ms = now_ms };
+  held = quarantine_entry (quarantine, fingerprint);
+  if (held->fingerprint == fingerprint && held->is_suspended)
+    held->until_ms = now_ms;
+  pthread_mutex_unlock (&quarantine->lock);
+}
+
 size_t
 quarantine_take_released (Quarantine *quarantine, uint64_t *out, size_t max)
 {
--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -21,10 +21,12 @@
                            be the cause whatever else died around them; 0: no number is enough */
   int64_t retention_ms; /**< how long deaths are kept */
   int64_t outage_ms; /**< deaths this close together may have a common cause other than a request */
-  int64_t same_death_ms;  /**< reports of one server's death this close together are the same */
-  int64_t hold_ms;        /**< how long a fingerprint stays refused */
-  int64_t final_after_ms; /**< after being refused for so long, a fingerprint is no longer released
-                        by deaths that don't include it; INT64_MAX: it always is */
+  int64_t same_death_ms;   /**< reports of one server's death this close together are the same */
+  int64_t suspect_hold_ms; /**< after its latest death, for which a fingerprint is refused that is
+                              at enough deaths, but at too few of those around; 0: it isn't */
+  int64_t hold_ms;         /**< how long a fingerprint stays refused */
+  int64_t final_after_ms;  /**< after being refused for so long, a fingerprint is no longer released
+                         by deaths that don't include it; INT64_MAX: it always is */
 } QuarantineSettings;
 
 extern const QuarantineSettings quarantine_settings_default;
@@ -86,6 +88,9 @@
 quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms);
 /** Milliseconds for which the fingerprint is still refused; 0: it isn't. */
 int64_t quarantine_left_ms (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
+/** A request with the fingerprint was answered completely. It is not suspected for its number of
+ *  deaths alone, of about that time. */
+void quarantine_note_answer (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /** Copies up to max fingerprints that deaths have released since the last call; returns their
  *  number. Of more than QUARANTINE_RELEASED_MAX only the first are kept. */
 size_t quarantine_take_released (Quarantine *quarantine, uint64_t *out, size_t max);
--- a/src/choose_quarantine_cause.c
+++ b/src/choose_quarantine_cause.c
@@ -2,6 +2,9 @@
  * known to crash servers, it says nothing of the others that were running there. */
 #include "choose_quarantine_private.h"
 
+/* Milliseconds for which a complete answer speaks for its request. */
+#define SOUND_MS 3000
+
 static DeathSet
 deaths_under_final (const Quarantine *quarantine, const Suspects *suspects, int64_t now_ms)
 {
@@ -34,6 +37,16 @@
   return servers < min ? 0 : servers;
 }
 
+/* The same for a fingerprint that may be a cause by its number of deaths. */
+static unsigned
+countable_servers (const Quarantine *quarantine,
+                   const Suspects *suspects,
+                   const Suspect *suspect,
+                   unsigned min)
+{
+  return suspect->is_sound ? 0 : unexplained_servers (quarantine, suspects, suspect, min);
+}
+
 static unsigned
 most_unexplained (const Quarantine *quarantine, const Suspects *suspects, unsigned min)
 {
@@ -42,7 +55,7 @@
 
   for (i = 0; i < suspects->count; i++)
     {
-      unsigned servers = unexplained_servers (quarantine, suspects, &suspects->list[i], min);
+      unsigned servers = countable_servers (quarantine, suspects, &suspects->list[i], min);
 
       if (servers > most)
         most = servers;
@@ -61,7 +74,7 @@
     {
       Suspect *suspect = &suspects->list[i];
 
-      if (unexplained_servers (quarantine, suspects, suspect, servers) != servers)
+      if (countable_servers (quarantine, suspects, suspect, servers) != servers)
         continue;
       suspect->is_cause = true;
       deaths |= suspect->deaths;
@@ -82,10 +95,28 @@
     explain_by (quarantine, suspects, most);
 }
 
+/* Requests that many callers send alike were running at many servers of a pool that dies. */
+static void
+find_sound (const Quarantine *quarantine, Suspects *suspects)
+{
+  size_t i;
+
+  for (i = 0; i < suspects->count; i++)
+    {
+      Suspect *suspect = &suspects->list[i];
+
+      if ((unsigned)__builtin_popcountll (suspect->deaths) < quarantine->settings.servers)
+        continue;
+      suspect->is_sound = quarantine_answered_ms (quarantine, suspect->fingerprint)
+                          > quarantine_latest_ms (quarantine, suspect->deaths) - SOUND_MS;
+    }
+}
+
 void
 quarantine_suspects_judge (const Quarantine *quarantine, Suspects *out, int64_t now_ms)
 {
   quarantine_suspects_collect (quarantine, out);
+  find_sound (quarantine, out);
   explain (quarantine, out, now_ms);
 }
 
@@ -125,12 +156,32 @@
   return quarantine_count_rivals (quarantine, suspects, suspect) == 0;
 }
 
+/* Enough servers died while running the fingerprint, but as many around them without it, or all
+ * under a known cause. It may be one more cause that was running beside the others, or harmless. */
+static bool
+is_suspect (const Quarantine *quarantine, const Suspect *suspect)
+{
+  const QuarantineSettings *settings = &quarantine->settings;
+
+  return settings->suspect_hold_ms > 0 && !suspect->is_sound
+         && quarantine_count_servers (quarantine, suspect->deaths) >= settings->servers;
+}
+
 static bool
 is_at (const Quarantine *quarantine, const Suspect *suspect, const Death *death)
 {
   return suspect->deaths & DEATH_BIT (death - quarantine->deaths);
 }
 
+static void
+hold (Quarantine *quarantine, const Suspect *suspect, const Death *death, int64_t now_ms)
+{
+  const QuarantineEntry *held = quarantine_find (quarantine, suspect->fingerprint, now_ms);
+
+  if (!held || held->is_suspended || is_at (quarantine, suspect, death))
+    quarantine_request (quarantine, suspect->fingerprint, now_ms);
+}
+
 static void
 hold_causes (Quarantine *quarantine, const Suspects *suspects, const Death *death, int64_t now_ms)
 {
@@ -140,11 +191,13 @@
     {
       const Suspect *suspect = &suspects->list[i];
 
-      if (!suspect->is_cause && !is_likely_cause (quarantine, suspects, suspect))
-        continue;
-      if (is_at (quarantine, suspect, death)
-          || !quarantine_is_held (quarantine, suspect->fingerprint, now_ms))
-        quarantine_request (quarantine, suspect->fingerprint, now_ms);
+      if (suspect->is_cause || is_likely_cause (quarantine, suspects, suspect))
+        hold (quarantine, suspect, death, now_ms);
+      else if (is_suspect (quarantine, suspect))
+        quarantine_suspend (quarantine, suspect->fingerprint,
+                            quarantine_latest_ms (quarantine, suspect->deaths)
+                                + quarantine->settings.suspect_hold_ms,
+                            now_ms);
     }
 }
 
@@ -155,7 +208,7 @@
 {
   const Suspect *suspect = quarantine_suspect (suspects, held->fingerprint);
 
-  return !held->is_final && suspect && !suspect->is_cause
+  return !held->is_final && !held->is_suspended && suspect && !suspect->is_cause
          && quarantine_count_others (quarantine, suspects, suspect->deaths)
                 >= quarantine_count_servers (quarantine, suspect->deaths);
 }
--- a/src/choose_quarantine_private.h
+++ b/src/choose_quarantine_private.h
@@ -22,9 +22,18 @@
   uint64_t fingerprint; /**< 0: free */
   int64_t until_ms;
   int64_t since_ms;
-  bool is_final; /**< not released by other deaths any more */
+  bool is_final;     /**< not released by other deaths any more */
+  bool is_suspended; /**< refused for a short time, and by this VM alone */
 } QuarantineEntry;
 
+typedef struct
+{
+  uint64_t fingerprint;
+  int64_t at_ms;
+} CompleteAnswer;
+
+#define ANSWERS_MAX 512 /* answers kept; a power of two */
+
 struct Quarantine
 {
   QuarantineSettings settings;
@@ -32,6 +41,7 @@
   pthread_mutex_t lock;
   Death deaths[QUARANTINE_DEATHS_MAX];
   QuarantineEntry held[QUARANTINE_HELD_MAX];
+  CompleteAnswer answers[ANSWERS_MAX]; /**< places by fingerprint */
   size_t released_count;
   uint64_t released[QUARANTINE_RELEASED_MAX];
 };
@@ -48,6 +58,8 @@
   uint64_t fingerprint;
   DeathSet deaths; /**< that include it */
   bool is_cause;   /**< whatever else died around them */
+  bool is_sound;   /**< a request with it was answered completely, shortly before the latest of
+                      these deaths or after it */
 } Suspect;
 
 /** All fingerprints of the known deaths, in ascending order. */
@@ -68,6 +80,8 @@
 DeathSet quarantine_deaths_of (const Suspects *suspects, uint64_t fingerprint);
 /** Different servers of these deaths. */
 unsigned quarantine_count_servers (const Quarantine *quarantine, DeathSet deaths);
+/** Time of the latest of these deaths. */
+int64_t quarantine_latest_ms (const Quarantine *quarantine, DeathSet deaths);
 /** Unexplained deaths within outage_ms of the latest of these that aren't among them. */
 unsigned
 quarantine_count_others (const Quarantine *quarantine, const Suspects *suspects, DeathSet deaths);
@@ -79,11 +93,19 @@
  *  one that was added last. */
 void quarantine_judge (Quarantine *quarantine, const Death *death, int64_t now_ms);
 
+/* NULL if the fingerprint isn't refused. */
+const QuarantineEntry *
+quarantine_find (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 bool quarantine_is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /* The entry of the fingerprint, or the one that it replaces. */
 QuarantineEntry *quarantine_entry (Quarantine *quarantine, uint64_t fingerprint);
+/* Time of the latest complete answer to a request with the fingerprint; INT64_MIN: none is known. */
+int64_t quarantine_answered_ms (const Quarantine *quarantine, uint64_t fingerprint);
 /* Refuses the fingerprint from now on. */
 void quarantine_request (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
+/* Refuses the fingerprint until then, unless it is refused already. */
+void
+quarantine_suspend (Quarantine *quarantine, uint64_t fingerprint, int64_t until_ms, int64_t now_ms);
 /* Marks the entries that are no longer released. */
 void quarantine_make_final (Quarantine *quarantine, int64_t now_ms);
 void quarantine_drop_expired (Quarantine *quarantine, int64_t now_ms);
--- a/src/choose_quarantine_report.c
+++ b/src/choose_quarantine_report.c
@@ -6,6 +6,7 @@
 void
 quarantine_add_refusal (Quarantine *quarantine, const QuarantineRefusal *refusal, int64_t now_ms)
 {
+  const QuarantineEntry *known;
   QuarantineEntry *held;
 
   if (refusal->fingerprint == 0 || refusal->left_ms == 0
@@ -14,7 +15,8 @@
   pthread_mutex_lock (&quarantine->lock);
   /* The time left is not taken from a later report: it includes the transfer's delay, and two VMs
    * would prolong each other's refusal without end. */
-  if (!quarantine_is_held (quarantine, refusal->fingerprint, now_ms))
+  known = quarantine_find (quarantine, refusal->fingerprint, now_ms);
+  if (!known || known->is_suspended)
     {
       quarantine_request (quarantine, refusal->fingerprint, now_ms);
       held = quarantine_entry (quarantine, refusal->fingerprint);
--- a/src/choose_quarantine_suspects.c
+++ b/src/choose_quarantine_suspects.c
@@ -92,8 +92,8 @@
   return count;
 }
 
-static int64_t
-latest_of (const Quarantine *quarantine, DeathSet deaths)
+int64_t
+quarantine_latest_ms (const Quarantine *quarantine, DeathSet deaths)
 {
   int64_t latest_ms = INT64_MIN;
 
@@ -108,7 +108,7 @@
 unsigned
 quarantine_count_others (const Quarantine *quarantine, const Suspects *suspects, DeathSet deaths)
 {
-  int64_t latest_ms = latest_of (quarantine, deaths);
+  int64_t latest_ms = quarantine_latest_ms (quarantine, deaths);
   unsigned count = 0, i;
 
   for (i = 0; deaths != 0 && i < QUARANTINE_DEATHS_MAX; i++)
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -41,13 +41,14 @@
 }
 
 const QuarantineSettings front_quarantine_settings = {
-  .servers = 3,           /* two may die by coincidence during one caller's retries */
-  .repeated_servers = 4,  /* a caller's request has three attempts on most routes */
-  .retention_ms = 60000,  /* callers retry such a request within seconds */
-  .outage_ms = 1000,      /* servers of one rack die together */
-  .same_death_ms = 3000,  /* a dead server restarts within seconds, under another id */
-  .hold_ms = 120000,      /* also where the request comes again only after a minute */
-  .final_after_ms = 1000, /* by then the deaths of a common outage are known */
+  .servers = 3,             /* two may die by coincidence during one caller's retries */
+  .repeated_servers = 4,    /* a caller's request has three attempts on most routes */
+  .suspect_hold_ms = 10000, /* callers of a harmless one wait no longer */
+  .retention_ms = 60000,    /* callers retry such a request within seconds */
+  .outage_ms = 1000,        /* servers of one rack die together */
+  .same_death_ms = 3000,    /* a dead server restarts within seconds, under another id */
+  .hold_ms = 120000,        /* also where the request comes again only after a minute */
+  .final_after_ms = 1000,   /* by then the deaths of a common outage are known */
 };
 
 /* Deaths of a request from which it is logged and reported at once: one death has many requests of
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -176,7 +176,10 @@
   front_log_end (line);
   front_counter_add (FRONT_COUNTER_ANSWERED);
   if (is_success (status))
-    request_hold_ended (request, true, clock_boot_ms ());
+    {
+      request_hold_ended (request, true, clock_boot_ms ());
+      quarantine_note_answer (request->front->quarantine, request->fingerprint, clock_boot_ms ());
+    }
   front_counter_add_wait (FRONT_WAIT_WHOLE, whole_ms);
 }
 
