--- a/src/choose_quarantine_private.h
+++ b/src/choose_quarantine_private.h
@@ -62,12 +62,16 @@
                       these deaths or after it */
 } Suspect;
 
-/** All fingerprints of the known deaths, in ascending order. */
+#define SUSPECTS_MAX   (QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX)
+#define SUSPECT_PLACES (2 * SUSPECTS_MAX) /* half of them stay free */
+
+/** All fingerprints of the known deaths. */
 typedef struct
 {
   DeathSet explained; /**< deaths whose cause is known */
   size_t count;
-  Suspect list[QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX];
+  Suspect list[SUSPECTS_MAX];
+  uint16_t places[SUSPECT_PLACES]; /**< by fingerprint: number in the list, from 1; 0: free */
 } Suspects;
 
 /** No death is explained, and no fingerprint a cause. */
@@ -99,7 +103,8 @@
 bool quarantine_is_held (const Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
 /* The entry of the fingerprint, or the one that it replaces. */
 QuarantineEntry *quarantine_entry (Quarantine *quarantine, uint64_t fingerprint);
-/* Time of the latest complete answer to a request with the fingerprint; INT64_MIN: none is known. */
+/* Time of the latest complete answer to a request with the fingerprint; INT64_MIN: none is known.
+ */
 int64_t quarantine_answered_ms (const Quarantine *quarantine, uint64_t fingerprint);
 /* Refuses the fingerprint from now on. */
 void quarantine_request (Quarantine *quarantine, uint64_t fingerprint, int64_t now_ms);
--- a/src/choose_quarantine_suspects.c
+++ b/src/choose_quarantine_suspects.c
@@ -1,30 +1,31 @@
 /* Which fingerprints were in flight at which deaths. */
 #include "choose_quarantine_private.h"
 #include <stdlib.h>
+#include <string.h>
 
-static int
-by_fingerprint (const void *a, const void *b)
+/* The place of the fingerprint, or the free one where it belongs. */
+static unsigned
+place_of (const Suspects *suspects, uint64_t fingerprint)
 {
-  const Suspect *x = a, *y = b;
+  unsigned place = (fingerprint >> 1) % SUSPECT_PLACES; /* the lowest bit is always set */
 
-  return (x->fingerprint > y->fingerprint) - (x->fingerprint < y->fingerprint);
+  while (suspects->places[place] != 0
+         && suspects->list[suspects->places[place] - 1].fingerprint != fingerprint)
+    place = (place + 1) % SUSPECT_PLACES;
+  return place;
 }
 
 static void
-merge_equal (Suspects *suspects)
+add_flight (Suspects *suspects, uint64_t fingerprint, DeathSet death)
 {
-  size_t count = 0, i;
+  unsigned place = place_of (suspects, fingerprint);
 
-  for (i = 0; i < suspects->count; i++)
+  if (suspects->places[place] == 0)
     {
-      const Suspect *suspect = &suspects->list[i];
-
-      if (count > 0 && suspects->list[count - 1].fingerprint == suspect->fingerprint)
-        suspects->list[count - 1].deaths |= suspect->deaths;
-      else
-        suspects->list[count++] = *suspect;
+      suspects->list[suspects->count] = (Suspect){ .fingerprint = fingerprint };
+      suspects->places[place] = (uint16_t)++suspects->count;
     }
-  suspects->count = count;
+  suspects->list[suspects->places[place] - 1].deaths |= death;
 }
 
 void
@@ -34,24 +35,22 @@
 
   out->count = 0;
   out->explained = 0;
+  memset (out->places, 0, sizeof out->places);
   for (i = 0; i < QUARANTINE_DEATHS_MAX; i++)
     {
       const Death *death = &quarantine->deaths[i];
 
       for (j = 0; death->server != 0 && j < death->count; j++)
-        out->list[out->count++]
-            = (Suspect){ .fingerprint = death->flights[j], .deaths = DEATH_BIT (i) };
+        add_flight (out, death->flights[j], DEATH_BIT (i));
     }
-  qsort (out->list, out->count, sizeof *out->list, by_fingerprint);
-  merge_equal (out);
 }
 
 const Suspect *
 quarantine_suspect (const Suspects *suspects, uint64_t fingerprint)
 {
-  Suspect key = { .fingerprint = fingerprint };
+  uint16_t number = suspects->places[place_of (suspects, fingerprint)];
 
-  return bsearch (&key, suspects->list, suspects->count, sizeof key, by_fingerprint);
+  return number == 0 ? NULL : &suspects->list[number - 1];
 }
 
 DeathSet
