Give up answers that have no end

A server in trouble may send bytes without end until its connection is closed. Case answers_without_end failed before: the front took all 300 MB that the engine sent in the body of an answer without a length, and delivered them as a complete answer with status 200; the smallest VM has 88 MB. The head was bounded already (64 KB).

An incomplete answer is kept up to 8 MiB, an incomplete event of a stream up to 1 MiB; then the attempt has failed, its server counts as failing, and the request is repeated elsewhere where its route allows it.

Answers of the store and of other fronts had a bound already (front_channel, 16 MiB).

--- a/regress/front/cases_slow.py
+++ b/regress/front/cases_slow.py
@@ -15,6 +15,8 @@
 CALLERS = 25
 RECEIVE_BYTES = 4096  # receive buffer of a caller that does not read
 UNREAD_MAX_S = 12  # until an answer that is not read is given up: the time-out of 6 s twice
+ANSWER_MAX_BYTES = 16_000_000  # five such answers fit the smallest VM
+REST_S = 4  # for which a front leaves servers alone that fail
 BODY_MAX_S = 30  # until a request that arrives a byte a second is given up
 
 
@@ -97,7 +99,27 @@
     check(site, await site.call(front, "/again/b"))
 
 
-CASES = [unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second]
+async def answers_without_end(site):
+    """Engines send bytes that are no answer until the connection is closed, in a head or a body. Guards against a front
+    that takes them for as long as a route's time-out allows: its VM would run out of memory."""
+    front = site.fronts[0]
+    for mode in ("endless_head", "endless_body"):
+        for engine in site.engines:
+            engine.mode = mode
+        for path in ("/again/a", "/text/a"):
+            answer = await site.call(front, path)
+            longest = max(engine.endless_sent for engine in site.engines)
+            print(f"{mode} {path}: {answer.status}, {longest} bytes taken, {resident_kb(front)} KB resident", flush=True)
+            equal(answer.status in (502, 503, 504), True, answer)
+            equal(longest <= ANSWER_MAX_BYTES, True, f"{longest} bytes of an answer without end")
+    equal(len(front.events("request_retry")) > 0, True, "logged")
+    for engine in site.engines:
+        engine.mode = "ok"
+    await asyncio.sleep(REST_S)
+    check(site, await site.call(front, "/again/b"))
+
+
+CASES = [unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second, answers_without_end]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -16,6 +16,7 @@
 EVENTS = 12  # events of a streamed answer
 EVENT_INTERVAL_S = 0.004
 LONG_BYTES = 3_000_000  # of the answer in mode long
+ENDLESS_BYTES = 300_000_000  # after which an engine gives up an answer without end
 FALLEN_S = 2  # until an engine that fell over has started again
 IDLE_S = 1  # for which it keeps an idle connection, as it promises
 FRAMED_MODES = ("ok", "full", "error", "foreign", "unsigned", "long")  # in which a connection can carry another request
@@ -67,7 +68,8 @@
     set), error (runs it and answers 500), unsigned (no signature), foreign (answers with another request's id),
     unframed (neither a Content-Length nor chunks; the connection ends with the answer), torn (the same, and a stream
     ends within an event), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
-    deaf (stops reading after the first byte). A request whose body is one of crash_bodies crashes the engine, which
+    deaf (stops reading after the first byte), endless_head, endless_body (sends bytes that are no answer until the
+    connection is closed). A request whose body is one of crash_bodies crashes the engine, which
     listens again after a second.
     """
 
@@ -78,6 +80,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_bodies, self.crash_delay = set(), 0.0  # seconds from the arrival to the crash
+        self.endless_sent = 0  # bytes of the longest answer in the modes endless_head and endless_body
         self.crash_parts = set()  # it crashes as it begins to answer a prompt with one of these parts, after its delay
         self.fail_bodies = set()  # requests with these bodies are answered 500
         self.fails_from, self.running = None, 0  # half of the answers are 500 while so many requests run; None: none
@@ -283,6 +286,8 @@
             await asyncio.sleep(3600)
         if self.mode == "lost":
             abort(writer)
+        elif self.mode in ("endless_head", "endless_body"):
+            await self.send_without_end(request, writer)
         elif self.mode == "error" or overloaded or request.body in self.fail_bodies:
             writer.write(answer(500, b"failed", **self.head(request)))
         elif self.streams:
@@ -291,6 +296,19 @@
             await self.plain(request, writer)
         await writer.drain()
 
+    async def send_without_end(self, request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
+        if self.mode == "endless_body":
+            lines = [f"{name.replace('_', '-')}: {value}\r\n" for name, value in self.head(request).items()]
+            kind = "text/event-stream" if self.streams else "text/plain"
+            writer.write(f"1\r\nContent-Type: {kind}\r\n{''.join(lines)}\r\n".encode())
+        for number in range(ENDLESS_BYTES // LONG_BYTES):
+            writer.write(b"x" * LONG_BYTES)
+            await writer.drain()
+            if writer.is_closing():
+                return
+            self.endless_sent = max(self.endless_sent, (number + 1) * LONG_BYTES)
+
     async def plain(self, request, writer):
         body = plain_answer(request.method, request.target, request.body)
         if self.mode == "long":
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -12,6 +12,9 @@
 /* Milliseconds without an acknowledgement after which a connection counts as dead, which is the
  * only sign of a broken network path. Reachable servers acknowledge within a few milliseconds. */
 #define UNACKED_TIMEOUT_MS 2000
+/* Bytes of an incomplete answer that are kept; some such answers at a time must fit the smallest
+ * VM's memory. */
+#define UNREAD_MAX_BYTES (8 << 20)
 
 struct FrontAttempt
 {
@@ -46,6 +49,8 @@
   FrontAttempt *attempt = user;
 
   front_socket_feed_reply (bev, &attempt->reply);
+  if (front_attempt_is_too_long (attempt))
+    attempt->reply.broken = true;
   if (attempt->reply.status && !attempt->has_head)
     {
       if (attempt->is_kept)
@@ -209,6 +214,12 @@
   return attempt->sent;
 }
 
+bool
+front_attempt_is_too_long (const FrontAttempt *attempt)
+{
+  return !attempt->reply.complete && attempt->reply.body.len > UNREAD_MAX_BYTES;
+}
+
 bool
 front_attempt_is_kept (const FrontAttempt *attempt)
 {
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -55,6 +55,8 @@
 HttpReply *front_attempt_reply (FrontAttempt *attempt);
 /** True once bytes of the request may have reached the server. */
 bool front_attempt_is_sent (const FrontAttempt *attempt);
+/** True if the answer was given up, for it is longer than an answer may be. */
+bool front_attempt_is_too_long (const FrontAttempt *attempt);
 /** True if the request was sent on a kept connection. */
 bool front_attempt_is_kept (const FrontAttempt *attempt);
 /** The complete answer is a success of the server's own to this request: the connection may be
--- a/src/front_events.h
+++ b/src/front_events.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define EVENT_MAX_BYTES (1 << 20) /**< of an incomplete event that is waited for */
+
 typedef struct
 {
   int64_t last_id;   /**< of the last event forwarded; -1: none */
--- a/src/front_request_cut.c
+++ b/src/front_request_cut.c
@@ -41,6 +41,8 @@
 {
   if (is_kept_cut (request))
     return "kept_closed";
+  if (front_attempt_is_too_long (request->attempt))
+    return "answer_too_long";
   return request->relaying ? "stream_cut" : "answer_cut";
 }
 
--- a/src/front_request_relay.c
+++ b/src/front_request_relay.c
@@ -287,7 +287,13 @@
       front_conn_stream_data (request->conn, out.data, out.len);
     }
   buffer_free (&out);
-  if (cut_off)
+  if (reply->body.len > EVENT_MAX_BYTES)
+    {
+      if (request->server)
+        front_health_failed (&request->server->health, clock_boot_ms ());
+      request_retry (request, "event_too_long", true);
+    }
+  else if (cut_off)
     request_retry (request, "stream_spoiled", true);
   else if (reply->complete)
     {
