Close callers' connections that the VM's network link can't carry

A failure domain whose callers nearly all reach one small VM was served late or not: its link of 10 Mbit/s was full, each of four passages took 0.2 s and more, and connections to servers didn't open within 350 ms.

A new setting has the link's rate. Connections are let in at the rate at which the link carries what one takes on average, and none while more has passed; others are closed before their request is read. Their callers know that it hasn't run and try another front at once. Other fronts are let in always: what they hand over they couldn't tell from a request that was cut.

Ruled out: processor time (a third of what there is) and divided limits (none among the refusals).

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 LINT_WIRE = $(wildcard platform/wire_lint*.c platform/wire_place*.c)
 LINT_PARTS = $(filter-out src/lint_main.c,$(wildcard src/lint*.c)) $(LINT_WIRE) \
   platform/wire_config.c platform/wire_json.c platform/wire_store.c src/front_config.c src/front_urgency.c \
-  src/front_channel.c src/front_socket.c src/front_row.c src/front_table.c
+  src/front_channel.c src/front_socket.c src/front_link.c src/front_row.c src/front_table.c
 LINT_SHARED = $(wildcard src/util_*.c) src/http_head.c src/http_reply.c
 LINT_LIBS = $(shell pkg-config --libs json-c libsodium libxxhash libevent) -lhttp_parser -lm
 STANDINS = standin-platform standin-engine standin-service
--- a/src/front.h
+++ b/src/front.h
@@ -12,6 +12,7 @@
 #include "front_hedge.h"
 #include "front_holding.h"
 #include "front_lag.h"
+#include "front_link.h"
 #include "front_parts.h"
 #include "front_reach.h"
 #include "front_returning.h"
@@ -49,6 +50,7 @@
   Quarantine *quarantine;
   FrontParts *parts;
   FrontLag lag;       /**< of model engines' answers */
+  FrontLink link;     /**< of this VM; requests and answers, not what is told between fronts */
   FrontWaits *waits;  /**< of model engines; filled only where front_is_contended */
   uint32_t wait_keys; /**< of attempts so far, for front_waits */
   FrontSpeeds speeds;
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -100,6 +100,16 @@
   return bev;
 }
 
+static struct bufferevent *
+connect_counted (Front *front, const struct sockaddr_in *address)
+{
+  struct bufferevent *bev = front_socket_connect (front->base, address, UNACKED_TIMEOUT_MS);
+
+  if (bev)
+    front_socket_count (bev, &front->link);
+  return bev;
+}
+
 FrontAttempt *
 front_attempt_start (Front *front,
                      const AttemptTarget *target,
@@ -113,7 +123,7 @@
   FrontAttempt *attempt;
 
   if (!bev)
-    bev = front_socket_connect (front->base, target->address, UNACKED_TIMEOUT_MS);
+    bev = connect_counted (front, target->address);
   if (!bev)
     return NULL;
   attempt = memory_alloc (sizeof *attempt);
--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -333,6 +333,7 @@
   conn->front = front;
   front_socket_set_options (fd, TCP_TIMEOUT_MS);
   conn->bev = bufferevent_socket_new (front->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  front_socket_count (conn->bev, &front->link);
   http_request_parser_init (&conn->request_parser, &limits);
   idle_begin (conn);
   cds_list_add_tail (&conn->node, &front->conns);
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -3,6 +3,7 @@
 #include "front.h"
 #include "front_conn.h"
 #include "front_control.h"
+#include "front_counter.h"
 #include "front_deaths.h"
 #include "front_log.h"
 #include "front_peers.h"
@@ -51,16 +52,35 @@
 
 const char *argp_program_version = "lovage-front 0.1";
 
+/* A caller whose connection is closed before its request is read tries another front at once, where
+ * it would only wait here. */
+static void
+turn_away (Front *front, evutil_socket_t fd)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_LINK_FULL);
+
+  front_log_number (line, "excess_bytes", (int64_t)front_link_excess (&front->link));
+  front_log_number (line, "connections", front->conn_count);
+  front_log_end (line);
+  front_counter_add (FRONT_COUNTER_LINK_FULL);
+  evutil_closesocket (fd);
+}
+
 static void
 on_accept (struct evconnlistener *listener UNUSED,
            evutil_socket_t fd,
-           struct sockaddr *from UNUSED,
+           struct sockaddr *from,
            int len UNUSED,
            void *user)
 {
   Main *self = user;
+  Front *front = &self->front;
 
-  front_conn_new (&self->front, fd);
+  /* Another front that hands a request over can't tell that it wasn't read. */
+  if (front_link_let_in (&front->link, clock_boot_ms ()) || front_peers_knows (front->peers, from))
+    front_conn_new (front, fd);
+  else
+    turn_away (front, fd);
 }
 
 static void
@@ -134,6 +154,9 @@
       self->front.settings.hedge_share = settings.hedge_share;
       front_hedge_set_share (self->front.hedge, settings.hedge_share);
       self->front.settings.keep_connections_ms = settings.keep_connections_ms;
+      if (self->front.settings.link_mbps != settings.link_mbps)
+        front_link_set (&self->front.link, settings.link_mbps, clock_boot_ms ());
+      self->front.settings.link_mbps = settings.link_mbps;
       settings_front_clear (&settings);
       front_log_text (line, "outcome", "applied");
     }
@@ -210,6 +233,7 @@
   front->base = event_base_new ();
   front->incarnation = id_random_u64 ();
   front->started_ms = clock_boot_ms ();
+  front_link_set (&front->link, settings->link_mbps, front->started_ms);
   CDS_INIT_LIST_HEAD (&front->conns);
   CDS_INIT_LIST_HEAD (&front->requests);
   front_waiting_init (&front->waiting);
--- a/src/front_peers.h
+++ b/src/front_peers.h
@@ -77,6 +77,8 @@
  *  the subject. Fewer are selected where a failure domain has fewer fronts than its share. */
 bool
 front_peers_is_selected (const FrontPeers *peers, uint64_t subject, unsigned count, int64_t now_ms);
+/** True if the address is another front's. */
+bool front_peers_knows (const FrontPeers *peers, const struct sockaddr *from);
 /** Other fronts that one request may be handed to. */
 #define HANDOFFS_MAX 2
 
--- a/src/front_peers_table.c
+++ b/src/front_peers_table.c
@@ -52,6 +52,14 @@
   return NULL;
 }
 
+bool
+front_peers_knows (const FrontPeers *peers, const struct sockaddr *from)
+{
+  const struct sockaddr_in *address = (const struct sockaddr_in *)from;
+
+  return from->sa_family == AF_INET && peer_find (peers, address->sin_addr.s_addr) != NULL;
+}
+
 static bool
 is_own_domain (const FrontPeers *peers, uint32_t domain)
 {
--- a/src/front_socket.c
+++ b/src/front_socket.c
@@ -1,5 +1,6 @@
 #include "front_socket.h"
 #include "util_span.h"
+#include "util_unused.h"
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
@@ -69,6 +70,27 @@
   return NULL;
 }
 
+static void
+count_received (struct evbuffer *buffer UNUSED, const struct evbuffer_cb_info *info, void *link)
+{
+  if (info->n_added > 0)
+    front_link_count (link, LINK_IN, info->n_added);
+}
+
+static void
+count_sent (struct evbuffer *buffer UNUSED, const struct evbuffer_cb_info *info, void *link)
+{
+  if (info->n_deleted > 0)
+    front_link_count (link, LINK_OUT, info->n_deleted);
+}
+
+void
+front_socket_count (struct bufferevent *bev, FrontLink *link)
+{
+  evbuffer_add_cb (bufferevent_get_input (bev), count_received, link);
+  evbuffer_add_cb (bufferevent_get_output (bev), count_sent, link);
+}
+
 void
 front_socket_feed_reply (struct bufferevent *bev, HttpReply *reply)
 {
--- a/src/front_socket.h
+++ b/src/front_socket.h
@@ -4,6 +4,7 @@
 #ifndef FRONT_SOCKET_H
 #define FRONT_SOCKET_H
 
+#include "front_link.h"
 #include "http_reply.h"
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -19,6 +20,8 @@
 /** Starts to connect, with the options above; NULL if no socket can be opened. */
 struct bufferevent *
 front_socket_connect (struct event_base *base, const struct sockaddr_in *address, int timeout_ms);
+/** Counts what the connection sends and receives. link must outlive it. */
+void front_socket_count (struct bufferevent *bev, FrontLink *link);
 /** Feeds all received bytes to the reply's parser. */
 void front_socket_feed_reply (struct bufferevent *bev, HttpReply *reply);
 
--- a/tests/front_fakes.c
+++ b/tests/front_fakes.c
@@ -155,6 +155,12 @@
   return &attempt->reply;
 }
 
+bool
+front_attempt_is_too_long (const FrontAttempt *attempt UNUSED)
+{
+  return false;
+}
+
 bool
 front_attempt_is_kept (const FrontAttempt *attempt UNUSED)
 {
