--- a/src/choose_quarantine_private.h
+++ b/src/choose_quarantine_private.h
@@ -62,7 +62,7 @@
                       these deaths or after it */
 } Suspect;
 
-#define SUSPECTS_MAX   (QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX)
+#define SUSPECTS_MAX   ((size_t)QUARANTINE_DEATHS_MAX * QUARANTINE_FLIGHT_MAX)
 #define SUSPECT_PLACES (2 * SUSPECTS_MAX) /* half of them stay free */
 
 /** All fingerprints of the known deaths. */
--- a/src/choose_quarantine_suspects.c
+++ b/src/choose_quarantine_suspects.c
@@ -4,10 +4,10 @@
 #include <string.h>
 
 /* The place of the fingerprint, or the free one where it belongs. */
-static unsigned
+static size_t
 place_of (const Suspects *suspects, uint64_t fingerprint)
 {
-  unsigned place = (fingerprint >> 1) % SUSPECT_PLACES; /* the lowest bit is always set */
+  size_t place = (fingerprint >> 1) % SUSPECT_PLACES; /* the lowest bit is always set */
 
   while (suspects->places[place] != 0
          && suspects->list[suspects->places[place] - 1].fingerprint != fingerprint)
@@ -18,7 +18,7 @@
 static void
 add_flight (Suspects *suspects, uint64_t fingerprint, DeathSet death)
 {
-  unsigned place = place_of (suspects, fingerprint);
+  size_t place = place_of (suspects, fingerprint);
 
   if (suspects->places[place] == 0)
     {
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -81,7 +81,7 @@
 }
 
 static void
-log_released (Front *front)
+log_released (const Front *front)
 {
   uint64_t released[QUARANTINE_RELEASED_MAX];
   size_t count = quarantine_take_released (front->quarantine, released, QUARANTINE_RELEASED_MAX);
