Keep descriptors for requests when callers keep many connections open

A load balancer that sends most new connections to one front fills its descriptors: callers keep connections open for up to 19 s after an answer, and the platform's small VMs have 4,100 descriptors. At the limit the front could open no connection to a server, and its event loop tried to accept without a pause: with 200 descriptors and 300 idle connections no request was answered for ten seconds, until idle ones expired, and the log took 475 MB of warnings (cases idle_callers_leave_descriptors, descriptors_are_kept_for_servers: both failed before, both pass twice now).

Callers may have half of the descriptors, less those for other uses (setting descriptors, or the process's limit). Beyond that the connection that has been idle longest is closed for the new one, and the new one if none is idle. Accepting has a module of its own.

--- a/Makefile
+++ b/Makefile
@@ -111,7 +111,7 @@
 # These replace connections, timers and the clock by fakes.
 $(BUILD)/test_front_request_%: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
 $(BUILD)/test_front_request_%: $(BUILD)/obj/tests/test_front_request_%.o \
-  $(call obj,$(filter-out src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) tests/front_fakes.c tests/hedge_site.c $(TEST_HELPERS)) $(LIB)
+  $(call obj,$(filter-out src/front_accept.c src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) tests/front_fakes.c tests/hedge_site.c $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- a/regress/front/cases_slow.py
+++ b/regress/front/cases_slow.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import os
+import resource
 import socket
 import sys
 import time
@@ -17,6 +19,9 @@
 UNREAD_MAX_S = 12  # until an answer that is not read is given up: the time-out of 6 s twice
 ANSWER_MAX_BYTES = 16_000_000  # five such answers fit the smallest VM
 REST_S = 4  # for which a front leaves servers alone that fail
+DESCRIPTORS, IDLE_CALLERS = 200, 300  # of a front, and connections that its callers keep open
+CALL_MAX_S = 2  # within which each of them is answered
+IDLE_WATCH_S, IDLE_CPU_SHARE = 2, 0.3  # of a core that a front without requests may use
 BODY_MAX_S = 30  # until a request that arrives a byte a second is given up
 
 
@@ -119,7 +124,63 @@
     check(site, await site.call(front, "/again/b"))
 
 
-CASES = [unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second, answers_without_end]
+def cpu_seconds(front):
+    with open(f"/proc/{front.process.pid}/stat", encoding="utf-8") as lines:
+        fields = lines.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def keep_idle(site, front):
+    """Opens connections that stay open, of which each third carries a request. Returns them."""
+    kept = []
+    for number in range(IDLE_CALLERS):
+        kept.append(await asyncio.open_connection(front.ip, CALLERS_PORT))
+        if number % 3 == 0:
+            answer = await site.call(front, f"/again/{number}", b"%d" % number, connection=kept[-1], timeout=CALL_MAX_S)
+            equal(answer.status, 200, f"on connection {number}")
+    return kept
+
+
+async def watch_idle(site, front):
+    began, used = time.monotonic(), cpu_seconds(front)
+    await asyncio.sleep(IDLE_WATCH_S)
+    share = (cpu_seconds(front) - used) / (time.monotonic() - began)
+    equal(share < IDLE_CPU_SHARE, True, f"{share:.2f} of a core without requests")
+    equal((await site.call(front, "/again/last", timeout=CALL_MAX_S)).status, 200, "the last one")
+    equal(len(front.events("descriptors_short")) > 0, True, "logged")
+
+
+async def idle_callers_leave_descriptors(site):
+    """More callers keep their connections open than a front has descriptors. Guards against a front that can then
+    open none to its servers, and accepts in vain without a pause."""
+    front = site.fronts[0]
+    resource.prlimit(front.process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    kept = await keep_idle(site, front)
+    await watch_idle(site, front)
+    for _, writer in kept:
+        writer.close()
+
+
+async def descriptors_are_kept_for_servers(site):
+    """The same, where the settings tell how many there are. Guards against callers that take them all."""
+    front = site.fronts[0]
+    await front.kill()
+    site.more_settings["descriptors"] = DESCRIPTORS
+    await front.start()
+    await site.wait(front.is_ready, "front 0 ready")
+    kept = await keep_idle(site, front)
+    used = len(os.listdir(f"/proc/{front.process.pid}/fd"))
+    equal(used <= DESCRIPTORS * 3 / 4, True, f"{used} descriptors in use")
+    await watch_idle(site, front)
+    for _, writer in kept:
+        writer.close()
+
+
+CASES = [
+    unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second,
+    answers_without_end, idle_callers_leave_descriptors,
+    descriptors_are_kept_for_servers,
+]
 
 if __name__ == "__main__":
     sys.exit(main(CASES))
--- a/src/front.h
+++ b/src/front.h
@@ -65,6 +65,7 @@
   FrontControl *control;           /**< NULL until it listens */
   struct evconnlistener *listener; /**< for callers; disabled until front_open */
   int64_t started_ms;              /**< start of the process, boot-time clock */
+  bool is_accept_paused;           /**< until the next tick, for lack of descriptors */
   bool is_open;                    /**< callers' connections are accepted */
   struct cds_list_head conns;      /**< FrontConn by node */
   struct cds_list_head requests;   /**< FrontRequest by node */
@@ -72,6 +73,7 @@
   FrontReturning returning;        /**< and those that go back to a full one */
   FrontHolding holding;            /**< and those that are held while engines are full */
   unsigned conn_count;
+  unsigned conn_max; /**< connections of callers, so that requests can be sent to servers */
   unsigned request_count;
   int64_t stop_requested_ms; /**< of a graceful stop, boot-time clock; 0: none */
 } Front;
--- /dev/null
+++ b/src/front_accept.c
@@ -0,0 +1,134 @@
+#include "front_accept.h"
+#include "front_conn.h"
+#include "front_counter.h"
+#include "front_log.h"
+#include "front_peers.h"
+#include "front_socket.h"
+#include "util_clock.h"
+#include "util_unused.h"
+#include <sys/resource.h>
+
+#define BACKLOG 1024 /* all callers of a failure domain may connect at once */
+/* Idle connections that are closed at once when no descriptor is left: requests need some for their
+ * servers. */
+#define RELIEF 16
+/* Descriptors for files, the store, other fronts, and the control address. */
+#define OTHER_DESCRIPTORS 300
+#define DESCRIPTORS_MAX   1000000 /* a process with a higher limit has none */
+
+static void
+log_link (const Front *front)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_LINK_FULL);
+
+  front_log_number (line, "excess_bytes", (int64_t)front_link_excess (&front->link));
+  front_log_number (line, "connections", front->conn_count);
+  front_log_end (line);
+  front_counter_add (FRONT_COUNTER_LINK_FULL);
+}
+
+static void
+log_descriptors (const Front *front, unsigned closed)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_DESCRIPTORS);
+
+  front_log_number (line, "connections", front->conn_count);
+  front_log_number (line, "most", front->conn_max);
+  front_log_number (line, "closed", closed);
+  front_log_end (line);
+}
+
+static bool
+link_has_room (Front *front)
+{
+  if (front_link_let_in (&front->link, clock_boot_ms ()))
+    return true;
+  log_link (front);
+  return false;
+}
+
+/* The caller that waits here has a request; one that keeps an idle connection can open another. */
+static bool
+make_room (Front *front)
+{
+  unsigned closed;
+
+  if (front->conn_count < front->conn_max)
+    return true;
+  closed = front_conn_close_idle (front, 1);
+  log_descriptors (front, closed);
+  return closed > 0;
+}
+
+static void
+on_accept (struct evconnlistener *listener UNUSED,
+           evutil_socket_t fd,
+           struct sockaddr *from,
+           int len UNUSED,
+           void *user)
+{
+  Front *front = user;
+
+  /* Another front that hands a request over can't tell that it wasn't read. */
+  if ((link_has_room (front) && make_room (front)) || front_peers_knows (front->peers, from))
+    front_conn_new (front, fd);
+  else
+    evutil_closesocket (fd);
+}
+
+/* Without a pause the event loop would try again at once for as long as a caller waits. */
+static void
+on_error (struct evconnlistener *listener, void *user)
+{
+  Front *front = user;
+  unsigned closed = front_conn_close_idle (front, RELIEF);
+
+  log_descriptors (front, closed);
+  if (closed > 0)
+    return;
+  evconnlistener_disable (listener);
+  front->is_accept_paused = true;
+}
+
+void
+front_accept_tick (Front *front)
+{
+  if (!front->is_accept_paused)
+    return;
+  front->is_accept_paused = false;
+  evconnlistener_enable (front->listener);
+}
+
+/* Each request has a connection of its caller and one to its server. */
+static unsigned
+callers_max (const SettingsFront *settings)
+{
+  struct rlimit limit;
+  int64_t all = settings->descriptors;
+  int64_t others;
+
+  if (all == 0 && getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur <= DESCRIPTORS_MAX)
+    all = (int64_t)limit.rlim_cur;
+  if (all == 0)
+    return DESCRIPTORS_MAX;
+  others = all / 4 < OTHER_DESCRIPTORS ? all / 4 : OTHER_DESCRIPTORS;
+  return all - others > 1 ? (unsigned)((all - others) / 2) : 1;
+}
+
+bool
+front_accept_listen (Front *front)
+{
+  struct sockaddr_in address;
+
+  if (!front_socket_parse_address (front->settings.callers, &address))
+    return false;
+  front->callers_port = address.sin_port;
+  front->conn_max = callers_max (&front->settings);
+  front->listener = evconnlistener_new_bind (
+      front->base, on_accept, front, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
+      BACKLOG, (struct sockaddr *)&address, sizeof address);
+  if (!front->listener)
+    return false;
+  evconnlistener_set_error_cb (front->listener, on_error);
+  return true;
+}
--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -70,6 +70,8 @@
 
   conn->since_ms = clock_boot_ms ();
   conn->idle_timeout_ms = (int64_t)((double)wait_ms * IDLE_FACTOR);
+  cds_list_del (&conn->node);
+  cds_list_add_tail (&conn->node, &conn->front->conns);
 }
 
 /* Closes the connection at once. Callers of this function may still read conn, so its memory is
@@ -335,8 +337,8 @@
   conn->bev = bufferevent_socket_new (front->base, fd, BEV_OPT_CLOSE_ON_FREE);
   front_socket_count (conn->bev, &front->link);
   http_request_parser_init (&conn->request_parser, &limits);
-  idle_begin (conn);
   cds_list_add_tail (&conn->node, &front->conns);
+  idle_begin (conn);
   front->conn_count++;
   bufferevent_setcb (conn->bev, on_read, on_written, on_event, conn);
   bufferevent_setwatermark (conn->bev, EV_READ, 0, READ_AHEAD_MAX_BYTES);
@@ -392,6 +394,36 @@
   }
 }
 
+static bool
+is_idle (const FrontConn *conn)
+{
+  return !conn->freed && !conn->closing && !conn->request
+         && !http_request_parser_started (&conn->request_parser)
+         && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0
+         && evbuffer_get_length (bufferevent_get_input (conn->bev)) == 0;
+}
+
+unsigned
+front_conn_close_idle (Front *front, unsigned max)
+{
+  FrontConn *conn;
+  unsigned closed = 0;
+
+  /* Connections are in the order in which they last became idle. */
+  cds_list_for_each_entry (conn, &front->conns, node)
+  {
+    if (closed == max)
+      break;
+    if (!is_idle (conn))
+      continue;
+    conn_free (conn);
+    closed++;
+  }
+  for (unsigned i = 0; i < closed; i++)
+    front_counter_add (FRONT_COUNTER_IDLE_CLOSED);
+  return closed;
+}
+
 bool
 front_conn_all_written (const Front *front)
 {
--- a/src/front_conn.h
+++ b/src/front_conn.h
@@ -26,6 +26,8 @@
 bool front_conn_output_is_full (const FrontConn *conn);
 /** Applies the time-outs of all connections, and closes idle ones during a stop. */
 void front_conn_sweep (Front *front, int64_t now_ms);
+/** Closes up to max idle connections, those that have been idle longest; returns their number. */
+unsigned front_conn_close_idle (Front *front, unsigned max);
 /** True if no output is pending; a request may have ended while its answer is still in a buffer. */
 bool front_conn_all_written (const Front *front);
 
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -1,9 +1,9 @@
 /* lovage-front: routes callers' requests to the backend servers of the users' platform, in one
  * process per VM. */
 #include "front.h"
+#include "front_accept.h"
 #include "front_conn.h"
 #include "front_control.h"
-#include "front_counter.h"
 #include "front_deaths.h"
 #include "front_log.h"
 #include "front_peers.h"
@@ -29,7 +29,6 @@
 #define NS_PER_MS                  1000000
 #define US_PER_MS                  1000L
 #define SETTINGS_CHECK_INTERVAL_MS 2000
-#define BACKLOG                    1024 /* all callers of a failure domain may connect at once */
 /* The load balancer needs two failed health checks to send callers elsewhere. */
 #define STOP_MIN_MS    2500
 #define STOP_MARGIN_MS 400 /* margin before the process would be killed */
@@ -52,37 +51,6 @@
 
 const char *argp_program_version = "lovage-front 0.1";
 
-/* A caller whose connection is closed before its request is read tries another front at once, where
- * it would only wait here. */
-static void
-turn_away (Front *front, evutil_socket_t fd)
-{
-  FrontLine *line = front_log_begin (FRONT_EVENT_LINK_FULL);
-
-  front_log_number (line, "excess_bytes", (int64_t)front_link_excess (&front->link));
-  front_log_number (line, "connections", front->conn_count);
-  front_log_end (line);
-  front_counter_add (FRONT_COUNTER_LINK_FULL);
-  evutil_closesocket (fd);
-}
-
-static void
-on_accept (struct evconnlistener *listener UNUSED,
-           evutil_socket_t fd,
-           struct sockaddr *from,
-           int len UNUSED,
-           void *user)
-{
-  Main *self = user;
-  Front *front = &self->front;
-
-  /* Another front that hands a request over can't tell that it wasn't read. */
-  if (front_link_let_in (&front->link, clock_boot_ms ()) || front_peers_knows (front->peers, from))
-    front_conn_new (front, fd);
-  else
-    turn_away (front, fd);
-}
-
 static void
 stop_check (Main *self, int64_t now_ms)
 {
@@ -118,6 +86,7 @@
   front_budget_set_fronts (self->front.budget, front_peers_alive (self->front.peers, now_ms));
   front_peers_fill_view (self->front.peers, now_ms, &self->front.fronts);
   front_control_tick (self->control, now_ms);
+  front_accept_tick (&self->front);
   settings_check (self, now_ms);
   stop_check (self, now_ms);
 }
@@ -193,21 +162,6 @@
   self->settings_changed_ms = changed_ms;
 }
 
-static bool
-listen_for_callers (Main *self)
-{
-  struct sockaddr_in address;
-
-  if (!front_socket_parse_address (self->front.settings.callers, &address))
-    return false;
-  self->front.callers_port = address.sin_port;
-  self->front.listener
-      = evconnlistener_new_bind (self->front.base, on_accept, self,
-                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
-                                 BACKLOG, (struct sockaddr *)&address, sizeof address);
-  return self->front.listener != NULL;
-}
-
 static void
 timers_start (Main *self)
 {
@@ -266,7 +220,7 @@
   self->control = front_control_new (front);
   if (!self->control)
     return "control";
-  if (!listen_for_callers (self))
+  if (!front_accept_listen (front))
     return "callers";
   timers_start (self);
   return NULL;
--- a/src/settings_front.c
+++ b/src/settings_front.c
@@ -14,6 +14,7 @@
 #define COLD_SLACK_MAX         1000.0  /**< requests */
 #define SECONDS_MAX            86400.0 /**< a day */
 #define KEEP_CONNECTIONS_MAX   60000.0 /**< a minute: servers close idle ones sooner */
+#define DESCRIPTORS_MAX        1000000 /**< far above what a process may open */
 #define LINK_MBPS_MAX          1e6     /**< a terabit a second */
 #define CONTENTION_RATIO_MAX   1000.0  /**< far above any two objectives of one service */
 
@@ -53,6 +54,7 @@
   FRONT_NUMBER ("hedge_share", hedge_share, 1),
   FRONT_NUMBER ("keep_connections_ms", keep_connections_ms, KEEP_CONNECTIONS_MAX),
   FRONT_NUMBER ("link_mbps", link_mbps, LINK_MBPS_MAX),
+  SETTINGS_INT ("descriptors", offsetof (FrontDraft, settings.descriptors), 0, DESCRIPTORS_MAX),
 };
 
 static const SettingsFront defaults = {
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -36,6 +36,7 @@
                               requests over all fronts; 0: none */
   double keep_connections_ms; /**< longest time for which an idle connection to a backend server is
                                  kept, where work is ordered; 0: none is kept */
+  int64_t descriptors;        /**< that this process may have open; 0: the process's limit */
   double link_mbps;           /**< of this VM's network link, each way; 0: not known */
 } SettingsFront;
 
