Count deaths under a request, not servers, where servers start again under their ids

A majority of different servers is asked for as before, where answers don't speak for a request: a server that crashes by itself would have its most usual request refused.

--- a/src/choose_quarantine.c
+++ b/src/choose_quarantine.c
@@ -9,7 +9,7 @@
 
 const QuarantineSettings quarantine_settings_default = {
   .servers = 2,
-  .repeated_servers = 0,
+  .repeated_deaths = 0,
   .suspect_hold_ms = 0,
   .retention_ms = 600000,
   .outage_ms = 120000,
--- a/src/choose_quarantine.h
+++ b/src/choose_quarantine.h
@@ -17,8 +17,8 @@
 typedef struct
 {
   unsigned servers; /**< different servers that must have died while running a fingerprint */
-  unsigned repeated_servers; /**< the same, whatever else died around them; 0: none are enough */
-  int64_t retention_ms;      /**< how long deaths are kept */
+  unsigned repeated_deaths; /**< that are enough whatever else died around them; 0: none are */
+  int64_t retention_ms;     /**< how long deaths are kept */
   int64_t outage_ms; /**< deaths this close together may have a common cause other than a request */
   int64_t same_death_ms;   /**< reports of one server's death this close together are the same */
   int64_t suspect_hold_ms; /**< after its latest death, for which a fingerprint is refused that is
--- a/src/choose_quarantine_cause.c
+++ b/src/choose_quarantine_cause.c
@@ -37,35 +37,35 @@
   return servers < min ? 0 : servers;
 }
 
-/* The same for a fingerprint that may be a cause by its number of deaths. */
+/* Unexplained deaths under a fingerprint that may be a cause by their number; 0 if they are fewer
+ * than min. A server that starts again under its id dies more than once. */
 static unsigned
-countable_servers (const Quarantine *quarantine,
-                   const Suspects *suspects,
-                   const Suspect *suspect,
-                   unsigned min)
+countable_deaths (const Suspects *suspects, const Suspect *suspect, unsigned min)
 {
-  return suspect->is_sound ? 0 : unexplained_servers (quarantine, suspects, suspect, min);
+  unsigned count = (unsigned)__builtin_popcountll (suspect->deaths & ~suspects->explained);
+
+  return suspect->is_sound || count < min ? 0 : count;
 }
 
 static unsigned
-most_unexplained (const Quarantine *quarantine, const Suspects *suspects, unsigned min)
+most_unexplained (const Suspects *suspects, unsigned min)
 {
   unsigned most = 0;
   size_t i;
 
   for (i = 0; i < suspects->count; i++)
     {
-      unsigned servers = countable_servers (quarantine, suspects, &suspects->list[i], min);
+      unsigned count = countable_deaths (suspects, &suspects->list[i], min);
 
-      if (servers > most)
-        most = servers;
+      if (count > most)
+        most = count;
     }
   return most;
 }
 
-/* Takes the fingerprints under which so many servers died for causes. */
+/* Takes the fingerprints at so many deaths for causes. */
 static void
-explain_by (const Quarantine *quarantine, Suspects *suspects, unsigned servers)
+explain_by (Suspects *suspects, unsigned count)
 {
   DeathSet deaths = 0;
   size_t i;
@@ -74,7 +74,7 @@
     {
       Suspect *suspect = &suspects->list[i];
 
-      if (countable_servers (quarantine, suspects, suspect, servers) != servers)
+      if (countable_deaths (suspects, suspect, count) != count)
         continue;
       suspect->is_cause = true;
       deaths |= suspect->deaths;
@@ -87,12 +87,12 @@
 static void
 explain (const Quarantine *quarantine, Suspects *suspects, int64_t now_ms)
 {
-  unsigned repeated = quarantine->settings.repeated_servers;
+  unsigned repeated = quarantine->settings.repeated_deaths;
   unsigned most;
 
   suspects->explained = deaths_under_final (quarantine, suspects, now_ms);
-  while (repeated > 0 && (most = most_unexplained (quarantine, suspects, repeated)) > 0)
-    explain_by (quarantine, suspects, most);
+  while (repeated > 0 && (most = most_unexplained (suspects, repeated)) > 0)
+    explain_by (suspects, most);
 }
 
 /* Requests that many callers send alike were running at many servers of a pool that dies. */
@@ -164,7 +164,7 @@
   const QuarantineSettings *settings = &quarantine->settings;
 
   return settings->suspect_hold_ms > 0 && !suspect->is_sound
-         && quarantine_count_servers (quarantine, suspect->deaths) >= settings->servers;
+         && (unsigned)__builtin_popcountll (suspect->deaths) >= settings->servers;
 }
 
 static bool
--- a/src/front_deaths.c
+++ b/src/front_deaths.c
@@ -42,7 +42,7 @@
 
 const QuarantineSettings front_quarantine_settings = {
   .servers = 3,             /* two may die by coincidence during one caller's retries */
-  .repeated_servers = 4,    /* a caller's request has three attempts on most routes */
+  .repeated_deaths = 4,     /* a caller's request has three attempts on most routes */
   .suspect_hold_ms = 10000, /* callers of a harmless one wait no longer */
   .retention_ms = 60000,    /* callers retry such a request within seconds */
   .outage_ms = 1000,        /* servers of one rack die together */
--- a/tests/test_choose_quarantine.c
+++ b/tests/test_choose_quarantine.c
@@ -170,7 +170,7 @@
                                                 .final_after_ms = 1000 };
 /* The same, where some number of deaths is enough whatever else died. */
 static const QuarantineSettings repeated = { .servers = 3,
-                                             .repeated_servers = 4,
+                                             .repeated_deaths = 4,
                                              .suspect_hold_ms = 10000,
                                              .retention_ms = 60000,
                                              .outage_ms = 1000,
@@ -265,6 +265,21 @@
   quarantine_free (quarantine);
 }
 
+/* A service has two servers, which start again under their ids each time that a request crashes
+ * them. Guards against counting their ids, of which there are never enough. */
+static void
+test_servers_that_start_again_count (void)
+{
+  quarantine = quarantine_new (&repeated);
+  for (uint64_t i = 0; i < 3; i++)
+    add_death (1 + i % 2, CRASHER, 0, 4000 * (int64_t)i);
+  CU_ASSERT_TRUE (quarantine_contains (quarantine, CRASHER, 17900));
+  CU_ASSERT_FALSE (quarantine_contains (quarantine, CRASHER, 18000));
+  add_death (2, CRASHER, 0, 22000);
+  CU_ASSERT_TRUE (quarantine_contains (quarantine, CRASHER, 22000 + repeated.hold_ms - 1));
+  quarantine_free (quarantine);
+}
+
 /* The same, first answered after the deaths. */
 static void
 test_answer_ends_suspicion (void)
@@ -472,6 +487,7 @@
     { "causes_at_the_same_deaths_are_refused", test_causes_at_the_same_deaths_are_refused },
     { "retried_in_an_outage_is_suspended", test_retried_in_an_outage_is_suspended },
     { "answered_request_is_not_suspected", test_answered_request_is_not_suspected },
+    { "servers_that_start_again_count", test_servers_that_start_again_count },
     { "answer_ends_suspicion", test_answer_ends_suspicion },
     { "hidden_cause_is_suspended_then_refused", test_hidden_cause_is_suspended_then_refused },
     { "reports_put_unexplained_deaths_first", test_reports_put_unexplained_deaths_first },
