Count requests on open connections in the rate of new ones

Where callers keep their connections, hardly any are new, so that what a new one seemed to take was all that the open ones carried: with 65 requests a second on open connections and one new connection a second, two fifths of the link, 97 of 385 further connections were let in, though the link had room for all (case crowd_after_kept_connections_has_room; all are now). The bytes are divided by requests, and requests on open connections take their part of the rate.

--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -40,6 +40,7 @@
                             recursively */
   bool close_after;      /* close the connection after this answer */
   bool chunked;
+  bool has_served;  /* it has carried a request */
   bool freed;       /* awaits its removal by the next sweep */
   bool closing;     /* nothing more is read; freed once all output is written */
   int64_t since_ms; /* last change between idle, reading a request and answering it */
@@ -239,6 +240,9 @@
 {
   conn->since_ms = clock_boot_ms ();
   conn->chunked = false;
+  if (conn->has_served)
+    front_link_count_request (&conn->front->link);
+  conn->has_served = true;
   conn->request = front_request_new (conn->front, conn);
   front_request_start (conn->request);
 }
--- a/src/front_link.c
+++ b/src/front_link.c
@@ -17,25 +17,25 @@
 /* Connections that may be let in at once, in milliseconds of their rate, and at least. */
 #define PLACES_MS  100
 #define PLACES_MIN 8.0
-/* Milliseconds in which what is known of connections loses half of its weight. */
+/* Milliseconds in which what is known of requests loses half of its weight. */
 #define KNOWN_HALF_MS 5000.0
-/* A connection's bytes before any is known, which count as so many connections. */
-#define PRIOR_BYTES       8000.0
-#define PRIOR_CONNECTIONS 20.0
+/* A request's bytes before any is known, which count as so many requests. */
+#define PRIOR_BYTES    8000.0
+#define PRIOR_REQUESTS 20.0
 
 void
 front_link_set (FrontLink *link, double mbps, int64_t now_ms)
 {
   *link = (FrontLink){
     .bytes_per_ms = mbps * BYTES_PER_MBIT / MS_PER_S * USED_SHARE,
-    .let_in = PRIOR_CONNECTIONS,
+    .requests = PRIOR_REQUESTS,
     .places = PLACES_MIN,
     .at_ms = now_ms,
   };
   for (unsigned i = 0; i < LINK_DIRECTIONS; i++)
     {
       link->left[i] = link->bytes_per_ms * BURST_MS;
-      link->carried[i] = PRIOR_CONNECTIONS * PRIOR_BYTES;
+      link->carried[i] = PRIOR_REQUESTS * PRIOR_BYTES;
     }
 }
 
@@ -55,11 +55,11 @@
   carry (link, LINK_DIRECTIONS - 1 - direction, (double)(packets * HEADER_BYTES));
 }
 
-/* Connections a millisecond. */
+/* Requests a millisecond. */
 static double
 place_rate (const FrontLink *link)
 {
-  double bytes = fmax (link->carried[LINK_IN], link->carried[LINK_OUT]) / fmax (link->let_in, 1);
+  double bytes = fmax (link->carried[LINK_IN], link->carried[LINK_OUT]) / fmax (link->requests, 1);
 
   return link->bytes_per_ms / fmax (bytes, 1);
 }
@@ -73,7 +73,7 @@
 
   link->at_ms = now_ms;
   link->places = fmin (link->places + rate * passed_ms, fmax (rate * PLACES_MS, PLACES_MIN));
-  link->let_in *= kept;
+  link->requests *= kept;
   for (unsigned i = 0; i < LINK_DIRECTIONS; i++)
     {
       link->carried[i] *= kept;
@@ -92,10 +92,17 @@
   if (link->left[LINK_IN] <= 0 || link->left[LINK_OUT] <= 0 || link->places < 1)
     return false;
   link->places--;
-  link->let_in++;
+  link->requests++;
   return true;
 }
 
+void
+front_link_count_request (FrontLink *link)
+{
+  link->requests++;
+  link->places = fmax (link->places - 1, -PLACES_MIN);
+}
+
 double
 front_link_excess (const FrontLink *link)
 {
--- a/tests/test_front_link.c
+++ b/tests/test_front_link.c
@@ -20,6 +20,8 @@
   FrontLink link;
   double queue; /* bytes that wait, the same in both directions */
   unsigned pending[BODY_MS];
+  unsigned kept_rate; /* requests a second on connections that were opened before */
+  int64_t now_ms;
   unsigned offered, accepted;
   double longest_ms; /* that a byte waited */
 } Site;
@@ -32,12 +34,15 @@
 
   for (unsigned i = 0; i < ms; i++)
     {
-      int64_t now_ms = NOW + i;
+      int64_t now_ms = NOW + site->now_ms++;
+      unsigned kept = ((i + 1) * site->kept_rate) / 1000 - (i * site->kept_rate) / 1000;
       unsigned opened = ((i + 1) * rate) / 1000 - (i * rate) / 1000;
       unsigned *pending = &site->pending[i % BODY_MS];
 
       site->queue += *pending * passed;
-      *pending = 0;
+      *pending = kept;
+      for (unsigned j = 0; j < kept; j++)
+        front_link_count_request (&site->link);
       for (unsigned j = 0; j < opened; j++)
         {
           bool has_room = front_link_let_in (&site->link, now_ms);
@@ -90,6 +95,22 @@
   check (10, 712, 0.7 * CAPACITY / 712, 1, WAIT_MAX_MS);
 }
 
+/* Callers keep their connections, which fill two fifths of the link; then others open as many.
+ * Guards against a rate of new connections that follows that of the last seconds, when there were
+ * none. */
+static void
+test_crowd_after_kept_connections_has_room (void)
+{
+  Site site = { .kept_rate = CAPACITY * 2 / 5 };
+
+  front_link_set (&site.link, 10, NOW);
+  run (&site, 1, 60000);
+  run (&site, CAPACITY * 2 / 5, 5000);
+  printf ("%u of %u accepted\n", site.accepted, site.offered);
+  CU_ASSERT_EQUAL (site.accepted, site.offered);
+  CU_ASSERT (site.longest_ms <= WAIT_MAX_MS);
+}
+
 /* Where the rate isn't known nothing is closed. */
 static void
 test_unknown_rate_bounds_nothing (void)
@@ -129,6 +150,7 @@
   static const SuiteCase cases[] = {
     { "room_for_all_below_the_rate", test_room_for_all_below_the_rate },
     { "wait_is_bounded_above_the_rate", test_wait_is_bounded_above_the_rate },
+    { "crowd_after_kept_connections_has_room", test_crowd_after_kept_connections_has_room },
     { "unknown_rate_bounds_nothing", test_unknown_rate_bounds_nothing },
     { "excess_is_over_soon", test_excess_is_over_soon },
     { "each_direction_counts", test_each_direction_counts },
