--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,9 +20,9 @@
 GREY_FROM_S, GREY_TO_S = 0.98, 3.9
 PER_S = 40  # streams that begin at the front of each zone that loses its engines
 HOST = "ficu95.example"
-ROUTES = [{"Name": "r-text", "Host": HOST, "Prefix": "/pufi791/", "Kind": "streaming", "TimeoutMs": 20000, "SloMs": 4000,
+ROUTES = [{"Name": "r-text", "Host": HOST, "Prefix": "/pufi791/", "Kind": "streaming", "TimeoutMs": 15000, "SloMs": 2000,
            "Priority": 1, "Sizes": MODELS, "Service": "models", "MaxAttempts": 3, "Public": False, "Sticky": True,
-           "Resumable": True, "GapAimMs": 1500}]  # fmt: skip
+           "Resumable": True, "GapAimMs": 1000}]  # fmt: skip
 SERVICES = [{"Name": "models", "HealthPath": "/health", "MaxConns": 310, "Protocol": "h1", "Tls": False,
              "Engine": {"Slots": 48, "KvCapacity": 444000, "Models": [{"Name": m, "Cost": 0.1} for m in MODELS]}}]  # fmt: skip
 
@@ -75,7 +75,7 @@
         request = f"{random.getrandbits(64):016x}"
         head = (f"POST /pufi791/2f HTTP/1.1\r\nHost: {HOST}\r\nLovagehub-Request-Id: {request}\r\n"
                 f"Lovagehub-Model: *\r\nLovagehub-Token-Counts: 826,200\r\nLovagehub-Prompt-Prefix: aa11:198,{request}:628\r\n"
-                f"Lovagehub-Deadline-Ms: 20000\r\nAuthorization: Token {KEY}\r\nContent-Length: 16\r\n\r\n{request}")  # fmt: skip
+                f"Lovagehub-Deadline-Ms: 15000\r\nAuthorization: Token {KEY}\r\nContent-Length: 16\r\n\r\n{request}")  # fmt: skip
         self.sent += 1
         self.site.note("sent", request=request, front=front.name)
         try:
--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -18,7 +18,7 @@
 
 GREY_SHARE = 0.45
 EVENTS = 27
-EVENT_INTERVAL_S = 0.15
+EVENT_INTERVAL_S = 0.075
 FIRST_EVENT_S = 0.02
 SMALLEST_MODEL = "m0"
 
--- a/review/lib/site_lib.py
+++ b/review/lib/site_lib.py
@@ -53,12 +53,12 @@
         return (self.ip, 8001)
 
     def settings(self):
-        """As deploy/front.json, with the bounds of the site file nilewaste-lovage.toml."""
+        """As deploy/front.json, with the bounds of the site file coopgen-bajio.toml."""
         return {
             "vm": self.name, "failure_domain": self.zone, "ip": self.ip, "callers": f"{self.ip}:8001",
             "ready": f"{self.ip}:8002", "control": f"{self.ip}:8003", "store": "%s:%d" % self.site.store.address,
             "peer_port": 8004, "seeds": [f"{front.ip}:8003" for front in self.site.fronts[:3]], "stop_s": 8,
-            "retry_share": 0.9, "retry_extra": 58, "retry_window_s": 10, "reuse_window_s": 10, "session_s": 5,
+            "retry_share": 0.9, "retry_extra": 58, "retry_window_s": 10, "reuse_window_s": 6, "session_s": 5,
             "contention_ratio": 2, "link_mbps": 1000.0, "descriptors": 4100,
         }  # fmt: skip
 
