Log by how much a change may have been known late

A front that is in touch has to know a change within config_apply_ms. Its log didn't show whether it did: config_applied and server_state had the change, not how long it may have been lacking. Both tell it now, as the age of the last confirmation of the table, which bounds it from above and needs no other front's clock. tools/front_log.py changes compares the fronts' logs and lists the changes that took longest to reach the last one.

--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -16,9 +16,18 @@
  * other fronts: this one was frozen, and they may have known it for long. */
 #define UNSEEN_TOLD_MAX_MS 10000
 
+/* Shows how long the change may have been lacking here, at most. */
 static void
-apply_config (Front *front, const StoreRow *row)
+log_lateness (FrontLine *line, const FrontStore *store, StoreTable table)
 {
+  front_log_number (line, "confirmed_age_ms",
+                    front_store_confirmed_age_ms (store, table, clock_boot_ms ()));
+}
+
+static void
+apply_config (FrontStore *store, const StoreRow *row)
+{
+  Front *front = store->front;
   Status status;
   FrontConfig *config = wire_config_decode (row->value, row->value_len, &status);
   FrontLine *line;
@@ -45,6 +54,7 @@
   front_log_number (line, "routes", config->route_count);
   front_log_number (line, "contended", front_is_contended (front));
   front_log_number (line, "odd_priorities", config->odd_priorities);
+  log_lateness (line, store, STORE_OPERATOR);
   front_log_end (line);
 }
 
@@ -134,7 +144,7 @@
   FrontStore *store = user;
 
   if (strcmp (row->key, wire_key_config) == 0 && !row->removed)
-    apply_config (store->front, row);
+    apply_config (store, row);
   else if (has_prefix (row->key, wire_key_rollout))
     apply_order (store, row);
   else if (has_prefix (row->key, wire_key_evacuation))
@@ -173,13 +183,16 @@
 }
 
 static void
-log_server (const char *id, const char *state, const ServerEntry *entry, int64_t row_version)
+log_server (const FrontStore *store,
+            const StoreRow *row,
+            const char *state,
+            const ServerEntry *entry)
 {
   FrontLine *line = front_log_begin (FRONT_EVENT_SERVER);
 
-  front_log_text (line, "server", id);
+  front_log_text (line, "server", row->key);
   front_log_text (line, "state", state);
-  front_log_number (line, "row_version", store_version_number (row_version));
+  front_log_number (line, "row_version", store_version_number (row->version));
   if (entry)
     {
       front_log_text (line, "service", entry->service);
@@ -187,6 +200,7 @@
       front_log_text (line, "version", entry->version);
       front_log_text (line, "failure_domain", entry->failure_domain);
     }
+  log_lateness (line, store, STORE_SERVERS);
   front_log_end (line);
 }
 
@@ -224,18 +238,18 @@
 
   if (row->removed)
     {
-      log_server (row->key, grace_ms > 0 ? "unconfirmed" : "gone", NULL, row->version);
+      log_server (store, row, grace_ms > 0 ? "unconfirmed" : "gone", NULL);
       front_servers_remove (front->servers, row->key, now_ms, grace_ms);
     }
   else if (!set_server (store, row, &entry, &changed))
     {
       /* Not written by the server itself. A living server's next report restores the entry. */
-      log_server (row->key, "unreadable", NULL, row->version);
+      log_server (store, row, "unreadable", NULL);
       front_servers_remove (front->servers, row->key, now_ms, 0);
     }
   else if (changed)
     {
-      log_server (row->key, entry.draining ? "draining" : "ready", &entry, row->version);
+      log_server (store, row, entry.draining ? "draining" : "ready", &entry);
       front_requests_cut_restarted (front);
     }
 }
--- a/tools/front_log.py
+++ b/tools/front_log.py
@@ -3,6 +3,8 @@
 
 front_log.py story ID FILE...     prints all lines of one request, by time, with the VM
 front_log.py summary FILE...      counts failures and changes of state by second, event and reason
+front_log.py changes FILE...      how long after the first VM each later one applied a change of the
+                                  configuration or of a server's entry, the longest first. Needs a collector's times
 
 A line may have any text before its JSON object, such as a log collector's time and the VM's name. If its first
 word is a number, that is the time in seconds; otherwise the time of the VM's own clock in the object is used.
@@ -15,6 +17,8 @@
 
 # Events that the summary leaves out, and events that end a request.
 OMITTED_EVENTS = {"request_sent", "request_answered", "request_cascade", "server_state", "peer_state"}
+CHANGE_EVENTS = {"config_applied": "config", "server_state": "server"}
+CHANGES_SHOWN = 20
 END_EVENTS = {"request_answered", "request_refused", "request_failed", "request_cancelled"}
 LINE = re.compile(r"^\s*(-?[\d.]+)?[^{]*(\{.*\})\s*$")
 
@@ -73,11 +77,41 @@
     return 0 if counts else 1
 
 
+def changes(paths):
+    """Prints for the changes that took longest which VM applied each last, and how long after the first one. A VM that
+    started meanwhile read the change as it started, and is left out."""
+    started, applied = {}, collections.defaultdict(dict)
+    for at, entry in sorted(read_lines(paths), key=lambda x: x[0]):
+        vm = entry["vm"]
+        if entry["event"] == "start":
+            started[vm] = at
+        if entry["event"] not in CHANGE_EVENTS:
+            continue
+        name = f"{entry[CHANGE_EVENTS[entry['event']]]} {entry.get('state', '')}".strip()
+        vms = applied[entry["event"], name, entry["row_version"]]
+        first = min((at for at, _ in vms.values()), default=at)
+        if vm in started and started[vm] >= first:
+            continue
+        vms.setdefault(vm, (at, entry.get("confirmed_age_ms", -1)))
+    found = []
+    for (event, name, _), vms in applied.items():
+        if not vms:
+            continue
+        first = min(at for at, _ in vms.values())
+        last, (at, age_ms) = max(vms.items(), key=lambda item: item[1][0])
+        found.append((at - first, first, event, name, last, age_ms, len(vms)))
+    for late_s, first, event, name, last, age_ms, count in sorted(found, reverse=True)[:CHANGES_SHOWN]:
+        print(f"{late_s:8.3f} s {event} {name}: first at {first:.3f}, last {last} of {count}, confirmed {age_ms} ms before")
+    return 0 if found else 1
+
+
 def main():
     if len(sys.argv) >= 4 and sys.argv[1] == "story":
         return story(sys.argv[2], sys.argv[3:])
     if len(sys.argv) >= 3 and sys.argv[1] == "summary":
         return summary(sys.argv[2:])
+    if len(sys.argv) >= 3 and sys.argv[1] == "changes":
+        return changes(sys.argv[2:])
     print(__doc__, file=sys.stderr)
     return 2
 
