Tell other fronts of removals that a complete read of a table shows

A server that left while the store dropped its history kept getting requests from fronts that follow others, for up to 20 s, until the next change of the table.

Cause: a front that reads the whole table again finds that a row is missing and removes it, but didn't count that as a change, as the removal's own version isn't known. Fronts that follow it weren't answered, and other fronts' confirmations named a newest change that they had, so that they took the table for complete and made no check.

The removal counts as a change with the version of the read, as it did already where the store had come back from a copy. At most one more change is told for each front that reads again, and only if something was removed meanwhile.

removal_found_by_a_complete_read_is_told (test_front_rows) failed before: three assertions.

--- a/src/front_table.c
+++ b/src/front_table.c
@@ -224,7 +224,8 @@
 }
 
 /* Removes a row that is missing in a complete read of a later version. The version of the removal
- * itself is not known, so it doesn't count as the newest change. */
+ * itself is not known; it counts as a change with that of the read, as fronts that follow this one
+ * would neither ask for it nor notice that they lack it. */
 static void
 row_remove (FrontTable *table,
             TableEntry *entry,
@@ -232,6 +233,8 @@
             TableChangeCallback change,
             void *user)
 {
+  if (removal->version > table->newest)
+    table->newest = removal->version;
   change (user, removal);
   row_put (table, entry, removal);
 }
@@ -252,7 +255,6 @@
                             TableChangeCallback change,
                             void *user)
 {
-  bool is_new_era = table->version != 0 && front_table_is_new_era (table, answer->version);
   TableEntry *entry, *next;
 
   era_begin (table, answer->version);
@@ -266,12 +268,7 @@
         = { .key = memory_strdup (entry->row.key), .version = answer->version, .removed = true };
 
     if (!entry->row.removed && entry->row.version <= answer->version && !entry->in_snapshot)
-      {
-        /* Other fronts are told of it as of a change: they ask for those since the last era. */
-        if (is_new_era)
-          table->newest = answer->version;
-        row_remove (table, entry, &removal, change, user);
-      }
+      row_remove (table, entry, &removal, change, user);
     free (removal.key);
   }
   drop_old_removals (table);
--- a/tests/test_front_rows.c
+++ b/tests/test_front_rows.c
@@ -9,9 +9,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVERS   10000
-#define PART_ROWS 500 /* most rows in one part */
-#define PARTS_MAX 100 /* more than any read here takes */
+#define SERVERS       10000
+#define PART_ROWS     500 /* most rows in one part */
+#define PARTS_MAX     100 /* more than any read here takes */
+#define SMALL_SERVERS 20
+#define LATER_CHANGES 10 /* of other tables */
 
 typedef struct
 {
@@ -284,6 +286,62 @@
   giver_free (giver);
 }
 
+/* Asks another front for the changes since the own version, and applies them. */
+static void
+follow (Giver *giver, FrontTable *follower)
+{
+  RowsCache cache = { 0 };
+  RowsRequest request
+      = { .table = STORE_SERVERS, .since = follower->version, .base = follower->version };
+  const Buffer *text = rows_cache_get (&cache, &giver->store, &request);
+  StoreAnswer answer;
+
+  CU_ASSERT_FATAL (text && front_store_decode_peer_answer (NULL, text->data, text->len, &answer));
+  front_table_apply_changes (follower, &answer, ignore, NULL);
+  store_answer_clear (&answer);
+  rows_cache_clear (&cache);
+}
+
+/* The giver reads the table again, as the store has dropped the changes since its version; one
+ * server's entry was removed meanwhile. */
+static void
+read_again_without (Giver *giver, unsigned number)
+{
+  Giver *current = giver_new (SMALL_SERVERS);
+  RowsCache cache = { 0 };
+
+  change_row (current, number, true);
+  current->version = current->table->version += LATER_CHANGES;
+  read_all (current, &cache, giver->table, NULL);
+  giver->version = giver->table->version;
+  rows_cache_clear (&cache);
+  giver_free (current);
+}
+
+/* Guards against servers that left while the store's history was dropped, and that fronts which
+ * follow others keep sending requests to. */
+static void
+test_removal_found_by_a_complete_read_is_told (void)
+{
+  Giver *giver = giver_new (SMALL_SERVERS), *follower = giver_new (SMALL_SERVERS);
+  FrontConfirm confirm = { .at_ms = 1 };
+
+  read_again_without (giver, 7);
+  CU_ASSERT_EQUAL (differences (giver->table, follower->table, SMALL_SERVERS), 1);
+  CU_ASSERT (front_store_has_changes (&giver->store, STORE_SERVERS, follower->version));
+  CU_ASSERT (front_store_is_behind (&follower->store, STORE_SERVERS,
+                                    front_store_newest (&giver->store, STORE_SERVERS)));
+  front_confirm_told (
+      &confirm,
+      &(Confirmation){ .at_ms = 2, .newest = front_store_newest (&giver->store, STORE_SERVERS) },
+      follower->table->version);
+  CU_ASSERT_EQUAL (confirm.at_ms, 1);
+  follow (giver, follower->table);
+  CU_ASSERT_EQUAL (differences (giver->table, follower->table, SMALL_SERVERS), 0);
+  giver_free (giver);
+  giver_free (follower);
+}
+
 /* A release replaces half of 10,000 servers: a front that was cut off for that time gets the
  * changes, not the whole table. */
 static void
@@ -355,6 +413,7 @@
   { "old_rows_are_read_after_dropped_removals", test_old_rows_are_read_after_dropped_removals },
   { "parts_are_encoded_once", test_parts_are_encoded_once },
   { "readers_meet_at_the_same_parts", test_readers_meet_at_the_same_parts },
+  { "removal_found_by_a_complete_read_is_told", test_removal_found_by_a_complete_read_is_told },
   { "removals_of_half_of_the_servers_are_kept", test_removals_of_half_of_the_servers_are_kept },
   { "state_of_rows_for_askers", test_state_of_rows_for_askers },
   { "invalid_paths_are_refused", test_invalid_paths_are_refused },
