Notice removals that a front which started later doesn't know of

A server that had left was kept for good by a front that was frozen, or turned away by the store, while the other fronts were started again: it went on sending requests there as long as the server took them, and after that tried it first again and again. Found by asking which fronts can be left behind unnoticed; the soak's known failures look like it (a front that keeps a server that is gone), which isn't proved.

Cause: a front that starts reads the rows that there are, and so knows no removal of before. Asked for the changes since an older version, it gave those that it had, with its own version, as if they were all. The front that asked took this version over, and the store, asked for what came after it, doesn't tell the removal either.

The last part of an answer between fronts says how many rows there are. If the front that asked then has more, at the same version, it lacks removals and reads all rows again. Refusing changes since versions before the start would also have helped, but each restart would have made a dozen fronts read 10,000 rows though mostly nothing was removed. An answer of a front of the version before has no such number and is taken as until now.

--- a/regress/front/cases_fellows.py
+++ b/regress/front/cases_fellows.py
@@ -132,6 +132,32 @@
     await site.wait(is_known, f"{engine.name} has left", limit=APPLY_S)
 
 
+async def after_fronts_started_behind_a_removal(site):
+    """An engine leaves while one front is frozen, and the others start after that; the store turns that front away for a
+    while longer. Guards against a front that takes their rows for complete, and keeps the engine for good."""
+    left_out, others = site.fronts[0], site.fronts[1:]
+    engine = next(engine for engine in site.engines if engine.service == "orders")
+    left_out.store_endpoint.set("busy")
+    left_out.signal(signal.SIGSTOP)
+    for front in others:
+        await front.kill()
+    await engine.leave()
+    for front in others:
+        await front.start()
+    for front in others:
+        await site.wait(front.is_ready, f"front {front.number} ready")
+    await site.start_engine("orders")
+    left_out.signal(signal.SIGCONT)
+
+    async def is_told():
+        return has_seen(left_out, site.engines[-1], "ready")
+
+    await site.wait(is_told, "the front is told of the new engine")
+    left_out.store_endpoint.set("ok")
+    await asyncio.sleep(CONTACT_S)
+    await know_that_it_left(site, engine, [left_out])
+
+
 async def after_a_removal_in_dropped_history(site):
     """An engine leaves while the store answers nobody, which then has dropped its history. Guards against fronts that
     follow others and aren't told of it, as these read all rows again and find it missing."""
@@ -149,7 +175,7 @@
 
 
 CASES = [
-    beside_frozen_fronts, beside_fronts_turned_away, after_a_removal_in_dropped_history,
+    beside_frozen_fronts, beside_fronts_turned_away, after_fronts_started_behind_a_removal, after_a_removal_in_dropped_history,
 ]  # fmt: skip
 
 
--- a/src/front_row.h
+++ b/src/front_row.h
@@ -34,6 +34,8 @@
                       of its last row */
   int64_t base_version; /**< first part of another front's table: version of that table, of which
                            the later parts tell all changes; 0: not given */
+  bool has_living;      /**< another front's last part: living is given */
+  unsigned living;      /**< rows that are not removed there */
   bool has_clock;       /**< the answer tells the store's time */
   int64_t clock_ms;     /**< by the store's steady clock */
 } StoreAnswer;
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -219,6 +219,18 @@
     store_watch_poll (watch);
 }
 
+/* Another front's changes were applied, and it doesn't know all removals before them. */
+static void
+read_removals (Watch *watch)
+{
+  log_rows_failed (watch);
+  front_channel_cancel (watch->channel);
+  pages_clear (watch);
+  watch->loaded = false;
+  watch->reads_again_at_peers = true;
+  store_watch_poll (watch);
+}
+
 /* True if the answer is of another era of the store than the version that was asked with, and so
  * doesn't follow it. */
 static bool
@@ -242,6 +254,7 @@
 on_answer (void *user, int status, const char *text, size_t len)
 {
   Watch *watch = user;
+  bool lacks_removals = false;
   StoreAnswer answer;
 
   if (!note_era (watch))
@@ -303,9 +316,15 @@
       store_apply_end (watch->store, watch->id);
       if (!watch->asked_peer && !answer.has_more)
         store_confirm_answer (watch, &answer, clock_boot_ms ());
+      lacks_removals = front_table_lacks_removals (&watch->table, &answer);
     }
   store_answer_clear (&answer);
   watch->answered_ms = clock_boot_ms ();
+  if (lacks_removals)
+    {
+      read_removals (watch);
+      return;
+    }
   if (watch->loaded && watch->id == STORE_SERVERS && !watch->asked_peer)
     store_watch_schedule_poll (watch, SERVERS_POLL_DELAY_MS);
   else if (kinds[watch->id].followed || !watch->loaded)
@@ -446,6 +465,8 @@
 void
 store_watch_apply_peer_rows (Watch *watch, bool all, StoreAnswer *answer)
 {
+  bool lacks_removals;
+
   if (answer->version <= watch->table.version)
     return;
   store_era_begin (watch, answer->version);
@@ -459,7 +480,10 @@
   front_confirm_applied (&watch->confirm, watch->table.version);
   store_apply_end (watch->store, watch->id);
   watch->answered_ms = clock_boot_ms ();
-  if (!watch->loaded)
+  lacks_removals = front_table_lacks_removals (&watch->table, answer);
+  if (lacks_removals && watch->loaded)
+    read_removals (watch);
+  else if (!lacks_removals && !watch->loaded)
     load_cancel (watch);
 }
 
--- a/src/front_table.c
+++ b/src/front_table.c
@@ -201,10 +201,24 @@
     table->version = version;
 }
 
+unsigned
+front_table_living (const FrontTable *table)
+{
+  return table->by_key.count - table->removed_count;
+}
+
+/* Of a later version than the other front's, this one may know more rows. */
+bool
+front_table_lacks_removals (const FrontTable *table, const StoreAnswer *changes)
+{
+  return changes->has_living && table->version == changes->version
+         && front_table_living (table) > changes->living;
+}
+
 static void
 drop_old_removals (FrontTable *table)
 {
-  unsigned living = table->by_key.count - table->removed_count;
+  unsigned living = front_table_living (table);
 
   if (table->removed_count > REMOVED_MIN && table->removed_count > living)
     drop_removals (table, (oldest_removal (table) + table->newest) / 2);
--- a/src/front_table.h
+++ b/src/front_table.h
@@ -45,6 +45,11 @@
                                  StoreAnswer *answer,
                                  TableChangeCallback change,
                                  void *user);
+/** Rows that are not removed. */
+unsigned front_table_living (const FrontTable *table);
+/** To be asked after another front's changes were applied: true if this table has rows that are
+ *  removed there. A front that started after a removal doesn't know of it, and can't tell it. */
+bool front_table_lacks_removals (const FrontTable *table, const StoreAnswer *changes);
 /** True if a version is of a later era of the store than the table. */
 bool front_table_is_new_era (const FrontTable *table, int64_t version);
 /** True if a change with this version, known elsewhere, is not known here. A complete read includes
--- a/tests/test_front_rows.c
+++ b/tests/test_front_rows.c
@@ -286,8 +286,9 @@
   giver_free (giver);
 }
 
-/* Asks another front for the changes since the own version, and applies them. */
-static void
+/* Asks another front for the changes since the own version, and applies them. True if all rows have
+ * to be read for what these lack. */
+static bool
 follow (Giver *giver, FrontTable *follower)
 {
   RowsCache cache = { 0 };
@@ -295,11 +296,14 @@
       = { .table = STORE_SERVERS, .since = follower->version, .base = follower->version };
   const Buffer *text = rows_cache_get (&cache, &giver->store, &request);
   StoreAnswer answer;
+  bool lacks_removals;
 
   CU_ASSERT_FATAL (text && front_store_decode_peer_answer (NULL, text->data, text->len, &answer));
   front_table_apply_changes (follower, &answer, ignore, NULL);
+  lacks_removals = front_table_lacks_removals (follower, &answer);
   store_answer_clear (&answer);
   rows_cache_clear (&cache);
+  return lacks_removals;
 }
 
 /* The giver reads the table again, as the store has dropped the changes since its version; one
@@ -336,12 +340,53 @@
       &(Confirmation){ .at_ms = 2, .newest = front_store_newest (&giver->store, STORE_SERVERS) },
       follower->table->version);
   CU_ASSERT_EQUAL (confirm.at_ms, 1);
-  follow (giver, follower->table);
+  CU_ASSERT_FALSE (follow (giver, follower->table));
   CU_ASSERT_EQUAL (differences (giver->table, follower->table, SMALL_SERVERS), 0);
   giver_free (giver);
   giver_free (follower);
 }
 
+/* Guards against servers that left just before a front started, and that fronts which follow it
+ * keep sending requests to: it never saw the removals. */
+static void
+test_removal_before_a_front_started_is_noticed (void)
+{
+  Giver *current = giver_new (SMALL_SERVERS), *follower = giver_new (SMALL_SERVERS);
+  Giver *started = giver_new (0);
+  RowsCache cache = { 0 };
+
+  change_row (current, 7, true);
+  change_row (current, 8, false);
+  read_all (current, &cache, started->table, NULL);
+  CU_ASSERT (follow (started, follower->table));
+  rows_cache_clear (&cache);
+  read_all (started, &cache, follower->table, NULL);
+  CU_ASSERT_EQUAL (differences (current->table, follower->table, SMALL_SERVERS), 0);
+  /* Nothing more is lacking. */
+  started->version = started->table->version;
+  change_row (started, 9, true);
+  change_row (started, SMALL_SERVERS, false);
+  CU_ASSERT_FALSE (follow (started, follower->table));
+  rows_cache_clear (&cache);
+  giver_free (current);
+  giver_free (follower);
+  giver_free (started);
+}
+
+/* Guards against complete reads by fronts that know removals which the other front lacks. */
+static void
+test_front_that_knows_more_reads_nothing_again (void)
+{
+  Giver *behind = giver_new (SMALL_SERVERS), *ahead = giver_new (SMALL_SERVERS);
+
+  change_row (ahead, 7, true);
+  change_row (behind, 8, false);
+  change_row (behind, 8, false);
+  CU_ASSERT_FALSE (follow (behind, ahead->table));
+  giver_free (behind);
+  giver_free (ahead);
+}
+
 /* A release replaces half of 10,000 servers: a front that was cut off for that time gets the
  * changes, not the whole table. */
 static void
@@ -414,6 +459,8 @@
   { "parts_are_encoded_once", test_parts_are_encoded_once },
   { "readers_meet_at_the_same_parts", test_readers_meet_at_the_same_parts },
   { "removal_found_by_a_complete_read_is_told", test_removal_found_by_a_complete_read_is_told },
+  { "removal_before_a_front_started_is_noticed", test_removal_before_a_front_started_is_noticed },
+  { "front_that_knows_more_reads_nothing_again", test_front_that_knows_more_reads_nothing_again },
   { "removals_of_half_of_the_servers_are_kept", test_removals_of_half_of_the_servers_are_kept },
   { "state_of_rows_for_askers", test_state_of_rows_for_askers },
   { "invalid_paths_are_refused", test_invalid_paths_are_refused },
