Don't take rows of another front for rows of now

A front that lacked what another one had dropped read all rows there, and took its table for complete as of that moment. If that front was behind (turned away by the store, or frozen just before), changes could be missed for up to 3 s, where 2 s are allowed: its own age and 70% of the time until a check.

Rows of another front confirm a table only at the start, when a front has some seconds to become up to date and each would otherwise ask the store. Later ones leave it as it was: it is confirmed by others, or checked.

rows_of_another_front_confirm_nothing (test_front_watch) failed before.

--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -151,9 +151,11 @@
   watch->reads_again_at_peers = false;
   if (!watch->asked_peer)
     watch->read_ms = clock_boot_ms ();
-  /* Of rows that another front gave this isn't known; they are confirmed, or checked, from then on.
-   */
-  front_confirm_note (&watch->confirm, watch->asked_ms);
+  /* Rows that another front gave may be old. At the start they count as new, as a front has some
+   * seconds to become up to date. */
+  if (!watch->asked_peer || watch->confirm.at_ms == 0)
+    front_confirm_note (&watch->confirm, watch->asked_ms);
+  front_confirm_applied (&watch->confirm, watch->table.version);
   store_apply_end (watch->store, watch->id);
 }
 
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -1,5 +1,6 @@
 /** When a request for rows is abandoned for another one: src/front_store_watch.c and
  *  front_peers_fetch.c, with a store on loopback that the test controls. */
+#include "front_compress.h"
 #include "front_peers_private.h"
 #include "front_socket.h"
 #include "front_store_private.h"
@@ -58,6 +59,9 @@
   node->front.base = event_base_new ();
   node->front.store = &node->store;
   node->front.peers = &node->peers;
+  node->front.rollouts = front_rollouts_new (NULL, 1);
+  node->front.servers = front_servers_new ("here");
+  node->front.is_open = true;
   node->peers.front = &node->front;
   node->peers.own.sin_family = AF_INET;
   node->peers.own_domain = 1;
@@ -65,6 +69,7 @@
   node->store.front = &node->front;
   node->store.started_ms = clock_boot_ms () - age_ms;
   node->watch = &node->store.watches[STORE_OPERATOR];
+  front_table_init (&node->store.watches[STORE_STATUS].table);
   store_watch_init (node->watch, &node->store, STORE_OPERATOR);
   node->watch->loaded = true;
   node->watch->table.version = OWN_VERSION;
@@ -82,6 +87,8 @@
   store_watch_clear (node->watch);
   if (node->peers.fetches[STORE_OPERATOR].channel)
     front_channel_free (node->peers.fetches[STORE_OPERATOR].channel);
+  front_rollouts_free (node->front.rollouts);
+  front_servers_free (node->front.servers);
   event_base_free (node->front.base);
   peers_clear (&node->peers);
   if (node->connection >= 0)
@@ -488,6 +495,55 @@
   close (silent);
 }
 
+/* A front of the same domain gives all rows. */
+static void
+answer_with_all_rows (int fd)
+{
+  static const char rows[] = "{\"Rows\":[],\"MorePages\":false,\"Ver\":90}";
+  Buffer body = { 0 };
+  char head[128];
+
+  buffer_add (&body, rows, sizeof rows - 1);
+  CU_ASSERT_FATAL (front_compress (&body));
+  snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", body.len);
+  CU_ASSERT_EQUAL (write (fd, head, strlen (head)), (ssize_t)strlen (head));
+  CU_ASSERT_EQUAL (write (fd, body.data, body.len), (ssize_t)body.len);
+  buffer_free (&body);
+}
+
+static bool
+is_loaded (void *user)
+{
+  Node *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return node->watch->loaded;
+}
+
+/* Guards against a front that takes the rows of another one, which is behind, for those of now, and
+ * so misses a change for longer than allowed. */
+static void
+test_rows_of_another_front_confirm_nothing (void)
+{
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
+  int silent = add_silent_fronts (node), fd;
+  int64_t confirmed_ms = clock_boot_ms () - CONFIG_APPLY_MS / 2;
+
+  node->watch->confirm.at_ms = confirmed_ms;
+  node->watch->loaded = false;
+  node->watch->reads_again_at_peers = true;
+  store_watch_poll (node->watch);
+  CU_ASSERT_FATAL (node->watch->asked_peer);
+  while ((fd = accept4 (silent, NULL, NULL, SOCK_NONBLOCK)) < 0)
+    event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  answer_with_all_rows (fd);
+  CU_ASSERT_FATAL (suite_wait (is_loaded, node));
+  CU_ASSERT_EQUAL (node->watch->confirm.at_ms, confirmed_ms);
+  node_free (node);
+  close (fd);
+  close (silent);
+}
+
 static bool
 is_asked_again (void *user)
 {
@@ -537,6 +593,7 @@
   { "unconfirmed_table_is_checked_at_the_store", test_unconfirmed_table_is_checked_at_the_store },
   { "stalled_answer_is_given_up_for_a_check", test_stalled_answer_is_given_up_for_a_check },
   { "dropped_changes_are_read_at_the_store", test_dropped_changes_are_read_at_the_store },
+  { "rows_of_another_front_confirm_nothing", test_rows_of_another_front_confirm_nothing },
   { "check_that_fails_is_followed_by_a_pause", test_check_that_fails_is_followed_by_a_pause },
 };
 
