Take a table that was read in pages for complete as of the first page

A table of more than 500 rows is read from the store in several pages. It counted as complete as of the last one, though it shows changes up to the first only. A front that learned of changes by others alone then could miss one for longer than allowed, by the time that the read took (20 pages for 10,000 servers).

pages_are_as_old_as_the_first_one (test_front_watch) failed before.

--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -43,6 +43,7 @@
   bool reads_again_at_peers; /* the front that was asked lacks the changes since this one's version:
                                 all rows are read from such fronts */
   int64_t asked_ms;          /* when the last request was sent */
+  int64_t pages_asked_ms;    /* when the store was asked for the first page */
   int64_t asked_version;     /* version that the last request is to continue from; 0: none */
   bool asked_peer;           /* the last request went to another front */
   bool is_short_poll;        /* the pending request is a sentinel's short poll */
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -133,6 +133,17 @@
   store_answer_append (all, part);
 }
 
+/* The store's pages show the table as of the first one. Rows that another front gave may be old; at
+ * the start they count as new, as a front has some seconds to become up to date. */
+static void
+confirm_loaded (Watch *watch)
+{
+  if (!watch->asked_peer)
+    front_confirm_note (&watch->confirm, watch->pages_asked_ms);
+  else if (watch->confirm.at_ms == 0)
+    front_confirm_note (&watch->confirm, watch->asked_ms);
+}
+
 static void
 load_page (Watch *watch, StoreAnswer *answer)
 {
@@ -151,10 +162,7 @@
   watch->reads_again_at_peers = false;
   if (!watch->asked_peer)
     watch->read_ms = clock_boot_ms ();
-  /* Rows that another front gave may be old. At the start they count as new, as a front has some
-   * seconds to become up to date. */
-  if (!watch->asked_peer || watch->confirm.at_ms == 0)
-    front_confirm_note (&watch->confirm, watch->asked_ms);
+  confirm_loaded (watch);
   front_confirm_applied (&watch->confirm, watch->table.version);
   store_apply_end (watch->store, watch->id);
 }
@@ -404,6 +412,8 @@
   if (!watch->asked_peer && watch->table.version != 0
       && store_version_era (watch->table.version) < watch->store->era)
     watch->loaded = false;
+  if (!watch->loaded && !watch->last_key)
+    watch->pages_asked_ms = now_ms;
   watch->asked_version = watch->loaded ? watch->table.version : watch->pages.version;
   watch->is_short_poll = false;
   if (!watch->loaded)
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -544,6 +544,51 @@
   close (silent);
 }
 
+static void
+answer_with_page (Node *node, bool has_more)
+{
+  char text[512], body[256];
+
+  snprintf (body, sizeof body,
+            "{\"Rows\":[{\"Key\":\"%s\",\"Value\":\"\",\"Ver\":60}],\"MorePages\":%s,"
+            "\"Ver\":90}",
+            has_more ? "a" : "b", has_more ? "true" : "false");
+  snprintf (text, sizeof text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen (body),
+            body);
+  CU_ASSERT_EQUAL (write (node->connection, text, strlen (text)), (ssize_t)strlen (text));
+}
+
+static bool
+is_next_page_asked (void *user)
+{
+  Node *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return node->watch->last_key != NULL;
+}
+
+/* Guards against a front that takes a long table for complete as of its last page, and so misses
+ * for longer than allowed a change that was made after the first one. */
+static void
+test_pages_are_as_old_as_the_first_one (void)
+{
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
+  int64_t first_ms;
+
+  node->watch->confirm.at_ms = 1;
+  node->watch->loaded = false;
+  ask (node);
+  first_ms = node->watch->asked_ms;
+  usleep (STALL_US);
+  answer_with_page (node, true);
+  CU_ASSERT_FATAL (suite_wait (is_next_page_asked, node));
+  CU_ASSERT (node->watch->asked_ms > first_ms);
+  answer_with_page (node, false);
+  CU_ASSERT_FATAL (suite_wait (is_loaded, node));
+  CU_ASSERT_EQUAL (node->watch->confirm.at_ms, first_ms);
+  node_free (node);
+}
+
 static bool
 is_asked_again (void *user)
 {
@@ -594,6 +639,7 @@
   { "stalled_answer_is_given_up_for_a_check", test_stalled_answer_is_given_up_for_a_check },
   { "dropped_changes_are_read_at_the_store", test_dropped_changes_are_read_at_the_store },
   { "rows_of_another_front_confirm_nothing", test_rows_of_another_front_confirm_nothing },
+  { "pages_are_as_old_as_the_first_one", test_pages_are_as_old_as_the_first_one },
   { "check_that_fails_is_followed_by_a_pause", test_check_that_fails_is_followed_by_a_pause },
 };
 
