Tests: a server that stops in the middle of its answer's head

Other operators' callers got a whole 200 with an empty or short body where an engine stopped in the middle of its answer's head. Not so here, in what these tests play: heads of seven kinds (with a length, in chunks, ended by the connection, HTTP/1.0, without a body, after an interim answer), cut at each byte, closed or reset, on new connections and on ones that have carried an answer before, with each reader of answers in C: the parser of the fronts, their calls to the store and to each other, lovage-config's read of the store, the gate's and the stewards' two HTTP clients, the client of the table service, lovagectl.

A read on a kept connection that ends within the status line is repeated by neon on a new one and gets a whole answer there; reads only, as before.

--- a/tests/fake_server.c
+++ b/tests/fake_server.c
@@ -151,12 +151,18 @@
   s->body = 0;
   FakeAnswer answer = s->answer;
   pthread_mutex_unlock (&s->lock);
+  if (answer.before
+      && (!read_request (s, fd) || !send_all (fd, answer.before, strlen (answer.before))))
+    return;
   if (!read_request (s, fd))
     return;
   bool delivered = !answer.text || send_answer (s, fd, &answer);
   char block[64];
   if (delivered && answer.keep_open && wait_readable (s, fd) && read (fd, block, sizeof block) <= 0)
     delivered = false;
+  if (answer.reset)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &(struct linger){ .l_onoff = 1 },
+                sizeof (struct linger));
   pthread_mutex_lock (&s->lock);
   s->aborted += !delivered;
   pthread_mutex_unlock (&s->lock);
--- a/tests/fake_server.h
+++ b/tests/fake_server.h
@@ -10,11 +10,14 @@
 
 typedef struct
 {
-  const char *text;  /**< NULL: no answer at all */
-  size_t len;        /**< 0: the complete text */
-  size_t pause_at;   /**< bytes after which the server waits for fake_server_resume; 0: never */
-  int byte_delay_ms; /**< pause before each byte; 0: all at once */
-  bool keep_open;    /**< the connection is left open until the client closes it */
+  const char *text;   /**< NULL: no answer at all */
+  size_t len;         /**< 0: the complete text */
+  size_t pause_at;    /**< bytes after which the server waits for fake_server_resume; 0: never */
+  int byte_delay_ms;  /**< pause before each byte; 0: all at once */
+  const char *before; /**< complete answer to the first request of each connection; the second one
+                         gets text. NULL: none */
+  bool reset;         /**< the connection is reset after the answer, not closed */
+  bool keep_open;     /**< the connection is left open until the client closes it */
 } FakeAnswer;
 
 typedef struct FakeServer FakeServer;
--- a/tests/test_ctl_commands.c
+++ b/tests/test_ctl_commands.c
@@ -2,6 +2,7 @@
  * lovagectl's commands against fake stewards with scripted answers.
  */
 #include "ctl.h"
+#include "fake_heads.h"
 #include "fake_steward.h"
 #include "suite.h"
 #include <CUnit/Basic.h>
@@ -305,6 +306,25 @@
     }
 }
 
+static void
+check_cut_head (FakeServer *server, const FakeAnswer *cut)
+{
+  Ctl ctl = { 0 };
+
+  (void)cut;
+  fake_steward_add (&ctl, fake_server_port (server));
+  CU_ASSERT_EQUAL (ctl_status (&ctl, &withdrawal), CTL_NO_STEWARD);
+  CU_ASSERT_EQUAL (ctl_withdraw (&ctl, &withdrawal), CTL_NO_STEWARD);
+}
+
+/* Guards against a change that counts as made, though the steward stopped in the middle of its
+ * answer's head. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each (check_cut_head);
+}
+
 static const SuiteCase cases[] = {
   { "withdraw_exit_statuses", test_withdraw_exit_statuses },
   { "withdraw_missing_or_withdrawn_version", test_withdraw_missing_or_withdrawn_version },
@@ -314,6 +334,7 @@
   { "other_patch_after_lost_answer_is_conflict", test_other_patch_after_lost_answer_is_conflict },
   { "503_tries_next_steward", test_503_tries_next_steward },
   { "503_unknown_is_resolved", test_503_unknown_is_resolved },
+  { "cut_head_is_no_answer", test_cut_head_is_no_answer },
   { "unreachable_steward_is_skipped", test_unreachable_steward_is_skipped },
   { "version_create_submits_document", test_version_create_submits_document },
   { "audit_since_is_checked", test_audit_since_is_checked },
--- a/tests/test_front_channel.c
+++ b/tests/test_front_channel.c
@@ -1,5 +1,6 @@
 /** Time-outs of requests: src/front_channel.c, over loopback connections to a server that sends its
  *  answer in pieces. */
+#include "fake_heads.h"
 #include "front_channel.h"
 #include "front_socket.h"
 #include "suite.h"
@@ -181,10 +182,51 @@
   CU_ASSERT (server.received < LARGE_PIECES * LARGE_PIECE_BYTES);
 }
 
+/* Sends one request; returns the answer's status. */
+static int
+request_once (Server *server)
+{
+  server->has_answered = false;
+  front_channel_request (server->channel, "/rows", NULL, GIVE_UP_S * 1000);
+  while (!server->has_answered)
+    event_base_loop (server->base, EVLOOP_ONCE);
+  return server->status;
+}
+
+/* On a new connection, and on one that has carried a whole answer. */
+static void
+check_cut_head (FakeServer *fake, const FakeAnswer *cut)
+{
+  FakeAnswer second = *cut;
+  Server server = { .base = event_base_new () };
+  struct sockaddr_in address;
+  char text[32];
+
+  snprintf (text, sizeof text, "127.0.0.1:%d", fake_server_port (fake));
+  CU_ASSERT_FATAL (front_socket_parse_address (text, &address));
+  server.channel = front_channel_new (server.base, &address, on_answer, &server);
+  CU_ASSERT_EQUAL (request_once (&server), 0);
+  second.before = fake_heads_whole;
+  fake_server_answer (fake, &second);
+  CU_ASSERT_EQUAL (request_once (&server), 200);
+  CU_ASSERT_EQUAL (request_once (&server), 0);
+  front_channel_free (server.channel);
+  event_base_free (server.base);
+}
+
+/* Guards against rows that count as none, as the store or a front stopped in the middle of its
+ * answer's head. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each (check_cut_head);
+}
+
 static const SuiteCase cases[] = {
   { "slow_answer_is_received", test_slow_answer_is_received },
   { "silent_server_fails_request", test_silent_server_fails_request },
   { "stalled_answer_fails_request", test_stalled_answer_fails_request },
+  { "cut_head_is_no_answer", test_cut_head_is_no_answer },
   { "trickling_answer_fails_request", test_trickling_answer_fails_request },
   { "endless_answer_fails_request", test_endless_answer_fails_request },
 };
--- a/tests/test_front_http.c
+++ b/tests/test_front_http.c
@@ -1,8 +1,10 @@
 /** Parsing callers' requests and servers' answers: src/http_head.c, http_request_parser.c,
  * http_reply.c. */
+#include "fake_heads.h"
 #include "http_reply.h"
 #include "http_request_parser.h"
 #include "suite.h"
+#include "util_unused.h"
 #include <string.h>
 
 static const HttpRequestLimits limits = { .head_max = 1000, .body_max = 100 };
@@ -294,6 +296,33 @@
   http_head_clear (&head);
 }
 
+static void
+check_cut_head (FakeServer *none UNUSED, const FakeAnswer *cut)
+{
+  HttpReply reply;
+
+  for (size_t piece = 1; piece <= cut->len; piece += cut->len)
+    {
+      http_reply_init (&reply);
+      for (size_t at = 0; at < cut->len; at += piece)
+        http_reply_feed (&reply, cut->text + at, at + piece <= cut->len ? piece : cut->len - at);
+      CU_ASSERT_EQUAL (reply.status, 0);
+      if (!cut->reset)
+        http_reply_end (&reply);
+      CU_ASSERT_FALSE (reply.complete);
+      CU_ASSERT (cut->reset || reply.broken);
+      http_reply_clear (&reply);
+    }
+}
+
+/* Guards against an answer whose server stopped in the middle of its head, and that is passed on as
+ * a whole one with an empty body. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each_without_server (check_cut_head);
+}
+
 static const SuiteCase cases[] = {
   { "complete_request_is_parsed", test_complete_request_is_parsed },
   { "upgrade_offer_is_ignored", test_upgrade_offer_is_ignored },
@@ -305,6 +334,7 @@
   { "too_large", test_too_large },
   { "pipelined_requests_are_separated", test_pipelined_requests_are_separated },
   { "truncated_replies_are_not_complete", test_truncated_replies_are_not_complete },
+  { "cut_head_is_no_answer", test_cut_head_is_no_answer },
   { "malformed_replies_are_broken", test_malformed_replies_are_broken },
   { "interim_reply_is_skipped_and_surplus_reported",
     test_interim_reply_is_skipped_and_surplus_reported },
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,5 +1,5 @@
 /** Single exchanges on new connections: src/http_client.c. */
-#include "fake_server.h"
+#include "fake_heads.h"
 #include "http_client.h"
 #include "suite.h"
 #include <stdio.h>
@@ -108,6 +108,28 @@
       }
 }
 
+static void
+check_cut_head (FakeServer *server, const FakeAnswer *cut)
+{
+  HttpRequest request = request_to (fake_server_port (server));
+  Buffer body = { 0 };
+  int http_status = 0;
+  Status st;
+
+  (void)cut;
+  CU_ASSERT_EQUAL (http_call (&request, &http_status, &body, &st), STATUS_UNKNOWN);
+  CU_ASSERT_EQUAL (body.len, 0);
+  buffer_free (&body);
+}
+
+/* Guards against an answer whose server stopped in the middle of its head, and that is taken for a
+ * whole one with an empty body. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each (check_cut_head);
+}
+
 static void
 test_answer_without_framing_is_an_error (void)
 {
@@ -271,6 +293,7 @@
       = { { "complete_answers_are_read", test_complete_answers_are_read },
           { "statuses_are_returned", test_statuses_are_returned },
           { "truncated_answers_are_not_complete", test_truncated_answers_are_not_complete },
+          { "cut_head_is_no_answer", test_cut_head_is_no_answer },
           { "answer_without_framing_is_an_error", test_answer_without_framing_is_an_error },
           { "no_retry_after_close", test_no_retry_after_close },
           { "new_connection_per_request", test_new_connection_per_request },
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -1,8 +1,8 @@
 /**
  * GET requests over persistent connections: src/http_reader.c.
  */
+#include "fake_heads.h"
 #include "fake_http_server.h"
-#include "fake_server.h"
 #include "http_reader.h"
 #include "platform.h"
 #include "suite.h"
@@ -187,6 +187,54 @@
     }
 }
 
+static StatusCode
+read_once (HttpReader *reader, Buffer *answer)
+{
+  HttpRead read = read_of ("/v1/load");
+  int http_status = 0;
+
+  buffer_free (answer);
+  return http_reader_get (reader, &read, &http_status, answer, NULL);
+}
+
+/* neon repeats a read if the connection that it kept ends within the status line; it then gets
+ * another answer, which is whole. */
+static bool
+is_repeated (StatusCode code, const Buffer *answer)
+{
+  return code == STATUS_OK && answer->data && strcmp (answer->data, "{}") == 0;
+}
+
+/* On a new connection, and on one that has carried a whole answer. */
+static void
+check_cut_head (FakeServer *server, const FakeAnswer *cut)
+{
+  HttpReader *reader = http_reader_new (LOCALHOST, fake_server_port (server), 1);
+  FakeAnswer second = *cut;
+  Buffer answer = { 0 };
+  StatusCode code;
+  int requests;
+
+  second.before = fake_heads_whole;
+  CU_ASSERT_EQUAL (read_once (reader, &answer), STATUS_UNKNOWN);
+  fake_server_answer (server, &second);
+  CU_ASSERT_EQUAL (read_once (reader, &answer), STATUS_OK);
+  requests = fake_server_requests (server);
+  code = read_once (reader, &answer);
+  CU_ASSERT (is_repeated (code, &answer) ? fake_server_requests (server) == requests + 2
+                                         : code == STATUS_UNKNOWN);
+  http_reader_free (reader);
+  buffer_free (&answer);
+}
+
+/* Guards against a load report whose server stopped in the middle of its head, and that is taken
+ * for a whole one, on a new connection and on a kept one. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each (check_cut_head);
+}
+
 typedef struct
 {
   HttpReader *reader;
@@ -288,6 +336,7 @@
           { "server_down_is_unavailable", test_server_down_is_unavailable },
           { "lost_answer_is_retried_once", test_lost_answer_is_retried_once },
           { "bad_answers_are_unknown", test_bad_answers_are_unknown },
+          { "cut_head_is_no_answer", test_cut_head_is_no_answer },
           { "bad_paths_are_not_sent", test_bad_paths_are_not_sent },
           { "threads_share_a_reader", test_threads_share_a_reader },
           { "timeouts_need_own_connection", test_timeouts_need_own_connection },
--- a/tests/test_lint_in_force.c
+++ b/tests/test_lint_in_force.c
@@ -1,4 +1,5 @@
 /** The version in force read from the platform's store: src/lint_in_force.c. */
+#include "fake_heads.h"
 #include "fake_http_server.h"
 #include "lint_in_force.h"
 #include "suite.h"
@@ -119,9 +120,30 @@
   close (fd);
 }
 
+static void
+check_cut_head (FakeServer *server, const FakeAnswer *cut)
+{
+  Buffer text = { 0 };
+  Status st;
+
+  (void)cut;
+  CU_ASSERT_EQUAL (read_port (fake_server_port (server), TIMEOUT_MS, &text, &st),
+                   STATUS_UNAVAILABLE);
+  CU_ASSERT_EQUAL (text.len, 0);
+  buffer_free (&text);
+}
+
+/* Failure: the store stops in the middle of its answer's head. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each (check_cut_head);
+}
+
 static const SuiteCase cases[] = {
   { "the_configuration_or_the_reason_is_told", test_the_configuration_or_the_reason_is_told },
   { "an_error_names_step_and_peer", test_an_error_names_step_and_peer },
+  { "cut_head_is_no_answer", test_cut_head_is_no_answer },
   { "a_silent_store_is_given_up_at_the_deadline", test_a_silent_store_is_given_up_at_the_deadline },
 };
 
--- a/tests/test_platform_answers.c
+++ b/tests/test_platform_answers.c
@@ -1,5 +1,5 @@
 /** Invalid and unusual answers of the platform: src/platform_http.c, platform_wire.c. */
-#include "fake_server.h"
+#include "fake_heads.h"
 #include "platform.h"
 #include "suite.h"
 #include <stdio.h>
@@ -74,6 +74,25 @@
     }
 }
 
+static void
+check_cut_head (FakeServer *server, const FakeAnswer *cut)
+{
+  Platform *p = platform_http_new (LOCALHOST, fake_server_port (server));
+
+  (void)cut;
+  CU_ASSERT_EQUAL (put (p, "a", "1"), STATUS_UNKNOWN);
+  CU_ASSERT_EQUAL (version_of (p, "a", "1"), -1);
+  platform_free (p);
+}
+
+/* Guards against a write that counts as made, or a row that counts as missing, though the table
+ * service stopped in the middle of its answer's head. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  fake_heads_each (check_cut_head);
+}
+
 static void
 test_http_statuses_are_mapped (void)
 {
@@ -103,6 +122,7 @@
   const SuiteCase cases[]
       = { { "refused_connection_is_unavailable", test_refused_connection_is_unavailable },
           { "bad_answers_are_failures", test_bad_answers_are_failures },
+          { "cut_head_is_no_answer", test_cut_head_is_no_answer },
           { "http_statuses_are_mapped", test_http_statuses_are_mapped } };
   return suite_main (argc, argv, "platform_answers", cases, SUITE_COUNT (cases));
 }
