Use the version of a completed roll-out again once it has servers

Callers of one front got no answer for 30 s, and would have got none for good: after a roll-out had been completed all servers of the new version were down for a moment at that front, which then sent everything to two servers of the old version, whose entries were left though both had ended. The other fronts, which had restarted since, used the new version's two servers.

Cause: without servers of the version in use a front takes that which most listed servers have, and kept to it from then on, as long as one of these was listed. After a completed roll-out that is the version whose servers the platform has stopped.

The version of a completed roll-out is used whenever it has servers; others only while it has none. Ruled out: that the front lacked the status, or a removal; all four fronts had the same rows.

completed_version_is_used_again (test_front_rollouts) failed before.

--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -394,6 +394,26 @@
   return is_in_share (rollout, session, now_ms) ? rollout->order.target : rollout->base;
 }
 
+/* Finds another base version if the one in use has no servers. That of a completed roll-out is used
+ * again as soon as it has some: the others are those of before, which are stopped. */
+static bool
+update_base (FrontRollout *rollout, FrontServers *servers)
+{
+  bool is_completed = rollout->ordered && rollout->state == FRONT_ROLLOUT_COMPLETED;
+
+  if (is_completed && has_servers (servers, rollout->service, rollout->order.target))
+    {
+      snprintf (rollout->base, sizeof rollout->base, "%s", rollout->order.target);
+      return true;
+    }
+  if (has_servers (servers, rollout->service, rollout->base))
+    return true;
+  if (rollout->base[0] != '\0' && front_rollout_is_running (rollout))
+    return false;
+  find_base (rollout, servers);
+  return has_servers (servers, rollout->service, rollout->base);
+}
+
 const char *
 front_rollouts_choose (FrontRollouts *rollouts,
                        FrontServers *servers,
@@ -402,14 +422,9 @@
                        int64_t now_ms)
 {
   FrontRollout *rollout = front_rollouts_get (rollouts, service);
-  bool base_serves = has_servers (servers, service, rollout->base);
+  bool base_serves = update_base (rollout, servers);
   const char *version;
 
-  if (!base_serves && (rollout->base[0] == '\0' || !front_rollout_is_running (rollout)))
-    {
-      find_base (rollout, servers);
-      base_serves = has_servers (servers, service, rollout->base);
-    }
   if (!front_rollout_is_running (rollout))
     return rollout->base;
   version = choose_during_rollout (rollouts, rollout, session, now_ms);
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -206,6 +206,23 @@
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "");
 }
 
+/* Guards against a front that goes on with the old version for good, as all servers of the new one
+ * were down for a moment after the roll-out, and entries of old ones are left. */
+static void
+test_completed_version_is_used_again (void)
+{
+  setup ();
+  add ("c", "v2");
+  order (10, NOW);
+  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, 11,
+                                          ROLLOUT_START_UNKNOWN));
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
+  front_servers_remove (servers, "c", NOW, 0);
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v1");
+  add ("d", "v2");
+  CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
+}
+
 static const SuiteCase cases[] = {
   { "version_unused_without_order", test_version_unused_without_order },
   { "share_grows", test_share_grows },
@@ -217,6 +234,7 @@
   { "restart_takes_start_from_status", test_restart_takes_start_from_status },
   { "base_ignores_draining_servers", test_base_ignores_draining_servers },
   { "base_follows_remaining_servers", test_base_follows_remaining_servers },
+  { "completed_version_is_used_again", test_completed_version_is_used_again },
   { "uses_old_version_without_new_servers", test_uses_old_version_without_new_servers },
 };
 
