Stand-in store: an engine that ended after its return doesn't write again

When the stand-in comes back from a copy, the operator and the engines write again what is lost, unless it was written anew meanwhile. A removal wasn't taken for that where the copy had no such row: the entry of an engine that crashed as the store was away, and was removed just after the return, was written again and stayed for good, which no platform does (entries expire).

--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -105,12 +105,14 @@
         self.history_start = 0  # feeds from before this version are answered 410
         self.changed = asyncio.Event()  # set by the next change, which replaces it by a new one
         self.calls = 0
+        self.written_since_return = set()  # (table, key) of rows that were written or removed since it came back from a copy
         self.era = 1  # rises each time it comes back from a copy
         self.clock_ahead_ms = 0  # its clock before this machine's
 
     async def put(self, table, key, value):
         """Writes a row, or removes it if value is None. Returns the version of the change."""
         self.version += 1
+        self.written_since_return.add((table, key))
         if value is None:
             self.rows.pop((table, key), None)
         else:
@@ -141,16 +143,18 @@
             if name[0] in ("op", "servers") and self.rows.get(name, (None,))[0] != rows.get(name, (None,))[0]
         ]  # fmt: skip
         self.rows, self.changes = dict(rows), list(changes)
+        self.written_since_return.clear()
         self.era += 1
         self.changed.set()
         self.changed = asyncio.Event()
         return lost
 
     async def write_again(self, lost, pause_s):
-        """Writes again what restore returned, with a pause before each row, unless it was written anew meanwhile."""
-        for table, key, value, copied in lost:
+        """Writes again what restore returned, with a pause before each row, unless it was written or removed meanwhile:
+        an engine that has ended since the return doesn't write its entry again."""
+        for table, key, value, _ in lost:
             await asyncio.sleep(pause_s)
-            if self.rows.get((table, key), (None,))[0] == copied:
+            if (table, key) not in self.written_since_return:
                 await self.put(table, key, value)
 
     def get(self, table, key):
