Tests: the gate's engines stop in the middle of their answer's head

Plain answers, streams and answers that go on with a stream, cut within the status line, at its end, within a field and before the empty line, closed or reset: no caller gets a whole answer, and what may have run is said so.

--- a/tests/fake_engine.c
+++ b/tests/fake_engine.c
@@ -14,6 +14,7 @@
 
 #define STREAM_HEAD                                                                                \
   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define REPLY_HEAD "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n"
 #define TOKEN_CHUNK(n, text)                                                                       \
   "id: " #n "\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" text                    \
   "\"},\"finish_reason\":null}]}\n\n"
@@ -32,6 +33,8 @@
   size_t ran;        /* atomic */
   size_t incomplete; /* atomic */
   size_t cancelled;  /* atomic */
+  size_t head_cut;   /* atomic; bytes */
+  bool resets;       /* atomic; the connection, when the head is cut */
 };
 
 /* Reads a request; true if it arrived completely. */
@@ -108,6 +111,18 @@
   send_text (fd, "0\r\n\r\n");
 }
 
+static void
+send_cut_head (FakeEngine *engine, int fd, const char *head)
+{
+  size_t len = __atomic_load_n (&engine->head_cut, __ATOMIC_ACQUIRE);
+  struct linger reset
+      = { .l_onoff = __atomic_load_n (&engine->resets, __ATOMIC_ACQUIRE), .l_linger = 0 };
+
+  INVARIANT (len < strlen (head), "the head isn't cut");
+  (void)send (fd, head, len, MSG_NOSIGNAL);
+  (void)setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof (reset));
+}
+
 static void
 answer (FakeEngine *engine, int fd, const char *request)
 {
@@ -130,7 +145,11 @@
     case ENGINE_DIES:
       fake_engine_die (engine);
       break;
+    case ENGINE_CUTS_HEAD:
+      send_cut_head (engine, fd, chat ? STREAM_HEAD : REPLY_HEAD);
+      break;
     case ENGINE_CUTS:
+    case ENGINE_CUTS_RESUMED_HEAD:
       send_stream (fd, false);
       break;
     case ENGINE_FAILS:
@@ -166,6 +185,15 @@
   return true;
 }
 
+static void
+resume (FakeEngine *engine, int fd)
+{
+  if (__atomic_load_n (&engine->behaviour, __ATOMIC_ACQUIRE) == ENGINE_CUTS_RESUMED_HEAD)
+    send_cut_head (engine, fd, STREAM_HEAD);
+  else
+    send_reply (fd, "404 Not Found", "{}");
+}
+
 static void
 serve (FakeEngine *engine, int fd)
 {
@@ -181,7 +209,7 @@
       send_reply (fd, "200 OK", "{}");
     }
   else if (complete && strncmp (request.data, "GET /v1/streams/", 16) == 0)
-    send_reply (fd, "404 Not Found", "{}");
+    resume (engine, fd);
   else if (complete)
     {
       __atomic_add_fetch (&engine->ran, 1, __ATOMIC_ACQ_REL);
@@ -192,7 +220,8 @@
         }
       answer (engine, fd, request.data);
     }
-  shutdown (fd, SHUT_RDWR);
+  if (!__atomic_load_n (&engine->resets, __ATOMIC_ACQUIRE))
+    shutdown (fd, SHUT_RDWR);
   close (fd);
   buffer_free (&request);
 }
@@ -266,6 +295,13 @@
   __atomic_store_n (&engine->behaviour, (int)behaviour, __ATOMIC_RELEASE);
 }
 
+void
+fake_engine_set_head_cut (FakeEngine *engine, size_t len, bool reset)
+{
+  __atomic_store_n (&engine->head_cut, len, __ATOMIC_RELEASE);
+  __atomic_store_n (&engine->resets, reset, __ATOMIC_RELEASE);
+}
+
 size_t
 fake_engine_ran (const FakeEngine *engine)
 {
--- a/tests/test_gate_run.c
+++ b/tests/test_gate_run.c
@@ -496,6 +496,76 @@
   site_free (site);
 }
 
+/* Bytes of the engine's head, the shortest of which has 70, after which it stops: within the status
+ * line, at its end, within a field's name and value, and before the empty line. */
+static const size_t head_cuts[] = { 1, 12, 15, 16, 17, 25, 40, 60 };
+
+static Site *
+site_with_cut_heads (EngineBehaviour behaviour, size_t len, bool reset)
+{
+  Site *site = site_new (behaviour);
+
+  for (int i = 0; i < SERVERS; i++)
+    fake_engine_set_head_cut (site->engines[i], len, reset);
+  return site;
+}
+
+static void
+check_cut_head (size_t len, bool reset)
+{
+  Site *site = site_with_cut_heads (ENGINE_CUTS_HEAD, len, reset);
+
+  check_refused (request_new (site, "draft", "", BODY), REFUSAL_BACKEND_FAILED, REQUEST_UNKNOWN);
+  check_refused (request_new (site, "draft", "", STREAMED), REFUSAL_BACKEND_FAILED,
+                 REQUEST_UNKNOWN);
+  check_refused (request_new (site, "issue", "order-1", BODY), REFUSAL_BACKEND_FAILED,
+                 REQUEST_UNKNOWN);
+  check_refused (request_new (site, "ledger", "order-2", "{}"), REFUSAL_BACKEND_FAILED,
+                 REQUEST_UNKNOWN);
+  site_free (site);
+}
+
+/* Guards against an answer whose server stopped in the middle of its head, and that callers get as
+ * a whole one with an empty body. */
+static void
+test_cut_head_is_no_answer (void)
+{
+  for (size_t i = 0; i < SUITE_COUNT (head_cuts); i++)
+    {
+      check_cut_head (head_cuts[i], false);
+      check_cut_head (head_cuts[i], true);
+    }
+}
+
+static void
+check_cut_resumed_head (size_t len, bool reset)
+{
+  Site *site = site_with_cut_heads (ENGINE_CUTS_RESUMED_HEAD, len, reset);
+  GateRequest *r = request_new (site, "draft", "", STREAMED);
+
+  CU_ASSERT_EQUAL (gate_run (r), RUN_STREAM);
+  while (r->phase == RELAY_OPEN)
+    CU_ASSERT (gate_run_next (r));
+  CU_ASSERT_EQUAL (r->phase, RELAY_FAILING);
+  CU_ASSERT (strstr (r->out.data, "event: error") != NULL);
+  CU_ASSERT (strstr (r->out.data, "[DONE]") == NULL);
+  gate_request_free (r);
+  CU_ASSERT_EQUAL (only_bill (site).outcome, BILL_CUT);
+  site_free (site);
+}
+
+/* Guards against a stream that ends as complete, as the engine that was to go on with it stopped in
+ * the middle of its answer's head. */
+static void
+test_cut_resumed_head_ends_with_error (void)
+{
+  for (size_t i = 0; i < SUITE_COUNT (head_cuts); i++)
+    {
+      check_cut_resumed_head (head_cuts[i], false);
+      check_cut_resumed_head (head_cuts[i], true);
+    }
+}
+
 /** The end of a stream is relayed only after its usage record is in the table. */
 static void
 test_end_is_relayed_after_the_usage_record (void)
@@ -590,6 +660,8 @@
     { "non-idempotent-runs-at-most-once", test_non_idempotent_runs_at_most_once },
     { "callers-retry-gets-stored-answer", test_callers_retry_gets_stored_answer },
     { "crash-prompt-loses-few-servers", test_crash_prompt_loses_few_servers },
+    { "cut-head-is-no-answer", test_cut_head_is_no_answer },
+    { "cut-resumed-head-ends-with-error", test_cut_resumed_head_ends_with_error },
     { "retried-crash-prompt-is-quarantined", test_retried_crash_prompt_is_quarantined },
     { "refused-connections-are-no-attempts", test_refused_connections_are_no_attempts },
     { "service-503-is-its-answer", test_service_503_is_its_answer },
