Cases: engines and fronts stop in the middle of their answer's head

On the whole path, with callers of HTTP/1.1 and 1.0: plain answers and streams, after interim answers, without a body, on kept connections, the answer that is to go on with a stream, a request and its copy, requests handed to a front whose engines, or which itself, stops there; closed and reset, at six places of the head.

--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -52,6 +52,7 @@
     fields: dict
     at: float
     executed: bool = False
+    mode: str = ""  # the engine's then
     cold: bool = False  # the engine was cold when the request arrived
     cold_since: float = 0.0  # when it became cold, if it is
     limit: object = None  # the limit that the engine named then; None: none
@@ -68,7 +69,7 @@
     set), error (runs it and answers 500), unsigned (no signature), foreign (answers with another request's id),
     unframed (neither a Content-Length nor chunks; the connection ends with the answer), torn (the same, and a stream
     ends within an event), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
-    deaf (stops reading after the first byte), endless_head, endless_body (sends bytes that are no answer until the
+    deaf (stops reading after the first byte), head (stops within the head of its answer, see set_head_cut), endless_head, endless_body (sends bytes that are no answer until the
     connection is closed). A request whose body is one of crash_bodies crashes the engine, which
     listens again after a second.
     """
@@ -82,6 +83,8 @@
         self.crash_bodies, self.crash_delay = set(), 0.0  # seconds from the arrival to the crash
         self.endless_sent = 0  # bytes of the longest answer in the modes endless_head and endless_body
         self.crash_parts = set()  # it crashes as it begins to answer a prompt with one of these parts, after its delay
+        self.head_cut, self.head_resets, self.interim, self.no_body = 0, False, b"", False  # in mode head
+        self.cuts_resumed_head = False  # of its answers to streams that are to go on; the others are as mode says
         self.resume_status, self.resume_signed = None, True  # of its answers to streams that are to go on; None: it goes on
         self.event_interval = EVENT_INTERVAL_S
         self.fail_bodies = set()  # requests with these bodies are answered 500
@@ -240,7 +243,7 @@
             return
         run.executed = True
         run.cold, run.cold_since = self.cold_left_ms() > 0, self.cold_since
-        run.body = request.body
+        run.body, run.mode = request.body, self.mode
         run.line = (request.method, request.target)
         caller_closed = asyncio.ensure_future(self.caller_ends(reader))
         self.running += 1
@@ -251,6 +254,11 @@
             task.cancel()
         run.ended = time.monotonic()
 
+    def set_head_cut(self, at, resets, interim=b"", no_body=False):
+        """In mode head: after how many bytes of the head it stops, from its end if negative, and whether it resets the
+        connection then; an interim answer that it sends before, and whether the answer would have no body."""
+        self.head_cut, self.head_resets, self.interim, self.no_body = at, resets, interim, no_body
+
     def set_limit(self, per_s):
         self.limit, self.limit_since = per_s, time.monotonic()
 
@@ -288,6 +296,8 @@
             await asyncio.sleep(3600)
         if self.mode == "lost":
             abort(writer)
+        elif self.mode == "head" or (self.cuts_resumed_head and "last-event-id" in request.fields):
+            await self.send_cut_head(request, writer)
         elif self.mode in ("endless_head", "endless_body"):
             await self.send_without_end(request, writer)
         elif self.resume_status and "last-event-id" in request.fields:
@@ -300,6 +310,18 @@
             await self.plain(request, writer)
         await writer.drain()
 
+    async def send_cut_head(self, request, writer):
+        if self.no_body:
+            head = answer(204, **self.head(request)).replace(b"Content-Length: 0\r\n", b"")
+        elif self.streams:
+            head = self.stream_head(request, True)
+        else:
+            head = answer(200, **self.head(request))
+        writer.write(self.interim + head[: self.head_cut])
+        await writer.drain()
+        if self.head_resets:
+            abort(writer)
+
     async def send_without_end(self, request, writer):
         writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
         if self.mode == "endless_body":
@@ -334,16 +356,20 @@
         else:
             writer.write(text)
 
-    async def stream(self, request, writer):
+    def stream_head(self, request, is_framed):
         model = request.fields.get("lovagehub-model", "")
-        after = int(request.fields.get("last-event-id", -1))
-        is_framed = self.mode not in ("unframed", "torn")
         framing = "Transfer-Encoding: chunked\r\n" if is_framed else ""
         head = f"HTTP/1.1 200 OK\r\n{framing}Content-Type: text/event-stream\r\n"
         confidence = self.confidence if model == self.models[0] else 100
         for name, value in self.head(request, Lovagehub_Confidence=confidence).items():
             head += f"{name.replace('_', '-')}: {value}\r\n"
-        writer.write(head.encode() + b"\r\n")
+        return head.encode() + b"\r\n"
+
+    async def stream(self, request, writer):
+        model = request.fields.get("lovagehub-model", "")
+        after = int(request.fields.get("last-event-id", -1))
+        is_framed = self.mode not in ("unframed", "torn")
+        writer.write(self.stream_head(request, is_framed))
         for number in range(after + 1, EVENTS):
             data = event(model, request.body, number)
             if self.mode in ("half", "cut") and number >= after + 4:
