Read a table at the store when another front doesn't give it in time

A front that lacked what another one had dropped read all rows at other fronts, and asked the store only after four of them had failed, a second each: with frozen ones it missed changes for longer than allowed, though it could read them at the store.

Such a read goes to the store, too, once nobody has confirmed the table for as long as a check waits. At sites of more than 100 fronts other fronts are asked as before, as all may need that at one moment. If the store refuses, the front goes on at the others and asks it again after the usual pause.

late_read_at_a_front_is_made_at_the_store (test_front_watch) failed before; read_that_the_store_refuses_is_made_at_a_front guards the way back.

--- a/src/front_store.c
+++ b/src/front_store.c
@@ -68,8 +68,10 @@
 void
 store_poll_tick (Watch *watch, int64_t now_ms)
 {
-  if (front_channel_is_pending (watch->channel) && !watch->is_short_poll && !watch->is_check
-      && (store_is_sentinel (watch, now_ms) || store_confirm_is_due (watch, now_ms)))
+  if (!front_channel_is_pending (watch->channel) || watch->is_short_poll || watch->is_check)
+    return;
+  if (store_is_sentinel (watch, now_ms) || store_confirm_is_due (watch, now_ms)
+      || (watch->asked_peer && store_confirm_read_is_due (watch, now_ms)))
     store_watch_restart_poll (watch);
 }
 
--- a/src/front_store_confirm.c
+++ b/src/front_store_confirm.c
@@ -9,6 +9,8 @@
  * may have no other that tells it when the store is back, and has to know changes three seconds
  * later. */
 #define PAUSE_MS 2000
+/* Fronts up to which each may read a whole table at the store: all may have to at one moment. */
+#define READERS_MAX 100
 /* A confirmation from further ahead than this, in milliseconds, is none of this store's clock. */
 #define AHEAD_MAX_MS 1000
 
@@ -91,21 +93,40 @@
                                                                   : now_ms - watch->confirm.at_ms;
 }
 
-bool
-store_confirm_is_due (const Watch *watch, int64_t now_ms)
+/* True if nobody has confirmed the table for too long, and the store may be asked. */
+static bool
+is_overdue (const Watch *watch, int64_t now_ms)
 {
   const FrontStore *store = watch->store;
   const Front *front = store->front;
   int64_t age_ms = now_ms - watch->confirm.at_ms;
 
-  if (!watch->loaded || !is_confirmed_table (watch->id)
-      || (store->is_turned_away && now_ms < store->next_check_ms)
+  if (!is_confirmed_table (watch->id) || (store->is_turned_away && now_ms < store->next_check_ms)
       || (double)age_ms < front_confirm_limit_ms (front->settings.config_apply_ms, 0))
     return false;
   return (double)age_ms >= front_confirm_limit_ms (front->settings.config_apply_ms,
                                                    front_peers_tree_level (front->peers, now_ms));
 }
 
+bool
+store_confirm_is_due (const Watch *watch, int64_t now_ms)
+{
+  return watch->loaded && is_overdue (watch, now_ms);
+}
+
+bool
+store_confirm_may_read (const Watch *watch, int64_t now_ms)
+{
+  return front_peers_alive (watch->store->front->peers, now_ms) <= READERS_MAX;
+}
+
+bool
+store_confirm_read_is_due (const Watch *watch, int64_t now_ms)
+{
+  return !watch->loaded && watch->table.version != 0 && store_confirm_may_read (watch, now_ms)
+         && is_overdue (watch, now_ms);
+}
+
 static void
 pause_checks (FrontStore *store, int64_t now_ms)
 {
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -122,6 +122,10 @@
 void store_confirm_answer (Watch *watch, const StoreAnswer *answer, int64_t now_ms);
 /* True if nobody has confirmed the table for so long that this front has to ask the store. */
 bool store_confirm_is_due (const Watch *watch, int64_t now_ms);
+/* True if that is so while all rows are read at another front, and the store has to be asked. */
+bool store_confirm_read_is_due (const Watch *watch, int64_t now_ms);
+/* True if there are few enough fronts that each may read a whole table at the store. */
+bool store_confirm_may_read (const Watch *watch, int64_t now_ms);
 void store_confirm_check_begun (Watch *watch, int64_t now_ms);
 void store_confirm_check_failed (Watch *watch, int64_t now_ms);
 
--- a/src/front_store_source.c
+++ b/src/front_store_source.c
@@ -98,6 +98,7 @@
     return SOURCE_STORE;
   if (is_history_lost (watch))
     return watch->reads_again_at_peers && watch->peer_failures < PEER_FAILURES_MAX
+                   && !store_confirm_read_is_due (watch, now_ms)
                ? choose_by_rank (watch, now_ms)
                : SOURCE_STORE;
   if (!watch->loaded)
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -38,7 +38,6 @@
 #define SENTINEL_WAIT_MS        1000
 #define SHORT_ANSWER_TIMEOUT_MS 500
 #define READ_AGAIN_MS           500 /* minimum milliseconds between two reads of a whole table */
-#define READERS_MAX             100 /* fronts that may read a whole table at one moment */
 
 typedef struct
 {
@@ -189,6 +188,15 @@
     }
 }
 
+/* Of a poll, or of a read of the whole table that other fronts may be asked for. */
+static void
+handle_read_failure (Watch *watch, int status)
+{
+  if (!watch->loaded && watch->reads_again_at_peers)
+    store_confirm_check_failed (watch, clock_boot_ms ());
+  handle_store_failure (watch, status);
+}
+
 /* Requests the rows from another source. */
 static void
 handle_peer_failure (Watch *watch)
@@ -218,10 +226,7 @@
   bool was_just_read = clock_boot_ms () - watch->read_ms < READ_AGAIN_MS;
 
   watch->loaded = false;
-  /* Where there are many fronts, the checks of all may be answered so at one moment. */
-  if (watch->asked_peer
-      || (watch->is_check
-          && front_peers_alive (watch->store->front->peers, clock_boot_ms ()) > READERS_MAX))
+  if (watch->asked_peer || (watch->is_check && !store_confirm_may_read (watch, clock_boot_ms ())))
     watch->reads_again_at_peers = true;
   if (!watch->asked_peer && was_just_read)
     store_watch_schedule_poll (watch, READ_AGAIN_MS);
@@ -299,7 +304,7 @@
       if (watch->asked_peer)
         handle_peer_failure (watch);
       else
-        handle_store_failure (watch, status);
+        handle_read_failure (watch, status);
       return;
     }
   watch->failures = 0;
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -589,6 +589,48 @@
   node_free (node);
 }
 
+/* Guards against a front that reads the whole table at another one, which is frozen, and so misses
+ * a change that it could read at the store. */
+static void
+test_late_read_at_a_front_is_made_at_the_store (void)
+{
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
+  int silent = add_silent_fronts (node);
+
+  node->watch->loaded = false;
+  node->watch->reads_again_at_peers = true;
+  store_watch_poll (node->watch);
+  CU_ASSERT (node->watch->asked_peer);
+  store_poll_tick (node->watch, clock_boot_ms ());
+  CU_ASSERT (node->watch->asked_peer);
+  node->watch->confirm.at_ms = clock_boot_ms () - CONFIG_APPLY_MS;
+  store_poll_tick (node->watch, clock_boot_ms ());
+  CU_ASSERT (!node->watch->asked_peer);
+  CU_ASSERT_FATAL (suite_wait (is_asked, node));
+  node_free (node);
+  close (silent);
+}
+
+/* Guards against a front that gives up reading a table at others, as the store turns it away. */
+static void
+test_read_that_the_store_refuses_is_made_at_a_front (void)
+{
+  static const char refusal[] = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
+  int silent = add_silent_fronts (node);
+
+  node->watch->loaded = false;
+  node->watch->reads_again_at_peers = true;
+  node->watch->confirm.at_ms = clock_boot_ms () - CONFIG_APPLY_MS;
+  ask (node);
+  CU_ASSERT (!node->watch->asked_peer);
+  CU_ASSERT_EQUAL (write (node->connection, refusal, sizeof refusal - 1), sizeof refusal - 1);
+  CU_ASSERT_FATAL (suite_wait (is_peer_asked, node));
+  CU_ASSERT (!node->watch->loaded);
+  node_free (node);
+  close (silent);
+}
+
 static bool
 is_asked_again (void *user)
 {
@@ -640,6 +682,9 @@
   { "dropped_changes_are_read_at_the_store", test_dropped_changes_are_read_at_the_store },
   { "rows_of_another_front_confirm_nothing", test_rows_of_another_front_confirm_nothing },
   { "pages_are_as_old_as_the_first_one", test_pages_are_as_old_as_the_first_one },
+  { "late_read_at_a_front_is_made_at_the_store", test_late_read_at_a_front_is_made_at_the_store },
+  { "read_that_the_store_refuses_is_made_at_a_front",
+    test_read_that_the_store_refuses_is_made_at_a_front },
   { "check_that_fails_is_followed_by_a_pause", test_check_that_fails_is_followed_by_a_pause },
 };
 
