Load a new version's servers for longer while their answers fail

Cause: after the kills the servers that are to be loaded got little work at first. When they were loaded at last and began to fail, the stage was over, as 250 answers of loaded servers were known by then: 288, four of which had failed, two too few for a verdict; no more came. Ruled out: that answers are lost with the killed fronts, and that fronts choose too many servers.

The stage ends before its time only if none of these answers failed. Otherwise it goes on until all sessions have moved, as it does where there are few requests; nothing else changes, and a version that is good is completed at the same time.

failed_answers_prolong_the_load (test_front_canary) failed before.

--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -38,7 +38,8 @@
 #define SECOND_HALF_AT 0.5
 #define LOADED_AT      0.6
 #define ALL_MOVED_AT   0.72
-/* Answers of loaded servers after which the new version's work is spread over all its servers. */
+/* Answers of loaded servers after which the new version's work is spread over all its servers, if
+ * none of them failed. */
 #define LOADED_ANSWERS 250
 /* Milliseconds. Sessions may change version only in the second half, which fronts do not start at
  * the same moment, as the order reaches them at different times. */
@@ -139,7 +140,7 @@
   rollout->running_sum = 0;
   rollout->running_samples = 0;
   rollout->canary_chosen_ms = 0;
-  rollout->loaded_answers = 0;
+  rollout->loaded = (EvidenceLoaded){ 0 };
   rollout->peer_count = 0;
   rollout->domain_count = 0;
   memset (&rollout->evidence, 0, sizeof rollout->evidence);
@@ -329,7 +330,7 @@
   double passed = passed_part (rollout, now_ms);
 
   return front_rollout_is_running (rollout) && passed >= SECOND_HALF_AT && passed < ALL_MOVED_AT
-         && rollout->loaded_answers < LOADED_ANSWERS;
+         && (rollout->loaded.answers < LOADED_ANSWERS || rollout->loaded.failed > 0);
 }
 
 double
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -71,7 +71,7 @@
   unsigned running_samples;
   uint64_t canary_hash_max; /**< front_canary: the servers that get the new version's work */
   int64_t canary_chosen_ms; /**< when they were chosen; 0: not yet */
-  uint32_t loaded_answers;  /**< answers of these servers that are known from all fronts */
+  EvidenceLoaded loaded;    /**< answers of these servers that are known from all fronts */
   unsigned held_cursor;     /**< start of the next list of held sessions */
   int64_t old_busy_ms;      /**< when a request on the old version was last known to run anywhere */
   FrontEvidence evidence;   /**< counted by this front */
--- a/src/front_rollouts_verdict.c
+++ b/src/front_rollouts_verdict.c
@@ -120,7 +120,7 @@
   done = is_done (rollout, front_evidence_answers (&all, EVIDENCE_NEW), now_ms);
   /* Completing the roll-out stops the old version's servers: with few answers, a version that is
    * not clearly good is not completed. */
-  rollout->loaded_answers = front_evidence_loaded (&all).answers;
+  rollout->loaded = front_evidence_loaded (&all);
   rollout->finding = front_evidence_judge (&all, done ? EVIDENCE_DOUBT : EVIDENCE_CERTAIN);
   rollout->is_bad |= rollout->finding.verdict != EVIDENCE_FINE;
   if (rollout->is_bad)
--- a/tests/test_front_canary.c
+++ b/tests/test_front_canary.c
@@ -3,6 +3,7 @@
 #include "front_canary.h"
 #include "front_pick.h"
 #include "suite.h"
+#include <stdio.h>
 #include <string.h>
 
 #define NOW         100000 /* milliseconds */
@@ -135,6 +136,31 @@
   CU_ASSERT_EQUAL (loaded_servers (12, LOADING + 200), SERVERS);
 }
 
+/* Guards against a version that fails under load and is completed: its servers got little work at
+ * first, as fronts had just been killed, and as their answers began to fail, too few for a verdict,
+ * they were no longer loaded. */
+static void
+test_failed_answers_prolong_the_load (void)
+{
+  EvidenceAnswer answer
+      = { .side = EVIDENCE_NEW, .loaded = true, .first_ms = 50, .predicted_ms = 60 };
+
+  setup ();
+  CU_ASSERT_EQUAL (loaded_servers (12, LOADING), 2);
+  for (unsigned i = 0; i < 300; i++)
+    {
+      EvidenceAnswer old = { .side = EVIDENCE_OLD, .first_ms = 50, .predicted_ms = 60 };
+
+      answer.failed = i >= 297;
+      front_evidence_add (&rollout->evidence, &answer);
+      front_evidence_add (&rollout->evidence, &old);
+    }
+  front_rollout_update_verdict (rollout, LOADING + 100);
+  CU_ASSERT_FALSE (rollout->is_bad);
+  CU_ASSERT_EQUAL (loaded_servers (12, LOADING + 200), 2);
+  CU_ASSERT_EQUAL (loaded_servers (12, ALL_MOVED), SERVERS);
+}
+
 /* The old version's work, and that of other services, is not concentrated; nor is the new one's
  * when the loaded servers are in trouble. */
 static void
@@ -195,6 +221,7 @@
     test_front_that_starts_in_the_second_stage_loads_servers },
   { "loaded_service_uses_all_servers", test_loaded_service_uses_all_servers },
   { "enough_answers_end_the_load", test_enough_answers_end_the_load },
+  { "failed_answers_prolong_the_load", test_failed_answers_prolong_the_load },
   { "choice_prefers_loaded_servers", test_choice_prefers_loaded_servers },
   { "failures_do_not_end_the_load", test_failures_do_not_end_the_load },
 };
