Don't confirm a table that lacks removals

Changes of another front that lack removals raised the table's version before these were noticed, so that what others had confirmed up to that version counted for the table. If the front that is asked for all rows then froze, the removals were missed for 1.4 s more.

A confirmation counts only once no removal is lacking, and waits while all rows are being read again.

--- a/src/front_store_confirm.c
+++ b/src/front_store_confirm.c
@@ -80,7 +80,8 @@
     }
   if (own.at_ms > now_ms)
     own.at_ms = now_ms;
-  front_confirm_told (&watch->confirm, &own, watch->table.version);
+  /* While all rows are being read again, the table may lack removals up to its version. */
+  front_confirm_told (&watch->confirm, &own, watch->loaded ? watch->table.version : 0);
   return true;
 }
 
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -234,7 +234,7 @@
     store_watch_poll (watch);
 }
 
-/* Another front's changes were applied, and it doesn't know all removals before them. */
+/* Another front doesn't know all removals before its changes. */
 static void
 read_removals (Watch *watch)
 {
@@ -246,6 +246,25 @@
   store_watch_poll (watch);
 }
 
+/* False if another front's answer lacks removals. */
+static bool
+apply_changes (Watch *watch, StoreAnswer *answer)
+{
+  bool lacks_removals;
+
+  store_era_begin (watch, answer->version);
+  store_apply_unseen_ends (watch->store, watch->id, answer,
+                           watch->asked_peer ? 0 : watch->answered_ms);
+  front_table_apply_changes (&watch->table, answer, kinds[watch->id].change, watch->store);
+  lacks_removals = front_table_lacks_removals (&watch->table, answer);
+  if (!lacks_removals)
+    front_confirm_applied (&watch->confirm, watch->table.version);
+  store_apply_end (watch->store, watch->id);
+  if (!watch->asked_peer && !answer->has_more)
+    store_confirm_answer (watch, answer, clock_boot_ms ());
+  return !lacks_removals;
+}
+
 /* True if the answer is of another era of the store than the version that was asked with, and so
  * doesn't follow it. */
 static bool
@@ -269,8 +288,8 @@
 on_answer (void *user, int status, const char *text, size_t len)
 {
   Watch *watch = user;
-  bool lacks_removals = false;
   StoreAnswer answer;
+  bool applied = true;
 
   if (!note_era (watch))
     {
@@ -319,27 +338,17 @@
       read_again (watch);
       return;
     }
-  if (!watch->loaded)
-    load_page (watch, &answer);
+  if (watch->loaded)
+    applied = apply_changes (watch, &answer);
   else
-    {
-      store_era_begin (watch, answer.version);
-      store_apply_unseen_ends (watch->store, watch->id, &answer,
-                               watch->asked_peer ? 0 : watch->answered_ms);
-      front_table_apply_changes (&watch->table, &answer, kinds[watch->id].change, watch->store);
-      front_confirm_applied (&watch->confirm, watch->table.version);
-      store_apply_end (watch->store, watch->id);
-      if (!watch->asked_peer && !answer.has_more)
-        store_confirm_answer (watch, &answer, clock_boot_ms ());
-      lacks_removals = front_table_lacks_removals (&watch->table, &answer);
-    }
+    load_page (watch, &answer);
   store_answer_clear (&answer);
-  watch->answered_ms = clock_boot_ms ();
-  if (lacks_removals)
+  if (!applied)
     {
       read_removals (watch);
       return;
     }
+  watch->answered_ms = clock_boot_ms ();
   if (watch->loaded && watch->id == STORE_SERVERS && !watch->asked_peer)
     store_watch_schedule_poll (watch, SERVERS_POLL_DELAY_MS);
   else if (kinds[watch->id].followed || !watch->loaded)
@@ -494,10 +503,11 @@
       store_apply_unseen_ends (watch->store, watch->id, answer, 0);
       front_table_apply_changes (&watch->table, answer, kinds[watch->id].change, watch->store);
     }
-  front_confirm_applied (&watch->confirm, watch->table.version);
+  lacks_removals = front_table_lacks_removals (&watch->table, answer);
+  if (!lacks_removals)
+    front_confirm_applied (&watch->confirm, watch->table.version);
   store_apply_end (watch->store, watch->id);
   watch->answered_ms = clock_boot_ms ();
-  lacks_removals = front_table_lacks_removals (&watch->table, answer);
   if (lacks_removals && watch->loaded)
     read_removals (watch);
   else if (!lacks_removals && !watch->loaded)
