Don't take all rows from a front that is behind

A server that had left came back for good at a front that read all rows again at another one which was behind (frozen or turned away by the store before): where the removal wasn't known or no longer kept, its row was taken for a new one, while the table's version stayed ahead of the removal.

older_rows_of_a_front_are_not_taken (test_front_watch) failed before.

--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -143,7 +143,9 @@
     front_confirm_note (&watch->confirm, watch->asked_ms);
 }
 
-static void
+/* False if these are rows of another front that is behind: they may name servers that have left
+ * since, of which nothing is known here. */
+static bool
 load_page (Watch *watch, StoreAnswer *answer)
 {
   bool more = answer->has_more && answer->count > 0;
@@ -153,7 +155,9 @@
   else
     store_page_add (watch, answer);
   if (more)
-    return;
+    return true;
+  if (watch->asked_peer && watch->pages.version < watch->table.version)
+    return false;
   store_era_begin (watch, watch->pages.version);
   front_table_apply_snapshot (&watch->table, &watch->pages, kinds[watch->id].change, watch->store);
   pages_clear (watch);
@@ -164,6 +168,7 @@
   confirm_loaded (watch);
   front_confirm_applied (&watch->confirm, watch->table.version);
   store_apply_end (watch->store, watch->id);
+  return true;
 }
 
 static void
@@ -246,6 +251,20 @@
   store_watch_poll (watch);
 }
 
+/* What another front has answered isn't all that changed. */
+static void
+read_elsewhere (Watch *watch)
+{
+  if (watch->loaded)
+    {
+      read_removals (watch);
+      return;
+    }
+  log_rows_failed (watch);
+  pages_clear (watch);
+  handle_peer_failure (watch);
+}
+
 /* False if another front's answer lacks removals. */
 static bool
 apply_changes (Watch *watch, StoreAnswer *answer)
@@ -289,7 +308,7 @@
 {
   Watch *watch = user;
   StoreAnswer answer;
-  bool applied = true;
+  bool applied;
 
   if (!note_era (watch))
     {
@@ -338,14 +357,11 @@
       read_again (watch);
       return;
     }
-  if (watch->loaded)
-    applied = apply_changes (watch, &answer);
-  else
-    load_page (watch, &answer);
+  applied = watch->loaded ? apply_changes (watch, &answer) : load_page (watch, &answer);
   store_answer_clear (&answer);
   if (!applied)
     {
-      read_removals (watch);
+      read_elsewhere (watch);
       return;
     }
   watch->answered_ms = clock_boot_ms ();
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -495,15 +495,17 @@
   close (silent);
 }
 
-/* A front of the same domain gives all rows. */
+/* A front of the same domain gives all rows as of a version; one is named "a". */
 static void
-answer_with_all_rows (int fd)
+answer_with_all_rows (int fd, int version)
 {
-  static const char rows[] = "{\"Rows\":[],\"MorePages\":false,\"Ver\":90}";
   Buffer body = { 0 };
   char head[128];
 
-  buffer_add (&body, rows, sizeof rows - 1);
+  buffer_printf (&body,
+                 "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"\",\"Ver\":10}],\"MorePages\":false,"
+                 "\"Ver\":%d}",
+                 version);
   CU_ASSERT_FATAL (front_compress (&body));
   snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", body.len);
   CU_ASSERT_EQUAL (write (fd, head, strlen (head)), (ssize_t)strlen (head));
@@ -536,7 +538,7 @@
   CU_ASSERT_FATAL (node->watch->asked_peer);
   while ((fd = accept4 (silent, NULL, NULL, SOCK_NONBLOCK)) < 0)
     event_base_loop (node->front.base, EVLOOP_NONBLOCK);
-  answer_with_all_rows (fd);
+  answer_with_all_rows (fd, PEER_VERSION);
   CU_ASSERT_FATAL (suite_wait (is_loaded, node));
   CU_ASSERT_EQUAL (node->watch->confirm.at_ms, confirmed_ms);
   node_free (node);
@@ -544,6 +546,38 @@
   close (silent);
 }
 
+static bool
+is_given_up (void *user)
+{
+  Node *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return node->watch->loaded || node->watch->peer_failures > 0;
+}
+
+/* Guards against a server that has left, and comes back for good with the rows of a front that is
+ * behind. */
+static void
+test_older_rows_of_a_front_are_not_taken (void)
+{
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
+  int silent = add_silent_fronts (node), fd;
+
+  node->watch->loaded = false;
+  node->watch->reads_again_at_peers = true;
+  store_watch_poll (node->watch);
+  while ((fd = accept4 (silent, NULL, NULL, SOCK_NONBLOCK)) < 0)
+    event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  answer_with_all_rows (fd, OWN_VERSION - 1);
+  CU_ASSERT_FATAL (suite_wait (is_given_up, node));
+  CU_ASSERT_PTR_NULL (front_table_find (&node->watch->table, "a"));
+  CU_ASSERT_FALSE (node->watch->loaded);
+  CU_ASSERT_EQUAL (node->watch->peer_failures, 1);
+  node_free (node);
+  close (fd);
+  close (silent);
+}
+
 static void
 answer_with_page (Node *node, bool has_more)
 {
@@ -681,6 +715,7 @@
   { "stalled_answer_is_given_up_for_a_check", test_stalled_answer_is_given_up_for_a_check },
   { "dropped_changes_are_read_at_the_store", test_dropped_changes_are_read_at_the_store },
   { "rows_of_another_front_confirm_nothing", test_rows_of_another_front_confirm_nothing },
+  { "older_rows_of_a_front_are_not_taken", test_older_rows_of_a_front_are_not_taken },
   { "pages_are_as_old_as_the_first_one", test_pages_are_as_old_as_the_first_one },
   { "late_read_at_a_front_is_made_at_the_store", test_late_read_at_a_front_is_made_at_the_store },
   { "read_that_the_store_refuses_is_made_at_a_front",
