--- a/regress/front/cases_heads.py
+++ b/regress/front/cases_heads.py
@@ -14,7 +14,7 @@
 CUTS = [(at, resets) for at in (1, 12, 17, 45, -3, -1) for resets in (False, True)]
 INTERIMS = (b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", b"HTTP/1.1 100 Continue\r\n\r\n")
 PATHS = ("/text/", "/again/", "/once/")
-QUARANTINE_S = 0.2  # between two cuts, so that fronts don't give all engines up
+PAUSE_S = 0.2  # between two cuts, so that fronts don't avoid all engines for long
 HEDGE_SHARE = 0.5
 WARM_CALLS = 24  # after these a front knows the usual time of an answer
 SLOW_S = 0.5  # of an engine whose requests get a copy
@@ -56,7 +56,7 @@
                 set_heads(site.engines, cut, interim=interim, no_body=no_body)
                 for path in PATHS:
                     await no_success(site, site.fronts[number % 3], path, f"{len(interim)}.{no_body}.{number}")
-                await asyncio.sleep(QUARANTINE_S)
+                await asyncio.sleep(PAUSE_S)
     arrivals = sum(run.executed for run in site.runs)
     equal(arrivals > len(INTERIMS) * 2 * len(CUTS), True, f"{arrivals} answers were cut")
 
@@ -105,7 +105,7 @@
                 check(site, await site.call(front, f"{path}w{number}.{warm}", b"w%d.%d" % (number, warm)))
             set_heads(site.engines, cut)
             await no_success(site, front, path, f"kept{number}")
-            await asyncio.sleep(QUARANTINE_S)
+            await asyncio.sleep(PAUSE_S)
     cut_ids = [run.request for run in site.runs if run.mode == "head"]
     kept = sum(line["kept"] for line in front.events("request_sent") if line["request"] in cut_ids)
     equal(kept > 0, True, "an answer was cut on a kept connection")
@@ -151,7 +151,7 @@
         set_heads(site.engines, cut)
         for path in PATHS:
             await no_success(site, cut_off, path, f"over{number}")
-        await asyncio.sleep(QUARANTINE_S)
+        await asyncio.sleep(PAUSE_S)
     handed_over = sum(line["state"] == "sent" for line in log_events(site, "request_handed_off"))
     equal(handed_over > len(CUTS), True, f"{handed_over} requests handed over")
     dead.close()
