--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -395,8 +395,8 @@
   return is_in_share (rollout, session, now_ms) ? rollout->order.target : rollout->base;
 }
 
-/* Finds another base version if the one in use has no servers. That of a completed roll-out is used
- * again as soon as it has some: the others are those of before, which are stopped. */
+/* Finds another base version if the one in use has no servers; true if it has some then. That of a
+ * completed roll-out is used again as soon as it has servers: those of others are stopped. */
 static bool
 update_base (FrontRollout *rollout, FrontServers *servers)
 {
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -382,6 +382,17 @@
   return fd;
 }
 
+/* The front's connection to one that add_silent_fronts has added. */
+static int
+accept_at (Node *node, int listener)
+{
+  int fd;
+
+  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK)) < 0)
+    event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return fd;
+}
+
 /* Guards against a front that relies on another one, which is frozen, cut off, or turned away by
  * the store, and so misses a change that it could read at the store itself. */
 static void
@@ -449,8 +460,7 @@
 
   store_watch_poll (node->watch);
   CU_ASSERT (node->watch->asked_peer);
-  while ((fd = accept4 (silent, NULL, NULL, SOCK_NONBLOCK)) < 0)
-    event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  fd = accept_at (node, silent);
   CU_ASSERT_EQUAL (write (fd, begin, sizeof begin - 1), sizeof begin - 1);
   CU_ASSERT_FATAL (suite_wait (is_receiving, node));
   node->watch->confirm.at_ms = clock_boot_ms () - CONFIG_APPLY_MS;
@@ -495,6 +505,15 @@
   close (silent);
 }
 
+/* Another front lacks the changes since this one's version, so that all rows are read at others. */
+static void
+read_again_at_peers (Node *node)
+{
+  node->watch->loaded = false;
+  node->watch->reads_again_at_peers = true;
+  store_watch_poll (node->watch);
+}
+
 /* A front of the same domain gives all rows as of a version; one is named "a". */
 static void
 answer_with_all_rows (int fd, int version)
@@ -532,12 +551,9 @@
   int64_t confirmed_ms = clock_boot_ms () - CONFIG_APPLY_MS / 2;
 
   node->watch->confirm.at_ms = confirmed_ms;
-  node->watch->loaded = false;
-  node->watch->reads_again_at_peers = true;
-  store_watch_poll (node->watch);
+  read_again_at_peers (node);
   CU_ASSERT_FATAL (node->watch->asked_peer);
-  while ((fd = accept4 (silent, NULL, NULL, SOCK_NONBLOCK)) < 0)
-    event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  fd = accept_at (node, silent);
   answer_with_all_rows (fd, PEER_VERSION);
   CU_ASSERT_FATAL (suite_wait (is_loaded, node));
   CU_ASSERT_EQUAL (node->watch->confirm.at_ms, confirmed_ms);
@@ -563,11 +579,8 @@
   Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
   int silent = add_silent_fronts (node), fd;
 
-  node->watch->loaded = false;
-  node->watch->reads_again_at_peers = true;
-  store_watch_poll (node->watch);
-  while ((fd = accept4 (silent, NULL, NULL, SOCK_NONBLOCK)) < 0)
-    event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  read_again_at_peers (node);
+  fd = accept_at (node, silent);
   answer_with_all_rows (fd, OWN_VERSION - 1);
   CU_ASSERT_FATAL (suite_wait (is_given_up, node));
   CU_ASSERT_PTR_NULL (front_table_find (&node->watch->table, "a"));
@@ -631,9 +644,7 @@
   Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
   int silent = add_silent_fronts (node);
 
-  node->watch->loaded = false;
-  node->watch->reads_again_at_peers = true;
-  store_watch_poll (node->watch);
+  read_again_at_peers (node);
   CU_ASSERT (node->watch->asked_peer);
   store_poll_tick (node->watch, clock_boot_ms ());
   CU_ASSERT (node->watch->asked_peer);
