--- a/tests/test_platform_answers.c
+++ b/tests/test_platform_answers.c
@@ -78,15 +78,19 @@
 check_cut_head (FakeServer *server, const FakeAnswer *cut)
 {
   Platform *p = platform_http_new (LOCALHOST, fake_server_port (server));
+  double score = -1;
 
   (void)cut;
+  CU_ASSERT_EQUAL (p->ops->rate (p, "c", "prompt", "answer", TIMEOUT_MS, &score, NULL),
+                   STATUS_UNAVAILABLE);
+  CU_ASSERT_EQUAL (score, -1);
   CU_ASSERT_EQUAL (put (p, "a", "1"), STATUS_UNKNOWN);
   CU_ASSERT_EQUAL (version_of (p, "a", "1"), -1);
   platform_free (p);
 }
 
-/* Guards against a write that counts as made, or a row that counts as missing, though the table
- * service stopped in the middle of its answer's head. */
+/* Guards against a write that counts as made, a row that counts as missing, or an answer that
+ * counts as rated, though the platform stopped in the middle of its answer's head. */
 static void
 test_cut_head_is_no_answer (void)
 {
