--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 FRONT_PKGS = libevent json-c libsodium libxxhash libtirpc zlib
 FRONT_LIBS = $(shell pkg-config --libs $(FRONT_PKGS)) -lhttp_parser -lm
 FRONT_SHARED = $(wildcard src/util_*.c src/settings_arguments.c \
-  src/http_head.c src/http_request_parser.c src/http_reply.c src/choose_quarantine.c src/choose_quarantine_report.c \
+  src/http_head.c src/http_request_parser.c src/http_reply.c src/http_arrival.c src/choose_quarantine.c src/choose_quarantine_report.c \
   src/choose_quarantine_suspects.c src/choose_quarantine_cause.c)
 FRONT_PARTS = $(filter-out src/front_main.c,$(wildcard src/front*.c)) src/settings_front.c \
   $(filter-out $(LINT_WIRE),$(wildcard platform/*.c))
@@ -112,7 +112,7 @@
 # These replace connections, timers and the clock by fakes.
 $(BUILD)/test_front_request_%: LDFLAGS += -Wl,--wrap=clock_boot_ms,--wrap=event_new,--wrap=event_add,--wrap=event_del,--wrap=event_free
 $(BUILD)/test_front_request_%: $(BUILD)/obj/tests/test_front_request_%.o \
-  $(call obj,$(filter-out src/front_accept.c src/front_attempt.c src/front_conn.c,$(FRONT_PARTS)) tests/front_fakes.c tests/hedge_site.c $(TEST_HELPERS)) $(LIB)
+  $(call obj,$(filter-out src/front_accept.c src/front_attempt.c $(wildcard src/front_conn*.c),$(FRONT_PARTS)) tests/front_fakes.c tests/hedge_site.c $(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) $(FRONT_LIBS) -lcunit -o $@
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(call obj,$(TEST_HELPERS)) $(LIB)
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
--- a/regress/front/site_front.py
+++ b/regress/front/site_front.py
@@ -181,6 +181,7 @@
         self.routes = [dict(route) for route in ROUTES]
         self.more_settings = {}  # of all fronts
         self.keys = [KEY]
+        self.limits = {}  # that the configuration sets besides, or in place of its usual ones
         self.front_of = {}  # request id -> number of the front that it was sent to
         self.senders = {}  # (request id, engine) -> (time, number of the front) of each attempt in the fronts' logs
         self.evacuations = {}  # failure domain evacuated now -> when the store acknowledged the order
@@ -249,7 +250,7 @@
         config = {
             "Version": self.version, "Services": services, "Tenants": [{"Name": "team", "ApiKeys": self.keys}],
             "Routes": [{"Host": "a.example", "Priority": 1, "Public": False, **route} for route in self.routes],
-            "Limits": {"MaxHeaderBytes": 8192, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 2000, "IdleTimeoutMs": 8000},
+            "Limits": {"MaxHeaderBytes": 8192, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 2000, "IdleTimeoutMs": 8000, **self.limits},
         }  # fmt: skip
         await self.store.put("op", "config", json.dumps(config))
         self.config_acked[self.version] = time.monotonic()
--- a/src/front.h
+++ b/src/front.h
@@ -9,10 +9,12 @@
 #include "front_answer_time.h"
 #include "front_budget.h"
 #include "front_config.h"
+#include "front_descriptors.h"
 #include "front_hedge.h"
 #include "front_holding.h"
 #include "front_lag.h"
 #include "front_link.h"
+#include "front_memory.h"
 #include "front_parts.h"
 #include "front_reach.h"
 #include "front_returning.h"
@@ -51,6 +53,9 @@
   FrontParts *parts;
   FrontLag lag;       /**< of model engines' answers */
   FrontLink link;     /**< of this VM; requests and answers, not what is told between fronts */
+  FrontMemory memory; /**< of what is held for callers */
+  struct cds_list_head waiting_attempts; /**< FrontAttempt: answers that wait for memory */
+  struct FrontAttempt *reading_attempt;  /**< whose answer is read on while they do */
   FrontWaits *waits;  /**< of model engines; filled only where front_is_contended */
   uint32_t wait_keys; /**< of attempts so far, for front_waits */
   FrontSpeeds speeds;
@@ -72,8 +77,9 @@
   FrontWaiting waiting;            /**< those of them that wait for room at a server */
   FrontReturning returning;        /**< and those that go back to a full one */
   FrontHolding holding;            /**< and those that are held while engines are full */
+  FrontDescriptors descriptors;    /**< most connections of each kind */
   unsigned conn_count;
-  unsigned conn_max; /**< connections of callers, so that requests can be sent to servers */
+  unsigned attempt_count;
   unsigned request_count;
   int64_t stop_requested_ms; /**< of a graceful stop, boot-time clock; 0: none */
 } Front;
--- a/src/front_accept.c
+++ b/src/front_accept.c
@@ -6,15 +6,11 @@
 #include "front_socket.h"
 #include "util_clock.h"
 #include "util_unused.h"
-#include <sys/resource.h>
 
 #define BACKLOG 1024 /* all callers of a failure domain may connect at once */
 /* Idle connections that are closed at once when no descriptor is left: requests need some for their
  * servers. */
 #define RELIEF 16
-/* Descriptors for files, the store, other fronts, and the control address. */
-#define OTHER_DESCRIPTORS 300
-#define DESCRIPTORS_MAX   1000000 /* a process with a higher limit has none */
 
 static void
 log_link (const Front *front)
@@ -33,7 +29,7 @@
   FrontLine *line = front_log_begin (FRONT_EVENT_DESCRIPTORS);
 
   front_log_number (line, "connections", front->conn_count);
-  front_log_number (line, "most", front->conn_max);
+  front_log_number (line, "most", front->descriptors.callers);
   front_log_number (line, "closed", closed);
   front_log_end (line);
 }
@@ -47,19 +43,26 @@
   return false;
 }
 
-/* The caller that waits here has a request; one that keeps an idle connection can open another. */
 static bool
 make_room (Front *front)
 {
   unsigned closed;
 
-  if (front->conn_count < front->conn_max)
+  if (front->conn_count < front->descriptors.callers)
     return true;
-  closed = front_conn_close_idle (front, 1);
+  closed = front_conn_close_one (front);
   log_descriptors (front, closed);
   return closed > 0;
 }
 
+/* Another front that hands a request over can't tell that it wasn't read. */
+static bool
+may_hand_over (const Front *front, const struct sockaddr *from)
+{
+  return front->conn_count < front->descriptors.callers + front->descriptors.handoffs
+         && front_peers_knows (front->peers, from);
+}
+
 static void
 on_accept (struct evconnlistener *listener UNUSED,
            evutil_socket_t fd,
@@ -69,8 +72,7 @@
 {
   Front *front = user;
 
-  /* Another front that hands a request over can't tell that it wasn't read. */
-  if ((link_has_room (front) && make_room (front)) || front_peers_knows (front->peers, from))
+  if ((link_has_room (front) && make_room (front)) || may_hand_over (front, from))
     front_conn_new (front, fd);
   else
     evutil_closesocket (fd);
@@ -99,22 +101,6 @@
   evconnlistener_enable (front->listener);
 }
 
-/* Each request has a connection of its caller and one to its server. */
-static unsigned
-callers_max (const SettingsFront *settings)
-{
-  struct rlimit limit;
-  int64_t all = settings->descriptors;
-  int64_t others;
-
-  if (all == 0 && getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur <= DESCRIPTORS_MAX)
-    all = (int64_t)limit.rlim_cur;
-  if (all == 0)
-    return DESCRIPTORS_MAX;
-  others = all / 4 < OTHER_DESCRIPTORS ? all / 4 : OTHER_DESCRIPTORS;
-  return all - others > 1 ? (unsigned)((all - others) / 2) : 1;
-}
-
 bool
 front_accept_listen (Front *front)
 {
@@ -123,12 +109,12 @@
   if (!front_socket_parse_address (front->settings.callers, &address))
     return false;
   front->callers_port = address.sin_port;
-  front->conn_max = callers_max (&front->settings);
   front->listener = evconnlistener_new_bind (
       front->base, on_accept, front, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
       BACKLOG, (struct sockaddr *)&address, sizeof address);
   if (!front->listener)
     return false;
   evconnlistener_set_error_cb (front->listener, on_error);
+  front_conn_bound (evconnlistener_get_fd (front->listener));
   return true;
 }
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -12,9 +12,11 @@
 /* Milliseconds without an acknowledgement after which a connection counts as dead, which is the
  * only sign of a broken network path. Reachable servers acknowledge within a few milliseconds. */
 #define UNACKED_TIMEOUT_MS 2000
-/* Bytes of an incomplete answer that are kept; some such answers at a time must fit the smallest
- * VM's memory. */
-#define UNREAD_MAX_BYTES (8 << 20)
+/* Bytes in the kernel's buffer for an answer. */
+#define RECEIVE_BUFFER_BYTES 32768
+/* Answers up to this length are read whatever else is held. */
+#define SHORT_ANSWER_BYTES 4096
+#define READ_BYTES         4096 /* at a time: by so much an answer may exceed that */
 
 struct FrontAttempt
 {
@@ -29,17 +31,99 @@
   bool is_kept;     /* the connection had carried another request before */
   bool is_believed; /* the answer is this server's to this request */
   bool has_ended;   /* the connection is closed */
+  bool is_paused;   /* by its owner */
+  bool is_waiting;  /* for memory */
+  struct cds_list_head waiting_node;
+  size_t held; /* bytes counted in the front's memory */
   const AttemptCallbacks *callbacks;
   void *user;
 };
 
+static void
+account (FrontAttempt *attempt)
+{
+  size_t held = attempt->reply.raw.len + attempt->reply.body.len
+                + (attempt->is_waiting ? RECEIVE_BUFFER_BYTES : 0);
+
+  front_memory_change (&attempt->front->memory, MEMORY_ANSWERS, attempt->held, held);
+  attempt->held = held;
+}
+
+static void
+set_reading (FrontAttempt *attempt)
+{
+  if (attempt->is_paused || attempt->is_waiting)
+    bufferevent_disable (attempt->bev, EV_READ);
+  else
+    bufferevent_enable (attempt->bev, EV_READ);
+}
+
+/* While answers are full one of them at a time is read on, so that it comes to its end and makes
+ * room for the next once its caller has taken it. */
+static void
+wait_for_memory (FrontAttempt *attempt)
+{
+  Front *front = attempt->front;
+  const FrontMemory *memory = &front->memory;
+
+  if (attempt->is_waiting || attempt->held <= SHORT_ANSWER_BYTES || attempt->reply.complete)
+    return;
+  if (front_memory_answers_are_full (memory) && !front->reading_attempt
+      && !front_memory_unread_is_full (memory))
+    front->reading_attempt = attempt;
+  if (!front_memory_answers_are_full (memory) || front->reading_attempt == attempt)
+    return;
+  attempt->is_waiting = true;
+  cds_list_add_tail (&attempt->waiting_node, &front->waiting_attempts);
+  account (attempt);
+  set_reading (attempt);
+}
+
+static void
+stop_waiting (FrontAttempt *attempt)
+{
+  if (!attempt->is_waiting)
+    return;
+  attempt->is_waiting = false;
+  cds_list_del (&attempt->waiting_node);
+  account (attempt);
+}
+
+void *
+front_attempts_last_waiting (Front *front)
+{
+  return cds_list_empty (&front->waiting_attempts)
+             ? NULL
+             : cds_list_entry (front->waiting_attempts.prev, FrontAttempt, waiting_node)->user;
+}
+
+void
+front_attempts_resume (Front *front)
+{
+  while (!cds_list_empty (&front->waiting_attempts))
+    {
+      FrontAttempt *first
+          = cds_list_entry (front->waiting_attempts.next, FrontAttempt, waiting_node);
+
+      if (front_memory_answers_are_full (&front->memory))
+        {
+          if (front->reading_attempt || front_memory_unread_is_full (&front->memory))
+            return;
+          front->reading_attempt = first;
+        }
+      stop_waiting (first);
+      set_reading (first);
+    }
+}
+
 static void
 send_request (FrontAttempt *attempt)
 {
   attempt->sent = true;
   bufferevent_write (attempt->bev, attempt->head.data, attempt->head.len);
   if (attempt->body->len > 0)
-    bufferevent_write (attempt->bev, attempt->body->data, attempt->body->len);
+    evbuffer_add_reference (bufferevent_get_output (attempt->bev), attempt->body->data,
+                            attempt->body->len, NULL, NULL);
   buffer_free (&attempt->head);
 }
 
@@ -49,6 +133,8 @@
   FrontAttempt *attempt = user;
 
   front_socket_feed_reply (bev, &attempt->reply);
+  account (attempt);
+  wait_for_memory (attempt);
   if (front_attempt_is_too_long (attempt))
     attempt->reply.broken = true;
   if (attempt->reply.status && !attempt->has_head)
@@ -105,11 +191,22 @@
 {
   struct bufferevent *bev = front_socket_connect (front->base, address, UNACKED_TIMEOUT_MS);
 
-  if (bev)
-    front_socket_count (bev, &front->link);
+  if (!bev)
+    return NULL;
+  front_socket_count (bev, &front->link);
+  front_socket_set_receive_buffer (bufferevent_getfd (bev), RECEIVE_BUFFER_BYTES);
   return bev;
 }
 
+/* Each request has one, and some have another for a copy. */
+static bool
+has_descriptor (const Front *front)
+{
+  const FrontDescriptors *most = &front->descriptors;
+
+  return front->attempt_count < most->callers + most->handoffs + most->copies;
+}
+
 FrontAttempt *
 front_attempt_start (Front *front,
                      const AttemptTarget *target,
@@ -118,15 +215,21 @@
                      const AttemptCallbacks *callbacks,
                      void *user)
 {
-  struct bufferevent *bev = take_kept (front, target);
-  bool is_kept = bev != NULL;
+  struct bufferevent *bev;
+  bool is_kept;
   FrontAttempt *attempt;
 
+  if (!has_descriptor (front))
+    return NULL;
+  bev = take_kept (front, target);
+  is_kept = bev != NULL;
+
   if (!bev)
     bev = connect_counted (front, target->address);
   if (!bev)
     return NULL;
   attempt = memory_alloc (sizeof *attempt);
+  front->attempt_count++;
   attempt->front = front;
   attempt->server = target->server;
   attempt->is_kept = is_kept;
@@ -143,6 +246,7 @@
       attempt->server->running++;
     }
   bufferevent_setcb (bev, on_read, NULL, on_event, attempt);
+  bufferevent_set_max_single_read (bev, READ_BYTES);
   bufferevent_enable (bev, EV_READ | EV_WRITE);
   if (is_kept)
     {
@@ -201,8 +305,15 @@
 void
 front_attempt_free (FrontAttempt *attempt)
 {
+  Front *front = attempt->front;
+
+  front->attempt_count--;
+  stop_waiting (attempt);
   release_connection (attempt);
   http_reply_clear (&attempt->reply);
+  account (attempt);
+  if (front->reading_attempt == attempt)
+    front->reading_attempt = NULL;
   buffer_free (&attempt->head);
   if (attempt->server)
     {
@@ -227,7 +338,13 @@
 bool
 front_attempt_is_too_long (const FrontAttempt *attempt)
 {
-  return !attempt->reply.complete && attempt->reply.body.len > UNREAD_MAX_BYTES;
+  return !attempt->reply.complete && attempt->reply.body.len > attempt->front->memory.answer_max;
+}
+
+bool
+front_attempt_is_waiting (const FrontAttempt *attempt)
+{
+  return attempt->is_waiting;
 }
 
 bool
@@ -245,8 +362,10 @@
 void
 front_attempt_pause (FrontAttempt *attempt, bool pause)
 {
-  if (pause)
-    bufferevent_disable (attempt->bev, EV_READ);
-  else
-    bufferevent_enable (attempt->bev, EV_READ);
+  account (attempt);
+  attempt->is_paused = pause;
+  /* A caller that takes nothing must not keep the others' answers waiting. */
+  if (pause && attempt->front->reading_attempt == attempt)
+    attempt->front->reading_attempt = NULL;
+  set_reading (attempt);
 }
--- a/src/front_attempt.h
+++ b/src/front_attempt.h
@@ -57,11 +57,17 @@
 bool front_attempt_is_sent (const FrontAttempt *attempt);
 /** True if the answer was given up, for it is longer than an answer may be. */
 bool front_attempt_is_too_long (const FrontAttempt *attempt);
+/** True if the rest of the answer waits for memory. */
+bool front_attempt_is_waiting (const FrontAttempt *attempt);
 /** True if the request was sent on a kept connection. */
 bool front_attempt_is_kept (const FrontAttempt *attempt);
 /** The complete answer is a success of the server's own to this request: the connection may be
  *  kept. */
 void front_attempt_set_believed (FrontAttempt *attempt);
+/** The user of the attempt whose answer was the last to wait for memory; NULL: none waits. */
+void *front_attempts_last_waiting (Front *front);
+/** Reads on answers that wait for memory, as far as there is some. */
+void front_attempts_resume (Front *front);
 /** Pauses or resumes reading, for a caller that is slower than the server. */
 void front_attempt_pause (FrontAttempt *attempt, bool pause);
 
--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -1,7 +1,6 @@
-#include "front_conn.h"
+#include "front_conn_private.h"
 #include "front_counter.h"
 #include "front_log.h"
-#include "front_request.h"
 #include "front_socket.h"
 #include "util_clock.h"
 #include "util_memory.h"
@@ -10,46 +9,13 @@
 #include <event2/buffer.h>
 #include <stdlib.h>
 
-/* Bytes of output that the caller has not read yet, above which its backend server is no longer
- * read from. */
-#define OUTPUT_MAX_BYTES 262144
-/* Bytes of pipelined requests that are read while one is being answered. */
-#define READ_AHEAD_MAX_BYTES 65536
 /* Used before there is a configuration: the platform's usual limits. */
-#define HEADER_MAX_BYTES_DEFAULT  16384
-#define BODY_MAX_BYTES_DEFAULT    4194304
-#define HEADER_TIMEOUT_DEFAULT_MS 3000
-#define IDLE_TIMEOUT_DEFAULT_MS   15000
-/* Milliseconds without an acknowledgement after which a connection counts as lost. */
-#define TCP_TIMEOUT_MS 6000
+#define HEADER_MAX_BYTES_DEFAULT 16384
+#define BODY_MAX_BYTES_DEFAULT   4194304
+#define IDLE_TIMEOUT_DEFAULT_MS  15000
 /* Idle connections are kept this much longer than callers may reuse them, so that no request
  * arrives while its connection is being closed. */
 #define IDLE_FACTOR 1.25
-/* Milliseconds after a stop request during which the load balancer may still direct callers here.
- * Until then idle connections stay open for one more request; its answer closes them. */
-#define STOP_IDLE_MS 2500
-
-struct FrontConn
-{
-  struct cds_list_head node;
-  Front *front;
-  struct bufferevent *bev;
-  HttpRequestParser request_parser;
-  FrontRequest *request; /* being answered; NULL: none */
-  bool reading;          /* set while conn_read runs, so that the end of an answer doesn't call it
-                            recursively */
-  bool close_after;      /* close the connection after this answer */
-  bool chunked;
-  bool is_streaming;      /* the head of an answer of unknown length was written, its end was not */
-  bool is_reset_on_close; /* as its answer would otherwise end as if it were complete */
-  bool has_served;        /* it has carried a request */
-  bool freed;             /* awaits its removal by the next sweep */
-  bool closing;           /* nothing more is read; freed once all output is written */
-  int64_t since_ms;       /* last change between idle, reading a request and answering it */
-  int64_t idle_timeout_ms;
-};
-
-static void conn_read (FrontConn *conn);
 
 static HttpRequestLimits
 current_limits (const Front *front)
@@ -63,10 +29,8 @@
   };
 }
 
-/* Starts an idle period with the time-out that is in force now. If the configuration lowers it
- * later, this period is not shortened: callers rely on the time-out in force at its start. */
-static void
-idle_begin (FrontConn *conn)
+void
+conn_idle_begin (FrontConn *conn)
 {
   const FrontConfig *config = conn->front->config;
   int64_t wait_ms = config ? config->limits.idle_timeout_ms : IDLE_TIMEOUT_DEFAULT_MS;
@@ -77,9 +41,7 @@
   cds_list_add_tail (&conn->node, &conn->front->conns);
 }
 
-/* Closes the connection at once. Callers of this function may still read conn, so its memory is
- * freed by the next sweep. */
-static void
+void
 conn_free (FrontConn *conn)
 {
   if (conn->freed)
@@ -91,168 +53,38 @@
   conn->front->conn_count--;
   bufferevent_free (conn->bev);
   conn->bev = NULL;
+  http_request_parser_reset (&conn->request_parser);
+  conn_account (conn);
 }
 
-static void
+void
 conn_destroy (FrontConn *conn)
 {
   cds_list_del (&conn->node);
-  http_request_parser_reset (&conn->request_parser);
   free (conn);
 }
 
-/* All output was handed to the kernel, which sends it before it ends the connection. */
-static void
-close_written (FrontConn *conn)
-{
-  if (conn->is_reset_on_close && !conn->is_streaming)
-    front_socket_set_reset_on_close (bufferevent_getfd (conn->bev), false);
-  conn_free (conn);
-}
-
-static void
-close_when_written (FrontConn *conn)
-{
-  conn->closing = true;
-  conn->since_ms = clock_boot_ms ();
-  bufferevent_disable (conn->bev, EV_READ);
-  if (evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
-    close_written (conn);
-}
-
-static void
-write_head (FrontConn *conn, const Buffer *head)
-{
-  struct evbuffer *output = bufferevent_get_output (conn->bev);
-
-  conn->close_after = !conn->request_parser.keep_alive || conn->front->stop_requested_ms != 0;
-  evbuffer_add (output, head->data, head->len);
-  if (conn->close_after)
-    evbuffer_add_printf (output, "Connection: close\r\n");
-}
-
-/* Called when the answer is written: closes the connection or reads the next request, which may be
- * in the input buffer already. */
-static void
-on_answer_written (FrontConn *conn)
-{
-  conn->request = NULL;
-  if (conn->close_after)
-    {
-      close_when_written (conn);
-      return;
-    }
-  http_request_parser_reset (&conn->request_parser);
-  idle_begin (conn);
-  if (!conn->reading && evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
-    conn_read (conn);
-}
-
-static void
-free_body (const void *data UNUSED, size_t len UNUSED, void *body)
-{
-  free (body);
-}
-
-static void
-log_lost (const FrontConn *conn, const char *reason)
-{
-  FrontLine *line = front_log_begin (FRONT_EVENT_CALLER_LOST);
-
-  front_log_text (line, "reason", reason);
-  front_log_number (line, "unread",
-                    (int64_t)evbuffer_get_length (bufferevent_get_output (conn->bev)));
-  front_log_number (line, "for_ms", clock_boot_ms () - conn->since_ms);
-  front_log_end (line);
-}
-
-void
-front_conn_answer (FrontConn *conn, const Buffer *head, Buffer *body)
-{
-  struct evbuffer *output = bufferevent_get_output (conn->bev);
-
-  if (conn->is_streaming)
-    {
-      log_lost (conn, "stream_begun");
-      buffer_free (body);
-      front_conn_abort (conn);
-      return;
-    }
-  write_head (conn, head);
-  evbuffer_add_printf (output, "Content-Length: %zu\r\n\r\n", body->len);
-  if (body->len > 0
-      && evbuffer_add_reference (output, body->data, body->len, free_body, body->data) == 0)
-    *body = (Buffer){ 0 };
-  buffer_free (body);
-  on_answer_written (conn);
-}
-
-void
-front_conn_stream_begin (FrontConn *conn, const Buffer *head)
-{
-  struct evbuffer *output = bufferevent_get_output (conn->bev);
-
-  conn->is_streaming = true;
-  conn->chunked = conn->request_parser.parser.http_minor > 0;
-  /* Without chunks an orderly close marks the end of the answer. */
-  if (!conn->chunked)
-    {
-      conn->request_parser.keep_alive = false;
-      conn->is_reset_on_close = true;
-      front_socket_set_reset_on_close (bufferevent_getfd (conn->bev), true);
-    }
-  write_head (conn, head);
-  evbuffer_add_printf (output, "%s\r\n", conn->chunked ? "Transfer-Encoding: chunked\r\n" : "");
-}
-
-void
-front_conn_stream_data (FrontConn *conn, const void *data, size_t len)
+HttpRequestParser *
+front_conn_request_parser (FrontConn *conn)
 {
-  struct evbuffer *output = bufferevent_get_output (conn->bev);
-
-  if (len == 0)
-    return;
-  if (conn->chunked)
-    evbuffer_add_printf (output, "%zx\r\n", len);
-  evbuffer_add (output, data, len);
-  if (conn->chunked)
-    evbuffer_add (output, "\r\n", 2);
+  return &conn->request_parser;
 }
 
-void
-front_conn_stream_end (FrontConn *conn)
+size_t
+conn_unread (const FrontConn *conn)
 {
-  if (conn->chunked)
-    evbuffer_add_printf (bufferevent_get_output (conn->bev), "0\r\n\r\n");
-  conn->is_streaming = false;
-  on_answer_written (conn);
-}
-
-void
-front_conn_abort (FrontConn *conn)
-{
-  conn->request = NULL;
-  conn->closing = true;
-  conn->since_ms = clock_boot_ms ();
-  bufferevent_disable (conn->bev, EV_READ);
-  if (!conn->chunked || evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
-    conn_free (conn);
+  return conn->bev ? evbuffer_get_length (bufferevent_get_output (conn->bev)) : 0;
 }
 
 bool
-front_conn_output_is_full (const FrontConn *conn)
+conn_is_arriving (const FrontConn *conn)
 {
-  return evbuffer_get_length (bufferevent_get_output (conn->bev)) > OUTPUT_MAX_BYTES;
-}
-
-HttpRequestParser *
-front_conn_request_parser (FrontConn *conn)
-{
-  return &conn->request_parser;
+  return !conn->freed && !conn->closing && !conn->request
+         && http_request_parser_started (&conn->request_parser);
 }
 
-static void
-refuse_request (FrontConn *conn, int status)
+void
+conn_refuse (FrontConn *conn, int status, int64_t retry_after_ms)
 {
   Buffer head = { 0 };
   FrontLine *line = front_log_begin (FRONT_EVENT_BAD_REQUEST);
@@ -260,15 +92,29 @@
   front_log_number (line, "status", status);
   front_log_end (line);
   front_counter_add (FRONT_COUNTER_BAD_REQUESTS);
-  wire_refusal_encode (&head, status, (Span){ 0 }, 0);
+  wire_refusal_encode (&head, status, (Span){ 0 }, retry_after_ms);
   conn->request_parser.keep_alive = false;
   front_conn_answer (conn, &head, &(Buffer){ 0 });
   buffer_free (&head);
 }
 
+/* Whether the request can be served besides what is held for others. */
+static bool
+has_room (FrontConn *conn)
+{
+  conn_account (conn);
+  return !front_memory_is_over (&conn->front->memory);
+}
+
 static void
 start_request (FrontConn *conn)
 {
+  if (!has_room (conn))
+    {
+      conn_log_room (conn, "refused", 0);
+      conn_refuse (conn, HTTP_STATUS_SERVICE_UNAVAILABLE, CONN_RETRY_AFTER_FULL_MS);
+      return;
+    }
   conn->since_ms = clock_boot_ms ();
   conn->chunked = false;
   if (conn->has_served)
@@ -285,7 +131,9 @@
   struct evbuffer *input = conn->freed ? NULL : bufferevent_get_input (conn->bev);
   size_t len = input ? evbuffer_get_contiguous_space (input) : 0, used;
 
-  if (len == 0 || conn->request || conn->closing)
+  /* Of requests sent one after the other each waits for the answer before it to be taken: a caller
+   * that reads none would pile up any number of them. */
+  if (len == 0 || conn->request || conn->closing || conn_unread (conn) > 0)
     return false;
   if (!http_request_parser_started (&conn->request_parser))
     {
@@ -301,7 +149,7 @@
       return true;
     case HTTP_PARSE_REFUSED:
       evbuffer_drain (input, len);
-      refuse_request (conn, conn->request_parser.refuse_status);
+      conn_refuse (conn, conn->request_parser.refuse_status, 0);
       return false;
     case HTTP_PARSE_MORE:
       break;
@@ -313,7 +161,7 @@
   return true;
 }
 
-static void
+void
 conn_read (FrontConn *conn)
 {
   conn->reading = true;
@@ -322,10 +170,22 @@
   conn->reading = false;
 }
 
+/* To be called by callbacks of the event loop only, as conn_relieve. */
+static void
+read_and_relieve (FrontConn *conn)
+{
+  Front *front = conn->front;
+
+  conn_read (conn);
+  if (!conn->freed)
+    conn_account (conn);
+  conn_relieve (front);
+}
+
 static void
 on_read (struct bufferevent *bev UNUSED, void *user)
 {
-  conn_read (user);
+  read_and_relieve (user);
 }
 
 static void
@@ -334,9 +194,11 @@
   FrontConn *conn = user;
 
   if (conn->closing)
-    close_written (conn);
+    conn_close_written (conn);
   else if (conn->request)
     front_request_drained (conn->request);
+  else
+    read_and_relieve (conn);
 }
 
 static void
@@ -344,11 +206,29 @@
 {
   FrontConn *conn = user;
 
-  if (!conn->request && evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
-    log_lost (conn, "answer_not_read");
+  if (!conn->request && conn_unread (conn) > 0)
+    conn_log_lost (conn, "answer_not_read");
   conn_free (conn);
 }
 
+static void
+on_output_changed (struct evbuffer *output UNUSED, const struct evbuffer_cb_info *info, void *user)
+{
+  FrontConn *conn = user;
+
+  if (info->n_deleted > 0 || info->orig_size == 0)
+    conn->taken_ms = clock_boot_ms ();
+  conn_account (conn);
+}
+
+void
+front_conn_bound (evutil_socket_t listener)
+{
+  front_socket_set_orphan_timeout (listener, CONN_TCP_TIMEOUT_MS);
+  front_socket_set_receive_buffer (listener, CONN_BUFFER_BYTES);
+  front_socket_set_send_buffer (listener, CONN_BUFFER_BYTES);
+}
+
 void
 front_conn_new (Front *front, evutil_socket_t fd)
 {
@@ -356,106 +236,16 @@
   HttpRequestLimits limits = current_limits (front);
 
   conn->front = front;
-  front_socket_set_options (fd, TCP_TIMEOUT_MS);
+  front_socket_set_options (fd, CONN_TCP_TIMEOUT_MS);
   conn->bev = bufferevent_socket_new (front->base, fd, BEV_OPT_CLOSE_ON_FREE);
   front_socket_count (conn->bev, &front->link);
+  evbuffer_add_cb (bufferevent_get_output (conn->bev), on_output_changed, conn);
   http_request_parser_init (&conn->request_parser, &limits);
   cds_list_add_tail (&conn->node, &front->conns);
-  idle_begin (conn);
+  conn_idle_begin (conn);
   front->conn_count++;
+  conn_account (conn);
   bufferevent_setcb (conn->bev, on_read, on_written, on_event, conn);
-  bufferevent_setwatermark (conn->bev, EV_READ, 0, READ_AHEAD_MAX_BYTES);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, CONN_READ_AHEAD_BYTES);
   bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
 }
-
-static void
-sweep_one (FrontConn *conn, int64_t now_ms)
-{
-  const FrontConfig *config = conn->front->config;
-  int64_t passed_ms = now_ms - conn->since_ms;
-  int64_t header_ms = config ? config->limits.header_timeout_ms : HEADER_TIMEOUT_DEFAULT_MS;
-
-  /* Unsent output belongs to an answer that the caller waits for. */
-  bool written = evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0;
-
-  if (conn->request)
-    return;
-  if (conn->closing)
-    {
-      if (passed_ms > TCP_TIMEOUT_MS)
-        conn_free (conn);
-    }
-  else if (http_request_parser_started (&conn->request_parser))
-    {
-      if (!conn->request_parser.in_body && passed_ms > header_ms + header_ms / 2)
-        refuse_request (conn, 408);
-      else if (passed_ms > 2 * conn->idle_timeout_ms)
-        {
-          log_lost (conn, "request_too_slow");
-          conn_free (conn);
-        }
-    }
-  else if (!written)
-    return;
-  else if (passed_ms > conn->idle_timeout_ms
-           || (conn->front->stop_requested_ms != 0
-               && now_ms - conn->front->stop_requested_ms > STOP_IDLE_MS))
-    conn_free (conn);
-}
-
-void
-front_conn_sweep (Front *front, int64_t now_ms)
-{
-  FrontConn *conn, *next;
-
-  cds_list_for_each_entry_safe (conn, next, &front->conns, node)
-  {
-    if (conn->freed)
-      conn_destroy (conn);
-    else
-      sweep_one (conn, now_ms);
-  }
-}
-
-static bool
-is_idle (const FrontConn *conn)
-{
-  return !conn->freed && !conn->closing && !conn->request
-         && !http_request_parser_started (&conn->request_parser)
-         && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0
-         && evbuffer_get_length (bufferevent_get_input (conn->bev)) == 0;
-}
-
-unsigned
-front_conn_close_idle (Front *front, unsigned max)
-{
-  FrontConn *conn;
-  unsigned closed = 0;
-
-  /* Connections are in the order in which they last became idle. */
-  cds_list_for_each_entry (conn, &front->conns, node)
-  {
-    if (closed == max)
-      break;
-    if (!is_idle (conn))
-      continue;
-    conn_free (conn);
-    closed++;
-  }
-  for (unsigned i = 0; i < closed; i++)
-    front_counter_add (FRONT_COUNTER_IDLE_CLOSED);
-  return closed;
-}
-
-bool
-front_conn_all_written (const Front *front)
-{
-  const FrontConn *conn;
-
-  cds_list_for_each_entry (conn, &front->conns, node)
-  {
-    if (!conn->freed && evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
-      return false;
-  }
-  return true;
-}
--- a/src/front_conn.h
+++ b/src/front_conn.h
@@ -9,6 +9,9 @@
 
 typedef struct FrontConn FrontConn;
 
+/** Bounds what the connections that a listening socket will accept take in the kernel: their
+ * buffers, and how long they outlast their close if the caller doesn't close its end. */
+void front_conn_bound (evutil_socket_t listener);
 /** Serves an accepted connection, and closes it in the end. */
 void front_conn_new (Front *front, evutil_socket_t fd);
 /** The request being answered; valid until its answer is written. */
@@ -29,6 +32,10 @@
 void front_conn_sweep (Front *front, int64_t now_ms);
 /** Closes up to max idle connections, those that have been idle longest; returns their number. */
 unsigned front_conn_close_idle (Front *front, unsigned max);
+/** Closes a connection for a new one: the one whose caller holds back its request or takes no byte
+ * of its answer for longest, else the one that has been idle for longest. False: there is none. May
+ * free requests. */
+bool front_conn_close_one (Front *front);
 /** True if no output is pending; a request may have ended while its answer is still in a buffer. */
 bool front_conn_all_written (const Front *front);
 
--- /dev/null
+++ b/src/front_conn_sweep.c
@@ -0,0 +1,71 @@
+/* Applies the time-outs of callers' connections. */
+#include "front_conn_private.h"
+#include "util_clock.h"
+
+#define HEADER_TIMEOUT_DEFAULT_MS 3000 /* before there is a configuration */
+/* Milliseconds after a stop request during which the load balancer may still direct callers here.
+ * Until then idle connections stay open for one more request; its answer closes them. */
+#define STOP_IDLE_MS 2500
+
+static void
+sweep_one (FrontConn *conn, int64_t now_ms)
+{
+  const FrontConfig *config = conn->front->config;
+  int64_t passed_ms = now_ms - conn->since_ms;
+  int64_t header_ms = config ? config->limits.header_timeout_ms : HEADER_TIMEOUT_DEFAULT_MS;
+
+  /* Unsent output belongs to an answer that the caller waits for. */
+  bool written = conn_unread (conn) == 0;
+
+  if (conn->request)
+    return;
+  if (conn->closing)
+    {
+      if (passed_ms > CONN_TCP_TIMEOUT_MS)
+        conn_free (conn);
+    }
+  else if (http_request_parser_started (&conn->request_parser))
+    {
+      if (!conn->request_parser.in_body && passed_ms > header_ms + header_ms / 2)
+        conn_refuse (conn, HTTP_STATUS_REQUEST_TIMEOUT, 0);
+      else if (passed_ms > 2 * conn->idle_timeout_ms)
+        {
+          conn_log_lost (conn, "request_too_slow");
+          conn_free (conn);
+        }
+    }
+  else if (!written)
+    return;
+  else if (passed_ms > conn->idle_timeout_ms
+           || (conn->front->stop_requested_ms != 0
+               && now_ms - conn->front->stop_requested_ms > STOP_IDLE_MS))
+    conn_free (conn);
+}
+
+void
+front_conn_sweep (Front *front, int64_t now_ms)
+{
+  FrontConn *conn, *next;
+
+  cds_list_for_each_entry_safe (conn, next, &front->conns, node)
+  {
+    if (conn->freed)
+      conn_destroy (conn);
+    else
+      sweep_one (conn, now_ms);
+  }
+  conn_relieve (front);
+}
+
+bool
+front_conn_all_written (const Front *front)
+{
+  const FrontConn *conn;
+
+  cds_list_for_each_entry (conn, &front->conns, node)
+  {
+    if (conn_unread (conn) > 0)
+      return false;
+  }
+  return true;
+}
--- a/src/front_control.c
+++ b/src/front_control.c
@@ -1,29 +1,27 @@
 #include "front_control.h"
 #include "front_counter.h"
+#include "front_http.h"
 #include "front_log.h"
 #include "front_peers.h"
 #include "front_rows_cache.h"
-#include "front_socket.h"
 #include "front_store.h"
 #include "util_clock.h"
 #include "util_memory.h"
 #include "util_unused.h"
-#include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <event2/http.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* Milliseconds after which a front that asked for all rows learns that they are still being read,
  * at a VM with a slow link for seconds: less than it waits for an answer. */
-#define PENDING_MS 700
+#define PENDING_MS   700
+#define METRICS_PATH "/metrics"
 
 /* A long-poll request of another front, held until there are changes. */
 typedef struct
 {
   struct cds_list_head node;
   FrontControl *control;
-  struct evhttp_request *http;
+  FrontHttpConn *conn;
   RowsRequest request;
   int64_t received_ms;
 } HeldPoll;
@@ -31,29 +29,19 @@
 struct FrontControl
 {
   Front *front;
-  struct evhttp *ready_server;   /* health check */
-  struct evhttp *control_server; /* metrics, and rows for other fronts */
+  FrontHttp *ready_server;   /* health check */
+  FrontHttp *control_server; /* metrics, and rows for other fronts */
   struct cds_list_head held_polls;
   RowsCache rows;
 };
 
 static void
-send_reply (struct evhttp_request *http, int status, const Buffer *text)
-{
-  struct evbuffer *out = evbuffer_new ();
-
-  if (text && text->len > 0)
-    evbuffer_add (out, text->data, text->len);
-  evhttp_send_reply (http, status, NULL, out);
-  evbuffer_free (out);
-}
-
-static void
-on_ready (struct evhttp_request *http, void *user)
+on_ready (FrontHttpConn *conn, const char *path UNUSED, void *user)
 {
   FrontControl *control = user;
+  bool is_ready = front_is_ready (control->front);
 
-  send_reply (http, front_is_ready (control->front) ? HTTP_OK : HTTP_SERVUNAVAIL, NULL);
+  front_http_answer (conn, is_ready ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE, NULL, NULL);
 }
 
 static void
@@ -75,23 +63,39 @@
 }
 
 static void
-on_metrics (struct evhttp_request *http, void *user)
+memory_metrics (const FrontMemory *memory, Buffer *out)
+{
+  static const char *const uses[MEMORY_USES] = {
+    [MEMORY_REQUESTS] = "requests",
+    [MEMORY_BODIES] = "bodies",
+    [MEMORY_ANSWERS] = "answers",
+    [MEMORY_UNREAD] = "unread",
+  };
+
+  for (unsigned i = 0; i < MEMORY_USES; i++)
+    buffer_printf (out, "lovage_front_held_bytes{use=\"%s\"} %zu\n", uses[i], memory->held[i]);
+  buffer_printf (out, "lovage_front_held_bytes_max %zu\n", memory->max);
+}
+
+static void
+send_metrics (FrontControl *control, FrontHttpConn *conn)
 {
-  FrontControl *control = user;
   Front *front = control->front;
   Buffer text = { 0 };
 
   front_counter_metrics (&text);
   front_log_metrics (&text);
-  buffer_printf (
-      &text,
-      "lovage_front_ready %d\nlovage_front_connections %u\n"
-      "lovage_front_requests_open %u\nlovage_front_servers %u\n"
-      "lovage_front_peers_alive %u\nlovage_front_config_version %lld\n"
-      "lovage_front_wait_rows %u\n",
-      front_is_ready (front), front->conn_count, front->request_count,
-      front_servers_count (front->servers), front_peers_alive (front->peers, clock_boot_ms ()),
-      front->config ? (long long)front->config->version : 0, front_waits_count (front->waits));
+  buffer_printf (&text,
+                 "lovage_front_ready %d\nlovage_front_connections %u\n"
+                 "lovage_front_requests_open %u\nlovage_front_servers %u\n"
+                 "lovage_front_peers_alive %u\nlovage_front_config_version %lld\n"
+                 "lovage_front_wait_rows %u\nlovage_front_control_connections %u\n",
+                 front_is_ready (front), front->conn_count, front->request_count,
+                 front_servers_count (front->servers),
+                 front_peers_alive (front->peers, clock_boot_ms ()),
+                 front->config ? (long long)front->config->version : 0,
+                 front_waits_count (front->waits), front_http_count (control->control_server));
+  memory_metrics (&front->memory, &text);
   server_metrics (front, &text);
   for (unsigned i = 0; i < STORE_TABLES; i++)
     buffer_printf (
@@ -100,27 +104,30 @@
         "lovage_front_store_confirmed_age_ms{table=\"%u\"} %lld\n",
         i, front_store_is_lost (front->store, (StoreTable)i), i,
         (long long)front_store_confirmed_age_ms (front->store, (StoreTable)i, clock_boot_ms ()));
-  send_reply (http, HTTP_OK, &text);
+  front_http_answer (conn, HTTP_STATUS_OK, NULL, &text);
   buffer_free (&text);
 }
 
 static void
-send_rows (FrontControl *control, struct evhttp_request *http, const RowsRequest *request)
+send_rows (FrontControl *control, FrontHttpConn *conn, const RowsRequest *request)
 {
   const FrontStore *store = control->front->store;
   const Buffer *text = rows_cache_get (&control->rows, store, request);
+  Buffer fields = { 0 };
 
   if (!text)
     {
       bool has_rows = front_store_rows_state (store, request->table) == FRONT_ROWS_KNOWN;
 
-      send_reply (http, has_rows ? HTTP_STATUS_GONE : HTTP_SERVUNAVAIL, NULL);
+      front_http_answer (conn, has_rows ? HTTP_STATUS_GONE : HTTP_STATUS_SERVICE_UNAVAILABLE, NULL,
+                         NULL);
       return;
     }
   front_counter_add (FRONT_COUNTER_ROWS_GIVEN);
   front_counter_add_many (FRONT_COUNTER_ROWS_GIVEN_BYTES, text->len);
-  front_store_tell_time (store, evhttp_request_get_output_headers (http));
-  send_reply (http, HTTP_OK, text);
+  front_store_tell_time (store, &fields);
+  front_http_answer (conn, HTTP_STATUS_OK, fields.data, text);
+  buffer_free (&fields);
 }
 
 static void
@@ -130,38 +137,43 @@
   free (poll);
 }
 
-/* The other front closed the connection; evhttp frees the request along with it. */
+/* The other front closed the connection of a long poll. */
 static void
-on_connection_closed (struct evhttp_connection *connection UNUSED, void *user)
+on_connection_closed (FrontHttpConn *conn, void *user)
 {
-  poll_free (user);
+  FrontControl *control = user;
+  HeldPoll *poll, *next;
+
+  cds_list_for_each_entry_safe (poll, next, &control->held_polls, node)
+  {
+    if (poll->conn == conn)
+      poll_free (poll);
+  }
 }
 
 static void
-poll_hold (FrontControl *control, struct evhttp_request *http, const RowsRequest *request)
+poll_hold (FrontControl *control, FrontHttpConn *conn, const RowsRequest *request)
 {
   HeldPoll *poll = memory_alloc (sizeof *poll);
 
   *poll = (HeldPoll){
     .control = control,
-    .http = http,
+    .conn = conn,
     .request = *request,
     .received_ms = clock_boot_ms (),
   };
   cds_list_add_tail (&poll->node, &control->held_polls);
-  evhttp_connection_set_closecb (evhttp_request_get_connection (http), on_connection_closed, poll);
 }
 
 static void
 poll_answer (HeldPoll *poll, bool pending)
 {
-  struct evhttp_request *http = poll->http;
+  FrontHttpConn *conn = poll->conn;
 
-  evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL, NULL);
   if (pending)
-    send_reply (http, FRONT_ROWS_PENDING, NULL);
+    front_http_answer (conn, FRONT_ROWS_PENDING, NULL, NULL);
   else
-    send_rows (poll->control, http, &poll->request);
+    send_rows (poll->control, conn, &poll->request);
   poll_free (poll);
 }
 
@@ -193,6 +205,8 @@
 {
   HeldPoll *poll, *next;
 
+  front_http_sweep (control->ready_server, now_ms);
+  front_http_sweep (control->control_server, now_ms);
   cds_list_for_each_entry_safe (poll, next, &control->held_polls, node)
   {
     bool pending = is_pending (poll, now_ms);
@@ -202,68 +216,69 @@
   }
 }
 
+/* With or without a query. */
+static bool
+is_metrics_path (const char *path)
+{
+  size_t len = strcspn (path, "?");
+
+  return len == strlen (METRICS_PATH) && strncmp (path, METRICS_PATH, len) == 0;
+}
+
 static void
-on_rows_request (struct evhttp_request *http, void *user)
+on_control (FrontHttpConn *conn, const char *path, void *user)
 {
   FrontControl *control = user;
   RowsRequest request;
 
-  if (!front_store_parse_rows_path (evhttp_request_get_uri (http), &request))
-    send_reply (http, HTTP_NOTFOUND, NULL);
+  if (is_metrics_path (path))
+    send_metrics (control, conn);
+  else if (!front_store_parse_rows_path (path, &request))
+    front_http_answer (conn, HTTP_STATUS_NOT_FOUND, NULL, NULL);
   else if (request.wait
            && !front_store_has_changes (control->front->store, request.table, request.since))
-    poll_hold (control, http, &request);
+    poll_hold (control, conn, &request);
   else
-    send_rows (control, http, &request);
-}
-
-/* Opens an HTTP server on an address of the settings, "IP:PORT"; NULL on failure. */
-static struct evhttp *
-http_server_new (Front *front, const char *text)
-{
-  struct sockaddr_in address;
-  char host[INET_ADDRSTRLEN];
-  struct evhttp *http;
-
-  if (!front_socket_parse_address (text, &address))
-    return NULL;
-  inet_ntop (AF_INET, &address.sin_addr, host, sizeof host);
-  http = evhttp_new (front->base);
-  if (http && evhttp_bind_socket (http, host, ntohs (address.sin_port)) == 0)
-    return http;
-  if (http)
-    evhttp_free (http);
-  return NULL;
+    send_rows (control, conn, &request);
 }
 
 FrontControl *
 front_control_new (Front *front)
 {
   FrontControl *control = memory_alloc (sizeof *control);
+  const FrontHttpOptions ready = {
+    .connections_max = front->descriptors.ready,
+    .request = on_ready,
+    .user = control,
+  };
+  const FrontHttpOptions rows = {
+    .connections_max = front->descriptors.control,
+    .request = on_control,
+    .closed = on_connection_closed,
+    .user = control,
+  };
 
   control->front = front;
   front->control = control;
   CDS_INIT_LIST_HEAD (&control->held_polls);
-  control->ready_server = http_server_new (front, front->settings.ready);
-  control->control_server = http_server_new (front, front->settings.control);
-  if (!control->ready_server || !control->control_server)
-    {
-      front_control_free (control);
-      return NULL;
-    }
-  evhttp_set_gencb (control->ready_server, on_ready, control);
-  evhttp_set_cb (control->control_server, "/metrics", on_metrics, control);
-  evhttp_set_gencb (control->control_server, on_rows_request, control);
-  return control;
+  control->ready_server = front_http_new (front->base, front->settings.ready, &ready);
+  control->control_server = front_http_new (front->base, front->settings.control, &rows);
+  if (control->ready_server && control->control_server)
+    return control;
+  front_control_free (control);
+  return NULL;
 }
 
 void
 front_control_free (FrontControl *control)
 {
+  HeldPoll *poll, *next;
+
   if (control->ready_server)
-    evhttp_free (control->ready_server);
+    front_http_free (control->ready_server);
   if (control->control_server)
-    evhttp_free (control->control_server);
+    front_http_free (control->control_server);
+  cds_list_for_each_entry_safe (poll, next, &control->held_polls, node) poll_free (poll);
   rows_cache_clear (&control->rows);
   control->front->control = NULL;
   free (control);
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -2,6 +2,7 @@
  * process per VM. */
 #include "front.h"
 #include "front_accept.h"
+#include "front_attempt.h"
 #include "front_conn.h"
 #include "front_control.h"
 #include "front_deaths.h"
@@ -20,6 +21,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <syslog.h>
 
@@ -77,6 +79,7 @@
   front_servers_expire (self->front.servers, now_ms);
   front_pool_sweep (self->front.pool, now_ms);
   front_conn_sweep (&self->front, now_ms);
+  front_attempts_resume (&self->front);
   front_store_tick (self->front.store, now_ms);
   front_peers_tick (self->front.peers, now_ms);
   front_deaths_tick (&self->front, now_ms);
@@ -127,6 +130,7 @@
       if (self->front.settings.link_mbps != settings.link_mbps)
         front_link_set (&self->front.link, settings.link_mbps, clock_boot_ms ());
       self->front.settings.link_mbps = settings.link_mbps;
+      front_memory_set (&self->front.memory, settings.memory_mb);
       settings_front_clear (&settings);
       front_log_text (line, "outcome", "applied");
     }
@@ -177,6 +181,18 @@
   event_add (self->signals[1], NULL);
 }
 
+static int64_t
+descriptors_all (const SettingsFront *settings)
+{
+  struct rlimit limit;
+
+  if (settings->descriptors > 0)
+    return settings->descriptors;
+  return getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur <= INT64_MAX
+             ? (int64_t)limit.rlim_cur
+             : 0;
+}
+
 /* Returns the name of the first part whose endpoint is not valid or can't be bound; NULL: all were
  * started. */
 static const char *
@@ -189,8 +205,10 @@
   front->incarnation = id_random_u64 ();
   front->started_ms = clock_boot_ms ();
   front_link_set (&front->link, settings->link_mbps, front->started_ms);
+  front_memory_set (&front->memory, settings->memory_mb);
   CDS_INIT_LIST_HEAD (&front->conns);
   CDS_INIT_LIST_HEAD (&front->requests);
+  CDS_INIT_LIST_HEAD (&front->waiting_attempts);
   front_waiting_init (&front->waiting);
   front_returning_init (&front->returning);
   front_holding_init (&front->holding);
@@ -209,7 +227,8 @@
   front->quarantine = quarantine_new (&front_quarantine_settings);
   front->parts = memory_alloc (sizeof *front->parts);
   front->waits = front_waits_new ();
-  front->pool = front_pool_new ();
+  front->descriptors = front_descriptors_divide (descriptors_all (settings));
+  front->pool = front_pool_new (front->descriptors.kept);
   front->peers = front_peers_new (front);
   if (!front->peers)
     return "peers";
--- a/src/front_pool.c
+++ b/src/front_pool.c
@@ -24,14 +24,16 @@
 struct FrontPool
 {
   struct cds_list_head list; /* Idle by node, the one used last first */
-  unsigned count;
+  unsigned count, max;
 };
 
 FrontPool *
-front_pool_new (void)
+front_pool_new (unsigned max)
 {
   FrontPool *pool = memory_alloc (sizeof *pool);
 
+  pool->max = max;
+
   CDS_INIT_LIST_HEAD (&pool->list);
   return pool;
 }
@@ -113,7 +115,7 @@
 {
   Idle *idle;
 
-  if (pool->count == KEEP_CONNECTIONS_MAX)
+  if (pool->count == pool->max)
     idle_close (cds_list_entry (pool->list.prev, Idle, node));
   idle = memory_alloc (sizeof *idle);
   idle->pool = pool;
--- a/src/front_pool.h
+++ b/src/front_pool.h
@@ -10,7 +10,8 @@
 
 typedef struct FrontPool FrontPool;
 
-FrontPool *front_pool_new (void);
+/** max: connections kept at the most. */
+FrontPool *front_pool_new (unsigned max);
 void front_pool_free (FrontPool *pool);
 /** Takes over a connection on which no request is open, until until_ms. */
 void
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -40,6 +40,12 @@
   return request;
 }
 
+FrontConn *
+front_request_conn (FrontRequest *request)
+{
+  return request->conn;
+}
+
 void
 request_free (FrontRequest *request)
 {
--- a/src/front_request.h
+++ b/src/front_request.h
@@ -15,6 +15,8 @@
 void front_request_start (FrontRequest *request);
 /** The caller left. Frees the request. */
 void front_request_cancel (FrontRequest *request);
+/** The connection of its caller. */
+FrontConn *front_request_conn (FrontRequest *request);
 /** All data written to the caller has been taken; reading from the server resumes. */
 void front_request_drained (FrontRequest *request);
 
--- a/src/front_request_timer.c
+++ b/src/front_request_timer.c
@@ -73,6 +73,15 @@
   evtimer_add (request->timer, &wait);
 }
 
+/* A caller whose answer waited for memory to the end doesn't get to ask for another one on the same
+ * connection. */
+static void
+end_connection_if_waiting (FrontRequest *request)
+{
+  if (request->attempt && front_attempt_is_waiting (request->attempt))
+    front_conn_request_parser (request->conn)->keep_alive = false;
+}
+
 static void
 on_timer (evutil_socket_t fd UNUSED, short what UNUSED, void *user)
 {
@@ -89,6 +98,7 @@
       request->may_have_run |= sent || request_hedge_other_is_sent (request);
       request_count_unanswered (request);
       request_hold_ended (request, false, now_ms);
+      end_connection_if_waiting (request);
       request_drop_attempt (request);
       request_give_up (request, "timeout", 0);
     }
--- a/src/front_socket.c
+++ b/src/front_socket.c
@@ -36,6 +36,26 @@
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
+void
+front_socket_set_receive_buffer (evutil_socket_t fd, int bytes)
+{
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
+void
+front_socket_set_send_buffer (evutil_socket_t fd, int bytes)
+{
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
+void
+front_socket_set_orphan_timeout (evutil_socket_t fd, int timeout_ms)
+{
+  int seconds = timeout_ms / MS_PER_S;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_LINGER2, &seconds, sizeof seconds);
+}
+
 void
 front_socket_set_options (evutil_socket_t fd, int timeout_ms)
 {
--- a/src/front_socket.h
+++ b/src/front_socket.h
@@ -15,6 +15,13 @@
 /** Disables Nagle's algorithm, and sets keep-alive so that a silent peer is noticed after
  *  timeout_ms. */
 void front_socket_set_options (evutil_socket_t fd, int timeout_ms);
+/** Bounds the kernel's buffers, in bytes, of a connection or of those that a listening socket will
+ * accept. Without a bound the kernel lets each grow to megabytes. */
+void front_socket_set_receive_buffer (evutil_socket_t fd, int bytes);
+void front_socket_set_send_buffer (evutil_socket_t fd, int bytes);
+/** How long a closed connection waits in the kernel for its peer to close its end; rounded to whole
+ *  seconds. */
+void front_socket_set_orphan_timeout (evutil_socket_t fd, int timeout_ms);
 /** Ends the connection when bytes written to it are not acknowledged within timeout_ms. */
 void front_socket_set_unacked_timeout (evutil_socket_t fd, int timeout_ms);
 /** Whether a close, also by the end of the process, resets the connection and drops what is unsent.
--- a/src/front_store.h
+++ b/src/front_store.h
@@ -10,8 +10,6 @@
 #include "front_confirm.h"
 #include "front_row.h"
 
-struct evkeyvalq;
-
 typedef enum
 {
   STORE_OPERATOR, /**< configuration, roll-out orders and evacuations */
@@ -69,7 +67,7 @@
 /** Takes over the store's time if the answer, which has just arrived, tells it. */
 void front_store_note_time (FrontStore *store, const StoreAnswer *answer);
 /** Adds a field with the store's time to an answer to another front, if it is known here. */
-void front_store_tell_time (const FrontStore *store, struct evkeyvalq *fields);
+void front_store_tell_time (const FrontStore *store, Buffer *fields);
 /** Logs a request for rows that got no complete answer, and how many bytes of it arrived. source:
  *  the front that was asked; NULL: the store. */
 void front_store_log_rows_failed (const FrontStore *store,
--- a/src/front_store_peer.c
+++ b/src/front_store_peer.c
@@ -4,13 +4,9 @@
 #include "util_clock.h"
 #include "util_span.h"
 #include "wire_store.h"
-#include <event2/http.h>
 #include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
-#define TIME_TEXT 24 /* bytes of a decimal number with its terminating NUL */
-
 static const char rows_prefix[] = "/rows/";
 static const char rows_wait[] = "/wait";
 static const char time_field[] = "Store-Time-Ms";
@@ -49,15 +45,12 @@
 }
 
 void
-front_store_tell_time (const FrontStore *store, struct evkeyvalq *fields)
+front_store_tell_time (const FrontStore *store, Buffer *fields)
 {
-  char text[TIME_TEXT];
   int64_t store_ms;
 
-  if (!store_clock_from_own (&store->clock, clock_boot_ms (), &store_ms))
-    return;
-  snprintf (text, sizeof text, "%" PRId64, store_ms);
-  evhttp_add_header (fields, time_field, text);
+  if (store_clock_from_own (&store->clock, clock_boot_ms (), &store_ms))
+    buffer_printf (fields, "%s: %" PRId64 "\r\n", time_field, store_ms);
 }
 
 bool
--- a/src/settings_front.c
+++ b/src/settings_front.c
@@ -19,6 +19,7 @@
 #define KEEP_CONNECTIONS_MAX    60000.0   /**< a minute: servers close idle ones sooner */
 #define DESCRIPTORS_MAX         1000000   /**< far above what a process may open */
 #define LINK_MBPS_MAX           1e6       /**< a terabit a second */
+#define MEMORY_MAX_MB           1e6       /**< a terabyte */
 #define CONTENTION_RATIO_MAX    1000.0    /**< far above any two objectives of one service */
 
 typedef struct
@@ -62,6 +63,7 @@
   FRONT_NUMBER ("hedge_share", hedge_share, 1),
   FRONT_NUMBER ("keep_connections_ms", keep_connections_ms, KEEP_CONNECTIONS_MAX),
   FRONT_NUMBER ("link_mbps", link_mbps, LINK_MBPS_MAX),
+  FRONT_NUMBER ("memory_mb", memory_mb, MEMORY_MAX_MB),
   SETTINGS_INT ("descriptors", offsetof (FrontDraft, settings.descriptors), 0, DESCRIPTORS_MAX),
 };
 
--- a/src/settings_front.h
+++ b/src/settings_front.h
@@ -38,7 +38,8 @@
   double keep_connections_ms; /**< longest time for which an idle connection to a backend server is
                                  kept, where work is ordered; 0: none is kept */
   int64_t descriptors;        /**< that this process may have open; 0: the process's limit */
-  double link_mbps;           /**< of this VM's network link, each way; 0: not known */
+  double memory_mb; /**< of this VM, for this process; 0: the smallest that is supported */
+  double link_mbps; /**< of this VM's network link, each way; 0: not known */
 } SettingsFront;
 
 /** Reads and checks a settings file; false if there are errors, all of which are added to list. */
--- a/tests/front_fakes.c
+++ b/tests/front_fakes.c
@@ -172,6 +172,12 @@
   return false;
 }
 
+bool
+front_attempt_is_waiting (const FrontAttempt *attempt UNUSED)
+{
+  return false;
+}
+
 bool
 front_attempt_is_kept (const FrontAttempt *attempt UNUSED)
 {
--- a/tests/test_front_pool.c
+++ b/tests/test_front_pool.c
@@ -184,7 +184,10 @@
   front->quarantine = quarantine_new (&front_quarantine_settings);
   front->hedge = front_hedge_new (1);
   front->waits = front_waits_new ();
-  front->pool = front_pool_new ();
+  front->pool = front_pool_new (KEEP_CONNECTIONS_MAX);
+  front->descriptors = front_descriptors_divide (0);
+  front_memory_set (&front->memory, 0);
+  CDS_INIT_LIST_HEAD (&front->waiting_attempts);
   CDS_INIT_LIST_HEAD (&front->requests);
   CDS_INIT_LIST_HEAD (&front->conns);
   front_waiting_init (&front->waiting);
--- a/tests/test_front_time.c
+++ b/tests/test_front_time.c
@@ -7,12 +7,9 @@
 #include "suite.h"
 #include "util_clock.h"
 #include "wire_rollout.h"
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/queue.h>
 
 #define ROUNDS      20
 #define REFUSED     7u         /* fingerprint of a request */
@@ -202,19 +199,20 @@
 test_answers_to_other_fronts_tell_the_time (void)
 {
   FrontNode *node = front_node_new ();
-  struct evkeyvalq fields;
-  const char *text;
+  Buffer fields = { 0 };
+  Span text;
   int64_t told_ms = 0;
 
-  TAILQ_INIT (&fields);
   front_store_tell_time (&node->store, &fields);
-  CU_ASSERT_PTR_NULL (evhttp_find_header (&fields, time_field));
+  CU_ASSERT_EQUAL (fields.len, 0);
   store_clock_set (&node->store.clock, STORE_AHEAD, 0);
   front_store_tell_time (&node->store, &fields);
-  text = evhttp_find_header (&fields, time_field);
-  CU_ASSERT (text && span_number (span_of (text), &told_ms));
+  text = span_of (fields.data);
+  CU_ASSERT (span_is (span_cut (&text, ':'), time_field));
+  CU_ASSERT (span_number (span_trim (span_cut (&text, '\r')), &told_ms));
+  CU_ASSERT (span_is (text, "\n"));
   CU_ASSERT (told_ms > STORE_AHEAD && told_ms <= STORE_AHEAD + clock_boot_ms ());
-  evhttp_clear_headers (&fields);
+  buffer_free (&fields);
   front_node_free (node);
 }
 
