Bound what callers can make a gate hold, all together

What callers saw: a gate took 658 MB and kept 396 of it when they were gone; one legal body took 200 MB; callers that stop within a request kept all connections.

Cause: as at the front, each request had its limits, their sum had none. A body is held as received, parsed, printed and copied for the upload. json-c takes some 400 bytes for "[],". Connections that had stopped made no room. glibc raises its threshold for returning blocks with each one that is freed, and keeps an arena a thread.

Now gate_memory counts requests (four times their bytes, and what json-c takes for their values, estimated before they are parsed) and collected answers, within shares of a new setting memory_max, 110 MiB; and gate_filter_room.c gives room in the front's order: what arrives too slowly, what isn't taken, what came last and has not run; for a connection the idle ones. All that runs in the thread that forwards callers' bytes: a request of which a byte is missing there can't have run, so that the refusal is true. Raw refusals carry Retry-After. Abandoned uploads are bounded in bytes. Freed memory goes back, at the front, too.

Found on the way: libmicrohttpd keeps its lock for good once a connection is beyond its own limit; all later ones hang (505 threads on one mutex, seen by gdb). Its limit is now never reached, as gate_callers counts what it handed over.

--- a/src/front_main.c
+++ b/src/front_main.c
@@ -310,6 +310,7 @@
 
   settings_arguments_read (argc, argv, "Serves callers' requests on the platform.", &arguments);
   log_init ("lovage-front", LOG_NOTICE);
+  memory_return_freed ();
   signal (SIGPIPE, SIG_IGN);
   self.settings_file = arguments.settings_file;
   list.file = arguments.settings_file;
--- a/src/gate.h
+++ b/src/gate.h
@@ -14,6 +14,7 @@
 #include "gate_evidence.h"
 #include "gate_grant.h"
 #include "gate_limit.h"
+#include "gate_memory.h"
 #include "gate_rating.h"
 #include "gate_replicas.h"
 #include "gate_sample.h"
@@ -41,6 +42,7 @@
   Estimates *estimates;
   GateRating rating;
   GateLimit limit;
+  GateMemory memory; /**< of what is held for callers */
   SessionNamed *sessions;
   GateEvidence *evidence;
   GateSampler *sampler;
--- a/src/gate_body.c
+++ b/src/gate_body.c
@@ -8,6 +8,8 @@
 #define BODY_DEPTH_MAX   32   /* nesting of the JSON */
 #define PREFIX_HASH_MAX  1024 /* bytes of the first message that are hashed */
 #define PREFIX_HASH_SEED 1
+#define TABLE_BYTES      800      /* of json-c, for an object or array */
+#define VALUE_BYTES      128      /* of json-c, for another value and its allocation */
 #define MAX_TOKENS_MAX   10000000 /* largest max_tokens of a request */
 
 static bool parse (GateRequest *r);
@@ -40,6 +42,52 @@
   return false;
 }
 
+/* Bytes of memory that json-c takes for the values of the body, besides their text: any value may
+ * be followed by a comma, and each object and array has a table of its own. */
+static size_t
+values_bytes (const Buffer *body)
+{
+  size_t bytes = 0;
+  bool in_string = false;
+
+  for (size_t i = 0; i < body->len; i++)
+    {
+      char c = body->data[i];
+
+      if (in_string && c == '\\')
+        i++;
+      else if (c == '"')
+        in_string = !in_string;
+      else if (!in_string && (c == '{' || c == '['))
+        bytes += TABLE_BYTES;
+      else if (!in_string && (c == ',' || c == ':'))
+        bytes += VALUE_BYTES;
+    }
+  return bytes;
+}
+
+/* Counts the memory of the parsed body. */
+static bool
+take_values (GateRequest *r)
+{
+  GateMemory *memory = &r->gate->memory;
+  size_t bytes = values_bytes (&r->body);
+
+  if (bytes > (size_t)r->gate->settings.body_max)
+    {
+      refusal_set (&r->refusal, REFUSAL_TOO_LARGE, REQUEST_NOT_RUN, STEP,
+                   "the body has too many values");
+      return false;
+    }
+  if (!gate_memory_take_request (memory, bytes, bytes <= GATE_MEMORY_SHORT_BYTES))
+    {
+      refusal_set (&r->refusal, REASON_OVERLOAD, REQUEST_NOT_RUN, STEP, NULL);
+      return false;
+    }
+  r->held_values = bytes;
+  return true;
+}
+
 static bool
 parse (GateRequest *r)
 {
@@ -49,6 +97,8 @@
 
   if (r->body.len == 0)
     return refuse_syntax (r, 0, "the body is empty");
+  if (!take_values (r))
+    return false;
   tokener = json_tokener_new_ex (BODY_DEPTH_MAX);
   json_tokener_set_flags (tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
   r->json = json_tokener_parse_ex (tokener, r->body.data, (int)r->body.len);
--- a/src/gate_callers.c
+++ b/src/gate_callers.c
@@ -2,6 +2,7 @@
 #include "gate_filter.h"
 #include "gate_thread.h"
 #include "util_clock.h"
+#include "util_counter.h"
 #include "util_log.h"
 #include "util_memory.h"
 #include "util_unused.h"
@@ -26,8 +27,10 @@
  * free the connection while its caller still uses it. */
 #define END_OPTIONS (BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)
 /* Time that a stop allows callers to read the last bytes of their answers. */
-#define FLUSH_MAX_MS  1000
-#define FLUSH_STEP_US 5000
+#define FLUSH_MAX_MS           1000
+#define FLUSH_STEP_US          5000
+#define CONNECTIONS_ENDING_MAX 64     /* that libmicrohttpd has in addition */
+#define TICK_US                100000 /* interval of gate_filters_tick */
 
 /** A connection given to libmicrohttpd whose link has not been fetched by on_connection yet. */
 typedef struct
@@ -51,8 +54,10 @@
   sem_t accept_stopped;
   pthread_t thread;
   bool running;
-  struct cds_list_head filters; /* used by the loop's thread only */
-  pthread_mutex_t lock;         /* guards handoffs */
+  GateFilters filters; /* used by the loop's thread only */
+  struct event *tick;
+  unsigned handed_off;  /* atomic; connections that libmicrohttpd has */
+  pthread_mutex_t lock; /* guards handoffs */
   struct cds_list_head handoffs;
 };
 
@@ -113,8 +118,11 @@
 hand_off (GateCallers *callers, int fd, GateLink *link, const struct sockaddr *from, int from_len)
 {
   add_handoff (callers, fd, link);
-  if (MHD_add_connection (callers->daemon, fd, from, (socklen_t)from_len) != MHD_YES)
-    log_msg (MSG_GATE_CONNECTION_REFUSED, "fd=\"%d\"", fd);
+  __atomic_add_fetch (&callers->handed_off, 1, __ATOMIC_RELAXED);
+  if (MHD_add_connection (callers->daemon, fd, from, (socklen_t)from_len) == MHD_YES)
+    return;
+  gate_callers_connection_ended (callers);
+  log_msg (MSG_GATE_CONNECTION_REFUSED, "fd=\"%d\"", fd);
 }
 
 static struct bufferevent *
@@ -131,6 +139,23 @@
   return bev;
 }
 
+/* libmicrohttpd notices the end of a connection some time after it was closed here. */
+static bool
+has_room (GateCallers *callers)
+{
+  unsigned max = callers->filters.memory->connections_max;
+
+  if (__atomic_load_n (&callers->handed_off, __ATOMIC_RELAXED) >= max + CONNECTIONS_ENDING_MAX)
+    return false;
+  return callers->filters.count < max || gate_filters_close_one (&callers->filters);
+}
+
+void
+gate_callers_connection_ended (GateCallers *callers)
+{
+  __atomic_sub_fetch (&callers->handed_off, 1, __ATOMIC_RELAXED);
+}
+
 static void
 on_accept (struct evconnlistener *listener UNUSED,
            evutil_socket_t fd,
@@ -143,6 +168,12 @@
   GateLink *link;
   int on = 1, pair[2];
 
+  if (!has_room (callers))
+    {
+      counter_add (COUNTER_GATE_CONNECTIONS_CLOSED, 1);
+      close (fd);
+      return;
+    }
   if (socketpair (AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, pair) != 0)
     {
       log_msg (MSG_GATE_CONNECTION_REFUSED, "message=\"%s\"", strerror (errno));
@@ -179,12 +210,20 @@
   if (callers->end_ms == 0)
     callers->end_ms = now_ms + FLUSH_MAX_MS;
   gate_filters_skip_linger (&callers->filters);
-  if (cds_list_empty (&callers->filters) || now_ms >= callers->end_ms)
+  if (callers->filters.count == 0 || now_ms >= callers->end_ms)
     event_base_loopbreak (callers->base);
   else
     evtimer_add (callers->end, &step);
 }
 
+static void
+on_tick (evutil_socket_t fd UNUSED, short what UNUSED, void *context)
+{
+  GateCallers *callers = context;
+
+  gate_filters_tick (&callers->filters);
+}
+
 static void *
 callers_run (void *context)
 {
@@ -215,13 +254,16 @@
 }
 
 GateCallers *
-gate_callers_new (const SettingsGate *settings, const GateFilterLimits *limits, Status *st)
+gate_callers_new (const SettingsGate *settings,
+                  const GateFilterLimits *limits,
+                  GateMemory *memory,
+                  Status *st)
 {
   GateCallers *callers = memory_alloc (sizeof (*callers));
 
   callers->settings = settings;
   callers->limits = *limits;
-  CDS_INIT_LIST_HEAD (&callers->filters);
+  gate_filters_init (&callers->filters, memory);
   CDS_INIT_LIST_HEAD (&callers->handoffs);
   pthread_mutex_init (&callers->lock, NULL);
   sem_init (&callers->accept_stopped, 0, 0);
@@ -229,6 +271,8 @@
   callers->base = event_base_new ();
   callers->stop_accepting = event_new (callers->base, -1, 0, on_stop_accepting, callers);
   callers->end = event_new (callers->base, -1, 0, on_end, callers);
+  callers->tick = event_new (callers->base, -1, EV_PERSIST, on_tick, callers);
+  event_add (callers->tick, &(struct timeval){ .tv_usec = TICK_US });
   if (settings->tls_certificate_file == NULL || use_certificate (callers, st))
     return callers;
   gate_callers_free (callers);
@@ -312,6 +356,7 @@
     evconnlistener_free (callers->listener);
   event_free (callers->stop_accepting);
   event_free (callers->end);
+  event_free (callers->tick);
   event_base_free (callers->base);
   SSL_CTX_free (callers->tls);
   pthread_mutex_destroy (&callers->lock);
--- a/src/gate_filter.c
+++ b/src/gate_filter.c
@@ -1,6 +1,6 @@
-#include "gate_filter.h"
-#include "gate_framing.h"
+#include "gate_filter_private.h"
 #include "gate_raw.h"
+#include "util_clock.h"
 #include "util_memory.h"
 #include "util_unused.h"
 #include <event2/buffer.h>
@@ -23,21 +23,6 @@
  * socket with unread bytes resets the connection, and the caller could lose that answer. */
 #define LINGER_S 1
 
-struct GateFilter
-{
-  struct cds_list_head node;
-  struct bufferevent *caller;
-  struct bufferevent *server; /* the end towards libmicrohttpd; NULL: closed */
-  struct event *timer;
-  GateLink *link;
-  GateFraming framing;
-  int64_t requests;  /* forwarded completely */
-  bool mid_request;  /* the request in progress has been forwarded in part */
-  bool answer_begun; /* the server has written since the request in progress began */
-  bool lingering;    /* all output is sent; the caller's bytes are dropped */
-  bool skip_linger;  /* close without lingering: the gate stops */
-};
-
 static void caller_read (GateFilter *filter);
 
 static size_t
@@ -46,9 +31,11 @@
   return evbuffer_get_length (bufferevent_get_output (bev));
 }
 
-static void
+void
 filter_free (GateFilter *filter)
 {
+  filter_give (filter);
+  filter->filters->count--;
   cds_list_del (&filter->node);
   event_free (filter->timer);
   bufferevent_free (filter->caller);
@@ -95,20 +82,19 @@
 {
   bufferevent_free (filter->server);
   filter->server = NULL;
+  filter_give (filter);
   linger (filter);
 }
 
-/* Answers a malformed request, unless an answer to an earlier one is being written, and closes the
- * connection. May free the filter. */
-static void
-refuse (GateFilter *filter)
+void
+filter_refuse (GateFilter *filter, int reason, const char *step)
 {
   Refusal refusal = { 0 };
   Buffer answer = { 0 };
 
   if (!filter->answer_begun)
     {
-      refusal_set (&refusal, gate_framing_fault (&filter->framing), REQUEST_NOT_RUN, STEP, NULL);
+      refusal_set (&refusal, reason, REQUEST_NOT_RUN, step, NULL);
       gate_raw_answer (&refusal, &answer);
       bufferevent_write (filter->caller, answer.data, answer.len);
       buffer_free (&answer);
@@ -138,8 +124,9 @@
   filter->answer_begun = false;
 }
 
-/* Forwards one contiguous run of the caller's bytes. False: the request is malformed. */
-static bool
+/* Forwards one contiguous run of the caller's bytes. Returns REASON_NONE, or why the request is to
+ * be refused. */
+static int
 forward_input (GateFilter *filter)
 {
   struct evbuffer *input = bufferevent_get_input (filter->caller);
@@ -150,7 +137,15 @@
 
   evbuffer_peek (input, -1, NULL, &run, 1);
   if (!filter->mid_request)
-    forward_answers (filter);
+    {
+      forward_answers (filter);
+      filter_give_answered (filter);
+      filter->received = 0;
+      filter->since_ms = clock_boot_ms ();
+    }
+  filter->received += run.iov_len;
+  if (!filter_take (filter, run.iov_len))
+    return REASON_OVERLOAD;
   result = gate_framing_feed (&filter->framing, run.iov_base, run.iov_len, &used, &forward);
   if (forward.len > 0)
     bufferevent_write (filter->server, forward.data, forward.len);
@@ -159,7 +154,7 @@
   filter->mid_request = result != FRAMING_DONE;
   if (result == FRAMING_DONE)
     filter->requests++;
-  return result != FRAMING_FAULT;
+  return result == FRAMING_FAULT ? gate_framing_fault (&filter->framing) : REASON_NONE;
 }
 
 /* Forwards one request at a time. With at most one answer outstanding it is known which request a
@@ -168,6 +163,7 @@
 caller_read (GateFilter *filter)
 {
   struct evbuffer *input = bufferevent_get_input (filter->caller);
+  int reason;
 
   while (filter->server && evbuffer_get_length (input) > 0)
     {
@@ -176,9 +172,10 @@
           await_answer (filter);
           return;
         }
-      if (!forward_input (filter))
+      reason = forward_input (filter);
+      if (reason != REASON_NONE)
         {
-          refuse (filter);
+          filter_refuse (filter, reason, STEP);
           return;
         }
       if (output_pending (filter->server) > OUTPUT_MAX)
@@ -260,12 +257,29 @@
     caller_read (filter);
 }
 
+static void
+on_taken (struct evbuffer *output UNUSED, const struct evbuffer_cb_info *info, void *context)
+{
+  GateFilter *filter = context;
+
+  if (info->n_deleted > 0 || info->orig_size == 0)
+    filter->taken_ms = clock_boot_ms ();
+}
+
+void
+gate_filters_init (GateFilters *filters, GateMemory *memory)
+{
+  CDS_INIT_LIST_HEAD (&filters->list);
+  filters->count = 0;
+  filters->memory = memory;
+}
+
 GateFilter *
 gate_filter_new (struct bufferevent *caller,
                  struct bufferevent *server,
                  GateLink *link,
                  const GateFilterLimits *limits,
-                 struct cds_list_head *list)
+                 GateFilters *filters)
 {
   GateFilter *filter = memory_alloc (sizeof (*filter));
   struct timeval stalled = { .tv_sec = limits->stalled_s };
@@ -275,7 +289,11 @@
   filter->link = gate_link_ref (link);
   filter->timer = evtimer_new (bufferevent_get_base (caller), on_timer, filter);
   gate_framing_init (&filter->framing, limits->head_max);
-  cds_list_add_tail (&filter->node, list);
+  filter->filters = filters;
+  filter->since_ms = clock_boot_ms ();
+  filters->count++;
+  cds_list_add_tail (&filter->node, &filters->list);
+  evbuffer_add_cb (bufferevent_get_output (caller), on_taken, filter);
   bufferevent_setcb (caller, on_caller_read, on_caller_written, on_caller_event, filter);
   bufferevent_setcb (server, on_server_read, on_server_written, on_server_event, filter);
   bufferevent_setwatermark (caller, EV_READ, 0, READ_AHEAD_MAX);
@@ -286,11 +304,11 @@
 }
 
 void
-gate_filters_skip_linger (struct cds_list_head *list)
+gate_filters_skip_linger (GateFilters *filters)
 {
   GateFilter *filter, *next;
 
-  cds_list_for_each_entry_safe (filter, next, list, node)
+  cds_list_for_each_entry_safe (filter, next, &filters->list, node)
   {
     filter->skip_linger = true;
     if (filter->lingering)
@@ -299,9 +317,9 @@
 }
 
 void
-gate_filters_free (struct cds_list_head *list)
+gate_filters_free (GateFilters *filters)
 {
   GateFilter *filter, *next;
 
-  cds_list_for_each_entry_safe (filter, next, list, node) filter_free (filter);
+  cds_list_for_each_entry_safe (filter, next, &filters->list, node) filter_free (filter);
 }
--- a/src/gate_http.c
+++ b/src/gate_http.c
@@ -14,9 +14,11 @@
 #define STEP              "http.start"
 #define STACK_SIZE        (256UL * 1024) /**< bytes, per connection's thread */
 #define CONNECTION_MEMORY (16UL * 1024)  /**< bytes in addition to the head: responses */
-#define CONNECTIONS_SPARE 64             /**< in addition to two per request in progress */
-#define DRAIN_MAX_MS      500            /**< longest wait of a stop; see drain */
-#define DRAIN_STEP_MS     10             /**< interval of its checks */
+/* Never reached, as gate_callers.c has a lower one: libmicrohttpd keeps a lock for good when a
+   connection is beyond its own limit. */
+#define CONNECTIONS_MAX 1000000
+#define DRAIN_MAX_MS    500 /**< longest wait of a stop; see drain */
+#define DRAIN_STEP_MS   10  /**< interval of its checks */
 
 struct GateHttp
 {
@@ -81,6 +83,7 @@
     {
       gate_sweep_remove (http->sweep, c->sweep);
       gate_link_unref (c->link);
+      gate_callers_connection_ended (http->callers);
       free (c);
       return;
     }
@@ -234,11 +237,11 @@
 
   return MHD_start_daemon (
       flags, 0, NULL, NULL, on_request, http, MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK_SIZE,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned)(2 * settings->streams_max + CONNECTIONS_SPARE),
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)settings->header_max + CONNECTION_MEMORY,
-      MHD_OPTION_CONNECTION_TIMEOUT, idle_timeout_s (http), MHD_OPTION_URI_LOG_CALLBACK, on_uri,
-      http, MHD_OPTION_NOTIFY_CONNECTION, on_connection, http, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, http, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)settings->header_max + CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT,
+      idle_timeout_s (http), MHD_OPTION_URI_LOG_CALLBACK, on_uri, http,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, http, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      http, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
 
 static bool
@@ -250,7 +253,7 @@
     .stalled_s = idle_timeout_s (http),
   };
 
-  http->callers = gate_callers_new (settings, &limits, st);
+  http->callers = gate_callers_new (settings, &limits, &http->gate->memory, st);
   if (http->callers == NULL)
     return false;
   http->sweep = gate_sweep_start (settings);
--- a/src/gate_main.c
+++ b/src/gate_main.c
@@ -9,6 +9,7 @@
 #include "util_counter.h"
 #include "util_id.h"
 #include "util_log.h"
+#include "util_memory.h"
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -69,6 +70,9 @@
   bill_backlog (gate->bill, &backlog);
   buffer_printf (out, "gate_in_flight %lld\n",
                  (long long)__atomic_load_n (&gate->in_flight, __ATOMIC_RELAXED));
+  buffer_printf (out, "gate_held_requests_bytes %zu\ngate_held_answers_bytes %zu\n",
+                 gate_memory_held (&gate->memory, GATE_MEMORY_REQUESTS),
+                 gate_memory_held (&gate->memory, GATE_MEMORY_ANSWERS));
   buffer_printf (out, "gate_config_number %lld\n",
                  snapshot != NULL ? (long long)snapshot->config->number : 0);
   buffer_printf (out, "gate_granted %d\n", gate_grant_valid (gate) ? 1 : 0);
@@ -155,6 +159,7 @@
   gate->servers.context = gate;
   gate_rating_init (&gate->rating);
   gate_limit_init (&gate->limit);
+  gate_memory_init (&gate->memory, settings->memory_max, settings->streams_max);
   gate_replicas_init (&gate->replicas);
   gate->retries = retry_budget_new (&retry_settings_default);
   gate->estimates = estimates_new (&estimate_settings_default);
@@ -221,6 +226,7 @@
   quarantine_free (gate->servers.quarantine);
   quarantine_free (gate->servers.observed_deaths);
   gate_limit_clear (&gate->limit);
+  gate_memory_clear (&gate->memory);
   estimates_free (gate->estimates);
   retry_budget_free (gate->retries);
   return left;
@@ -253,6 +259,7 @@
   size_t left;
 
   raise_file_limit (settings);
+  memory_return_freed ();
   signal (SIGPIPE, SIG_IGN);
   sigemptyset (&signals);
   sigaddset (&signals, SIGTERM);
--- a/src/gate_raw.c
+++ b/src/gate_raw.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #define DRAIN_MAX_MS 1000
+#define MS_PER_S     1000
 #define DRAIN_BLOCK  16384 /* bytes */
 
 void
@@ -13,10 +14,12 @@
 
   refusal_json (refusal, &body);
   buffer_printf (out,
-                 "HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\nX-Lovage-State: %s\r\n"
-                 "Connection: close\r\nContent-Length: %zu\r\n\r\n",
-                 refusal_http_status (refusal->reason), request_state_name (refusal->state),
-                 body.len);
+                 "HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\nX-Lovage-State: %s\r\n",
+                 refusal_http_status (refusal->reason), request_state_name (refusal->state));
+  if (refusal->retry_after_ms > 0)
+    buffer_printf (out, "Retry-After: %lld\r\n",
+                   (long long)(refusal->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+  buffer_printf (out, "Connection: close\r\nContent-Length: %zu\r\n\r\n", body.len);
   buffer_add (out, body.data, body.len);
   buffer_free (&body);
 }
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -14,7 +14,11 @@
 #define CHAT_PATH       "/v1/chat/completions"
 #define SERVICES_PREFIX "/v1/services/"
 #define BEARER          "Bearer "
-#define DEADLINE_MAX_MS (24LL * 3600 * 1000)
+/* Answers up to this length are part of what a connection takes; longer ones are counted in steps.
+ */
+#define ANSWER_SHORT_BYTES ((size_t)16 << 10)
+#define ANSWER_STEP_BYTES  ((size_t)64 << 10)
+#define DEADLINE_MAX_MS    (24LL * 3600 * 1000)
 
 static const char *header (const GateRequest *r, const char *name);
 static bool refuse_malformed (GateRequest *r, const char *what);
@@ -256,9 +260,29 @@
   return read_caller (r);
 }
 
+bool
+gate_request_hold_answer (GateRequest *r, size_t len, Status *st)
+{
+  size_t wanted = (len + ANSWER_STEP_BYTES - 1) / ANSWER_STEP_BYTES * ANSWER_STEP_BYTES;
+
+  if (len <= ANSWER_SHORT_BYTES || wanted <= r->held_answer)
+    return true;
+  if (!gate_memory_take_answer (&r->gate->memory, wanted - r->held_answer,
+                                r->gate->settings.token_timeout_ms))
+    {
+      status_set (st, STATUS_FULL, "answer.memory", NULL, "no memory for an answer of %zu bytes",
+                  len);
+      return false;
+    }
+  r->held_answer = wanted;
+  return true;
+}
+
 void
 gate_request_free (GateRequest *r)
 {
+  gate_memory_give (&r->gate->memory, GATE_MEMORY_REQUESTS, r->held_values);
+  gate_memory_give (&r->gate->memory, GATE_MEMORY_ANSWERS, r->held_answer);
   gate_run_abandon (r);
   gate_attempt_cancel (r);
   gate_limit_end (r);
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -100,6 +100,8 @@
 
   int http_status; /**< of the answer */
   char answer_type[64];
+  size_t held_values; /**< bytes counted for the parsed body, and for out beyond a short answer */
+  size_t held_answer;
   Buffer out;  /**< bytes for the caller */
   size_t sent; /**< bytes of out that libmicrohttpd has taken */
   RelayPhase phase;
@@ -113,6 +115,9 @@
 bool gate_request_read_head (GateRequest *r, const char *method);
 /** Parses and checks the body. False: r->refusal says why not. */
 bool gate_request_read_body (GateRequest *r);
+/** Counts an answer of len bytes that is collected before it is relayed, and waits for room if it
+ * is long. False, with *st set: there is none in time. */
+bool gate_request_hold_answer (GateRequest *r, size_t len, Status *st);
 /** True if the caller has closed its side of the connection. */
 bool gate_request_caller_left (const GateRequest *r);
 /** True if the deadline has passed and the request may be ended. Never true with a claim: such a
--- a/src/gate_run.c
+++ b/src/gate_run.c
@@ -42,7 +42,8 @@
     {
       if (!r->stream)
         buffer_clear (&r->out);
-      if (gate_request_past_deadline (r))
+      if (gate_request_past_deadline (r)
+          || !gate_request_hold_answer (r, answer->content.len + r->out.len, st))
         return STREAM_CUT;
     }
   return result;
@@ -209,6 +210,8 @@
                       "answer longer than %lu bytes", COLLECTED_ANSWER_MAX);
           return false;
         }
+      if (!gate_request_hold_answer (r, r->out.len + (size_t)n, st))
+        return false;
       buffer_add (&r->out, data, (size_t)n);
     }
   return n == 0;
--- a/src/http_upload.c
+++ b/src/http_upload.c
@@ -10,6 +10,8 @@
 /* Maximum number of abandoned threads, blocked by frozen peers; each holds a connection and a copy
  * of a body. */
 #define ABANDONED_MAX 64
+/* Bytes of their bodies beyond which none is started. */
+#define ABANDONED_BYTES_MAX ((size_t)8 << 20)
 
 typedef enum
 {
@@ -32,6 +34,7 @@
 };
 
 static atomic_int abandoned_count;
+static atomic_size_t abandoned_bytes;
 
 static void
 upload_free (HttpUpload *u)
@@ -55,6 +58,7 @@
   pthread_mutex_unlock (&u->lock);
   if (abandoned)
     {
+      atomic_fetch_sub (&abandoned_bytes, x->body_len);
       http_exchange_free (x);
       upload_free (u);
       atomic_fetch_sub (&abandoned_count, 1);
@@ -136,7 +140,8 @@
   *finished = false;
   pthread_mutex_init (&u->lock, NULL);
   wait_init (&u->changed);
-  if (atomic_load (&abandoned_count) >= ABANDONED_MAX || !start_thread (u, &thread))
+  if (atomic_load (&abandoned_count) >= ABANDONED_MAX
+      || atomic_load (&abandoned_bytes) >= ABANDONED_BYTES_MAX || !start_thread (u, &thread))
     {
       ne_set_error (x->session, "no thread for a long request");
       upload_free (u);
@@ -149,7 +154,10 @@
   *result = u->result;
   u->abandoned = !ended;
   if (!ended)
-    atomic_fetch_add (&abandoned_count, 1);
+    {
+      atomic_fetch_add (&abandoned_count, 1);
+      atomic_fetch_add (&abandoned_bytes, x->body_len);
+    }
   pthread_cond_signal (&u->changed);
   pthread_mutex_unlock (&u->lock);
   if (!ended)
--- a/src/settings.h
+++ b/src/settings.h
@@ -34,6 +34,7 @@
   char *tls_key_file;
   int64_t streams_max;           /**< maximum number of requests in progress */
   int64_t body_max;              /**< bytes of a request's body */
+  int64_t memory_max;            /**< bytes that the process may take */
   int64_t header_max;            /**< bytes of a request's head */
   int64_t read_timeout_ms;       /**< until a request is read completely */
   int64_t idle_timeout_ms;       /**< until a connection without any transfer is closed */
--- a/src/settings_gate.c
+++ b/src/settings_gate.c
@@ -9,11 +9,15 @@
 /* Bounds of the settings; sizes in bytes. */
 #define STREAMS_MAX     100000
 #define BODY_MAX        (1024.0 * MIB)
+#define MEMORY_MIN      (16 * MIB)
+#define MEMORY_MAX      (1024.0 * 1024 * MIB)
 #define HEADER_MIN      KIB
 #define HEADER_MAX      MIB
 #define SPOOL_MIN       (64 * KIB)
 #define SPOOL_MAX       (1024.0 * MIB)
 #define POLICY_NAME_MAX 63
+/* A process has room for one of the longest requests if it takes so many times its bytes. */
+#define BODY_MEMORY_FACTOR 20
 
 /* The settings while they are read, and the objects that are read in a second step. */
 typedef struct
@@ -48,6 +52,7 @@
                           SETTINGS_PATH_MAX),
   SETTINGS_INT ("streams_max", offsetof (GateDraft, settings.streams_max), 1, STREAMS_MAX),
   SETTINGS_INT ("body_max", offsetof (GateDraft, settings.body_max), KIB, BODY_MAX),
+  SETTINGS_INT ("memory_max", offsetof (GateDraft, settings.memory_max), MEMORY_MIN, MEMORY_MAX),
   SETTINGS_INT ("header_max", offsetof (GateDraft, settings.header_max), HEADER_MIN, HEADER_MAX),
   SETTINGS_INT ("read_timeout_ms",
                 offsetof (GateDraft, settings.read_timeout_ms),
@@ -88,6 +93,7 @@
   *s = (SettingsGate){
     .streams_max = 2000,
     .body_max = 4 * MIB,
+    .memory_max = 110 * MIB,
     .header_max = 16 * KIB,
     .read_timeout_ms = 10000,
     .idle_timeout_ms = 60000,
@@ -106,6 +112,9 @@
 {
   settings_common_check (&s->common, list);
   settings_tls_check (s->tls_certificate_file, s->tls_key_file, list);
+  if (s->body_max > s->memory_max / BODY_MEMORY_FACTOR)
+    check_add (list, "body_max", "expected at most a %dth of memory_max, found %lld",
+               BODY_MEMORY_FACTOR, (long long)s->body_max);
   if (!server_policy_find (s->server_policy))
     check_add (list, "server_policy", "there is no policy \"%s\"", s->server_policy);
 }
--- a/src/util_memory.c
+++ b/src/util_memory.c
@@ -1,8 +1,22 @@
 #include "util_memory.h"
 #include "util_assert.h"
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define LARGE_BLOCK_BYTES (128 * 1024)
+#define ARENAS_MAX        2
+
+/* Without a fixed threshold glibc raises it with each large block that is freed, to 32 MB: such
+ * blocks then stay with the process. Each further arena may keep as much as the largest one. */
+void
+memory_return_freed (void)
+{
+  mallopt (M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+  mallopt (M_TRIM_THRESHOLD, LARGE_BLOCK_BYTES);
+  mallopt (M_ARENA_MAX, ARENAS_MAX);
+}
+
 void *
 memory_alloc (size_t size)
 {
--- a/src/util_memory.h
+++ b/src/util_memory.h
@@ -10,6 +10,9 @@
 void *memory_alloc (size_t size);               /**< zeroed */
 void *memory_array (size_t count, size_t size); /**< zeroed; checks count * size for overflow */
 void *memory_grow (void *p, size_t count, size_t size); /**< reallocarray */
-char *memory_strdup (const char *s);                    /**< NULL gives NULL */
+/** Makes the allocator give large blocks back to the system as soon as they are freed. To be called
+ *  before threads are started. */
+void memory_return_freed (void);
+char *memory_strdup (const char *s); /**< NULL gives NULL */
 
 #endif
--- a/tests/test_gate_run.c
+++ b/tests/test_gate_run.c
@@ -14,9 +14,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVERS  7
-#define KEY_HASH "00000000000000000000000000000000000000000000000000000000000000"
-#define BODY     "{\"model\":\"draft\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
+#define MEMORY_BYTES ((int64_t)110 << 20)
+#define SERVERS      7
+#define KEY_HASH     "00000000000000000000000000000000000000000000000000000000000000"
+#define BODY         "{\"model\":\"draft\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
 #define STREAMED                                                                                   \
   "{\"model\":\"draft\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
 
@@ -85,6 +86,7 @@
   gate->settings = (SettingsGate){ .common.vm = "vm-1",
                                    .common.failure_domain = "oita",
                                    .streams_max = 10,
+                                   .body_max = 1 << 20,
                                    .first_byte_timeout_ms = 20000,
                                    .token_timeout_ms = 20000 };
   gate->policy = server_policy_find ("round-robin");
@@ -100,6 +102,7 @@
   gate->evidence = gate_evidence_new ();
   gate_rating_init (&gate->rating);
   gate_limit_init (&gate->limit);
+  gate_memory_init (&gate->memory, MEMORY_BYTES, gate->settings.streams_max);
   gate_limit_set_view (&gate->limit, 1, 0);
   gate->sampler = gate_sample_start (gate);
   gate_watch_start (&gate->watch);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -121,7 +121,7 @@
       "f.json: sample_share: expected a number from 0 to 1, found 2\n"
       "f.json: colour: unknown name, expected one of: vm, failure_domain, site_key_file, "
       "log_priority, platform, callers, local, steward, tls_certificate_file, tls_key_file, "
-      "streams_max, body_max, header_max, read_timeout_ms, idle_timeout_ms, "
+      "streams_max, body_max, memory_max, header_max, read_timeout_ms, idle_timeout_ms, "
       "first_byte_timeout_ms, token_timeout_ms, spool_max, stop_timeout_ms, sample_share, "
       "server_policy\n"
       "f.json: callers.address: expected an IP number, found \"localhost\"\n"
