Bound connections by what their buffers in the kernel may hold

What callers could do: fill the kernel's buffer of each connection while the process stands still, or, at a gate, while a request is being answered. Such bytes count as the process's memory. 1,506 connections of 32 KiB at a front exceed what its VM has beside all else; at a gate each buffer could grow to megabytes.

By arithmetic, not by a test with a stopped process.

--- a/src/front_accept.c
+++ b/src/front_accept.c
@@ -101,6 +101,14 @@
   evconnlistener_enable (front->listener);
 }
 
+static unsigned
+connections_max (const Front *front)
+{
+  unsigned fitting = front_memory_connections_max (&front->memory, CONN_BUFFER_BYTES);
+
+  return front->descriptors.callers < fitting ? front->descriptors.callers : fitting;
+}
+
 bool
 front_accept_listen (Front *front)
 {
@@ -109,6 +117,7 @@
   if (!front_socket_parse_address (front->settings.callers, &address))
     return false;
   front->callers_port = address.sin_port;
+  front->descriptors.callers = connections_max (front);
   front->listener = evconnlistener_new_bind (
       front->base, on_accept, front, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
       BACKLOG, (struct sockaddr *)&address, sizeof address);
--- a/src/front_conn.h
+++ b/src/front_conn.h
@@ -9,6 +9,10 @@
 
 typedef struct FrontConn FrontConn;
 
+/** Bytes in the kernel's buffers of a connection, each way. What it holds and was not read yet
+ * counts as memory of the VM; less would be slow with the long packets of some networks. */
+#define CONN_BUFFER_BYTES 32768
+
 /** Bounds what the connections that a listening socket will accept take in the kernel: their
  * buffers, and how long they outlast their close if the caller doesn't close its end. */
 void front_conn_bound (evutil_socket_t listener);
--- a/src/front_conn_private.h
+++ b/src/front_conn_private.h
@@ -12,9 +12,6 @@
 
 /* Bytes that are read at a time, and of the next requests while one is being answered. */
 #define CONN_READ_AHEAD_BYTES 8192
-/* Bytes in the kernel's buffers of a connection, each way. What it holds and was not read yet
- * counts as memory of the VM; less would be slow with the long packets of some networks. */
-#define CONN_BUFFER_BYTES 32768
 /* Retry-After of requests refused for lack of room: by then callers that hold requests back have
  * given up what they take. */
 #define CONN_RETRY_AFTER_FULL_MS HTTP_ARRIVAL_GRACE_MS
--- a/src/front_memory.c
+++ b/src/front_memory.c
@@ -5,6 +5,7 @@
 /* Of the VM's memory. The rest is for the process itself, which grows with the site, and for the
  * kernel's buffers of the callers' connections. */
 #define CALLERS_SHARE 0.25
+#define BUFFERS_SHARE 0.3 /* for those in the kernel */
 /* Of that, for bodies and for answers each; the rest is always left to short requests. */
 #define USE_SHARE 0.375
 
@@ -13,12 +14,19 @@
 {
   double mb = machine_mb > 0 ? machine_mb : MEMORY_DEFAULT_MB;
 
-  memory->max = (size_t)(mb * CALLERS_SHARE * BYTES_PER_MB);
+  memory->machine = (size_t)(mb * BYTES_PER_MB);
+  memory->max = (size_t)((double)memory->machine * CALLERS_SHARE);
   memory->use_max = (size_t)((double)memory->max * USE_SHARE);
   memory->answer_max
       = memory->use_max < MEMORY_ANSWER_MAX_BYTES ? memory->use_max : MEMORY_ANSWER_MAX_BYTES;
 }
 
+unsigned
+front_memory_connections_max (const FrontMemory *memory, size_t buffer_bytes)
+{
+  return (unsigned)((double)memory->machine * BUFFERS_SHARE / (double)buffer_bytes);
+}
+
 void
 front_memory_change (FrontMemory *memory, MemoryUse use, size_t from, size_t to)
 {
--- a/src/front_memory.h
+++ b/src/front_memory.h
@@ -27,6 +27,7 @@
 
 typedef struct
 {
+  size_t machine;    /**< bytes of the VM's memory */
   size_t max;        /**< bytes for all uses together */
   size_t use_max;    /**< bytes for long bodies, and the same for answers */
   size_t answer_max; /**< bytes of one answer that are kept while it is incomplete */
@@ -35,6 +36,9 @@
 
 /** Sets the bounds for a VM with this memory; 0: MEMORY_DEFAULT_MB. */
 void front_memory_set (FrontMemory *memory, double machine_mb);
+/** Connections of callers whose buffers in the kernel, of buffer_bytes each, fit the VM beside all
+ *  that is counted here: bytes that a process has not read yet are its memory, too. */
+unsigned front_memory_connections_max (const FrontMemory *memory, size_t buffer_bytes);
 /** Replaces a count of from bytes by one of to bytes. */
 void front_memory_change (FrontMemory *memory, MemoryUse use, size_t from, size_t to);
 /** Bytes for all uses together. */
--- a/src/gate_callers.c
+++ b/src/gate_callers.c
@@ -27,8 +27,11 @@
  * free the connection while its caller still uses it. */
 #define END_OPTIONS (BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)
 /* Time that a stop allows callers to read the last bytes of their answers. */
-#define FLUSH_MAX_MS           1000
-#define FLUSH_STEP_US          5000
+#define FLUSH_MAX_MS  1000
+#define FLUSH_STEP_US 5000
+/* In the kernel, of a socket, each way: towards callers, and towards libmicrohttpd. */
+#define CALLER_BUFFER_BYTES    32768
+#define PAIR_BUFFER_BYTES      16384
 #define CONNECTIONS_ENDING_MAX 64     /* that libmicrohttpd has in addition */
 #define TICK_US                100000 /* interval of gate_filters_tick */
 
@@ -156,6 +159,14 @@
   __atomic_sub_fetch (&callers->handed_off, 1, __ATOMIC_RELAXED);
 }
 
+/* Without a bound the kernel lets the buffers of a connection grow to megabytes. */
+static void
+bound_buffers (int fd, int bytes)
+{
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof (bytes));
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof (bytes));
+}
+
 static void
 on_accept (struct evconnlistener *listener UNUSED,
            evutil_socket_t fd,
@@ -180,6 +191,8 @@
       close (fd);
       return;
     }
+  bound_buffers (pair[0], PAIR_BUFFER_BYTES);
+  bound_buffers (pair[1], PAIR_BUFFER_BYTES);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
   caller = new_caller_bufferevent (callers, fd);
   server = bufferevent_socket_new (callers->base, pair[0], END_OPTIONS);
@@ -322,6 +335,7 @@
                   (long long)at->port);
       return false;
     }
+  bound_buffers (evconnlistener_get_fd (callers->listener), CALLER_BUFFER_BYTES);
   gate_thread_start (&callers->thread, callers_run, callers);
   callers->running = true;
   return true;
--- a/src/gate_memory.c
+++ b/src/gate_memory.c
@@ -5,13 +5,13 @@
 
 /* Of the process's memory. The rest is for the process itself and for requests to servers that
  * don't read them. */
-#define REQUESTS_SHARE    0.33
+#define REQUESTS_SHARE    0.3
 #define ANSWERS_SHARE     0.16
-#define CONNECTIONS_SHARE 0.25
+#define CONNECTIONS_SHARE 0.3
 /* Of what requests may take, for long ones. */
 #define LONG_SHARE 0.75
-/* Memory of a connection with its thread, besides its request. */
-#define CONNECTION_BYTES 65536
+/* Memory of a connection with its thread and its buffers in the kernel, besides its request. */
+#define CONNECTION_BYTES 81920
 /* In addition to two connections for each request in progress. */
 #define CONNECTIONS_SPARE 64
 
--- a/tests/test_front_descriptors.c
+++ b/tests/test_front_descriptors.c
@@ -3,8 +3,7 @@
 #include "suite.h"
 #include <stdio.h>
 
-#define FIXED_DESCRIPTORS 24 /* event loop, log, listening sockets, settings, store, other fronts  \
-                              */
+#define FIXED_DESCRIPTORS 24 /* of the process itself */
 
 /* Guards against kinds of connections that together take more descriptors than there are. */
 static void
--- a/tests/test_front_memory.c
+++ b/tests/test_front_memory.c
@@ -3,9 +3,10 @@
 #include "http_arrival.h"
 #include "suite.h"
 
-#define MB               ((size_t)1 << 20)
-#define SMALLEST_MB      88 /* of all deployments */
-#define LEGAL_BODY_BYTES (4 * MB)
+#define MB                  ((size_t)1 << 20)
+#define SMALLEST_MB         88 /* of all deployments */
+#define KERNEL_BUFFER_BYTES ((size_t)32768)
+#define LEGAL_BODY_BYTES    (4 * MB)
 
 static FrontMemory
 memory_of (double mb)
@@ -62,6 +63,17 @@
   CU_ASSERT (memory.max - front_memory_held (&memory) >= memory.max / 5);
 }
 
+/* Guards against connections whose buffers in the kernel exceed the machine's memory together. */
+static void
+test_buffers_in_the_kernel_fit (void)
+{
+  FrontMemory memory = memory_of (SMALLEST_MB);
+  unsigned connections = front_memory_connections_max (&memory, KERNEL_BUFFER_BYTES);
+
+  CU_ASSERT (connections * KERNEL_BUFFER_BYTES + memory.max <= SMALLEST_MB * MB * 6 / 10);
+  CU_ASSERT (connections >= 800);
+}
+
 /* Guards against answers that all wait for each other: one can always be read to its end. */
 static void
 test_one_answer_fits_whatever_waits (void)
@@ -97,6 +109,7 @@
   { "all_uses_stay_within_a_share", test_all_uses_stay_within_a_share },
   { "the_smallest_machine_serves_the_longest", test_the_smallest_machine_serves_the_longest },
   { "short_requests_keep_room", test_short_requests_keep_room },
+  { "buffers_in_the_kernel_fit", test_buffers_in_the_kernel_fit },
   { "one_answer_fits_whatever_waits", test_one_answer_fits_whatever_waits },
   { "requests_in_time_are_not_late", test_requests_in_time_are_not_late },
 };
