Make room at a front before a request is refused for lack of it

A request that completed while the memory was over its bound was refused first, and the connections that held something back were closed after it.

--- a/src/front_conn.c
+++ b/src/front_conn.c
@@ -170,15 +170,18 @@
   conn->reading = false;
 }
 
-/* To be called by callbacks of the event loop only, as conn_relieve. */
+/* Makes room first, so that no request is refused for what others hold back. To be called by
+ * callbacks of the event loop only, as conn_relieve. */
 static void
 read_and_relieve (FrontConn *conn)
 {
   Front *front = conn->front;
 
-  conn_read (conn);
+  conn_account (conn);
+  conn_relieve (front);
   if (!conn->freed)
-    conn_account (conn);
+    conn_read (conn);
+  conn_account (conn);
   conn_relieve (front);
 }
 
