--- a/regress/front/cases_crowd.py
+++ b/regress/front/cases_crowd.py
@@ -104,6 +104,24 @@
     await expect_bounds(site, crowd, lambda: crowd.come(size, pieces_of))
 
 
+async def longest_request_in_calm(site):
+    """Guards against bounds that refuse a single request of legal length, by its length or in chunks."""
+    await set_limits(site, MaxBodyBytes=BODY_BYTES)
+    front = site.fronts[0]
+    body = b"x" * BODY_BYTES
+    for path in ("/once/long", "/again/long", "/text/long"):
+        answer = await site.call(front, path, body)
+        equal((answer.status, answer.complete), (200, True), path)
+        check(site, answer)
+    head = head_of(site, "/again/chunks", b"Transfer-Encoding: chunked")
+    answer = await exchange((front.ip, CALLERS_PORT), head + b"".join(chunked(BODY_BYTES - 65536, 1024)) + b"0\r\n\r\n")
+    equal(answer.status, 200, "in chunks")
+    for engine in site.engines:
+        engine.mode = "long" if engine.service == "orders" else "ok"
+    answer = await site.call(front, "/again/answer")
+    equal((answer.status, answer.complete, len(answer.body)), (200, True, LARGE_ANSWER_BYTES), "a long answer")
+
+
 async def whole_bodies_in_progress(site):
     """Guards against complete bodies, and their copies to servers that don't read, that exceed the memory together."""
     await set_limits(site, MaxBodyBytes=BODY_BYTES)
@@ -281,7 +299,7 @@
 
 
 CASES = [
-    whole_bodies_in_progress, bodies_stop_short, bodies_in_pieces_stop_short, large_chunks_stop_short,
+    longest_request_in_calm, whole_bodies_in_progress, bodies_stop_short, bodies_in_pieces_stop_short, large_chunks_stop_short,
     small_chunks_stop_short, bodies_over_the_limit, stalled_callers_leave_connections,
     trickling_callers_leave_connections, answers_nobody_reads, answers_to_pipelined_requests_nobody_reads,
     crowds_at_the_ready_port, crowds_at_the_control_port, datagrams_of_strangers,
--- a/regress/gate_crowd.py
+++ b/regress/gate_crowd.py
@@ -127,6 +127,16 @@
     await expect_bounds(gate, crowd, lambda: crowd.come(size, pieces_of))
 
 
+async def longest_request_in_calm(gate):
+    """Guards against bounds that refuse a single request of legal length, by its length or in chunks."""
+    body = chat_body(BODY_BYTES)
+    answer = await exchange(gate.address, gate.head(CHAT, f"Content-Length: {len(body)}") + body)
+    equal(answer and answer.status, 200, "a chat")
+    pieces = b"".join(chunked(BODY_BYTES - 65536, 1024)) + b"0\r\n\r\n"
+    answer = await exchange(gate.address, gate.head(SERVICE, "Transfer-Encoding: chunked") + pieces)
+    equal(answer and answer.status, 200, "a service, in chunks")
+
+
 async def whole_bodies(gate):
     """Guards against complete bodies that exceed the memory together."""
     body = chat_body(BODY_BYTES)
@@ -219,7 +229,7 @@
 
 
 CASES = [
-    whole_bodies, bodies_stop_short, bodies_in_pieces_stop_short, large_chunks_stop_short, small_chunks_stop_short,
+    longest_request_in_calm, whole_bodies, bodies_stop_short, bodies_in_pieces_stop_short, large_chunks_stop_short, small_chunks_stop_short,
     bodies_over_the_limit, bodies_of_many_values, stalled_callers_leave_connections, silent_callers_leave_connections,
     answers_nobody_reads, crowds_at_the_local_port,
 ]  # fmt: skip
