Give a gate memory for its streams by default

With the default of 110 MiB a gate took 422 connections, and closed idle ones of 8 ms for new ones; streams_max promises 2,000 requests in progress. The default is 1 GiB now, 3,932 connections, and a small VM's is set by memory_max, as the test of crowds does.

--- a/src/settings_gate.c
+++ b/src/settings_gate.c
@@ -93,7 +93,7 @@
   *s = (SettingsGate){
     .streams_max = 2000,
     .body_max = 4 * MIB,
-    .memory_max = 110 * MIB,
+    .memory_max = 1024 * MIB,
     .header_max = 16 * KIB,
     .read_timeout_ms = 10000,
     .idle_timeout_ms = 60000,
