Run the cases of crowds one at a time, after the others

What a process holds for a crowd is to be measured apart from other load. Tried with scripts that only note when they ran: the crowds came last, one after the other.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -172,7 +172,13 @@
       run_all run_unit "${programs[@]%.c}"
       ;;
     regress)
-      run_all run_case regress/case_*.sh
+      cases=()
+      for script in regress/case_*.sh; do
+        [[ $script == *_crowd.sh ]] || cases+=("$script")
+      done
+      run_all run_case "${cases[@]}"
+      # What a process holds for a crowd is measured one case at a time, apart from other load.
+      CHECK_JOBS=1 run_all run_case regress/case_*_crowd.sh
       ;;
     *)
       echo "unknown kind of test: $kind" >&2
