--- a/regress/front/cases_crowd.py
+++ b/regress/front/cases_crowd.py
@@ -66,6 +66,8 @@
             check(site, answer)
             return True
         equal(answer.status in (0, 408, 429, 503), True, f"status of an ordinary call: {answer.status}")
+        if answer.status:
+            equal([run for run in site.runs_of(answer) if run.executed], [], "what was refused ran nowhere")
         if answer.status in (429, 503):
             equal(float(answer.fields["retry-after"]) > 0, True, "a refusal says when to come back")
         return False
