Write a verdict only while its order is in force

Cause: the write of a roll-out's status was conditional on the status row alone, and its answer was applied to whatever order was known when it came. An order that arrived while the verdict on the one before was being written got that verdict.

Now the write is conditional on the row of its order as well, and the front keeps what it wrote of until the answer comes. Rows of orders in the store's refusal aren't taken for statuses.

Why it holds: the store compares both rows in one transaction, so that no verdict can be stored after its order was replaced; the answer applies to the target that was written.

The field "order" of store_write tells which order a status was written for.

--- a/regress/front/cases_rollout.py
+++ b/regress/front/cases_rollout.py
@@ -1,6 +1,7 @@
 """Roll-outs of versions that are bad without failing: cases_rollout.py PROGRAM [CASE...]. See cases.py."""
 
 import asyncio
+import base64
 import json
 import sys
 import time
@@ -9,7 +10,8 @@
 
 ANSWER_S = 0.03  # a sound engine's time for an answer
 CALLERS = 3  # that call each front at a time
-ROLLOUT_S = 12
+ROLLOUT_S, SHORT_ROLLOUT_S = 12, 6
+CROSS_S = 0.2  # until the fronts know an order, and less than until another front writes a status in place of the first
 EXPOSURE_SHARE = 0.15  # of the requests during the roll-out that a bad version may get
 EXPOSURE_SLACK = 30  # requests beyond that share
 
@@ -101,9 +103,59 @@
     equal(site.store.get("status", "rollout/orders")["State"], "rolled_back", "status")
 
 
+class CrossingStore:
+    """Answers a front's calls to the store. The operator orders v3 as "completed" is about to be written for v2."""
+
+    def __init__(self, endpoint, site):
+        self.site, self.answer_call, endpoint.answer = site, endpoint.answer, self.answer
+
+    async def answer(self, request, writer):
+        if "/rows-tx" in request.target and is_completed(request, "v2"):
+            if self.site.store.get("op", "rollout/orders")["Target"] == "v2":
+                await put_order(self.site, "v3", ROLLOUT_S)
+                await asyncio.sleep(CROSS_S)
+        return await self.answer_call(request, writer)
+
+
+def is_completed(request, target):
+    values = [json.loads(base64.b64decode(write["Value"])) for write in json.loads(request.body)["Writes"]]
+    return any((value.get("Target"), value.get("State")) == (target, "completed") for value in values)
+
+
+async def put_order(site, target, ramp_s):
+    order = {"Service": "orders", "Target": target, "RampS": ramp_s}
+    await site.store.put("op", "rollout/orders", json.dumps(order))
+
+
+async def start_engines(site, version, number):
+    for _ in range(number):
+        await site.add_engine("orders", version).start()
+
+
+async def verdict_crosses_the_next_order(site):
+    """The operator orders a bad version while a front writes that the version before is completed. Guards against a verdict
+    that is carried out on the order that has replaced its own."""
+    for front in site.fronts:
+        CrossingStore(front.store_endpoint, site)
+    await start_engines(site, "v1", 2)
+    await start_engines(site, "v2", 4)
+    await start_engines(site, "v3", 4)
+    for engine in site.engines:
+        engine.delay = ANSWER_S
+        engine.fails_from = 0 if engine.version == "v3" else None
+    await put_order(site, "v2", SHORT_ROLLOUT_S)
+    check(site, *await traffic_for(site, SHORT_ROLLOUT_S + ROLLOUT_S))
+    status = site.store.get("status", "rollout/orders")
+    equal((status["Target"], status["State"]), ("v3", "rolled_back"), "status")
+    runs = [run for run in site.runs if run.engine.service == "orders"]
+    reached = sum(run.engine.version == "v3" for run in runs)
+    allowed = EXPOSURE_SHARE * len(runs) + EXPOSURE_SLACK
+    equal(reached <= allowed, True, f"{reached} requests reached the bad version, {allowed:.0f} are allowed")
+
+
 CASES = [
     slow_version_of_a_plain_service, good_version_with_a_slow_engine, requests_that_fail_anywhere,
-    version_that_fails_under_load,
+    version_that_fails_under_load, verdict_crosses_the_next_order,
 ]
 
 if __name__ == "__main__":
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -9,6 +9,7 @@
 #include "front_store.h"
 #include "front_store_clock.h"
 #include "front_table.h"
+#include "wire_store.h"
 
 /** Milliseconds until a request fails if its answer has not begun. */
 #define STORE_ANSWER_TIMEOUT_MS 3000
@@ -64,7 +65,8 @@
   int64_t next_list_at_ms;  /* when the list of fronts is read again if no other is known */
   int64_t list_interval_ms; /* until the read after that */
   FrontRollout *writing;    /* roll-out whose status is being written; NULL: none */
-  FrontRolloutState writing_state;
+  char written_target[ROLLOUT_TEXT_MAX]; /* of that status */
+  FrontRolloutState written_state;
   bool settled;             /* FRONT_SETTLED_MS have passed since the start */
   bool registering;         /* this front's address is being written */
   bool writing_refused;     /* the row of refused requests is being written */
@@ -171,11 +173,13 @@
  * one. */
 #define STORE_RANK_DELAY_MS 300
 void store_on_written (void *user, int status, const char *text, size_t len);
-/* Writes a row of the status table; row: as it is known here, NULL if it isn't there. */
+/* Writes a row of the status table; row: as it is known here, NULL if it isn't there; condition: on
+ * a row of another table, NULL: none. */
 void store_write_status_row (FrontStore *store,
                              const char *key,
                              const Buffer *value,
-                             const StoreRow *row);
+                             const StoreRow *row,
+                             const StoreCondition *condition);
 
 /* front_store_refused.c */
 /* Refuses the requests that the row lists. */
--- a/src/front_store_refused.c
+++ b/src/front_store_refused.c
@@ -89,7 +89,7 @@
   front_log_text (line, "value", value.data);
   front_log_end (line);
   store->writing_refused = true;
-  store_write_status_row (store, wire_key_refused, &value, row);
+  store_write_status_row (store, wire_key_refused, &value, row, NULL);
   buffer_free (&value);
   return true;
 }
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -9,23 +9,14 @@
 #include "util_clock.h"
 #include "wire_rollout.h"
 #include "wire_store.h"
+#include <string.h>
 
 static void
-write_row (FrontStore *store,
-           const char *table,
-           const char *key,
-           const Buffer *value,
-           int64_t expected)
+write_row (FrontStore *store, const StoreWrite *write)
 {
-  StoreWrite write = {
-    .table = table,
-    .key = key,
-    .value = { .text = value->data, .len = value->len },
-    .expected_version = expected,
-  };
   Buffer body = { 0 };
 
-  wire_write_body (&body, &write);
+  wire_write_body (&body, write);
   front_counter_add (FRONT_COUNTER_STORE_CALLS);
   front_counter_add (FRONT_COUNTER_STORE_WRITE_CALLS);
   front_channel_request (store->writer, wire_write_path, &body, STORE_ANSWER_TIMEOUT_MS);
@@ -36,9 +27,18 @@
 store_write_status_row (FrontStore *store,
                         const char *key,
                         const Buffer *value,
-                        const StoreRow *row)
+                        const StoreRow *row,
+                        const StoreCondition *condition)
 {
-  write_row (store, wire_table_status, key, value, row ? store_version_number (row->version) : 0);
+  StoreWrite write = {
+    .table = wire_table_status,
+    .key = key,
+    .value = { .text = value->data, .len = value->len },
+    .expected_version = row ? store_version_number (row->version) : 0,
+    .condition = condition,
+  };
+
+  write_row (store, &write);
 }
 
 static void
@@ -47,31 +47,55 @@
   buffer_printf (out, "%s%s", wire_key_rollout, rollout->service);
 }
 
+static void
+log_write (const Buffer *key, const Buffer *value, const StoreRow *row, int64_t order_version)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
+
+  front_log_text (line, "key", key->data);
+  front_log_text (line, "value", value->data);
+  front_log_number (line, "expected", row ? store_version_number (row->version) : 0);
+  front_log_number (line, "order", order_version);
+  front_log_end (line);
+}
+
+/* The store refuses the status if another order has replaced the one that it is for. */
 static void
 write_status (FrontStore *store, FrontRollout *rollout)
 {
   const FrontTable *table = &store->watches[STORE_STATUS].table;
-  FrontLine *line = front_log_begin (FRONT_EVENT_STORE_WRITE);
+  StoreCondition order = { .table = wire_table_operator,
+                           .version = store_version_number (rollout->order.row_version) };
   Buffer key = { 0 }, value = { 0 };
   const StoreRow *row;
   int64_t started_ms;
 
   rollout_key (rollout, &key);
+  order.key = key.data;
   row = front_table_find (table, key.data);
   store->writing = rollout;
-  store->writing_state = rollout->verdict;
+  store->written_state = rollout->verdict;
+  memcpy (store->written_target, rollout->order.target, sizeof store->written_target);
   if (!store_clock_from_own (&store->clock, rollout->started_ms, &started_ms))
     started_ms = ROLLOUT_START_UNKNOWN;
   wire_rollout_status_encode (&value, &rollout->order, rollout->verdict, started_ms);
-  front_log_text (line, "key", key.data);
-  front_log_text (line, "value", value.data);
-  front_log_number (line, "expected", row ? store_version_number (row->version) : 0);
-  front_log_end (line);
-  store_write_status_row (store, key.data, &value, row);
+  log_write (&key, &value, row, order.version);
+  store_write_status_row (store, key.data, &value, row, &order);
   buffer_free (&key);
   buffer_free (&value);
 }
 
+/* Another front wrote first, and the answer contains its row; or another order has replaced the one
+ * that the status is for, which the watch of the orders tells. */
+static void
+apply_conflict (FrontStore *store, const StoreAnswer *answer)
+{
+  front_table_apply_changes (&store->watches[STORE_STATUS].table,
+                             &(StoreAnswer){ .count = answer->count, .rows = answer->rows },
+                             store_apply_status, store);
+  store->next_write_at_ms = clock_boot_ms () + STORE_RANK_DELAY_MS;
+}
+
 void
 store_on_written (void *user, int status, const char *text, size_t len)
 {
@@ -82,20 +106,17 @@
   if (reply)
     store_era_note (store, wire_store_era (reply));
   if ((status == STORE_HTTP_OK || status == STORE_HTTP_CONFLICT)
-      && wire_store_decode (text, len, &answer))
+      && wire_write_decode (text, len, wire_table_status, &answer))
     {
       store_answer_set_era (&answer, store->era);
       front_store_note_time (store, &answer);
       if (store->registering && status == STORE_HTTP_OK)
         front_peers_set_registered (store->front->peers, true);
       else if (status == STORE_HTTP_OK && store->writing)
-        front_rollouts_apply_status (store->writing, store->writing->order.target,
-                                     store->writing_state, answer.version, ROLLOUT_START_UNKNOWN);
-      else if (store->writing || store->writing_refused) /* another front wrote first; the answer
-                                                            contains its row */
-        front_table_apply_changes (&store->watches[STORE_STATUS].table,
-                                   &(StoreAnswer){ .count = answer.count, .rows = answer.rows },
-                                   store_apply_status, store);
+        front_rollouts_apply_status (store->writing, store->written_target, store->written_state,
+                                     answer.version, ROLLOUT_START_UNKNOWN);
+      else if (store->writing || store->writing_refused)
+        apply_conflict (store, &answer);
       store_answer_clear (&answer);
     }
   else
@@ -113,10 +134,12 @@
 {
   const SettingsFront *settings = &store->front->settings;
   Buffer value = { 0 };
+  StoreWrite write = { .table = wire_table_members, .key = settings->ip, .expected_version = -1 };
 
   store->registering = true;
   front_member_encode (&value, settings->vm, settings->failure_domain);
-  write_row (store, wire_table_members, settings->ip, &value, -1);
+  write.value = (Span){ .text = value.data, .len = value.len };
+  write_row (store, &write);
   buffer_free (&value);
 }
 
