Name the version in use in a roll-out's status

Cause: which version is in use besides the one on trial stood nowhere in the store once the next order had a status. A front that read an order before the status of the one before, or that started after it, counted servers instead, and without servers of its base version sent all to the version on trial.

Now a status names the base version, and fronts learn it from each status, of whatever order. Until the status of the running order has named it, a base version without servers is replaced by another one, but for one that was rolled back. After a return of the store from a copy a status by which a completed version is still on trial changes nothing.

Why it holds: a status is written on condition of the row before it and of its order's row, so that each front that writes one has read how the roll-out before ended.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 $(filter $(BUILD)/test_front_request_%,$(TESTS:%=$(BUILD)/%)): $(call obj,tests/front_fakes.c tests/hedge_site.c)
 $(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
 $(BUILD)/test_front_pick $(BUILD)/test_front_pick_prompts $(BUILD)/test_front_pick_late: $(call obj,tests/pick_world.c)
-$(BUILD)/test_front_rollouts $(BUILD)/test_front_rollouts_verdict: $(call obj,tests/rollouts_world.c)
+$(BUILD)/test_front_rollouts $(BUILD)/test_front_rollouts_base $(BUILD)/test_front_rollouts_verdict: $(call obj,tests/rollouts_world.c)
 $(BUILD)/test_front_peers $(BUILD)/test_front_peers_sessions: $(call obj,tests/peers_net.c)
 $(BUILD)/test_lint_%: LDLIBS += $(LINT_LIBS)
 benches: $(BENCHES:%=$(BUILD)/%)
--- a/regress/front/cases_rollout.py
+++ b/regress/front/cases_rollout.py
@@ -7,11 +7,13 @@
 import time
 
 from cases import check, equal, main
+from wire import answer
 
 ANSWER_S = 0.03  # a sound engine's time for an answer
 CALLERS = 3  # that call each front at a time
 ROLLOUT_S, SHORT_ROLLOUT_S = 12, 6
 CROSS_S = 0.2  # until the fronts know an order, and less than until another front writes a status in place of the first
+STATUS_LATE_S = 3  # that answers about statuses take
 EXPOSURE_SHARE = 0.15  # of the requests during the roll-out that a bad version may get
 EXPOSURE_SLACK = 30  # requests beyond that share
 
@@ -153,9 +155,83 @@
     equal(reached <= allowed, True, f"{reached} requests reached the bad version, {allowed:.0f} are allowed")
 
 
+class LateTable:
+    """Answers a front's calls to the store; answers about a table come late_s (seconds) later."""
+
+    def __init__(self, front, table):
+        self.endpoint, self.table, self.late_s = front.store_endpoint, table, 0
+        self.answer_call, self.endpoint.answer = self.endpoint.answer, self.answer
+
+    async def answer(self, request, writer):
+        if f"Table={self.table}" not in request.target:
+            return await self.answer_call(request, writer)
+        status, body = await self.endpoint.store.call(request)
+        await asyncio.sleep(self.late_s)
+        writer.write(answer(status, body, Store_Era=self.endpoint.store.era))
+        return True
+
+
+def is_status(site, target, state):
+    async def is_so():
+        status = site.store.get("status", "rollout/orders")
+        return status is not None and (status["Target"], status["State"]) == (target, state)
+
+    return is_so
+
+
+async def order_is_read_before_the_status_of_the_one_before(site):
+    """Fronts read late that v2 is completed, and at once that v3 is ordered. Guards against sending all requests
+    to a version on trial as the servers of the version that it was rolled out beside are unknown."""
+    statuses = [LateTable(front, "status") for front in site.fronts]
+    await start_engines(site, "v2", 4)
+    await start_engines(site, "v3", 4)
+    for engine in site.engines:
+        engine.delay = ANSWER_S
+    await put_order(site, "v2", SHORT_ROLLOUT_S)
+    traffic = asyncio.ensure_future(traffic_for(site, SHORT_ROLLOUT_S + STATUS_LATE_S))
+    await asyncio.sleep(SHORT_ROLLOUT_S / 2)
+    for table in statuses:
+        table.late_s = STATUS_LATE_S
+    await site.wait(is_status(site, "v2", "completed"), "v2 is completed")
+    for engine in site.engines:
+        if engine.version == "v1" and engine.service == "orders":
+            await engine.leave()
+            await engine.crash()
+    ordered = time.monotonic()
+    await put_order(site, "v3", ROLLOUT_S)
+    await traffic
+    runs = [run for run in site.runs if run.engine.service == "orders" and ordered <= run.at < ordered + STATUS_LATE_S]
+    reached = sum(run.engine.version == "v3" for run in runs)
+    allowed = EXPOSURE_SHARE * len(runs) + EXPOSURE_SLACK
+    equal(reached <= allowed, True, f"{reached} of {len(runs)} requests reached the version on trial, {allowed:.0f} are allowed")
+
+
+async def front_starts_after_a_rollback(site):
+    """v2 is rolled back, v3 is ordered, and a front starts while more servers of v2 than of v1 are listed. Guards against a
+    front that takes the version that was rolled back for the one in use."""
+    await start_engines(site, "v2", 4)
+    await start_engines(site, "v3", 4)
+    for engine in site.engines:
+        engine.delay = ANSWER_S
+        engine.fails_from = 0 if engine.version == "v2" else None
+    await put_order(site, "v2", ROLLOUT_S)
+    check(site, *await traffic_for(site, 3))
+    await site.wait(is_status(site, "v2", "rolled_back"), "v2 is rolled back")
+    await put_order(site, "v3", ROLLOUT_S)
+    await site.wait(is_status(site, "v3", "running"), "v3 is being rolled out")
+    await site.fronts[0].kill()
+    await site.fronts[0].start()
+    await site.wait(site.fronts[0].is_ready, "front 0 is ready again")
+    started = time.monotonic()
+    await traffic_for(site, 2)
+    reached = sum(run.engine.version == "v2" for run in site.runs if run.engine.service == "orders" and run.at >= started)
+    equal(reached, 0, "requests that reached the version that was rolled back")
+
+
 CASES = [
     slow_version_of_a_plain_service, good_version_with_a_slow_engine, requests_that_fail_anywhere,
     version_that_fails_under_load, verdict_crosses_the_next_order,
+    order_is_read_before_the_status_of_the_one_before, front_starts_after_a_rollback,
 ]
 
 if __name__ == "__main__":
--- a/src/front_rollout_order.h
+++ b/src/front_rollout_order.h
@@ -25,4 +25,13 @@
   int64_t row_version;           /**< of the order's row; distinguishes two orders */
 } RolloutOrder;
 
+/** What is reported of a roll-out. */
+typedef struct
+{
+  char target[ROLLOUT_TEXT_MAX]; /**< of the order that it is for */
+  char base[ROLLOUT_TEXT_MAX];   /**< version that the service's other requests use; "": unknown */
+  FrontRolloutState state;
+  int64_t started_ms; /**< ROLLOUT_START_UNKNOWN: not reported */
+} RolloutStatus;
+
 #endif
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -1,4 +1,4 @@
-#include "front_rollouts.h"
+#include "front_rollouts_private.h"
 #include "util_memory.h"
 #include "util_span.h"
 #include <stdio.h>
@@ -115,6 +115,12 @@
   return count;
 }
 
+bool
+front_rollout_is_running (const FrontRollout *rollout)
+{
+  return rollout->ordered && rollout->state == FRONT_ROLLOUT_RUNNING;
+}
+
 bool
 front_rollouts_apply_order (FrontRollouts *rollouts,
                             FrontServers *servers,
@@ -147,6 +153,7 @@
   rollout->pace = (FrontPace){ 0 };
   if (strcmp (rollout->base, order->target) == 0)
     rollout->base[0] = '\0';
+  rollouts_update_base (rollout, servers);
   return true;
 }
 
@@ -180,22 +187,31 @@
   rollout->ordered = false;
 }
 
+void
+front_rollout_status (const FrontRollout *rollout, RolloutStatus *out)
+{
+  *out = (RolloutStatus){ .state = rollout->verdict, .started_ms = rollout->started_ms };
+  memcpy (out->target, rollout->order.target, sizeof out->target);
+  memcpy (out->base, rollout->base, sizeof out->base);
+}
+
 bool
 front_rollouts_apply_status (FrontRollout *rollout,
-                             const char *target,
-                             FrontRolloutState state,
-                             int64_t row_version,
-                             int64_t started_ms)
+                             const RolloutStatus *status,
+                             int64_t row_version)
 {
+  FrontRolloutState state = status->state;
   bool changed;
 
+  rollouts_learn_base (rollout, status, row_version);
   if (!rollout->ordered || row_version <= rollout->order.row_version
-      || row_version <= rollout->status_version || strcmp (rollout->order.target, target) != 0)
+      || row_version <= rollout->status_version
+      || strcmp (rollout->order.target, status->target) != 0)
     return false;
   rollout->status_version = row_version;
   rollout->has_verdict = false;
-  if (started_ms < rollout->started_ms)
-    rollout->started_ms = started_ms;
+  if (status->started_ms < rollout->started_ms)
+    rollout->started_ms = status->started_ms;
   /* A final state does not change. If the status says otherwise, the store lost the final one. */
   if (rollout->state != FRONT_ROLLOUT_RUNNING)
     {
@@ -206,75 +222,10 @@
   changed = state != rollout->state;
   rollout->state = state;
   if (state == FRONT_ROLLOUT_COMPLETED)
-    snprintf (rollout->base, sizeof rollout->base, "%s", target);
+    snprintf (rollout->base, sizeof rollout->base, "%s", status->target);
   return changed;
 }
 
-bool
-front_rollout_is_running (const FrontRollout *rollout)
-{
-  return rollout->ordered && rollout->state == FRONT_ROLLOUT_RUNNING;
-}
-
-#define VERSIONS_MAX 8 /* of one service; a version that is left out is in the minority */
-
-typedef struct
-{
-  const char *version;
-  unsigned count;
-} VersionCount;
-
-static void
-version_count (VersionCount counts[VERSIONS_MAX], const char *version)
-{
-  unsigned i = 0;
-
-  while (i < VERSIONS_MAX && counts[i].version && strcmp (counts[i].version, version) != 0)
-    i++;
-  if (i == VERSIONS_MAX)
-    return;
-  counts[i].version = version;
-  counts[i].count++;
-}
-
-/* A version that is being rolled out, or was rolled back, is not the base version. */
-static bool
-is_candidate (const FrontRollout *rollout, const FrontServer *server)
-{
-  if (!server->listed || strcmp (server->entry.service, rollout->service) != 0)
-    return false;
-  return !rollout->ordered || rollout->state == FRONT_ROLLOUT_COMPLETED
-         || strcmp (server->entry.version, rollout->order.target) != 0;
-}
-
-/* Finds the version that most listed servers have. Servers that leave count only if there are no
- * others: those of the previous version may drain for many seconds after a roll-out, and a front
- * that starts meanwhile would send its requests to a version that is about to disappear. */
-static void
-find_base (FrontRollout *rollout, FrontServers *servers)
-{
-  VersionCount counts[2][VERSIONS_MAX] = { 0 };
-  FrontServer *server;
-  unsigned most = 0;
-
-  cds_list_for_each_entry (server, front_servers_list (servers), node)
-  {
-    if (is_candidate (rollout, server))
-      version_count (counts[server->leaving], server->entry.version);
-  }
-  for (unsigned i = 0; i < 2 * VERSIONS_MAX; i++)
-    {
-      const VersionCount *count = &counts[i / VERSIONS_MAX][i % VERSIONS_MAX];
-
-      if (i == VERSIONS_MAX && most > 0)
-        return;
-      if (count->count <= most)
-        continue;
-      most = count->count;
-      snprintf (rollout->base, sizeof rollout->base, "%s", count->version);
-    }
-}
-
 void
 front_rollouts_find_base (FrontRollouts *rollouts, FrontServers *servers)
 {
@@ -289,7 +240,7 @@
   cds_list_for_each_entry (rollout, &rollouts->list, node)
   {
     if (rollout->base[0] == '\0')
-      find_base (rollout, servers);
+      rollouts_find_base (rollout, servers);
   }
 }
 
@@ -352,20 +303,6 @@
   return moved >= 1 ? 1 : load_share + (1 - load_share) * moved;
 }
 
-static bool
-has_servers (FrontServers *servers, const char *service, const char *version)
-{
-  FrontServer *server;
-
-  cds_list_for_each_entry (server, front_servers_list (servers), node)
-  {
-    if (front_server_takes_work (server) && strcmp (server->entry.service, service) == 0
-        && strcmp (server->entry.version, version) == 0)
-      return true;
-  }
-  return false;
-}
-
 /* Sessions whose hash is below the share begin on the new version. All fronts compare the same
  * hash, so a session keeps its version when it reaches another front. */
 static bool
@@ -395,26 +332,6 @@
   return is_in_share (rollout, session, now_ms) ? rollout->order.target : rollout->base;
 }
 
-/* Finds another base version if the one in use has no servers; true if it has some then. That of a
- * completed roll-out is used again as soon as it has servers: those of others are stopped. */
-static bool
-update_base (FrontRollout *rollout, FrontServers *servers)
-{
-  bool is_completed = rollout->ordered && rollout->state == FRONT_ROLLOUT_COMPLETED;
-
-  if (is_completed && has_servers (servers, rollout->service, rollout->order.target))
-    {
-      snprintf (rollout->base, sizeof rollout->base, "%s", rollout->order.target);
-      return true;
-    }
-  if (has_servers (servers, rollout->service, rollout->base))
-    return true;
-  if (rollout->base[0] != '\0' && front_rollout_is_running (rollout))
-    return false;
-  find_base (rollout, servers);
-  return has_servers (servers, rollout->service, rollout->base);
-}
-
 const char *
 front_rollouts_choose (FrontRollouts *rollouts,
                        FrontServers *servers,
@@ -423,7 +340,7 @@
                        int64_t now_ms)
 {
   FrontRollout *rollout = front_rollouts_get (rollouts, service);
-  bool base_serves = update_base (rollout, servers);
+  bool base_serves = rollouts_update_base (rollout, servers);
   const char *version;
 
   if (!front_rollout_is_running (rollout))
@@ -431,7 +348,7 @@
   version = choose_during_rollout (rollouts, rollout, session, now_ms);
   if (version == rollout->base)
     return base_serves || rollout->is_bad ? rollout->base : rollout->order.target;
-  return has_servers (servers, service, version) ? version : rollout->base;
+  return rollouts_have_servers (servers, service, version) ? version : rollout->base;
 }
 
 /* True for sessions that would begin on the new version during the first half. */
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -58,6 +58,9 @@
   int64_t learned_ms;     /**< when this front read the order */
   int64_t started_ms;     /**< on this front's clock; may be before this process started */
   int64_t status_version; /**< row version of the status; 0: none written for this order */
+  RolloutStatus
+      base_status; /**< newest one that named the base version, maybe of an earlier order */
+  int64_t base_status_version; /**< its row version; 0: there is none */
   bool is_bad; /**< found bad by this front or another one, whether or not a status says so */
   EvidenceFinding finding; /**< what this front last found */
   bool has_verdict;        /**< verdict has to be written */
@@ -106,13 +109,13 @@
 /** The order's row was removed. */
 void front_rollouts_order_removed (FrontRollouts *rollouts, const char *service);
 /** Applies a status that this front read or wrote, or received from another one. A status older
- *  than the order belongs to an earlier order. started_ms may be
- *  ROLLOUT_START_UNKNOWN. True if the state changes. */
+ *  than the order belongs to an earlier order, and names the base version only.
+ *  The start is on this front's clock. True if the state changes. */
 bool front_rollouts_apply_status (FrontRollout *rollout,
-                                  const char *target,
-                                  FrontRolloutState state,
-                                  int64_t row_version,
-                                  int64_t started_ms);
+                                  const RolloutStatus *status,
+                                  int64_t row_version);
+/** The status by which the verdict is reported. */
+void front_rollout_status (const FrontRollout *rollout, RolloutStatus *out);
 /** Sets missing base versions to the one that most servers have; called once the whole list is
  *  known. */
 void front_rollouts_find_base (FrontRollouts *rollouts, FrontServers *servers);
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -258,10 +258,8 @@
 store_apply_status (void *user, const StoreRow *row)
 {
   FrontStore *store = user;
-  char target[ROLLOUT_TEXT_MAX];
-  FrontRolloutState state;
+  RolloutStatus status;
   FrontRollout *rollout;
-  int64_t started_ms;
 
   if (strcmp (row->key, wire_key_refused) == 0 && !row->removed)
     store_refused_apply (store, row);
@@ -272,20 +270,20 @@
       front_rollouts_status_removed (store->front->rollouts, row->key + strlen (wire_key_rollout));
       return;
     }
-  if (!wire_rollout_status_decode ((Span){ .text = row->value, .len = row->value_len }, target,
-                                   &state, &started_ms))
+  if (!wire_rollout_status_decode ((Span){ .text = row->value, .len = row->value_len }, &status))
     return;
   rollout = front_rollouts_get (store->front->rollouts, row->key + strlen (wire_key_rollout));
-  if (started_ms != ROLLOUT_START_UNKNOWN
-      && !store_clock_to_own (&store->clock, started_ms, &started_ms))
-    started_ms = ROLLOUT_START_UNKNOWN;
-  if (front_rollouts_apply_status (rollout, target, state, row->version, started_ms))
+  if (status.started_ms != ROLLOUT_START_UNKNOWN
+      && !store_clock_to_own (&store->clock, status.started_ms, &status.started_ms))
+    status.started_ms = ROLLOUT_START_UNKNOWN;
+  if (front_rollouts_apply_status (rollout, &status, row->version))
     {
       FrontLine *line = front_log_begin (FRONT_EVENT_ROLLOUT);
 
       front_log_text (line, "service", rollout->service);
-      front_log_text (line, "target", target);
-      front_log_number (line, "state", state);
+      front_log_text (line, "target", status.target);
+      front_log_number (line, "state", status.state);
+      front_log_text (line, "base", rollout->base);
       front_log_number (line, "row_version", store_version_number (row->version));
       front_log_end (line);
     }
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -65,8 +65,7 @@
   int64_t next_list_at_ms;  /* when the list of fronts is read again if no other is known */
   int64_t list_interval_ms; /* until the read after that */
   FrontRollout *writing;    /* roll-out whose status is being written; NULL: none */
-  char written_target[ROLLOUT_TEXT_MAX]; /* of that status */
-  FrontRolloutState written_state;
+  RolloutStatus written;    /* that status */
   bool settled;             /* FRONT_SETTLED_MS have passed since the start */
   bool registering;         /* this front's address is being written */
   bool writing_refused;     /* the row of refused requests is being written */
--- a/src/front_store_write.c
+++ b/src/front_store_write.c
@@ -9,7 +9,6 @@
 #include "util_clock.h"
 #include "wire_rollout.h"
 #include "wire_store.h"
-#include <string.h>
 
 static void
 write_row (FrontStore *store, const StoreWrite *write)
@@ -67,18 +66,18 @@
   StoreCondition order = { .table = wire_table_operator,
                            .version = store_version_number (rollout->order.row_version) };
   Buffer key = { 0 }, value = { 0 };
+  RolloutStatus *status = &store->written;
   const StoreRow *row;
-  int64_t started_ms;
 
   rollout_key (rollout, &key);
   order.key = key.data;
   row = front_table_find (table, key.data);
   store->writing = rollout;
-  store->written_state = rollout->verdict;
-  memcpy (store->written_target, rollout->order.target, sizeof store->written_target);
-  if (!store_clock_from_own (&store->clock, rollout->started_ms, &started_ms))
-    started_ms = ROLLOUT_START_UNKNOWN;
-  wire_rollout_status_encode (&value, &rollout->order, rollout->verdict, started_ms);
+  front_rollout_status (rollout, status);
+  if (!store_clock_from_own (&store->clock, rollout->started_ms, &status->started_ms))
+    status->started_ms = ROLLOUT_START_UNKNOWN;
+  wire_rollout_status_encode (&value, rollout->service, status);
+  status->started_ms = ROLLOUT_START_UNKNOWN;
   log_write (&key, &value, row, order.version);
   store_write_status_row (store, key.data, &value, row, &order);
   buffer_free (&key);
@@ -113,8 +112,7 @@
       if (store->registering && status == STORE_HTTP_OK)
         front_peers_set_registered (store->front->peers, true);
       else if (status == STORE_HTTP_OK && store->writing)
-        front_rollouts_apply_status (store->writing, store->written_target, store->written_state,
-                                     answer.version, ROLLOUT_START_UNKNOWN);
+        front_rollouts_apply_status (store->writing, &store->written, answer.version);
       else if (store->writing || store->writing_refused)
         apply_conflict (store, &answer);
       store_answer_clear (&answer);
--- a/tests/rollouts_world.c
+++ b/tests/rollouts_world.c
@@ -48,6 +48,15 @@
   CU_ASSERT (front_rollouts_apply_order (rollouts, servers, &new_order, now_ms));
 }
 
+bool
+apply_status (const char *target, FrontRolloutState state, int64_t row_version)
+{
+  RolloutStatus status = { .state = state, .started_ms = ROLLOUT_START_UNKNOWN };
+
+  snprintf (status.target, sizeof status.target, "%s", target);
+  return front_rollouts_apply_status (rollout, &status, row_version);
+}
+
 const char *
 chosen (uint64_t session, int64_t now_ms)
 {
--- a/tests/rollouts_world.h
+++ b/tests/rollouts_world.h
@@ -23,6 +23,8 @@
 void add (const char *id, const char *version);
 /** The operator orders v2. */
 void order (int64_t row_version, int64_t now_ms);
+/** Applies a status that tells neither base version nor start. */
+bool apply_status (const char *target, FrontRolloutState state, int64_t row_version);
 /** Version for a request of the session. */
 const char *chosen (uint64_t session, int64_t now_ms);
 
--- a/tests/test_front_era.c
+++ b/tests/test_front_era.c
@@ -198,18 +198,27 @@
   FrontRollout *rollout = front_rollouts_get (node->front.rollouts, "drafts");
 
   apply_operator (node, "rollout/drafts", order_v2, store_version (1, 40));
-  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, store_version (1, 45),
-                               ROLLOUT_START_UNKNOWN);
+  front_rollouts_apply_status (rollout,
+                               &(RolloutStatus){ .target = "v2",
+                                                 .state = FRONT_ROLLOUT_COMPLETED,
+                                                 .started_ms = ROLLOUT_START_UNKNOWN },
+                               store_version (1, 45));
   front_rollout_update_verdict (rollout, clock_boot_ms ());
   CU_ASSERT_FALSE (rollout->has_verdict);
-  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, store_version (2, 41),
-                               ROLLOUT_START_UNKNOWN);
+  front_rollouts_apply_status (rollout,
+                               &(RolloutStatus){ .target = "v2",
+                                                 .state = FRONT_ROLLOUT_RUNNING,
+                                                 .started_ms = ROLLOUT_START_UNKNOWN },
+                               store_version (2, 41));
   front_rollout_update_verdict (rollout, clock_boot_ms ());
   CU_ASSERT (rollout->has_verdict);
   CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
   CU_ASSERT_EQUAL (rollout->state, FRONT_ROLLOUT_COMPLETED);
-  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, store_version (2, 50),
-                               ROLLOUT_START_UNKNOWN);
+  front_rollouts_apply_status (rollout,
+                               &(RolloutStatus){ .target = "v2",
+                                                 .state = FRONT_ROLLOUT_COMPLETED,
+                                                 .started_ms = ROLLOUT_START_UNKNOWN },
+                               store_version (2, 50));
   front_rollout_update_verdict (rollout, clock_boot_ms ());
   CU_ASSERT_FALSE (rollout->has_verdict);
   front_rollouts_status_removed (node->front.rollouts, "drafts");
--- a/tests/test_front_rollouts.c
+++ b/tests/test_front_rollouts.c
@@ -112,14 +112,11 @@
   setup ();
   add ("c", "v2");
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12,
-                                          ROLLOUT_START_UNKNOWN));
+  CU_ASSERT (apply_status ("v2", FRONT_ROLLOUT_ROLLED_BACK, 12));
   order (20, NOW + 30000);
-  CU_ASSERT (!front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12,
-                                           ROLLOUT_START_UNKNOWN));
+  CU_ASSERT (!apply_status ("v2", FRONT_ROLLOUT_ROLLED_BACK, 12));
   CU_ASSERT (front_rollout_is_running (rollout));
-  CU_ASSERT (!front_rollouts_apply_status (rollout, "v3", FRONT_ROLLOUT_ROLLED_BACK, 22,
-                                           ROLLOUT_START_UNKNOWN));
+  CU_ASSERT (!apply_status ("v3", FRONT_ROLLOUT_ROLLED_BACK, 22));
   CU_ASSERT (front_rollout_is_running (rollout));
 }
 
@@ -129,9 +126,8 @@
   setup ();
   add ("c", "v2");
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 12,
-                                          ROLLOUT_START_UNKNOWN));
-  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 13, ROLLOUT_START_UNKNOWN);
+  CU_ASSERT (apply_status ("v2", FRONT_ROLLOUT_ROLLED_BACK, 12));
+  apply_status ("v2", FRONT_ROLLOUT_RUNNING, 13);
   CU_ASSERT_EQUAL (rollout->state, FRONT_ROLLOUT_ROLLED_BACK);
 }
 
@@ -143,7 +139,9 @@
   setup ();
   add ("c", "v2");
   order (10, NOW + 15000);
-  front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 11, NOW);
+  front_rollouts_apply_status (
+      rollout,
+      &(RolloutStatus){ .target = "v2", .state = FRONT_ROLLOUT_RUNNING, .started_ms = NOW }, 11);
   CU_ASSERT (front_rollout_share (rollout, NOW + 18500) >= 1);
 }
 
@@ -201,8 +199,7 @@
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
   /* A version that was rolled back is never used. */
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_ROLLED_BACK, 11,
-                                          ROLLOUT_START_UNKNOWN));
+  CU_ASSERT (apply_status ("v2", FRONT_ROLLOUT_ROLLED_BACK, 11));
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "");
 }
 
@@ -214,8 +211,7 @@
   setup ();
   add ("c", "v2");
   order (10, NOW);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, 11,
-                                          ROLLOUT_START_UNKNOWN));
+  CU_ASSERT (apply_status ("v2", FRONT_ROLLOUT_COMPLETED, 11));
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v2");
   front_servers_remove (servers, "c", NOW, 0);
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW), "v1");
--- a/tests/test_front_rollouts_verdict.c
+++ b/tests/test_front_rollouts_verdict.c
@@ -114,9 +114,7 @@
   add_answers (&rollout->evidence, 0, 0, 100, false);
   front_rollout_update_verdict (rollout, NOW + 1000);
   CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_RUNNING);
-  CU_ASSERT (
-      front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_RUNNING, 11, ROLLOUT_START_UNKNOWN)
-      == false);
+  CU_ASSERT (apply_status ("v2", FRONT_ROLLOUT_RUNNING, 11) == false);
   front_rollout_update_verdict (rollout, NOW + 17000);
   CU_ASSERT (!rollout->has_verdict);
   front_rollout_merge (rollout, &update);
@@ -129,8 +127,7 @@
   front_rollout_update_verdict (rollout, NOW + 19500);
   CU_ASSERT (rollout->has_verdict);
   CU_ASSERT_EQUAL (rollout->verdict, FRONT_ROLLOUT_COMPLETED);
-  CU_ASSERT (front_rollouts_apply_status (rollout, "v2", FRONT_ROLLOUT_COMPLETED, 12,
-                                          ROLLOUT_START_UNKNOWN));
+  CU_ASSERT (apply_status ("v2", FRONT_ROLLOUT_COMPLETED, 12));
   CU_ASSERT_STRING_EQUAL (chosen (1, NOW + 19600), "v2");
 }
 
--- a/tests/test_front_time.c
+++ b/tests/test_front_time.c
@@ -110,17 +110,16 @@
 static int64_t
 written_start (FrontNode *node)
 {
-  char value[500], target[ROLLOUT_TEXT_MAX];
-  FrontRolloutState state;
-  int64_t started_ms = 0;
+  char value[500];
+  RolloutStatus status;
 
   front_store_tick (&node->store, clock_boot_ms ());
   CU_ASSERT (suite_wait (has_body, node));
   CU_ASSERT_PTR_NOT_NULL (strstr (node->request, "drafts"));
   copy_written_value (node->request, value, sizeof value);
-  CU_ASSERT (wire_rollout_status_decode (span_of (value), target, &state, &started_ms));
-  CU_ASSERT_STRING_EQUAL (target, "v2");
-  return started_ms;
+  CU_ASSERT (wire_rollout_status_decode (span_of (value), &status));
+  CU_ASSERT_STRING_EQUAL (status.target, "v2");
+  return status.started_ms;
 }
 
 /* Guards against a front that has no time of the store, because it started while it could not reach
--- a/tests/test_front_wire.c
+++ b/tests/test_front_wire.c
@@ -202,10 +202,9 @@
 test_rollout (void)
 {
   static const char text[] = "{\"Service\":\"s1\",\"Target\":\"v2\",\"RampS\":12.5}";
+  RolloutStatus status
+      = { .target = "v2", .base = "v1", .state = FRONT_ROLLOUT_ROLLED_BACK, .started_ms = 77 };
   RolloutOrder order;
-  char target[ROLLOUT_TEXT_MAX];
-  FrontRolloutState state;
-  int64_t started_ms;
   Buffer out = { 0 };
 
   CU_ASSERT (wire_rollout_decode (span_of (text), 9, &order));
@@ -213,14 +212,15 @@
   CU_ASSERT (!wire_rollout_decode (span_of ("{\"Service\":\"s1\"}"), 9, &order));
   CU_ASSERT (!wire_rollout_decode (span_of ("nonsense"), 9, &order));
   CU_ASSERT (wire_rollout_decode (span_of (text), 9, &order));
-  wire_rollout_status_encode (&out, &order, FRONT_ROLLOUT_ROLLED_BACK, 77);
+  wire_rollout_status_encode (&out, order.service, &status);
   CU_ASSERT_PTR_NOT_NULL (strstr (out.data, "\"State\":\"rolled_back\""));
-  CU_ASSERT (wire_rollout_status_decode (span_of (out.data), target, &state, &started_ms));
-  CU_ASSERT_STRING_EQUAL (target, "v2");
-  CU_ASSERT_EQUAL (state, FRONT_ROLLOUT_ROLLED_BACK);
-  CU_ASSERT_EQUAL (started_ms, 77);
-  CU_ASSERT (
-      !wire_rollout_status_decode (span_of ("{\"State\":\"odd\"}"), target, &state, &started_ms));
+  status = (RolloutStatus){ 0 };
+  CU_ASSERT (wire_rollout_status_decode (span_of (out.data), &status));
+  CU_ASSERT_STRING_EQUAL (status.target, "v2");
+  CU_ASSERT_STRING_EQUAL (status.base, "v1");
+  CU_ASSERT_EQUAL (status.state, FRONT_ROLLOUT_ROLLED_BACK);
+  CU_ASSERT_EQUAL (status.started_ms, 77);
+  CU_ASSERT (!wire_rollout_status_decode (span_of ("{\"State\":\"odd\"}"), &status));
   buffer_free (&out);
 }
 
