Count only answers of the two versions of a roll-out as evidence

What callers would see: a bad version looks good. Answers of a version that was rolled back before, and still serves sessions for some seconds, counted as the old version's.

Cause: each version but the target counted as the old one.

answers_of_other_versions_are_no_evidence failed before and passes.

--- a/src/front_request_evidence.c
+++ b/src/front_request_evidence.c
@@ -8,18 +8,21 @@
  * from the prediction by tens of milliseconds, a multiple of what a short prompt takes. */
 #define UNNOTICED_SHARE 0.05
 
-static EvidenceSide
-evidence_side (const FrontRequest *request, const FrontRollout *rollout)
+/* False for a version that was replaced or rolled back before: its failures would make the new one
+ * look good. */
+static bool
+evidence_side (const FrontRequest *request, const FrontRollout *rollout, EvidenceSide *side)
 {
-  return strcmp (request->version, rollout->order.target) == 0 ? EVIDENCE_NEW : EVIDENCE_OLD;
+  *side = strcmp (request->version, rollout->order.target) == 0 ? EVIDENCE_NEW : EVIDENCE_OLD;
+  return *side == EVIDENCE_NEW || strcmp (request->version, rollout->base) == 0;
 }
 
 static void
-add_reading (const FrontRequest *request, FrontRollout *rollout, int64_t now_ms)
+add_reading (const FrontRequest *request, FrontRollout *rollout, EvidenceSide side, int64_t now_ms)
 {
   double all_else_ms = request->predicted_ms - request->prompt_ms;
   EvidenceReading reading = {
-    .side = evidence_side (request, rollout),
+    .side = side,
     .server = request->server->hash,
     .read_ms = (double)(now_ms - request->attempt_ms) - all_else_ms,
     .predicted_ms = request->prompt_ms,
@@ -33,7 +36,6 @@
 {
   FrontRollout *rollout = front_rollouts_get (request->front->rollouts, request->service);
   EvidenceAnswer answer = {
-    .side = evidence_side (request, rollout),
     .route = request->route->hash,
     .server = request->server->hash,
     .failed = failed,
@@ -43,6 +45,7 @@
   };
 
   if (request->counted || !front_rollout_is_running (rollout)
+      || !evidence_side (request, rollout, &answer.side)
       || (failed && request->failed_version == request->version_hash
           && request->failed_model == request->model))
     return;
@@ -54,7 +57,7 @@
     }
   front_evidence_add (&rollout->evidence, &answer);
   if (!failed && front_rollout_is_first_half (rollout, now_ms))
-    add_reading (request, rollout, now_ms);
+    add_reading (request, rollout, answer.side, now_ms);
 }
 
 void
@@ -82,11 +85,9 @@
   rollout = front_rollouts_get (request->front->rollouts, request->service);
   if (!front_rollout_is_running (rollout) || !front_rollout_is_first_half (rollout, now_ms))
     return;
-  pace = (EvidencePace){
-    .side = evidence_side (request, rollout),
-    .server = request->server->hash,
-    .gap_ms = gap_ms,
-  };
+  pace = (EvidencePace){ .server = request->server->hash, .gap_ms = gap_ms };
+  if (!evidence_side (request, rollout, &pace.side))
+    return;
   if (pace.side == EVIDENCE_OLD)
     front_pace_learn (&rollout->pace, gap_ms);
   pace.usual_ms = front_pace_usual_ms (&rollout->pace);
--- a/tests/test_front_rollouts_base.c
+++ b/tests/test_front_rollouts_base.c
@@ -1,4 +1,5 @@
 /** The version beside that of a roll-out: src/front_rollouts_base.c. */
+#include "front_request_private.h"
 #include "front_row.h"
 #include "rollouts_world.h"
 #include "suite.h"
@@ -131,6 +132,40 @@
   CU_ASSERT_STRING_EQUAL (status.target, "v3");
 }
 
+static void
+answer_of (Front *front, const char *version, bool failed)
+{
+  static const FrontRoute route = { .objective_ms = 500 };
+  FrontRequest request = { .front = front,
+                           .route = &route,
+                           .service = "drafts",
+                           .version_hash = 1,
+                           .server = front_servers_find (servers, "a") };
+
+  snprintf (request.version, sizeof request.version, "%s", version);
+  request_add_evidence (&request, failed, NOW);
+}
+
+/* Guards against failures of a version that was rolled back before, which make the new version look
+ * good, as they count for the old one. */
+static void
+test_answers_of_other_versions_are_no_evidence (void)
+{
+  Front front = { 0 };
+  FrontEvidence all;
+
+  setup ();
+  add_v2_and_v3 ();
+  front.rollouts = rollouts;
+  order_of ("v3", 20);
+  answer_of (&front, "v1", false);
+  answer_of (&front, "v2", true);
+  answer_of (&front, "v3", false);
+  all = front_rollout_all_evidence (rollout);
+  CU_ASSERT_EQUAL (front_evidence_answers (&all, EVIDENCE_OLD), 1);
+  CU_ASSERT_EQUAL (front_evidence_answers (&all, EVIDENCE_NEW), 1);
+}
+
 static const SuiteCase cases[] = {
   { "earlier_status_names_completed_version", test_earlier_status_names_completed_version },
   { "other_version_is_used_until_base_is_named", test_other_version_is_used_until_base_is_named },
@@ -138,6 +173,7 @@
   { "rolled_back_version_is_no_base", test_rolled_back_version_is_no_base },
   { "lost_status_changes_no_base", test_lost_status_changes_no_base },
   { "status_names_base_with_servers", test_status_names_base_with_servers },
+  { "answers_of_other_versions_are_no_evidence", test_answers_of_other_versions_are_no_evidence },
 };
 
 int
