End a roll-out once a status of the next order is known

Cause: a status of another target was dropped until its order had been read.

A status is written on condition of its order's row, so that one of another target in a newer row of the same era belongs to an order that has replaced the known one: that one ends at once.

--- a/regress/front/cases_rollout.py
+++ b/regress/front/cases_rollout.py
@@ -14,6 +14,7 @@
 ROLLOUT_S, SHORT_ROLLOUT_S = 12, 6
 CROSS_S = 0.2  # until the fronts know an order, and less than until another front writes a status in place of the first
 STATUS_LATE_S = 3  # that answers about statuses take
+REPLACED_AT_S, ORDER_LATE_S = 8, 4  # when an order is replaced; that answers about orders take then
 EXPOSURE_SHARE = 0.15  # of the requests during the roll-out that a bad version may get
 EXPOSURE_SLACK = 30  # requests beyond that share
 
@@ -206,6 +207,27 @@
     equal(reached <= allowed, True, f"{reached} of {len(runs)} requests reached the version on trial, {allowed:.0f} are allowed")
 
 
+async def status_is_read_before_its_order(site):
+    """The operator replaces an order in its second half. A failure domain's fronts read the next order late, and at once the
+    status of it that another front writes. Guards against fronts that go on with an order that is known to be replaced."""
+    orders = [LateTable(front, "op") for front in site.fronts if front.domain == "a"]
+    await start_engines(site, "v2", 4)
+    await start_engines(site, "v3", 4)
+    for engine in site.engines:
+        engine.delay = ANSWER_S
+    await put_order(site, "v2", ROLLOUT_S)
+    traffic = asyncio.ensure_future(traffic_for(site, REPLACED_AT_S + ORDER_LATE_S))
+    await asyncio.sleep(REPLACED_AT_S)
+    for table in orders:
+        table.late_s = ORDER_LATE_S
+    await put_order(site, "v3", ROLLOUT_S)
+    await site.wait(is_status(site, "v3", "running"), "v3 is being rolled out")
+    known = time.monotonic() + CROSS_S
+    await traffic
+    reached = sum(run.engine.version == "v2" for run in site.runs if run.engine.service == "orders" and run.at > known)
+    equal(reached, 0, "requests that reached the version whose order was replaced")
+
+
 async def front_starts_after_a_rollback(site):
     """v2 is rolled back, v3 is ordered, and a front starts while more servers of v2 than of v1 are listed. Guards against a
     front that takes the version that was rolled back for the one in use."""
@@ -231,7 +253,7 @@
 CASES = [
     slow_version_of_a_plain_service, good_version_with_a_slow_engine, requests_that_fail_anywhere,
     version_that_fails_under_load, verdict_crosses_the_next_order,
-    order_is_read_before_the_status_of_the_one_before, front_starts_after_a_rollback,
+    order_is_read_before_the_status_of_the_one_before, status_is_read_before_its_order, front_starts_after_a_rollback,
 ]
 
 if __name__ == "__main__":
--- a/src/front_rollouts.c
+++ b/src/front_rollouts.c
@@ -118,7 +118,7 @@
 bool
 front_rollout_is_running (const FrontRollout *rollout)
 {
-  return rollout->ordered && rollout->state == FRONT_ROLLOUT_RUNNING;
+  return rollout->ordered && !rollout->is_replaced && rollout->state == FRONT_ROLLOUT_RUNNING;
 }
 
 bool
@@ -137,6 +137,7 @@
   rollout->started_ms = now_ms;
   rollout->learned_ms = now_ms;
   rollout->status_version = 0;
+  rollout->is_replaced = false;
   rollout->servers = servers_of (servers, order->service, order->target);
   rollout->is_bad = false;
   rollout->finding = (EvidenceFinding){ 0 };
@@ -168,6 +169,7 @@
   if (order->row_version <= rollout->order.row_version)
     return true;
   rollout->order.row_version = order->row_version;
+  rollout->is_replaced = false;
   /* Fronts that start take a status from before the order for that of an earlier one. */
   rollout->status_version = 0;
   return true;
@@ -195,6 +197,18 @@
   memcpy (out->base, rollout->base, sizeof out->base);
 }
 
+/* The order is over, though the one that replaced it has not been read. */
+static bool
+end_replaced (FrontRollout *rollout, const RolloutStatus *status, int64_t row_version)
+{
+  bool changed = !rollout->is_replaced;
+
+  rollout->is_replaced = true;
+  rollout->has_verdict = false;
+  rollouts_learn_base (rollout, status, row_version);
+  return changed;
+}
+
 bool
 front_rollouts_apply_status (FrontRollout *rollout,
                              const RolloutStatus *status,
@@ -203,6 +217,8 @@
   FrontRolloutState state = status->state;
   bool changed;
 
+  if (rollouts_is_of_later_order (rollout, status, row_version))
+    return end_replaced (rollout, status, row_version);
   rollouts_learn_base (rollout, status, row_version);
   if (!rollout->ordered || row_version <= rollout->order.row_version
       || row_version <= rollout->status_version
@@ -291,7 +307,8 @@
   double load_share = stages_of (rollout)->load_share;
   double moved;
 
-  if (!rollout->ordered || rollout->is_bad || rollout->state == FRONT_ROLLOUT_ROLLED_BACK)
+  if (!rollout->ordered || rollout->is_replaced || rollout->is_bad
+      || rollout->state == FRONT_ROLLOUT_ROLLED_BACK)
     return 0;
   if (rollout->state == FRONT_ROLLOUT_COMPLETED)
     return 1;
--- a/src/front_rollouts.h
+++ b/src/front_rollouts.h
@@ -58,6 +58,7 @@
   int64_t learned_ms;     /**< when this front read the order */
   int64_t started_ms;     /**< on this front's clock; may be before this process started */
   int64_t status_version; /**< row version of the status; 0: none written for this order */
+  bool is_replaced;       /**< a status of a later order is known, which has not been read yet */
   RolloutStatus
       base_status; /**< newest one that named the base version, maybe of an earlier order */
   int64_t base_status_version; /**< its row version; 0: there is none */
@@ -109,8 +110,8 @@
 /** The order's row was removed. */
 void front_rollouts_order_removed (FrontRollouts *rollouts, const char *service);
 /** Applies a status that this front read or wrote, or received from another one. A status older
- *  than the order belongs to an earlier order, and names the base version only.
- *  The start is on this front's clock. True if the state changes. */
+ *  than the order belongs to an earlier order, and names the base version only; one of a later
+ *  order ends this one. The start is on this front's clock. True if the state changes. */
 bool front_rollouts_apply_status (FrontRollout *rollout,
                                   const RolloutStatus *status,
                                   int64_t row_version);
--- a/src/front_rollouts_base.c
+++ b/src/front_rollouts_base.c
@@ -41,7 +41,7 @@
   if (!server->listed || strcmp (server->entry.service, rollout->service) != 0
       || was_rolled_back (rollout, server->entry.version))
     return false;
-  return !rollout->ordered || rollout->state == FRONT_ROLLOUT_COMPLETED
+  return !rollout->ordered || rollout->is_replaced || rollout->state == FRONT_ROLLOUT_COMPLETED
          || strcmp (server->entry.version, rollout->order.target) != 0;
 }
 
@@ -101,7 +101,8 @@
 bool
 rollouts_update_base (FrontRollout *rollout, FrontServers *servers)
 {
-  bool is_completed = rollout->ordered && rollout->state == FRONT_ROLLOUT_COMPLETED;
+  bool is_completed
+      = rollout->ordered && !rollout->is_replaced && rollout->state == FRONT_ROLLOUT_COMPLETED;
 
   if (is_completed && rollouts_have_servers (servers, rollout->service, rollout->order.target))
     {
@@ -116,13 +117,29 @@
   return rollouts_have_servers (servers, rollout->service, rollout->base);
 }
 
-/* A status of an order that was not read yet does not count. One in which a completed version is
- * still on trial is old. */
+/* A status is written on condition that its order's row is unchanged, so that one which is newer
+ * than the known order and of another target belongs to an order that replaced it. Not so in
+ * another era: the store that came back from a copy may have an old status. Nor if the base version
+ * is missing: fronts that don't name it wrote on no such condition. */
+bool
+rollouts_is_of_later_order (const FrontRollout *rollout,
+                            const RolloutStatus *status,
+                            int64_t row_version)
+{
+  return rollout->ordered && row_version > rollout->order.row_version
+         && store_version_era (row_version) == store_version_era (rollout->order.row_version)
+         && strcmp (status->target, rollout->order.target) != 0 && status->base[0] != '\0';
+}
+
+/* A status of an order that was not read yet counts only if it shows that this order replaced the
+ * known one. One in which a completed version is still on trial is old. */
 static bool
 names_base (const FrontRollout *rollout, const RolloutStatus *status, int64_t row_version)
 {
   if (row_version < rollout->base_status_version)
     return false;
+  if (rollouts_is_of_later_order (rollout, status, row_version))
+    return true;
   if (rollout->ordered && row_version > rollout->order.row_version
       && strcmp (status->target, rollout->order.target) != 0)
     return false;
--- a/src/front_rollouts_private.h
+++ b/src/front_rollouts_private.h
@@ -13,6 +13,10 @@
 bool rollouts_update_base (FrontRollout *rollout, FrontServers *servers);
 /* Sets the base version to the one that a status names. */
 void rollouts_learn_base (FrontRollout *rollout, const RolloutStatus *status, int64_t row_version);
+/* True if the status is of an order that replaced the known one. */
+bool rollouts_is_of_later_order (const FrontRollout *rollout,
+                                 const RolloutStatus *status,
+                                 int64_t row_version);
 /* True if servers of this version take work. */
 bool rollouts_have_servers (FrontServers *servers, const char *service, const char *version);
 
--- a/src/front_rollouts_verdict.c
+++ b/src/front_rollouts_verdict.c
@@ -112,7 +112,8 @@
   FrontEvidence all;
   bool done;
 
-  if (rollout->ordered && rollout->state != FRONT_ROLLOUT_RUNNING && rollout->status_version == 0)
+  if (rollout->ordered && !rollout->is_replaced && rollout->state != FRONT_ROLLOUT_RUNNING
+      && rollout->status_version == 0)
     verdict_set (rollout, rollout->state, now_ms);
   if (!front_rollout_is_running (rollout))
     return;
