Let an answer wait for memory only if it does not fit

Cause: room for the longest answer that any may be (8 MiB) was kept free, whatever an answer takes, so that 2.4 MB unread made every other answer wait. Those that waited held 32 kB more each, until memory was full and they were closed, while the slow reader, which took bytes each second, stayed.

Now an answer waits if there is no room for what is still to come of it: the rest of its length, or as much again as has arrived. Each of those that wait is looked at, not the first alone. If memory is full while answers wait, the connection of which most is unread goes before any of them.

Why it holds: the sum of unread and arriving answers stays within their part as before; beyond it one answer at a time is read on (docs/CAPACITY.md).

slow_reader_leaves_others_their_answers failed before with 504 at its first calls; unread_answer_leaves_room_for_others states the rule. test_front_memory asks the same of the functions that replace front_memory_answers_are_full.

--- a/regress/front/cases_slow.py
+++ b/regress/front/cases_slow.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+import wire
 from cases import check, equal, main
 from site_front import CALLERS_PORT
 
@@ -24,6 +25,10 @@
 IDLE_WATCH_S, IDLE_CPU_SHARE = 2, 0.3  # of a core that a front without requests may use
 BODY_MAX_S = 30  # until a request that arrives a byte a second is given up
 
+UNREAD_BYTES, SLOW_BYTES_PER_S = 6_000_000, 150_000  # of an answer that is read slowly
+USUAL_BYTES, USUAL_CALLS = 20_000, 30
+SLOW_DEADLINE_MS = 60_000
+
 
 def resident_kb(front):
     with open(f"/proc/{front.process.pid}/status", encoding="utf-8") as lines:
@@ -124,6 +129,61 @@
     check(site, await site.call(front, "/again/b"))
 
 
+def set_answer(site, size_of):
+    """Plain answers have as many bytes as size_of says of the request's body."""
+    for engine in site.engines:
+        if engine.streams:
+            continue
+
+        async def plain(request, writer, engine=engine):
+            writer.write(wire.answer(200, b"y" * size_of[request.body], **engine.head(request)))
+            await writer.drain()
+
+        engine.plain = plain
+
+
+async def read_slowly(site, front, path, size, rate):
+    """Calls path and reads so many bytes a second of the answer's body; returns how many came."""
+    loop = asyncio.get_running_loop()
+    caller = await connect_deaf(front)
+    await loop.sock_sendall(caller, site.request(path, b"long", deadline=SLOW_DEADLINE_MS)[0])
+    head = b""
+    while b"\r\n\r\n" not in head:
+        head += await loop.sock_recv(caller, 4096)
+    began, got = time.monotonic(), len(head.split(b"\r\n\r\n", 1)[1])
+    while got < size:
+        allowed = int((time.monotonic() - began) * rate) - got
+        if allowed <= 0:
+            await asyncio.sleep(0.02)
+            continue
+        try:
+            part = await loop.sock_recv(caller, min(allowed, 65536))
+        except OSError:
+            break
+        if not part:
+            break
+        got += len(part)
+    caller.close()
+    return got
+
+
+async def slow_reader_leaves_others_their_answers(site):
+    """A caller reads a long answer slowly, while others get answers that are too long to be read whatever is held. Guards
+    against one unread answer for which no other answer is read to its end."""
+    front = site.fronts[0]
+    site.routes = [{**route, "TimeoutMs": SLOW_DEADLINE_MS if route["Name"] == "r-again" else route["TimeoutMs"]} for route in site.routes]
+    await site.configure()
+    await asyncio.sleep(1)
+    set_answer(site, {b"long": UNREAD_BYTES, b"usual": USUAL_BYTES})
+    slow = asyncio.ensure_future(read_slowly(site, front, "/again/long", UNREAD_BYTES, SLOW_BYTES_PER_S))
+    await asyncio.sleep(1)
+    for number in range(USUAL_CALLS):
+        answers = await asyncio.gather(*(site.call(front, f"/once/{number}-{n}", b"usual") for n in range(4)))
+        equal([(answer.status, answer.complete) for answer in answers], [(200, True)] * 4, "usual answers")
+    equal(slow.done(), False, "the slow caller has its answer")
+    slow.cancel()
+
+
 def cpu_seconds(front):
     with open(f"/proc/{front.process.pid}/stat", encoding="utf-8") as lines:
         fields = lines.read().rsplit(")", 1)[1].split()
@@ -179,7 +239,7 @@
 CASES = [
     unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second,
     answers_without_end, idle_callers_leave_descriptors,
-    descriptors_are_kept_for_servers,
+    descriptors_are_kept_for_servers, slow_reader_leaves_others_their_answers,
 ]
 
 if __name__ == "__main__":
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -7,6 +7,7 @@
 #include "util_memory.h"
 #include "util_unused.h"
 #include <event2/buffer.h>
+#include <limits.h>
 #include <stdlib.h>
 
 /* Milliseconds without an acknowledgement after which a connection counts as dead, which is the
@@ -17,6 +18,8 @@
 /* Answers up to this length are read whatever else is held. */
 #define SHORT_ANSWER_BYTES 4096
 #define READ_BYTES         4096 /* at a time: by so much an answer may exceed that */
+/* Bytes for which there is to be room before an answer of unknown length is read on. */
+#define MORE_BYTES_MIN 65536
 
 struct FrontAttempt
 {
@@ -58,20 +61,43 @@
     bufferevent_enable (attempt->bev, EV_READ);
 }
 
-/* While answers are full one of them at a time is read on, so that it comes to its end and makes
- * room for the next once its caller has taken it. */
+/* Bytes that the answer will take besides what has arrived. One that doesn't tell its length is
+ * assumed to double. */
+static size_t
+bytes_to_come (const FrontAttempt *attempt)
+{
+  const http_parser *parser = &attempt->reply.parser;
+  size_t len = attempt->reply.body.len, max = attempt->front->memory.answer_max;
+  size_t more = len > MORE_BYTES_MIN ? len : MORE_BYTES_MIN;
+
+  if (attempt->reply.status && !(parser->flags & F_CHUNKED) && parser->content_length != ULLONG_MAX)
+    more = parser->content_length < max ? (size_t)parser->content_length : max;
+  return len + more < max ? more : max - (len < max ? len : max);
+}
+
+/* Of the answers for which there is no room one at a time is read on, so that it comes to its end
+ * and makes room for the next once its caller has taken it. */
+static bool
+may_read_on (FrontAttempt *attempt)
+{
+  Front *front = attempt->front;
+  size_t bytes = bytes_to_come (attempt);
+
+  if (front->reading_attempt == attempt || front_memory_answers_leave (&front->memory, bytes))
+    return true;
+  if (front->reading_attempt || !front_memory_unread_leaves (&front->memory, bytes))
+    return false;
+  front->reading_attempt = attempt;
+  return true;
+}
+
 static void
 wait_for_memory (FrontAttempt *attempt)
 {
   Front *front = attempt->front;
-  const FrontMemory *memory = &front->memory;
 
-  if (attempt->is_waiting || attempt->held <= SHORT_ANSWER_BYTES || attempt->reply.complete)
-    return;
-  if (front_memory_answers_are_full (memory) && !front->reading_attempt
-      && !front_memory_unread_is_full (memory))
-    front->reading_attempt = attempt;
-  if (!front_memory_answers_are_full (memory) || front->reading_attempt == attempt)
+  if (attempt->is_waiting || attempt->held <= SHORT_ANSWER_BYTES || attempt->reply.complete
+      || may_read_on (attempt))
     return;
   attempt->is_waiting = true;
   cds_list_add_tail (&attempt->waiting_node, &front->waiting_attempts);
@@ -100,20 +126,15 @@
 void
 front_attempts_resume (Front *front)
 {
-  while (!cds_list_empty (&front->waiting_attempts))
-    {
-      FrontAttempt *first
-          = cds_list_entry (front->waiting_attempts.next, FrontAttempt, waiting_node);
-
-      if (front_memory_answers_are_full (&front->memory))
-        {
-          if (front->reading_attempt || front_memory_unread_is_full (&front->memory))
-            return;
-          front->reading_attempt = first;
-        }
-      stop_waiting (first);
-      set_reading (first);
-    }
+  FrontAttempt *attempt, *next;
+
+  cds_list_for_each_entry_safe (attempt, next, &front->waiting_attempts, waiting_node)
+  {
+    if (!may_read_on (attempt))
+      continue;
+    stop_waiting (attempt);
+    set_reading (attempt);
+  }
 }
 
 static void
--- a/src/front_conn_room.c
+++ b/src/front_conn_room.c
@@ -1,8 +1,9 @@
 /* Which connections make room for others. First those whose callers hold something back: a request
  * that arrives too slowly, an answer that isn't taken. Then, for memory, the requests that began to
  * arrive last: they have not run and are refused, so that the ones before them can be completed. At
- * last those whose long answers wait for memory, the last first. For a new connection idle ones,
- * the one idle for longest first. Other requests that are being answered stay. */
+ * last the answers of which most is unread while others wait for memory, then those that wait, the
+ * last first. For a new connection idle ones, the one idle for longest first. Other requests that
+ * are being answered stay. */
 #include "front_attempt.h"
 #include "front_conn_private.h"
 #include "front_counter.h"
@@ -201,6 +202,29 @@
   return true;
 }
 
+/* Closes the connection of which most is unread, as answers to others wait for that memory: one
+ * answer is lost in place of many. */
+static bool
+close_most_unread (Front *front)
+{
+  FrontConn *conn, *most = NULL;
+
+  if (!front_attempts_last_waiting (front))
+    return false;
+  cds_list_for_each_entry (conn, &front->conns, node)
+  {
+    if (conn->held[MEMORY_UNREAD] > MEMORY_SHORT_BODY_BYTES
+        && (!most || conn->held[MEMORY_UNREAD] > most->held[MEMORY_UNREAD]))
+      most = conn;
+  }
+  if (!most)
+    return false;
+  conn_log_room (most, "most_unread", clock_boot_ms () - most->taken_ms);
+  front_counter_add (FRONT_COUNTER_ROOM_MOST_UNREAD);
+  conn_free (most);
+  return true;
+}
+
 /* False: nothing more can be done now. */
 static bool
 relieve_once (Front *front, int64_t now_ms)
@@ -216,7 +240,8 @@
     return true;
   return is_over
          && (refuse_late (front, MEMORY_REQUESTS, now_ms)
-             || refuse_last (front, MEMORY_REQUESTS, now_ms) || close_waiting (front));
+             || refuse_last (front, MEMORY_REQUESTS, now_ms) || close_most_unread (front)
+             || close_waiting (front));
 }
 
 void
--- a/src/front_memory.c
+++ b/src/front_memory.c
@@ -57,20 +57,20 @@
   return memory->held[MEMORY_BODIES] > memory->use_max;
 }
 
-static bool
-is_left_for_answer (const FrontMemory *memory, size_t held)
+bool
+front_memory_unread_leaves (const FrontMemory *memory, size_t bytes)
 {
-  return held + memory->answer_max <= memory->use_max;
+  return memory->held[MEMORY_UNREAD] + bytes <= memory->use_max;
 }
 
 bool
-front_memory_unread_is_full (const FrontMemory *memory)
+front_memory_answers_leave (const FrontMemory *memory, size_t bytes)
 {
-  return !is_left_for_answer (memory, memory->held[MEMORY_UNREAD]);
+  return memory->held[MEMORY_UNREAD] + memory->held[MEMORY_ANSWERS] + bytes <= memory->use_max;
 }
 
 bool
-front_memory_answers_are_full (const FrontMemory *memory)
+front_memory_unread_is_full (const FrontMemory *memory)
 {
-  return !is_left_for_answer (memory, memory->held[MEMORY_UNREAD] + memory->held[MEMORY_ANSWERS]);
+  return !front_memory_unread_leaves (memory, memory->answer_max);
 }
--- a/src/front_memory.h
+++ b/src/front_memory.h
@@ -47,10 +47,12 @@
 bool front_memory_is_over (const FrontMemory *memory);
 /** True if long bodies take more than they may. */
 bool front_memory_bodies_are_full (const FrontMemory *memory);
-/** True if so much is unread by callers that the longest answer, if it were read now, would be more
- * than answers may take. */
+/** True if what is unread by callers leaves so many bytes to an answer. */
+bool front_memory_unread_leaves (const FrontMemory *memory, size_t bytes);
+/** The same with the answers that are arriving: of those for which there is no room only one is to
+ * be read on. */
+bool front_memory_answers_leave (const FrontMemory *memory, size_t bytes);
+/** True if what is unread leaves no room for the longest answer. */
 bool front_memory_unread_is_full (const FrontMemory *memory);
-/** The same with the answers that are arriving: only one of them is to be read on. */
-bool front_memory_answers_are_full (const FrontMemory *memory);
 
 #endif
--- a/tests/test_front_memory.c
+++ b/tests/test_front_memory.c
@@ -43,7 +43,7 @@
 
   front_memory_change (&memory, MEMORY_BODIES, 0, LEGAL_BODY_BYTES);
   CU_ASSERT_FALSE (front_memory_bodies_are_full (&memory));
-  CU_ASSERT_FALSE (front_memory_answers_are_full (&memory));
+  CU_ASSERT (front_memory_answers_leave (&memory, memory.answer_max));
   CU_ASSERT_EQUAL (memory.answer_max, MEMORY_ANSWER_MAX_BYTES);
   front_memory_change (&memory, MEMORY_ANSWERS, 0, MEMORY_ANSWER_MAX_BYTES);
   CU_ASSERT_FALSE (front_memory_is_over (&memory));
@@ -86,13 +86,27 @@
 
       CU_ASSERT_FALSE (front_memory_unread_is_full (&memory));
       front_memory_change (&memory, MEMORY_ANSWERS, 0, memory.use_max + 1);
-      CU_ASSERT (front_memory_answers_are_full (&memory));
+      CU_ASSERT_FALSE (front_memory_answers_leave (&memory, memory.answer_max));
       CU_ASSERT_FALSE (front_memory_unread_is_full (&memory));
       front_memory_change (&memory, MEMORY_UNREAD, 0, memory.use_max);
       CU_ASSERT (front_memory_unread_is_full (&memory));
     }
 }
 
+/* Guards against one long answer, read slowly, for which no other one is read. */
+static void
+test_unread_answer_leaves_room_for_others (void)
+{
+  FrontMemory memory = memory_of (MEMORY_DEFAULT_MB);
+
+  front_memory_change (&memory, MEMORY_UNREAD, 0, 6 * MB);
+  CU_ASSERT (front_memory_answers_leave (&memory, 4 * MB));
+  CU_ASSERT_FALSE (front_memory_answers_leave (&memory, 6 * MB));
+  front_memory_change (&memory, MEMORY_ANSWERS, 0, 5 * MB);
+  CU_ASSERT_FALSE (front_memory_answers_leave (&memory, 1));
+  CU_ASSERT (front_memory_unread_leaves (&memory, 4 * MB));
+}
+
 /* Guards against callers of slow networks that are taken for ones that hold a request back. */
 static void
 test_requests_in_time_are_not_late (void)
@@ -111,6 +125,7 @@
   { "short_requests_keep_room", test_short_requests_keep_room },
   { "buffers_in_the_kernel_fit", test_buffers_in_the_kernel_fit },
   { "one_answer_fits_whatever_waits", test_one_answer_fits_whatever_waits },
+  { "unread_answer_leaves_room_for_others", test_unread_answer_leaves_room_for_others },
   { "requests_in_time_are_not_late", test_requests_in_time_are_not_late },
 };
 
