Give up an answer only if its caller takes none of it

Cause: the 6 s after which a connection that is to be closed is freed counted from the moment at which its answer was written, not from the last byte that the caller took.

--- a/regress/front/cases_slow.py
+++ b/regress/front/cases_slow.py
@@ -28,6 +28,7 @@
 UNREAD_BYTES, SLOW_BYTES_PER_S = 6_000_000, 150_000  # of an answer that is read slowly
 USUAL_BYTES, USUAL_CALLS = 20_000, 30
 SLOW_DEADLINE_MS = 60_000
+SLOW_ANSWER_BYTES, SLOW_ANSWER_S = 2_700_000, 9
 
 
 def resident_kb(front):
@@ -142,11 +143,11 @@
         engine.plain = plain
 
 
-async def read_slowly(site, front, path, size, rate):
+async def read_slowly(site, front, path, size, rate, more=b""):
     """Calls path and reads so many bytes a second of the answer's body; returns how many came."""
     loop = asyncio.get_running_loop()
     caller = await connect_deaf(front)
-    await loop.sock_sendall(caller, site.request(path, b"long", deadline=SLOW_DEADLINE_MS)[0])
+    await loop.sock_sendall(caller, site.request(path, b"long", deadline=SLOW_DEADLINE_MS)[0].replace(b"\r\n", b"\r\n" + more, 1))
     head = b""
     while b"\r\n\r\n" not in head:
         head += await loop.sock_recv(caller, 4096)
@@ -184,6 +185,15 @@
     slow.cancel()
 
 
+async def answer_is_read_slowly_to_its_end(site):
+    """A caller whose connection is to be closed after the answer takes it slowly, without a pause. Guards against a bound on
+    the time since the answer was written in place of that since the caller last took any of it."""
+    front = site.fronts[0]
+    set_answer(site, {b"long": SLOW_ANSWER_BYTES})
+    got = await read_slowly(site, front, "/again/long", SLOW_ANSWER_BYTES, SLOW_ANSWER_BYTES / SLOW_ANSWER_S, b"Connection: close\r\n")
+    equal(got, SLOW_ANSWER_BYTES, "bytes of the answer")
+
+
 def cpu_seconds(front):
     with open(f"/proc/{front.process.pid}/stat", encoding="utf-8") as lines:
         fields = lines.read().rsplit(")", 1)[1].split()
@@ -240,6 +250,7 @@
     unread_answers_are_given_up, engine_that_stops_reading, body_a_byte_a_second,
     answers_without_end, idle_callers_leave_descriptors,
     descriptors_are_kept_for_servers, slow_reader_leaves_others_their_answers,
+    answer_is_read_slowly_to_its_end,
 ]
 
 if __name__ == "__main__":
--- a/src/front_conn_sweep.c
+++ b/src/front_conn_sweep.c
@@ -7,6 +7,15 @@
  * Until then idle connections stay open for one more request; its answer closes them. */
 #define STOP_IDLE_MS 2500
 
+/* A caller may take a long answer slowly: only one that takes none of it is given up. */
+static bool
+is_given_up (const FrontConn *conn, int64_t now_ms)
+{
+  int64_t moved_ms = conn->taken_ms > conn->since_ms ? conn->taken_ms : conn->since_ms;
+
+  return now_ms - moved_ms > CONN_TCP_TIMEOUT_MS;
+}
+
 static void
 sweep_one (FrontConn *conn, int64_t now_ms)
 {
@@ -21,8 +30,11 @@
     return;
   if (conn->closing)
     {
-      if (passed_ms > CONN_TCP_TIMEOUT_MS)
-        conn_free (conn);
+      if (is_given_up (conn, now_ms))
+        {
+          conn_log_lost (conn, "answer_not_read");
+          conn_free (conn);
+        }
     }
   else if (http_request_parser_started (&conn->request_parser))
     {
