Take an answer without a length for whole only once its request was taken

Cause: an orderly end of the connection counted as the end of the answer, whatever of the request was still to be written. Ruled out: a reset is never taken for an end.

Now such an answer is complete only if the whole request was written and acknowledged when the connection ends; else the attempt was cut. Answers with a length or in chunks don't change.

Why it holds: the kernel of a process that has died acknowledges nothing after it closed in order, so that an upload under way has bytes unwritten or unacknowledged then.

--- a/regress/front/cases_resume.py
+++ b/regress/front/cases_resume.py
@@ -38,8 +38,9 @@
         return events, False
 
 
-async def read_all(site, front, path, body, version):
-    data, answer = site.request(path, body)
+async def read_all(site, front, path, body, version, **more):
+    """Calls path and returns the Answer and the Stream. more: arguments of Site.request."""
+    data, answer = site.request(path, body, **more)
     reader, writer = await asyncio.open_connection(front.ip, CALLERS_PORT)
     writer.write(data.replace(b"HTTP/1.1", version, 1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1))
     received, is_reset = b"", False
--- a/src/front_attempt.c
+++ b/src/front_attempt.c
@@ -171,6 +171,14 @@
     attempt->callbacks->progress (attempt->user);
 }
 
+/* True if the other end has received the whole request. */
+static bool
+is_taken (const FrontAttempt *attempt)
+{
+  return evbuffer_get_length (bufferevent_get_output (attempt->bev)) == 0
+         && !front_socket_has_unacked (bufferevent_getfd (attempt->bev));
+}
+
 static void
 on_event (struct bufferevent *bev UNUSED, short what, void *user)
 {
@@ -185,8 +193,9 @@
       return;
     }
   attempt->has_ended = true;
-  /* Only an orderly close ends an answer that has no length; a reset truncates it. */
-  if (what & BEV_EVENT_EOF)
+  /* Only an orderly close ends an answer that has no length; a reset truncates it. So does a close
+   * before the request was taken: a process that dies then may close its connection either way. */
+  if ((what & BEV_EVENT_EOF) && is_taken (attempt))
     http_reply_end (&attempt->reply);
   if (attempt->reply.complete)
     attempt->callbacks->progress (attempt->user);
--- a/src/front_socket.c
+++ b/src/front_socket.c
@@ -3,8 +3,10 @@
 #include "util_unused.h"
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define MS_PER_S             1000
@@ -77,6 +79,14 @@
   setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
+bool
+front_socket_has_unacked (evutil_socket_t fd)
+{
+  int bytes = 0;
+
+  return ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 struct bufferevent *
 front_socket_connect (struct event_base *base, const struct sockaddr_in *address, int timeout_ms)
 {
--- a/src/front_socket.h
+++ b/src/front_socket.h
@@ -27,6 +27,8 @@
 /** Whether a close, also by the end of the process, resets the connection and drops what is unsent.
  */
 void front_socket_set_reset_on_close (evutil_socket_t fd, bool reset);
+/** True if bytes that were written are not acknowledged by the other end. */
+bool front_socket_has_unacked (evutil_socket_t fd);
 /** Starts to connect, with the options above; NULL if no socket can be opened. */
 struct bufferevent *
 front_socket_connect (struct event_base *base, const struct sockaddr_in *address, int timeout_ms);
