Refuse answers with a status that HTTP does not have

Cause: the parser takes any three digits.

A status below 100 or above 599 is no answer now: the attempt has failed, and as it may have run only requests that may run again are repeated.

status_is_none_of_http and status_is_one_of_http failed before and pass.

--- a/regress/front/cases_early.py
+++ b/regress/front/cases_early.py
@@ -1,4 +1,5 @@
-"""Engines that answer before they have taken the request: cases_early.py PROGRAM [CASE...]. See cases.py."""
+"""Engines that answer before they have taken the request, or with a status that HTTP doesn't have: cases_early.py PROGRAM
+[CASE...]. See cases.py."""
 
 import asyncio
 import contextlib
@@ -24,6 +25,7 @@
 SEGMENT_BYTES = 1000  # so that a whole request doesn't fit the kernel's buffers, which hold some segments of loopback's size
 LATE_S = 0.4  # of an answer for which a copy is sent
 COPY_SHARE = 0.9  # of the requests that may get a copy
+STATUSES = ("000", "099", "600", "999")
 
 
 class EarlyEngine:
@@ -196,9 +198,23 @@
     equal(len(log_events(site, "request_hedge")) > 0, True, "a copy was sent")
 
 
+async def status_is_none_of_http(site):
+    """Engines answer with a status below 100 or above 599. Guards against passing that on as an answer."""
+    for status in STATUSES:
+        for engine in site.engines:
+            async def work(request, writer, engine=engine):
+                writer.write(answer(200, b"no answer", **engine.head(request)).replace(b" 200 ", b" %s " % status.encode(), 1))
+                await writer.drain()
+
+            engine.work = work
+        for path in ("/once/", "/again/", "/text/"):
+            found = await site.call(site.fronts[0], path + status, b"body")
+            equal(found.status in (502, 503, 504), True, f"{status}: {found!r}")
+
+
 CASES = [
     answer_ends_before_the_request_is_taken, stream_ends_before_the_request_is_taken,
-    answer_handed_on_ends_before_the_request_is_taken, copy_ends_before_the_request_is_taken,
+    answer_handed_on_ends_before_the_request_is_taken, copy_ends_before_the_request_is_taken, status_is_none_of_http,
 ]  # fmt: skip
 
 if __name__ == "__main__":
--- a/src/http_reply.c
+++ b/src/http_reply.c
@@ -1,7 +1,10 @@
 #include "http_reply.h"
 #include <string.h>
 
-#define STATUS_FINAL_MIN 200 /* lower status codes are interim answers */
+/* Status codes. Those of interim answers are below STATUS_FINAL_MIN; others are no answer. */
+#define STATUS_MIN       100
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX       599
 
 static int
 on_body (http_parser *parser, const char *data, size_t len)
@@ -90,7 +93,14 @@
       return;
     }
   feed_parser (reply, reply->raw.data, head_len);
-  if (!reply->broken && reply->parser.status_code < STATUS_FINAL_MIN)
+  if (reply->parser.status_code < STATUS_MIN || reply->parser.status_code > STATUS_MAX)
+    {
+      reply->broken = true;
+      reply->complete = false;
+    }
+  if (reply->broken)
+    return;
+  if (reply->parser.status_code < STATUS_FINAL_MIN)
     skip_interim (reply);
   else
     reply->status = reply->parser.status_code;
--- a/tests/test_front_wire_reply.c
+++ b/tests/test_front_wire_reply.c
@@ -177,7 +177,34 @@
   http_reply_clear (&reply);
 }
 
+/* Guards against an answer with a status that HTTP doesn't have, which callers can't read. */
+static void
+test_status_is_one_of_http (void)
+{
+  static const struct
+  {
+    const char *status;
+    bool is_answer;
+  } examples[] = { { "000", false }, { "099", false }, { "200", true },
+                   { "599", true },  { "600", false }, { "999", false } };
+
+  for (size_t i = 0; i < SUITE_COUNT (examples); i++)
+    {
+      HttpReply reply;
+      Buffer text = { 0 };
+
+      buffer_printf (&text, "HTTP/1.1 %s x\r\nContent-Length: 0\r\n\r\n", examples[i].status);
+      http_reply_init (&reply);
+      http_reply_feed (&reply, text.data, text.len);
+      CU_ASSERT_EQUAL (reply.complete, examples[i].is_answer);
+      CU_ASSERT_EQUAL (reply.broken, !examples[i].is_answer);
+      http_reply_clear (&reply);
+      buffer_free (&text);
+    }
+}
+
 static const SuiteCase cases[] = {
+  { "status_is_one_of_http", test_status_is_one_of_http },
   { "reply_and_refusal_heads_are_translated", test_reply_and_refusal_heads_are_translated },
   { "server_limit_is_decoded", test_server_limit_is_decoded },
   { "leaving_is_decoded", test_leaving_is_decoded },
