Gate: refuse answers with a status that HTTP does not have

The gate passed the statuses 600 and 999 on, as a front did: its HTTP library takes any three digits. Its client returns an error now, as for other bytes that are no answer.

status_is_one_of_http (test_http_client) failed before and passes.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -10,7 +10,10 @@
 #include <string.h>
 #include <strings.h>
 
-#define READ_BLOCK_SIZE 16384 /* bytes */
+/* Final status codes that HTTP has. */
+#define HTTP_STATUS_FINAL_MIN 200
+#define HTTP_STATUS_MAX       599
+#define READ_BLOCK_SIZE       16384 /* bytes */
 /* By how much the stall time-out of an upload exceeds neon's own time-outs. */
 #define UPLOAD_MARGIN_MS 1000
 
@@ -207,6 +210,14 @@
   return (connect_s > read_s ? connect_s : read_s) * 1000 + UPLOAD_MARGIN_MS;
 }
 
+static bool
+has_status_of_http (const HttpExchange *x)
+{
+  int status = ne_get_status (x->request)->code;
+
+  return status >= HTTP_STATUS_FINAL_MIN && status <= HTTP_STATUS_MAX;
+}
+
 StatusCode
 http_exchange_begin (const HttpRequest *request, HttpExchange **out, Status *st)
 {
@@ -241,6 +252,13 @@
       http_exchange_free (x);
       return code;
     }
+  if (!has_status_of_http (x))
+    {
+      status_set (st, STATUS_UNKNOWN, "http.begin", x->peer, "the answer has the status %d",
+                  ne_get_status (x->request)->code);
+      http_exchange_free (x);
+      return STATUS_UNKNOWN;
+    }
   *out = x;
   return status_ok (st);
 }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -79,6 +79,24 @@
     }
 }
 
+static void
+test_status_is_one_of_http (void)
+{
+  /* Guards against an answer with a status that HTTP doesn't have, which callers can't read. */
+  const char *const statuses[] = { "000", "099", "600", "999" };
+  for (size_t i = 0; i < SUITE_COUNT (statuses); i++)
+    {
+      char text[100];
+      Status st;
+      Buffer body = { 0 };
+      int http_status = 0;
+      snprintf (text, sizeof text, "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", statuses[i]);
+      CU_ASSERT_EQUAL (call_once (&(FakeAnswer){ .text = text }, &http_status, &body, &st),
+                       STATUS_UNKNOWN);
+      buffer_free (&body);
+    }
+}
+
 static void
 test_truncated_answers_are_not_complete (void)
 {
@@ -292,6 +310,7 @@
   const SuiteCase cases[]
       = { { "complete_answers_are_read", test_complete_answers_are_read },
           { "statuses_are_returned", test_statuses_are_returned },
+          { "status_is_one_of_http", test_status_is_one_of_http },
           { "truncated_answers_are_not_complete", test_truncated_answers_are_not_complete },
           { "cut_head_is_no_answer", test_cut_head_is_no_answer },
           { "answer_without_framing_is_an_error", test_answer_without_framing_is_an_error },
