Bound the interim answers that are read before an answer

Cause: an interim answer is dropped once its head is complete, and only an incomplete head was bounded.

The 64 KB of a head count for the interim answers before it as well.

--- a/regress/front/cases_slow.py
+++ b/regress/front/cases_slow.py
@@ -12,6 +12,7 @@
 
 import wire
 from cases import check, equal, main
+from engines import ENDLESS_MODES
 from site_front import CALLERS_PORT
 
 MEMORY_MAX_KB = 88_000  # of the smallest VM
@@ -111,12 +112,12 @@
 
 
 async def answers_without_end(site):
-    """Engines send bytes that are no answer until the connection is closed, in a head or a body. Guards against a front
-    that takes them for as long as a route's time-out allows: its VM would run out of memory."""
+    """Engines send bytes that are no answer until the connection is closed, in each part of an answer. Guards against a
+    front that takes them for as long as a route's time-out allows: its VM would run out of memory or time."""
     front = site.fronts[0]
-    for mode in ("endless_head", "endless_body"):
+    for mode in ENDLESS_MODES:
         for engine in site.engines:
-            engine.mode = mode
+            engine.mode, engine.endless_sent = mode, 0
         for path in ("/again/a", "/text/a"):
             answer = await site.call(front, path)
             longest = max(engine.endless_sent for engine in site.engines)
--- a/regress/front/engines.py
+++ b/regress/front/engines.py
@@ -18,6 +18,7 @@
 LONG_BYTES = 3_000_000  # of the answer in mode long
 ENDLESS_BYTES = 300_000_000  # after which an engine gives up an answer without end
 FALLEN_S = 2  # until an engine that fell over has started again
+ENDLESS_MODES = ("endless_head", "endless_interim", "endless_body", "endless_chunks", "endless_extension", "endless_trailer")
 IDLE_S = 1  # for which it keeps an idle connection, as it promises
 FRAMED_MODES = ("ok", "full", "error", "foreign", "unsigned", "long")  # in which a connection can carry another request
 FORGETS_SHARE = 0.05  # of requests on a connection that was idle: it is closed as they arrive
@@ -69,7 +70,7 @@
     set), error (runs it and answers 500), unsigned (no signature), foreign (answers with another request's id),
     unframed (neither a Content-Length nor chunks; the connection ends with the answer), torn (the same, and a stream
     ends within an event), lost (runs it and resets the connection), long (a plain answer of LONG_BYTES),
-    deaf (stops reading after the first byte), head (stops within the head of its answer, see set_head_cut), endless_head, endless_body (sends bytes that are no answer until the
+    deaf (stops reading after the first byte), head (stops within the head of its answer, see set_head_cut), ENDLESS_MODES (sends bytes that are no answer until the
     connection is closed). A request whose body is one of crash_bodies crashes the engine, which
     listens again after a second.
     """
@@ -81,7 +82,7 @@
         self.mode, self.state, self.delay = "ok", "ready", 0.0
         self.confidence = 90  # stated in the answers of the smallest model
         self.crash_bodies, self.crash_delay = set(), 0.0  # seconds from the arrival to the crash
-        self.endless_sent = 0  # bytes of the longest answer in the modes endless_head and endless_body
+        self.endless_sent = 0  # bytes of the longest answer in one of ENDLESS_MODES
         self.crash_parts = set()  # it crashes as it begins to answer a prompt with one of these parts, after its delay
         self.head_cut, self.head_resets, self.interim, self.no_body = 0, False, b"", False  # in mode head
         self.cuts_resumed_head = False  # of its answers to streams that are to go on; the others are as mode says
@@ -298,7 +299,7 @@
             abort(writer)
         elif self.mode == "head" or (self.cuts_resumed_head and "last-event-id" in request.fields):
             await self.send_cut_head(request, writer)
-        elif self.mode in ("endless_head", "endless_body"):
+        elif self.mode in ENDLESS_MODES:
             await self.send_without_end(request, writer)
         elif self.resume_status and "last-event-id" in request.fields:
             self.refuse_resume(request, writer)
@@ -322,14 +323,26 @@
         if self.head_resets:
             abort(writer)
 
+    def endless_parts(self, request):
+        """What an answer without end begins with, and what is sent again and again."""
+        fields = {"Content_Type": "text/event-stream" if self.streams else "text/plain", **self.head(request)}
+        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
+        chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+        return {
+            "endless_head": ("HTTP/1.1 200 OK\r\nX-Long: ", "x"),
+            "endless_interim": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+            "endless_body": (head + "\r\n", "x"),
+            "endless_chunks": (chunked, f"{1024:x}\r\n{'x' * 1024}\r\n"),
+            "endless_extension": (chunked + "8;", "x"),
+            "endless_trailer": (chunked + "0\r\n", "X-Long: 1\r\n"),
+        }[self.mode]
+
     async def send_without_end(self, request, writer):
-        writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
-        if self.mode == "endless_body":
-            lines = [f"{name.replace('_', '-')}: {value}\r\n" for name, value in self.head(request).items()]
-            kind = "text/event-stream" if self.streams else "text/plain"
-            writer.write(f"1\r\nContent-Type: {kind}\r\n{''.join(lines)}\r\n".encode())
+        start, part = self.endless_parts(request)
+        writer.write(start.encode())
+        piece = part.encode() * (LONG_BYTES // len(part))
         for number in range(ENDLESS_BYTES // LONG_BYTES):
-            writer.write(b"x" * LONG_BYTES)
+            writer.write(piece)
             await writer.drain()
             if writer.is_closing():
                 return
--- a/src/http_reply.c
+++ b/src/http_reply.c
@@ -75,8 +75,9 @@
 
 /* Discards an interim answer (1xx); the final one follows. */
 static void
-skip_interim (HttpReply *reply)
+skip_interim (HttpReply *reply, size_t head_len)
 {
+  reply->interim_bytes += head_len;
   http_head_clear (&reply->head);
   http_parser_init (&reply->parser, HTTP_RESPONSE);
   reply->complete = false;
@@ -101,7 +102,7 @@
   if (reply->broken)
     return;
   if (reply->parser.status_code < STATUS_FINAL_MIN)
-    skip_interim (reply);
+    skip_interim (reply, head_len);
   else
     reply->status = reply->parser.status_code;
 }
@@ -130,7 +131,7 @@
       process_head (reply, head_len);
       buffer_consume (&reply->raw, head_len);
     }
-  if (reply->raw.len > HTTP_REPLY_HEAD_MAX
+  if (reply->interim_bytes + reply->raw.len > HTTP_REPLY_HEAD_MAX
       || (!reply->status && http_head_is_malformed (reply->raw.data, reply->raw.len)))
     reply->broken = true;
   if (!reply->status || reply->raw.len == 0)
--- a/src/http_reply.h
+++ b/src/http_reply.h
@@ -10,12 +10,14 @@
 #include "util_buffer.h"
 #include <http_parser.h>
 
-#define HTTP_REPLY_HEAD_MAX 65536 /**< bytes; limits memory, far above what servers send */
+/** Bytes of an answer's head and of the interim answers before it; far above what servers send. */
+#define HTTP_REPLY_HEAD_MAX 65536
 
 typedef struct
 {
   http_parser parser;
-  Buffer raw; /**< bytes of an incomplete head */
+  Buffer raw;           /**< bytes of an incomplete head */
+  size_t interim_bytes; /**< of the interim answers so far */
   HttpHead head;
   Buffer body; /**< received but not yet consumed by the caller (buffer_consume) */
   int status;  /**< HTTP status; 0 until the head is complete */
--- a/tests/test_front_http.c
+++ b/tests/test_front_http.c
@@ -281,6 +281,25 @@
   http_reply_clear (&reply);
 }
 
+/* Guards against an answer that never begins and is read for as long as its server sends. */
+static void
+test_interim_replies_without_end_are_broken (void)
+{
+  static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  size_t len = sizeof interim - 1, fed = 0;
+  HttpReply reply;
+
+  http_reply_init (&reply);
+  while (!reply.broken && fed < 2UL * HTTP_REPLY_HEAD_MAX)
+    {
+      http_reply_feed (&reply, interim, len);
+      fed += len;
+    }
+  CU_ASSERT (reply.broken);
+  CU_ASSERT (fed <= HTTP_REPLY_HEAD_MAX + len);
+  http_reply_clear (&reply);
+}
+
 static void
 test_hop_by_hop_fields_are_recognized (void)
 {
@@ -338,6 +357,7 @@
   { "malformed_replies_are_broken", test_malformed_replies_are_broken },
   { "interim_reply_is_skipped_and_surplus_reported",
     test_interim_reply_is_skipped_and_surplus_reported },
+  { "interim_replies_without_end_are_broken", test_interim_replies_without_end_are_broken },
   { "hop_by_hop_fields_are_recognized", test_hop_by_hop_fields_are_recognized },
 };
 
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -10,6 +10,8 @@
 #define LENGTH_OK "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Test: yes\r\n\r\nhello"
 #define CHUNKED_OK                                                                                 \
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3\r\nyou\r\n0\r\n\r\n"
+/* Interim answers that no server sends before its answer. */
+#define INTERIM_MAX  1000
 #define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static HttpRequest
@@ -252,6 +254,23 @@
   fake_server_free (server);
 }
 
+/* Guards against interim answers that are read for as long as a server sends them. */
+static void
+test_interim_answers_without_end_are_an_error (void)
+{
+  Status st;
+  Buffer text = { 0 }, body = { 0 };
+  int http_status = 0;
+  FakeAnswer answer = { 0 };
+  for (int i = 0; i < 4 * INTERIM_MAX; i++)
+    buffer_add_string (&text, "HTTP/1.1 100 Continue\r\n\r\n");
+  buffer_add_string (&text, LENGTH_OK);
+  answer.text = text.data;
+  CU_ASSERT_EQUAL (call_once (&answer, &http_status, &body, &st), STATUS_UNKNOWN);
+  buffer_free (&text);
+  buffer_free (&body);
+}
+
 static void
 test_total_timeout_ends_slow_answers (void)
 {
@@ -319,6 +338,8 @@
           { "refused_connection_is_unavailable", test_refused_connection_is_unavailable },
           { "invalid_headers_and_paths_are_not_sent", test_invalid_headers_and_paths_are_not_sent },
           { "too_long", test_too_long },
+          { "interim_answers_without_end_are_an_error",
+            test_interim_answers_without_end_are_an_error },
           { "total_timeout_ends_slow_answers", test_total_timeout_ends_slow_answers },
           { "stream_is_read_and_cancelled", test_stream_is_read_and_cancelled } };
   return suite_main (argc, argv, "http_client", cases, SUITE_COUNT (cases));
