Count a server's rest from the end of its millisecond

What an engine saw (engine_asks_for_rest, once of two plays beside other tests): three requests within the last millisecond of the 2.5 s of rest that it had asked for.

Cause: the clock is rounded down to a millisecond, and the answer came late in it.

rest_lasts_as_long_as_asked failed before and passes.

--- a/src/front_request_notice.c
+++ b/src/front_request_notice.c
@@ -126,8 +126,9 @@
 
   if (rest_ms == 0)
     return;
+  /* The clock is rounded down, and the rest begins within its millisecond. */
   if (rest_ms != REPLY_REST_UNREADABLE)
-    front_server_rest (server, rest_ms, clock_boot_ms ());
+    front_server_rest (server, rest_ms, clock_boot_ms () + 1);
   line = log_begin (FRONT_EVENT_SERVER_REST, request, server);
   front_log_number (line, "rest_ms", rest_ms);
   front_log_end (line);
--- a/tests/test_front_request_hold.c
+++ b/tests/test_front_request_hold.c
@@ -22,6 +22,10 @@
 static const char full[] = "HTTP/1.1 503 Full\r\nLovagehub-Server-Signature: x.y\r\n"
                            "Lovagehub-Not-Executed: true\r\nContent-Length: 0\r\n\r\n";
 
+static const char full_with_rest[] = "HTTP/1.1 503 Full\r\nLovagehub-Server-Signature: x.y\r\n"
+                                     "Lovagehub-Not-Executed: true\r\nRetry-After: 1.5\r\n"
+                                     "Content-Length: 0\r\n\r\n";
+
 /* A front with a service of four engines, two routes to it, and some callers. */
 typedef struct
 {
@@ -324,6 +328,28 @@
   site_free (site);
 }
 
+/* Guards against requests to a server within the last millisecond of the rest that it asked for. */
+static void
+test_rest_lasts_as_long_as_asked (void)
+{
+  Site *site = site_new ();
+  unsigned caller = call (site, "draft");
+  const FrontServer *tired = fake_sends[0].server;
+  int64_t end_ms = fake_now_ms + 1500;
+
+  fake_connect (0);
+  fake_answer (0, full_with_rest);
+  CU_ASSERT_EQUAL (front_server_state (tired, end_ms), FRONT_SERVER_RESTING);
+  CU_ASSERT_EQUAL (front_server_state (tired, end_ms + 1), FRONT_SERVER_READY);
+  fake_pass (100);
+  CU_ASSERT_EQUAL_FATAL (fake_send_count, 2);
+  CU_ASSERT (fake_sends[1].server != tired);
+  fake_connect (1);
+  fake_answer (1, good);
+  CU_ASSERT (has_answered (site, caller, "HTTP/1.1 200"));
+  site_free (site);
+}
+
 /* A deployment that doesn't ask for work to be ordered under load: as before. */
 static void
 test_off_without_contention (void)
@@ -347,6 +373,7 @@
   { "freed_room_is_used", test_freed_room_is_used },
   { "stop_refuses_held_requests", test_stop_refuses_held_requests },
   { "caller_leaves", test_caller_leaves },
+  { "rest_lasts_as_long_as_asked", test_rest_lasts_as_long_as_asked },
   { "off_without_contention", test_off_without_contention },
 };
 
