--- a/regress/front/cases_copy.py
+++ b/regress/front/cases_copy.py
@@ -10,6 +10,17 @@
 import time
 
 from cases import BUSY_TIMEOUT_S, check, equal, main, traffic
+from cases_rollout import (
+    ANSWER_S,
+    EXPOSURE_SHARE,
+    EXPOSURE_SLACK,
+    ROLLOUT_S,
+    SHORT_ROLLOUT_S,
+    is_status,
+    put_order,
+    start_engines,
+    traffic_for,
+)
 from check import LEAVING_S, evacuation_violations
 from site_front import Front
 
@@ -18,6 +29,7 @@
 SETTLED_S = 3.2  # from the store's return until changes have to be in force in the usual time
 APPLY_S = 2.0  # until a configuration is in force
 READERS_MAX = 7  # of a table at the store: two in each of two failure domains, and three that poll it at short intervals
+ORDER_KNOWN_S, ORDER_AGAIN_S = 0.5, 0.5  # until the store goes away after an order; until it is given again
 CALLS_MAX_PER_S = 20  # of one front at the store, while nothing changes there
 
 
@@ -226,9 +238,42 @@
     equal(evacuation_violations(site, "b", since, lambda front: True), [], "work for the evacuated domain")
 
 
+async def next_order_crosses_the_return(site):
+    """The store loses that v2 was completed and that v3, which is bad, is ordered. The operator orders v3 again. Guards
+    against fronts that act on the order or the status that the copy has: v3 would get all requests, or v2 be on trial again."""
+    for version in ("v2", "v3"):
+        await start_engines(site, version, 4)
+    for engine in site.engines:
+        engine.delay = ANSWER_S
+        engine.fails_from = 0 if engine.version == "v3" else None
+    await wait_settled(site)
+    await put_order(site, "v2", SHORT_ROLLOUT_S)
+    traffic_ends = asyncio.ensure_future(traffic_for(site, SHORT_ROLLOUT_S + AWAY_S + ROLLOUT_S))
+    await asyncio.sleep(SHORT_ROLLOUT_S / 2)
+    copy = site.store.copy()
+    await site.wait(is_status(site, "v2", "completed"), "v2 is completed")
+    for engine in site.engines:
+        if engine.version == "v1" and engine.service == "orders":
+            await engine.leave()
+            await engine.crash()
+    await put_order(site, "v3", ROLLOUT_S)
+    ordered = time.monotonic()
+    await asyncio.sleep(ORDER_KNOWN_S)
+    await go_away(site)
+    await answer_again(site, copy)
+    await asyncio.sleep(ORDER_AGAIN_S)
+    await put_order(site, "v3", ROLLOUT_S)
+    await site.wait(is_status(site, "v3", "rolled_back"), "v3 is rolled back", ROLLOUT_S)
+    check(site, *await traffic_ends)
+    runs = [run for run in site.runs if run.engine.service == "orders" and run.at >= ordered]
+    reached = sum(run.engine.version == "v3" for run in runs)
+    allowed = EXPOSURE_SHARE * len(runs) + EXPOSURE_SLACK
+    equal(reached <= allowed, True, f"{reached} of {len(runs)} requests reached the bad version, {allowed:.0f} are allowed")
+
+
 CASES = [
     store_returns_from_copy, fronts_that_follow_others, front_without_store, front_that_starts_meanwhile, rollout_goes_on,
-    evacuation_goes_on,
+    evacuation_goes_on, next_order_crosses_the_return,
 ]  # fmt: skip
 
 if __name__ == "__main__":
