Test: odd entries of engines, read while running and at a start

Other operators told of entries that are nested very deeply, with a number too large or a port out of range, by which processes ended or stopped following the list. Here each is logged as unreadable and the others are followed, also by a front that starts and has the list from another one: nothing to fix.

--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -16,6 +16,7 @@
 from engines import complete_stream, digest
 from site_front import CALLERS_PORT, CONTROL_PORT, KEY, MODELS, Site, exchange
 
+NESTED = 10000  # objects within each other
 BUSY_TIMEOUT_S = 10  # limit for what takes a moment on an idle machine
 
 
@@ -655,6 +656,8 @@
     rows = [
         "\x00\xff", "[]", json.dumps({**good, "State": "resting"}), json.dumps({**good, "Slots": -1}),
         json.dumps({**good, "born": "yesterday"}), json.dumps({k: v for k, v in good.items() if k != "Zone"}),
+        '{"a":' * NESTED + "1" + "}" * NESTED, json.dumps({**good, "Slots": 10**30}),
+        json.dumps({**good, "Address": "127.0.0.1:70000"}),
         json.dumps({**good, "Service": "no such service", "Address": "127.0.0.1:9"}),
     ]  # fmt: skip
     for number, row in enumerate(rows):
@@ -663,7 +666,13 @@
     for answer in await traffic(site, time.monotonic() + 1, "/again/"):
         equal((answer.status, len(site.runs_of(answer))), (200, 1), "a look-up")
     events = {event["server"]: event["state"] for event in log_events(site, "server_state")}
-    equal([events.get(f"odd-{number}") for number in range(len(rows))], ["unreadable"] * 6 + ["ready"], "log")
+    equal([events.get(f"odd-{number}") for number in range(len(rows))], ["unreadable"] * 9 + ["ready"], "log")
+    front = site.fronts[1]
+    front.store_endpoint.set("busy")
+    await front.kill()
+    await front.start()
+    await site.wait(front.is_ready, "ready with these rows of another front")
+    equal((await site.call(front, "/again/last", b"x")).status, 200, "a look-up at the front that started")
 
 
 async def expect_no_work_in_domain(site, domain, fronts=None):
