--- a/regress/front/cases.py
+++ b/regress/front/cases.py
@@ -178,46 +178,6 @@
         raise AssertionError("the answer did not come at the route's time-out")
 
 
-async def graceful_stop(site):
-    """A front gets SIGTERM while it streams. It reports itself as not ready to the balancer, closes idle connections,
-    completes the stream, and exits with status 0 well before it would be killed."""
-    front = site.fronts[0]
-    for engine in site.engines:
-        engine.delay = 1.0
-    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
-    await asyncio.sleep(0.3)
-    began = time.monotonic()
-    front.signal(signal.SIGTERM)
-    await asyncio.sleep(0.3)
-    equal(await front.is_ready(), False, "ready while stopping")
-    answer = await stream
-    equal((answer.status, answer.complete), (200, True), "the stream")
-    equal(await front.stop(), 0, "exit status")
-    if time.monotonic() - began > 8:
-        raise AssertionError("the stop took too long")
-
-
-async def stopping_serves_what_ends_in_time(site):
-    """All fronts of a failure domain stop at once, so callers still connect to one that is stopping. Three seconds
-    after the signal it still streams an answer. It serves an order, which ends before the process has to exit, and
-    refuses a new stream at once."""
-    front = site.fronts[0]
-    for engine in site.engines:
-        engine.delay = 4.0 if engine.streams else 0.0
-    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
-    await asyncio.sleep(0.3)
-    front.signal(signal.SIGTERM)
-    await asyncio.sleep(3.0)
-    order = await site.call(front, "/once/a", b"order")
-    refused = await site.call(front, "/text/b", b"late")
-    answer = await stream
-    equal((answer.status, answer.complete), (200, True), "the stream")
-    equal(order.status, 200, "the order")
-    equal((refused.status, len(site.runs_of(refused))), (503, 0), "the late stream")
-    check(site, answer, order, refused)
-    equal(await front.stop(), 0, "exit status")
-
-
 async def new_configuration(site):
     """A new configuration version replaces a key and a route. Each front applies it within two seconds, and a
     later version that cannot be read does not change it."""
@@ -945,17 +905,20 @@
 CASES = [
     no_faults, invalid_requests_are_refused, cascade, stream_is_resumed, stream_without_length, order_is_not_resent,
     refused_when_engines_are_full, crashed_engines_use_no_attempts, request_of_closed_connection_is_cancelled,
-    gateway_timeout, graceful_stop, stopping_serves_what_ends_in_time, new_configuration,
+    gateway_timeout, new_configuration,
     changes_from_peers_without_store, only_changed_rows_from_own_domain, long_table_from_peer_at_start,
     key_replaced_after_store_hung, start_without_store, all_fronts_restart, restart_with_wrong_seeds,
     requests_wait_for_configuration, refused_without_configuration, dropped_history, lost_answer_to_status_write,
     good_rollout, bad_rollout, slow_rollout, crashing_request_is_refused, lost_answers_do_not_quarantine,
+    metrics_and_logs,
+]  # fmt: skip
+SERVER_CASES = [  # run by cases_servers.py
     leaving_engine, engine_says_that_it_leaves, last_engine_says_that_it_leaves, engine_restarts_at_new_address, invalid_server_rows, evacuated_domain,
     evacuation_with_dropped_history, all_domains_evacuated, invalid_evacuations, cold_engines,
     cold_engines_after_evacuation, limited_engines,
     answers_are_kept_without_another_engine, unlimited_engines_take_over,
     refusals_do_not_end_a_limit,
-    engine_asks_for_rest, all_engines_ask_for_rest, invalid_cold_rates, metrics_and_logs,
+    engine_asks_for_rest, all_engines_ask_for_rest, invalid_cold_rates,
 ]  # fmt: skip
 
 
--- /dev/null
+++ b/regress/front/cases_stop.py
@@ -0,0 +1,83 @@
+"""Callers whose requests come while a front stops: cases_stop.py PROGRAM [CASE...]. See cases.py."""
+
+import asyncio
+import signal
+import sys
+import time
+
+from cases import check, equal, main
+from site_front import CALLERS_PORT
+
+
+async def graceful_stop(site):
+    """A front gets SIGTERM while it streams. It reports itself as not ready to the balancer, closes idle connections,
+    completes the stream, and exits with status 0 well before it would be killed."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.delay = 1.0
+    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
+    await asyncio.sleep(0.3)
+    began = time.monotonic()
+    front.signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    equal(await front.is_ready(), False, "ready while stopping")
+    answer = await stream
+    equal((answer.status, answer.complete), (200, True), "the stream")
+    equal(await front.stop(), 0, "exit status")
+    if time.monotonic() - began > 8:
+        raise AssertionError("the stop took too long")
+
+
+async def stopping_serves_what_ends_in_time(site):
+    """All fronts of a failure domain stop at once, so callers still connect to one that is stopping. Three seconds
+    after the signal it still streams an answer. It serves an order, which ends before the process has to exit, and
+    refuses a new stream at once."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.delay = 4.0 if engine.streams else 0.0
+    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
+    await asyncio.sleep(0.3)
+    front.signal(signal.SIGTERM)
+    await asyncio.sleep(3.0)
+    order = await site.call(front, "/once/a", b"order")
+    refused = await site.call(front, "/text/b", b"late")
+    answer = await stream
+    equal((answer.status, answer.complete), (200, True), "the stream")
+    equal(order.status, 200, "the order")
+    equal((refused.status, len(site.runs_of(refused))), (503, 0), "the late stream")
+    check(site, answer, order, refused)
+    equal(await front.stop(), 0, "exit status")
+
+
+async def requests_late_in_a_stop(site):
+    """Callers send orders until a front that stops is gone, on new connections and on kept ones. Guards against orders that
+    are passed on although the process ends before their answer."""
+    front = site.fronts[0]
+    for engine in site.engines:
+        engine.delay = 1.0
+    kept = [await asyncio.open_connection(front.ip, CALLERS_PORT) for _ in range(80)]
+    for number, connection in enumerate(kept):
+        check(site, await site.call(front, f"/none/{number}", connection=connection))
+    calls = []
+    front.signal(signal.SIGTERM)
+    began = time.monotonic()
+    while front.alive:
+        number = len(calls)
+        connection = kept[number // 2] if number % 2 and number // 2 < len(kept) else None
+        calls.append(asyncio.ensure_future(site.call(front, f"/once/{number}", b"%d" % number, connection=connection)))
+        await asyncio.sleep(0.05)
+    equal(time.monotonic() - began < 8, True, "ended in time")
+    answers = await asyncio.gather(*calls)
+    lost = [answer for answer in answers if site.runs_of(answer) and answer.status == 0]
+    equal(lost, [], "orders that ran and got no answer")
+    check(site, *answers)
+    for _, writer in kept:
+        writer.close()
+
+
+CASES = [
+    graceful_stop, stopping_serves_what_ends_in_time, requests_late_in_a_stop,
+]  # fmt: skip
+
+if __name__ == "__main__":
+    sys.exit(main(CASES))
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -23,8 +23,11 @@
 build=$1
 shift
 logs=$build/logs
+# Lines of each failed test's log that are printed again before the last line.
+FAILED_LINES_MAX=8
 passed=0
 failed=${EARLIER_FAILED:-0}
+failed_tests=()
 declare -A known_red=()
 mkdir -p "$logs"
 
@@ -137,13 +140,23 @@
   local item=$1 result p f
   result=$logs/$(basename "$item").result
   cat "$result"
-  if read -r p f <"$result.counts"; then
-    passed=$((passed + p))
-    failed=$((failed + f))
-  else
+  if ! read -r p f <"$result.counts"; then
     echo "$item: its runner ended without a result"
-    failed=$((failed + 1))
+    p=0
+    f=1
   fi
+  passed=$((passed + p))
+  failed=$((failed + f))
+  [ "$f" -eq 0 ] || failed_tests+=("$item")
+}
+
+# Of a long output often only the end is kept.
+print_failed_again() {
+  local item
+  for item in "${failed_tests[@]}"; do
+    echo "failed: $item"
+    grep -E 'FAILED|Error|^ +[0-9]+\. ' "$logs/$(basename "$item" .sh).log" | tail -n $FAILED_LINES_MAX | cut -c 1-300 | sed 's/^/    /'
+  done
 }
 
 # run_all RUNNER ITEM...: runs tests, at most CHECK_JOBS in parallel, and prints their output in this order.
@@ -186,5 +199,6 @@
       ;;
   esac
 done
+print_failed_again
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
