Leave a new connection time for its first request during a stop

Hypotheses before the change: (1) the test was late and the process had ended; (2) the connection was closed as idle; (3) the order was passed on and cut.

Now a connection that has not carried a request has as long for it as for a request's head (header_timeout_ms), also during a stop.

request_follows_its_connection_late_in_a_stop failed before (9 of 12 orders without an answer) and passes.

--- a/regress/front/cases_stop.py
+++ b/regress/front/cases_stop.py
@@ -8,6 +8,12 @@
 from cases import check, equal, main
 from site_front import CALLERS_PORT
 
+LATE_IN_STOP_S = 3.0  # after the signal: idle connections are closed by then
+CONNECT_CALLS = 12
+STREAM_DELAY_S = 4.5
+PAUSE_S = 0.4  # between a connection and its request, or between two parts of a request
+ANSWERED = (200, 503)  # served, or refused as too little time is left
+
 
 async def graceful_stop(site):
     """A front gets SIGTERM while it streams. It reports itself as not ready to the balancer, closes idle connections,
@@ -75,8 +81,41 @@
         writer.close()
 
 
+async def hold_stop(site, front):
+    """Sends SIGTERM to a front that streams an answer, and waits until late in its stop. Returns the stream's task."""
+    for engine in site.engines:
+        engine.delay = STREAM_DELAY_S if engine.streams else 0.0
+    stream = asyncio.ensure_future(site.call(front, "/text/a", b"slow"))
+    await asyncio.sleep(0.3)
+    front.signal(signal.SIGTERM)
+    await asyncio.sleep(LATE_IN_STOP_S)
+    return stream
+
+
+async def request_follows_its_connection_late_in_a_stop(site):
+    """Callers connect late in a stop and send their requests a moment later. Guards against new connections that are closed
+    as idle before their first request has arrived."""
+    front = site.fronts[0]
+    stream = await hold_stop(site, front)
+
+    async def call(number):
+        connection = await asyncio.open_connection(front.ip, CALLERS_PORT)
+        await asyncio.sleep(PAUSE_S * number / CONNECT_CALLS)
+        answer = await site.call(front, f"/once/{number}", b"order", connection=connection)
+        connection[1].close()
+        return answer
+
+    answers = await asyncio.gather(*(call(number) for number in range(CONNECT_CALLS)))
+    equal([answer for answer in answers if answer.status not in ANSWERED], [], "orders without an answer")
+    answer = await stream
+    equal((answer.status, answer.complete), (200, True), "the stream")
+    check(site, answer, *answers)
+    equal(await front.stop(), 0, "exit status")
+
+
 CASES = [
     graceful_stop, stopping_serves_what_ends_in_time, requests_late_in_a_stop,
+    request_follows_its_connection_late_in_a_stop,
 ]  # fmt: skip
 
 if __name__ == "__main__":
--- a/src/front_conn_sweep.c
+++ b/src/front_conn_sweep.c
@@ -16,12 +16,35 @@
   return now_ms - moved_ms > CONN_TCP_TIMEOUT_MS;
 }
 
+static int64_t
+header_timeout_ms (const Front *front)
+{
+  return front->config ? front->config->limits.header_timeout_ms : HEADER_TIMEOUT_DEFAULT_MS;
+}
+
+/* True for a new connection whose caller may be about to send its request. */
+static bool
+awaits_first_request (const FrontConn *conn, int64_t now_ms)
+{
+  return !conn->has_served && !conn->closing
+         && now_ms - conn->since_ms <= header_timeout_ms (conn->front);
+}
+
+static bool
+is_idle_too_long (const FrontConn *conn, int64_t now_ms)
+{
+  int64_t stop_ms = conn->front->stop_requested_ms;
+
+  if (now_ms - conn->since_ms > conn->idle_timeout_ms)
+    return true;
+  return stop_ms != 0 && now_ms - stop_ms > STOP_IDLE_MS && !awaits_first_request (conn, now_ms);
+}
+
 static void
 sweep_one (FrontConn *conn, int64_t now_ms)
 {
-  const FrontConfig *config = conn->front->config;
   int64_t passed_ms = now_ms - conn->since_ms;
-  int64_t header_ms = config ? config->limits.header_timeout_ms : HEADER_TIMEOUT_DEFAULT_MS;
+  int64_t header_ms = header_timeout_ms (conn->front);
 
   /* Unsent output belongs to an answer that the caller waits for. */
   bool written = conn_unread (conn) == 0;
@@ -48,9 +71,7 @@
     }
   else if (!written)
     return;
-  else if (passed_ms > conn->idle_timeout_ms
-           || (conn->front->stop_requested_ms != 0
-               && now_ms - conn->front->stop_requested_ms > STOP_IDLE_MS))
+  else if (is_idle_too_long (conn, now_ms))
     conn_free (conn);
 }
 
