End a stop only once no request is arriving

What callers would see, on a path related to the fault before: a front that stops and has nothing in progress ends amid a request that is being sent, or between a connection and its first request. The caller can't know whether an order ran.

Cause: the stop was over once no request was in progress and all answers were written.

Now it waits for requests that have begun to arrive and for new connections, as long as these may take. Once nothing is left new connections are refused, and what was accepted until then is served before the process ends. From 1.5 s before the process is killed, when no request can be served any more, new connections are refused and requests that are still arriving are answered with 503.

request_arrives_as_the_stop_ends failed before and passes; silent_connections_do_not_prolong_a_stop bounds the wait.

--- a/regress/front/cases_stop.py
+++ b/regress/front/cases_stop.py
@@ -6,12 +6,13 @@
 import time
 
 from cases import check, equal, main
-from site_front import CALLERS_PORT
+from site_front import CALLERS_PORT, exchange
 
 LATE_IN_STOP_S = 3.0  # after the signal: idle connections are closed by then
 CONNECT_CALLS = 12
 STREAM_DELAY_S = 4.5
 PAUSE_S = 0.4  # between a connection and its request, or between two parts of a request
+STOP_MAX_S = 8  # of the fronts' settings
 ANSWERED = (200, 503)  # served, or refused as too little time is left
 
 
@@ -113,9 +114,46 @@
     equal(await front.stop(), 0, "exit status")
 
 
+async def silent_connections_do_not_prolong_a_stop(site):
+    """Callers keep connections open, and open new ones, without sending anything. Guards against a stop that waits for
+    requests which never come."""
+    front = site.fronts[0]
+    kept = [await asyncio.open_connection(front.ip, CALLERS_PORT) for _ in range(CONNECT_CALLS)]
+    front.signal(signal.SIGTERM)
+    began = time.monotonic()
+    await asyncio.sleep(2.3)
+    kept += [await asyncio.open_connection(front.ip, CALLERS_PORT) for _ in range(CONNECT_CALLS)]
+    equal(await front.stop(), 0, "exit status")
+    equal(time.monotonic() - began < STOP_MAX_S, True, "ended in time")
+    for _, writer in kept:
+        writer.close()
+
+
+async def request_arrives_as_the_stop_ends(site):
+    """A front that stops and has nothing left to do has taken a connection, or half of a request. Guards against a process
+    that ends before the request has arrived."""
+    front = site.fronts[0]
+    data, half = site.request("/once/half", b"x" * 1000)
+    connected = await asyncio.open_connection(front.ip, CALLERS_PORT)
+    connected[1].write(data[:-500])
+    front.signal(signal.SIGTERM)
+    await asyncio.sleep(2.4)
+    new = await asyncio.open_connection(front.ip, CALLERS_PORT)
+    await asyncio.sleep(PAUSE_S)
+    answer = await site.call(front, "/once/new", b"order", connection=new)
+    equal(answer.status in ANSWERED, True, "an order on a connection opened before the end is answered")
+    await exchange((front.ip, CALLERS_PORT), data[-500:], half, connected)
+    equal(half.status in ANSWERED, True, "an order of which half had arrived is answered")
+    check(site, answer, half)
+    equal(await front.stop(), 0, "exit status")
+    for _, writer in (connected, new):
+        writer.close()
+
+
 CASES = [
     graceful_stop, stopping_serves_what_ends_in_time, requests_late_in_a_stop,
-    request_follows_its_connection_late_in_a_stop,
+    request_follows_its_connection_late_in_a_stop, request_arrives_as_the_stop_ends,
+    silent_connections_do_not_prolong_a_stop,
 ]  # fmt: skip
 
 if __name__ == "__main__":
--- a/src/front.c
+++ b/src/front.c
@@ -1,6 +1,11 @@
 #include "front.h"
 #include "util_span.h"
 
+/* Milliseconds before the process is killed by which every accepted request must have its final
+ * answer, even if only that of its time-out. */
+#define STOP_MARGIN_MS 1500
+#define MS_PER_S       1000
+
 bool
 front_is_ready (const Front *front)
 {
@@ -21,6 +26,16 @@
          && front_is_contended (front);
 }
 
+int64_t
+front_stop_left_ms (const Front *front, int64_t now_ms)
+{
+  int64_t stop_ms = (int64_t)(front->settings.stop_s * MS_PER_S);
+
+  if (front->stop_requested_ms == 0)
+    return INT64_MAX;
+  return front->stop_requested_ms + stop_ms - STOP_MARGIN_MS - now_ms;
+}
+
 void
 front_open (Front *front, int64_t now_ms)
 {
--- a/src/front.h
+++ b/src/front.h
@@ -90,6 +90,9 @@
 bool front_is_contended (const Front *front);
 /** True if connections to backend servers are kept after an answer, and used again. */
 bool front_keeps_connections (const Front *front);
+/** Milliseconds in which a request that arrives now can still be served; INT64_MAX if no stop was
+ *  requested. */
+int64_t front_stop_left_ms (const Front *front, int64_t now_ms);
 /** Starts to accept callers' connections as soon as front_is_ready, or FRONT_OPEN_DELAY_MS after
  *  the start, when requests that can't be served are refused. Until then connections wait in the
  *  kernel's backlog: after a power loss of all VMs the fronts need 0.02 to 0.6 s to fetch the
--- a/src/front_accept.c
+++ b/src/front_accept.c
@@ -95,12 +95,20 @@
 void
 front_accept_tick (Front *front)
 {
-  if (!front->is_accept_paused)
+  if (!front->is_accept_paused || !front->listener)
     return;
   front->is_accept_paused = false;
   evconnlistener_enable (front->listener);
 }
 
+void
+front_accept_close (Front *front)
+{
+  if (front->listener)
+    evconnlistener_free (front->listener);
+  front->listener = NULL;
+}
+
 static unsigned
 connections_max (const Front *front)
 {
--- a/src/front_accept.h
+++ b/src/front_accept.h
@@ -13,5 +13,7 @@
 bool front_accept_listen (Front *front);
 /** Accepts again after a pause for lack of descriptors. */
 void front_accept_tick (Front *front);
+/** Refuses new connections from now on. */
+void front_accept_close (Front *front);
 
 #endif
--- a/src/front_conn.h
+++ b/src/front_conn.h
@@ -40,7 +40,8 @@
  * of its answer for longest, else the one that has been idle for longest. False: there is none. May
  * free requests. */
 bool front_conn_close_one (Front *front);
-/** True if no output is pending; a request may have ended while its answer is still in a buffer. */
-bool front_conn_all_written (const Front *front);
+/** True if all answers were handed to the kernel, no request is arriving, and no new connection is
+ * likely to carry one. */
+bool front_conn_all_done (const Front *front, int64_t now_ms);
 
 #endif
--- a/src/front_conn_sweep.c
+++ b/src/front_conn_sweep.c
@@ -61,7 +61,9 @@
     }
   else if (http_request_parser_started (&conn->request_parser))
     {
-      if (!conn->request_parser.in_body && passed_ms > header_ms + header_ms / 2)
+      if (front_stop_left_ms (conn->front, now_ms) <= 0)
+        conn_refuse (conn, HTTP_STATUS_SERVICE_UNAVAILABLE, CONN_RETRY_AFTER_STOPPING_MS);
+      else if (!conn->request_parser.in_body && passed_ms > header_ms + header_ms / 2)
         conn_refuse (conn, HTTP_STATUS_REQUEST_TIMEOUT, 0);
       else if (passed_ms > 2 * conn->idle_timeout_ms)
         {
@@ -91,13 +93,15 @@
 }
 
 bool
-front_conn_all_written (const Front *front)
+front_conn_all_done (const Front *front, int64_t now_ms)
 {
   const FrontConn *conn;
 
   cds_list_for_each_entry (conn, &front->conns, node)
   {
-    if (conn_unread (conn) > 0)
+    if (conn->freed)
+      continue;
+    if (conn_unread (conn) > 0 || conn_is_arriving (conn) || awaits_first_request (conn, now_ms))
       return false;
   }
   return true;
--- a/src/front_main.c
+++ b/src/front_main.c
@@ -53,6 +53,12 @@
 
 const char *argp_program_version = "lovage-front 0.1";
 
+static bool
+is_done (const Front *front, int64_t now_ms)
+{
+  return front->request_count == 0 && front_conn_all_done (front, now_ms);
+}
+
 static void
 stop_check (Main *self, int64_t now_ms)
 {
@@ -62,9 +68,13 @@
 
   if (front->stop_requested_ms == 0)
     return;
-  if (passed_ms >= max_ms
-      || (passed_ms >= STOP_MIN_MS && front->request_count == 0 && front_conn_all_written (front)))
+  if (passed_ms >= max_ms || (!front->listener && is_done (front, now_ms)))
     event_base_loopbreak (front->base);
+  /* A caller whose connection is refused knows that its request didn't run. What was accepted until
+   * now is served before the process ends. */
+  else if (front_stop_left_ms (front, now_ms) <= 0
+           || (passed_ms >= STOP_MIN_MS && is_done (front, now_ms)))
+    front_accept_close (front);
 }
 
 static void settings_check (Main *self, int64_t now_ms);
@@ -251,7 +261,7 @@
 {
   Front *front = &self->front;
 
-  evconnlistener_free (front->listener);
+  front_accept_close (front);
   front_control_free (self->control);
   front_store_free (front->store);
   front_waiting_clear (&front->waiting);
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -17,10 +17,6 @@
  * sends callers elsewhere; streams that still arrive are refused at once, as an answer that
  * outlasts the process would be cut off. */
 #define STOP_ACCEPTS_STREAMS_MS 2600
-/* Milliseconds before the process is killed by which every other accepted request must have its
- * final answer, even if only that of its time-out. */
-#define STOP_MARGIN_MS          1500
-#define MS_PER_S                1000
 #define RETRY_AFTER_STOPPING_MS 50 /* another front accepts the request at once */
 
 FrontRequest *
@@ -197,11 +193,11 @@
 {
   const Front *front = request->front;
   int64_t elapsed_ms = request->arrived_ms - front->stop_requested_ms;
-  int64_t max_ms = (int64_t)(front->settings.stop_s * MS_PER_S) - STOP_MARGIN_MS;
 
   if (front->stop_requested_ms == 0 || elapsed_ms <= STOP_ACCEPTS_STREAMS_MS)
     return false;
-  return request->route->kind == ROUTE_STREAM || elapsed_ms + request->route->timeout_ms > max_ms;
+  return request->route->kind == ROUTE_STREAM
+         || request->route->timeout_ms > front_stop_left_ms (front, request->arrived_ms);
 }
 
 bool
