--- a/regress/front/cases_stop.py
+++ b/regress/front/cases_stop.py
@@ -150,10 +150,23 @@
         writer.close()
 
 
+async def request_that_arrives_too_late_is_refused(site):
+    """A caller has sent half of a request as a front stops, and sends nothing more. Guards against a process that ends without
+    an answer to it."""
+    front = site.fronts[0]
+    data, answer = site.request("/once/half", b"x" * 1000)
+    answering = asyncio.ensure_future(exchange((front.ip, CALLERS_PORT), data[:-500], answer))
+    await asyncio.sleep(PAUSE_S)
+    equal(await front.stop(), 0, "exit status")
+    await answering
+    equal((answer.status, "retry-after" in answer.fields), (503, True), "the request of which half has arrived")
+    equal(site.runs_of(answer), [], "arrivals at engines")
+
+
 CASES = [
     graceful_stop, stopping_serves_what_ends_in_time, requests_late_in_a_stop,
     request_follows_its_connection_late_in_a_stop, request_arrives_as_the_stop_ends,
-    silent_connections_do_not_prolong_a_stop,
+    silent_connections_do_not_prolong_a_stop, request_that_arrives_too_late_is_refused,
 ]  # fmt: skip
 
 if __name__ == "__main__":
