--- a/src/front.h
+++ b/src/front.h
@@ -90,6 +90,8 @@
 bool front_is_contended (const Front *front);
 /** True if connections to backend servers are kept after an answer, and used again. */
 bool front_keeps_connections (const Front *front);
+/** Retry-After of requests that a stop leaves no time for: another front accepts them at once. */
+#define FRONT_RETRY_AFTER_STOPPING_MS 50
 /** Milliseconds in which a request that arrives now can still be served; INT64_MAX if no stop was
  *  requested. */
 int64_t front_stop_left_ms (const Front *front, int64_t now_ms);
--- a/src/front_conn_private.h
+++ b/src/front_conn_private.h
@@ -15,8 +15,6 @@
 /* Retry-After of requests refused for lack of room: by then callers that hold requests back have
  * given up what they take. */
 #define CONN_RETRY_AFTER_FULL_MS HTTP_ARRIVAL_GRACE_MS
-/* Retry-After of requests that a stop leaves no time for: another front accepts them at once. */
-#define CONN_RETRY_AFTER_STOPPING_MS 50
 /* Milliseconds without an acknowledgement after which a connection counts as lost. */
 #define CONN_TCP_TIMEOUT_MS 6000
 
--- a/src/front_conn_sweep.c
+++ b/src/front_conn_sweep.c
@@ -62,7 +62,7 @@
   else if (http_request_parser_started (&conn->request_parser))
     {
       if (front_stop_left_ms (conn->front, now_ms) <= 0)
-        conn_refuse (conn, HTTP_STATUS_SERVICE_UNAVAILABLE, CONN_RETRY_AFTER_STOPPING_MS);
+        conn_refuse (conn, HTTP_STATUS_SERVICE_UNAVAILABLE, FRONT_RETRY_AFTER_STOPPING_MS);
       else if (!conn->request_parser.in_body && passed_ms > header_ms + header_ms / 2)
         conn_refuse (conn, HTTP_STATUS_REQUEST_TIMEOUT, 0);
       else if (passed_ms > 2 * conn->idle_timeout_ms)
--- a/src/front_request.c
+++ b/src/front_request.c
@@ -17,7 +17,6 @@
  * sends callers elsewhere; streams that still arrive are refused at once, as an answer that
  * outlasts the process would be cut off. */
 #define STOP_ACCEPTS_STREAMS_MS 2600
-#define RETRY_AFTER_STOPPING_MS 50 /* another front accepts the request at once */
 
 FrontRequest *
 front_request_new (Front *front, FrontConn *conn)
@@ -242,7 +241,7 @@
   if (may_outlive_stop (request))
     {
       request_refuse (request, HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping",
-                      RETRY_AFTER_STOPPING_MS);
+                      FRONT_RETRY_AFTER_STOPPING_MS);
       return false;
     }
   request->fingerprint = fingerprint_of (request);
