--- a/regress/front/cases_early.py
+++ b/regress/front/cases_early.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
 import sys
@@ -12,7 +13,7 @@
 from cases_hedge import WARM_CALLS, look_up
 from cases_resume import VERSIONS, read_all
 from engines import event
-from site_front import MODELS
+from site_front import CALLERS_PORT, MODELS, exchange
 from wire import answer
 
 BODY_BYTES = 400_000
@@ -134,14 +135,16 @@
 
 async def answer_ends_before_the_request_is_taken(site):
     """Engines answer a long upload at once with a 200 without a length, send part of its body and end the connection while
-    the request is still being written. Guards against that part as a complete answer."""
+    the request is still being written. Guards against that part as a complete answer, for callers with HTTP/1.1 and 1.0."""
     await take_long_bodies(site)
     for how in HOWS:
         async with early_engines(site, how) as early:
             for number in range(CALLS):
-                for path in ("/once/", "/again/"):
-                    found = await site.call(site.fronts[number % len(site.fronts)], f"{path}{how}{number}", long_body(number))
-                    expect_no_whole(early, found, found.complete, how)
+                for path, version in itertools.product(("/once/", "/again/"), VERSIONS):
+                    front = site.fronts[number % len(site.fronts)]
+                    data, found = site.request(f"{path}{how}{number}", long_body(number))
+                    await exchange((front.ip, CALLERS_PORT), data.replace(b"HTTP/1.1", version, 1), found)
+                    expect_no_whole(early, found, found.complete, f"{how} {version}")
 
 
 async def stream_ends_before_the_request_is_taken(site):
