--- a/regress/front/cases_in_force.py
+++ b/regress/front/cases_in_force.py
@@ -12,7 +12,8 @@
 
 GOOD = os.path.join(os.path.dirname(__file__), "../../examples/front-routing.json")
 DEADLINE_S, LATE_S = 5, 4  # of the read; what a loaded machine may add
-ROWS_BEFORE = 700  # more than one read returns
+ROWS_PER_READ = 500  # at most
+ROWS_BEFORE = 700
 
 
 class Checker:
@@ -90,6 +91,20 @@
     expect("feeds", checker.endpoint.feeds, [])
 
 
+async def version_behind_any_name(checker):
+    """The last of the first rows that the store returns has a name with a meaning in URLs. Failure: the rest isn't read."""
+    await checker.store.put("op", "config", checker.good)
+    for number in range(ROWS_PER_READ - 1):
+        await checker.store.put("op", f"b!{number:03}", "{}")
+    for name in ("b#z", "b%z", "b%7a", "b&z", "b+z"):
+        await checker.store.put("op", name, "{}")
+        checker.endpoint.pages.clear()
+        status, _, errors = await checker.run(checker.next)
+        expect(f"exit status behind {name}", (status, errors), (0, ""))
+        expect(f"reads behind {name}", len(checker.endpoint.pages), 2)
+        await checker.store.put("op", name, None)
+
+
 async def store_without_an_answer(checker):
     """Failure: the store takes requests and never answers. The deadline is kept."""
     checker.endpoint.set("silent")
@@ -123,6 +138,7 @@
     version_that_differs,
     version_that_is_the_same,
     version_behind_many_rows,
+    version_behind_any_name,
     store_without_an_answer,
     store_that_refuses,
     store_without_a_configuration,
--- a/regress/front/store.py
+++ b/regress/front/store.py
@@ -6,12 +6,26 @@
 import asyncio
 import base64
 import json
+import re
 import time
 import urllib.parse
 
 from wire import abort, answer, read_request, write_at_rate
 
 HISTORY_MAX = 2000  # changes kept for feeds
+KEY_MAX_BYTES = 200
+# A request line with only such characters in the query, and in a fragment, as a URL allows.
+REQUEST_LINE = re.compile(r"[A-Z]+ /[^? ]*(\?([!-$&-~]|%[0-9A-Fa-f]{2})*)? HTTP/1\.1")
+
+
+def decode_query(request):
+    """Returns the arguments in the query of a request, or None if the request line or an argument is malformed. A
+    fragment is not part of the query."""
+    if not REQUEST_LINE.fullmatch(request.start):
+        return None
+    query = request.target.partition("#")[0].partition("?")[2]
+    args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+    return None if len(args.get("From", "").encode()) > KEY_MAX_BYTES else args
 
 
 class StoreEndpoint:
@@ -177,8 +191,9 @@
 
     async def call(self, request):
         self.calls += 1
-        path, _, query = request.target.partition("?")
-        args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        path, args = request.target.partition("?")[0], decode_query(request)
+        if args is None:
+            return 400, {}
         if path == "/v1/rows-get":
             return self.rows_get(args)
         if path == "/v1/rows-feed":
