Take a name with a NUL for another name than what stands before it

What callers saw: beside an unreadable entry under an engine's name with a NUL behind it, requests to that engine's service were refused with 503. Beside an entry "config", NUL, of a higher version and without routes, all got 404. Of a roll-out over 60 s all requests went to the new version after 4 s, as a state under the service's name and a NUL said that it was completed. An evacuation of "a", NUL, was one of domain a.

Cause: strings of answers are JSON and may hold a NUL, and were taken as C strings. Of two rows whose keys were the same up to the NUL the later one replaced the other.

Why it holds: a row's key shows a NUL as U+FFFD, so that such a row is kept, passed on between fronts and logged, and is none that is looked for. The read of the next page uses the key as the store has it.

--- a/regress/front/cases_names.py
+++ b/regress/front/cases_names.py
@@ -1,21 +1,23 @@
 """Entries of other writers under names with unusual characters: cases_names.py PROGRAM [CASE...]. See cases.py."""
 
 import asyncio
+import json
 import sys
 import time
 
-from cases import check, equal, main
+from cases import check, equal, main, traffic, wait_for_work_in_domain
 
 ROWS_PER_PAGE = 500
 RECOVERY_S = 12  # after a start of all fronts until they serve
 KEY_MAX_BYTES = 200
 # Each sorts behind the rows that fill its page, and before the configuration and the engines.
 NAMES = [
-    "&z", "#z", "%z", "%7a", "=z", "?z", "a/z", "b z", "b+z", "b\x7f", "b\u00e9", "b\U0001f600", 'b"\\', "b\r\nz",
+    "&z", "#z", "%z", "%7a", "=z", "?z", "a/z", "b z", "b+z", "b\0z", "b\x7f", "b\u00e9", "b\U0001f600", 'b"\\', "b\r\nz",
     "&From=a", "&" * KEY_MAX_BYTES,
 ]  # fmt: skip
 LAST = "~"  # sorts behind all rows
 FEW_NAMES = ["&z", "#z", "%z", "b z", "b+z"]
+FEED_S = 1  # until the fronts know a change
 
 
 async def serve_all(site, what):
@@ -78,8 +80,54 @@
     await start_with_names_at_page_end(site, "lovagehub_fronts", FEW_NAMES)
 
 
+async def unreadable_entries_beside_engines(site):
+    """Unreadable entries stand under the names of engines with a NUL behind, and are removed. Guards against an entry that
+    ends the work of the engine whose name is cut out of its own."""
+    good = [engine for engine in site.engines if engine.service == "orders"]
+    for value in ("{}", None):
+        for engine in good:
+            await site.store.put("servers", f"{engine.name}\0z", value)
+        await asyncio.sleep(FEED_S)
+        site.runs.clear()
+        await serve_all(site, "beside unreadable entries" if value else "after their removal")
+    await start_all(site, "after their removal")
+    await serve_all(site, "after a start")
+
+
+async def orders_with_a_nul(site):
+    """Entries of the operator's table have the name of the configuration or of an evacuation with a NUL behind. Guards
+    against fronts that take them for these."""
+    await site.store.put("op", "evacuate/a\0", "{}")
+    await site.store.put("op", "config\0", json.dumps({"Version": site.version + 100}))
+    await asyncio.sleep(FEED_S)
+    await serve_all(site, "beside another configuration")
+    await wait_for_work_in_domain(site, "a")
+    await start_all(site, "beside another configuration")
+    await serve_all(site, "after a start beside another configuration")
+    await wait_for_work_in_domain(site, "a")
+
+
+async def states_with_a_nul(site):
+    """While a service is rolled out, a state stands under its name with a NUL behind, which says that the roll-out is
+    completed. Guards against fronts that take it for the service's."""
+    for _ in range(2):
+        await site.add_engine("texts", "v2").start()
+    await site.store.put("op", "rollout/texts", json.dumps({"Service": "texts", "Target": "v2", "RampS": 60}))
+    await asyncio.sleep(FEED_S)
+    state = {"Service": "texts", "Target": "v2", "State": "completed"}
+    await site.store.put("status", "rollout/texts\0", json.dumps(state))
+    await asyncio.sleep(FEED_S)
+    site.runs.clear()
+    for answer in await traffic(site, time.monotonic() + 2, "/text/"):
+        check(site, answer)
+    old = sum(run.engine.version == "v1" for run in site.runs)
+    if 2 * old < len(site.runs):
+        raise AssertionError(f"{len(site.runs) - old} of {len(site.runs)} requests went to the new version within 4 s of 60 s")
+
+
 CASES = [
     name_at_page_end_of_servers, name_at_page_end_of_orders, name_at_page_end_of_status, name_at_page_end_of_fronts,
+    unreadable_entries_beside_engines, orders_with_a_nul, states_with_a_nul,
 ]  # fmt: skip
 
 if __name__ == "__main__":
--- a/src/front_row.c
+++ b/src/front_row.c
@@ -40,6 +40,7 @@
       free (answer->rows[i].value);
     }
   free (answer->rows);
+  buffer_free (&answer->last_key);
   memset (answer, 0, sizeof *answer);
 }
 
@@ -50,6 +51,7 @@
   memcpy (all->rows + all->count, part->rows, part->count * sizeof *part->rows);
   all->count += part->count;
   free (part->rows);
+  buffer_free (&part->last_key);
   part->rows = NULL;
   part->count = 0;
 }
--- a/src/front_row.h
+++ b/src/front_row.h
@@ -8,6 +8,7 @@
 #ifndef FRONT_ROW_H
 #define FRONT_ROW_H
 
+#include "util_buffer.h"
 #include "util_span.h"
 
 #define STORE_ERA_SHIFT                                                                            \
@@ -16,7 +17,7 @@
 
 typedef struct
 {
-  char *key;
+  char *key;   /**< a NUL in the store's key is shown as U+FFFD, so that no other key is meant */
   char *value; /**< NUL-terminated; NULL if the row was removed */
   size_t value_len;
   int64_t version; /**< of the transaction that wrote the row, with its era; increases over the
@@ -30,6 +31,7 @@
   unsigned count;
   StoreRow *rows;
   bool has_more;   /**< there are rows after the last one */
+  Buffer last_key; /**< with has_more: key of the last row, as the store has it */
   int64_t version; /**< newest version of the store; another front's answer with has_more: version
                       of its last row */
   int64_t base_version; /**< first part of another front's table: version of that table, of which
@@ -48,7 +50,7 @@
 /** Adds the era to all versions of an answer of the store. */
 void store_answer_set_era (StoreAnswer *answer, int64_t era);
 void store_answer_clear (StoreAnswer *answer);
-/** Moves the rows of a part to the end of those read before it. */
+/** Moves the rows of a part to the end of those read before it; its last_key is freed. */
 void store_answer_append (StoreAnswer *all, StoreAnswer *part);
 
 #endif
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -30,7 +30,7 @@
   FrontChannel *channel;
   struct event *poll_timer;
   StoreAnswer pages;         /* rows of the pages, or of another front's parts, read so far */
-  char *last_key;            /* key of the last of these, if the store returned them */
+  Buffer last_key;           /* key of the last of these, if the store returned them */
   int64_t parts_version;     /* up to which these are known, if other fronts returned them; 0: none
                                 did */
   bool loaded;               /* all rows were read; changes are polled for */
--- a/src/front_store_source.c
+++ b/src/front_store_source.c
@@ -94,7 +94,7 @@
 StoreSource
 store_choose_source (Watch *watch, int64_t now_ms)
 {
-  if (watch->id == STORE_MEMBERS || watch->last_key)
+  if (watch->id == STORE_MEMBERS || watch->last_key.data)
     return SOURCE_STORE;
   if (is_history_lost (watch))
     return watch->reads_again_at_peers && watch->peer_failures < PEER_FAILURES_MAX
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -99,8 +99,7 @@
 pages_clear (Watch *watch)
 {
   store_answer_clear (&watch->pages);
-  free (watch->last_key);
-  watch->last_key = NULL;
+  buffer_free (&watch->last_key);
   watch->parts_version = 0;
 }
 
@@ -113,9 +112,9 @@
 
   if (all->count == 0)
     all->version = page->version;
+  buffer_clear (&watch->last_key);
+  buffer_add (&watch->last_key, page->last_key.data, page->last_key.len);
   store_answer_append (all, page);
-  free (watch->last_key);
-  watch->last_key = all->count ? memory_strdup (all->rows[all->count - 1].key) : NULL;
 }
 
 /* Another front's parts are in the order of their versions: rows that change while they are read
@@ -416,7 +415,7 @@
     wire_changes_path (&path, kinds[watch->id].name, store_version_number (watch->table.version),
                        wait_ms);
   else
-    wire_snapshot_path (&path, kinds[watch->id].name, watch->last_key);
+    wire_snapshot_path (&path, kinds[watch->id].name, buffer_span (&watch->last_key));
   front_channel_request (watch->channel, path.data, NULL,
                          watch->loaded ? answer_ms + wait_ms : STORE_LOAD_TIMEOUT_MS);
   buffer_free (&path);
@@ -442,7 +441,7 @@
   if (!watch->asked_peer && watch->table.version != 0
       && store_version_era (watch->table.version) < watch->store->era)
     watch->loaded = false;
-  if (!watch->loaded && !watch->last_key)
+  if (!watch->loaded && !watch->last_key.data)
     watch->pages_asked_ms = now_ms;
   watch->asked_version = watch->loaded ? watch->table.version : watch->pages.version;
   watch->is_short_poll = false;
--- a/src/lint_in_force.c
+++ b/src/lint_in_force.c
@@ -18,7 +18,7 @@
   int timeout_ms;
   struct event_base *base;
   FrontChannel *channel;
-  char *last_key; /* of the rows read so far; NULL: none */
+  Buffer last_key; /* of the rows read so far */
   Buffer *text;
   Status *status;
 } Reader;
@@ -28,7 +28,7 @@
 {
   Buffer path = { 0 };
 
-  wire_snapshot_path (&path, wire_table_operator, reader->last_key);
+  wire_snapshot_path (&path, wire_table_operator, buffer_span (&reader->last_key));
   /* The deadline of all requests together comes first. */
   front_channel_request (reader->channel, path.data, NULL, 2 * reader->timeout_ms);
   buffer_free (&path);
@@ -50,7 +50,6 @@
 read_rows (Reader *reader, const StoreAnswer *answer)
 {
   const StoreRow *row = find_configuration (answer);
-  const char *last_key = answer->count > 0 ? answer->rows[answer->count - 1].key : "";
 
   if (row)
     {
@@ -65,14 +64,14 @@
       return false;
     }
   /* Otherwise the same rows would be requested again and again. */
-  if (strcmp (last_key, reader->last_key ? reader->last_key : "") <= 0)
+  if (span_compare (buffer_span (&answer->last_key), buffer_span (&reader->last_key)) <= 0)
     {
       status_set (reader->status, STATUS_INVALID, step, reader->address,
                   "the store announces more rows and sends none");
       return false;
     }
-  free (reader->last_key);
-  reader->last_key = memory_strdup (last_key);
+  buffer_clear (&reader->last_key);
+  buffer_add (&reader->last_key, answer->last_key.data, answer->last_key.len);
   request_rows (reader);
   return true;
 }
@@ -131,6 +130,6 @@
   event_base_dispatch (reader.base);
   front_channel_free (reader.channel);
   event_base_free (reader.base);
-  free (reader.last_key);
+  buffer_free (&reader.last_key);
   return st->code;
 }
--- a/src/util_buffer.c
+++ b/src/util_buffer.c
@@ -59,6 +59,12 @@
   buf->len += (size_t)len;
 }
 
+Span
+buffer_span (const Buffer *buf)
+{
+  return (Span){ .text = buf->data, .len = buf->len };
+}
+
 void
 buffer_consume (Buffer *buf, size_t len)
 {
--- a/src/util_buffer.h
+++ b/src/util_buffer.h
@@ -4,6 +4,7 @@
 #ifndef UTIL_BUFFER_H
 #define UTIL_BUFFER_H
 
+#include "util_span.h"
 #include <stddef.h>
 
 typedef struct
@@ -17,6 +18,8 @@
 void buffer_add (Buffer *buf, const void *data, size_t len);
 void buffer_add_string (Buffer *buf, const char *s);
 void buffer_printf (Buffer *buf, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
+/** The bytes so far, which later additions may move; absent until the first addition. */
+Span buffer_span (const Buffer *buf);
 /** Removes the first len bytes. */
 void buffer_consume (Buffer *buf, size_t len);
 /** Empties the buffer and keeps its memory. */
--- a/src/util_span.c
+++ b/src/util_span.c
@@ -31,6 +31,15 @@
   return a.len == b.len && (a.len == 0 || memcmp (a.text, b.text, a.len) == 0);
 }
 
+int
+span_compare (Span a, Span b)
+{
+  size_t common = a.len < b.len ? a.len : b.len;
+  int order = common > 0 ? memcmp (a.text, b.text, common) : 0;
+
+  return order != 0 ? order : (a.len > b.len) - (a.len < b.len);
+}
+
 static bool
 is_blank (char c)
 {
--- a/src/util_span.h
+++ b/src/util_span.h
@@ -18,6 +18,9 @@
 bool span_is (Span span, const char *text);
 bool span_is_nocase (Span span, const char *text);
 bool span_equal (Span a, Span b);
+/** Below, at or above 0 as a sorts before b, is the same or sorts behind it, by bytes; an absent
+ * span is like an empty one. */
+int span_compare (Span a, Span b);
 /** The span without leading and trailing spaces and tabs. */
 Span span_trim (Span span);
 /** Returns the text before the first separator and sets *rest to the text after it. Without a
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -611,7 +611,7 @@
   Node *node = user;
 
   event_base_loop (node->front.base, EVLOOP_NONBLOCK);
-  return node->watch->last_key != NULL;
+  return node->watch->last_key.data != NULL;
 }
 
 /* Guards against a front that takes a long table for complete as of its last page, and so misses
