End a read of pages that gets no further

Cause: a front took each page that announces more as progress, whatever rows it had, and asked for the next one at once. An empty page that announces more ended the read instead, and the table counted as complete without the rest. The same with parts of a table from another front.

Why it holds: a page has to end behind the last key of the page before it, in the store's byte order, and a part of another front at a later version. If not, what was read is dropped, one line (rows_repeated) tells of it, and the read begins again: at the store after the half second that already lies between reads of a whole table, or at another front. lovage-config compares by the same function as before it did by its own.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 tests: $(TESTS:%=$(BUILD)/%)
 # An explicit prerequisite: make doesn't apply the rule for objects twice in one chain of pattern rules.
 $(BUILD)/test_front_era $(BUILD)/test_front_time $(BUILD)/test_front_evacuations $(BUILD)/test_front_bootstrap \
-$(BUILD)/test_front_places $(BUILD)/test_front_verdict_write: $(call obj,$(FRONT_TEST_HELPERS))
+$(BUILD)/test_front_pages $(BUILD)/test_front_places $(BUILD)/test_front_verdict_write: $(call obj,$(FRONT_TEST_HELPERS))
 $(BUILD)/test_front_hedge $(BUILD)/test_front_hedge_load: $(call obj,tests/hedge_load.c)
 $(filter $(BUILD)/test_front_request_%,$(TESTS:%=$(BUILD)/%)): $(call obj,tests/front_fakes.c tests/hedge_site.c)
 $(BUILD)/test_lint_checks $(BUILD)/test_lint_diff $(BUILD)/test_lint_mutations: $(call obj,tests/lint_document.c)
--- a/src/front_peers_fetch.c
+++ b/src/front_peers_fetch.c
@@ -42,7 +42,7 @@
 static bool
 part_add (Fetch *fetch, StoreAnswer *part)
 {
-  bool more = part->has_more && part->count > 0;
+  bool more = part->has_more;
 
   if (part->base_version != 0)
     fetch->parts.base_version = part->base_version;
@@ -53,6 +53,23 @@
   return more;
 }
 
+/* False if the peer announces more rows and gives none that are new. */
+static bool
+gets_further (const Fetch *fetch, const StoreAnswer *part)
+{
+  return !fetch->reads_all || !part->has_more || part->version > fetch->parts.version;
+}
+
+static void
+fetch_fail (Fetch *fetch, bool is_peer_faulty)
+{
+  fetch->done = true;
+  if (is_peer_faulty)
+    front_peers_mark_failed (fetch->peers, &fetch->source, clock_boot_ms ());
+  front_store_log_rows_failed (fetch->peers->front->store, fetch->table, &fetch->source,
+                               fetch->asked_ms, fetch->channel);
+}
+
 static void
 on_fetched (void *user, int status, const char *text, size_t len)
 {
@@ -64,13 +81,15 @@
       || !front_store_decode_peer_answer (front_channel_answer (fetch->channel), text, len,
                                           &answer))
     {
-      fetch->done = true;
-      if (status == 0)
-        front_peers_mark_failed (fetch->peers, &fetch->source, clock_boot_ms ());
       /* The peer no longer has the removals since this front's version. */
       fetch->needs_all = status == HTTP_STATUS_SERVICE_UNAVAILABLE || status == HTTP_STATUS_GONE;
-      front_store_log_rows_failed (store, fetch->table, &fetch->source, fetch->asked_ms,
-                                   fetch->channel);
+      fetch_fail (fetch, status == 0);
+      return;
+    }
+  if (!gets_further (fetch, &answer))
+    {
+      store_answer_clear (&answer);
+      fetch_fail (fetch, true);
       return;
     }
   front_store_note_time (store, &answer);
--- a/src/front_row.c
+++ b/src/front_row.c
@@ -44,6 +44,12 @@
   memset (answer, 0, sizeof *answer);
 }
 
+bool
+store_answer_gets_further (const StoreAnswer *page, Span last_key)
+{
+  return !page->has_more || span_compare (buffer_span (&page->last_key), last_key) > 0;
+}
+
 void
 store_answer_append (StoreAnswer *all, StoreAnswer *part)
 {
--- a/src/front_row.h
+++ b/src/front_row.h
@@ -50,6 +50,9 @@
 /** Adds the era to all versions of an answer of the store. */
 void store_answer_set_era (StoreAnswer *answer, int64_t era);
 void store_answer_clear (StoreAnswer *answer);
+/** True if the page is the last one, or ends behind the last key of the page before it (absent:
+ * there is none). Otherwise the same rows would be read again and again. */
+bool store_answer_gets_further (const StoreAnswer *page, Span last_key);
 /** Moves the rows of a part to the end of those read before it; its last_key is freed. */
 void store_answer_append (StoreAnswer *all, StoreAnswer *part);
 
--- a/src/front_store_log.c
+++ b/src/front_store_log.c
@@ -55,6 +55,19 @@
   front_log_end (line);
 }
 
+void
+store_log_rows_repeated (const Watch *watch)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_ROWS_REPEATED);
+
+  front_log_text (line, "table", store_watch_name (watch));
+  log_source (line, store_asked_source (watch));
+  front_log_number (line, "rows", watch->pages.count);
+  if (watch->last_key.data)
+    front_log_span (line, "last_key", buffer_span (&watch->last_key));
+  front_log_end (line);
+}
+
 typedef struct
 {
   const char *name; /* in the log */
--- a/src/front_store_private.h
+++ b/src/front_store_private.h
@@ -135,6 +135,8 @@
 const struct sockaddr_in *store_asked_source (const Watch *watch);
 /* Shows which source a front that stays unready waits for. */
 void store_log_rows_asked (const Watch *watch);
+/* Shows why a table that the source keeps answering for isn't known here. */
+void store_log_rows_repeated (const Watch *watch);
 /* Counts a call to the store, and shows why this front calls it and not another front. */
 void store_count_call (const Watch *watch);
 
--- a/src/front_store_watch.c
+++ b/src/front_store_watch.c
@@ -147,7 +147,7 @@
 static bool
 load_page (Watch *watch, StoreAnswer *answer)
 {
-  bool more = answer->has_more && answer->count > 0;
+  bool more = answer->has_more;
 
   if (watch->asked_peer)
     peer_part_add (watch, answer);
@@ -210,6 +210,30 @@
   store_watch_poll (watch);
 }
 
+static bool
+gets_further (const Watch *watch, const StoreAnswer *answer)
+{
+  if (watch->asked_peer)
+    return !answer->has_more || answer->version > watch->parts_version;
+  return store_answer_gets_further (answer, buffer_span (&watch->last_key));
+}
+
+/* The source announces more rows and gives none that are new: the read begins again, elsewhere or
+ * after a pause. */
+static void
+handle_repeated_rows (Watch *watch)
+{
+  store_log_rows_repeated (watch);
+  pages_clear (watch);
+  if (watch->asked_peer)
+    {
+      handle_peer_failure (watch);
+      return;
+    }
+  front_counter_add (FRONT_COUNTER_STORE_ERRORS);
+  store_watch_schedule_poll (watch, READ_AGAIN_MS);
+}
+
 static bool
 answer_decode (const Watch *watch, const char *text, size_t len, StoreAnswer *answer)
 {
@@ -356,6 +380,12 @@
       read_again (watch);
       return;
     }
+  if (!watch->loaded && !gets_further (watch, &answer))
+    {
+      store_answer_clear (&answer);
+      handle_repeated_rows (watch);
+      return;
+    }
   applied = watch->loaded ? apply_changes (watch, &answer) : load_page (watch, &answer);
   store_answer_clear (&answer);
   if (!applied)
--- a/src/lint_in_force.c
+++ b/src/lint_in_force.c
@@ -63,8 +63,7 @@
                   "the store has no configuration");
       return false;
     }
-  /* Otherwise the same rows would be requested again and again. */
-  if (span_compare (buffer_span (&answer->last_key), buffer_span (&reader->last_key)) <= 0)
+  if (!store_answer_gets_further (answer, buffer_span (&reader->last_key)))
     {
       status_set (reader->status, STATUS_INVALID, step, reader->address,
                   "the store announces more rows and sends none");
--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -514,17 +514,17 @@
   store_watch_poll (node->watch);
 }
 
-/* A front of the same domain gives all rows as of a version; one is named "a". */
+/* A front of the same domain gives the rows up to a version; one is named "a". */
 static void
-answer_with_all_rows (int fd, int version)
+answer_with_part (int fd, int version, bool has_more)
 {
   Buffer body = { 0 };
   char head[128];
 
   buffer_printf (&body,
-                 "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"\",\"Ver\":10}],\"MorePages\":false,"
+                 "{\"Rows\":[{\"Key\":\"a\",\"Value\":\"\",\"Ver\":10}],\"MorePages\":%s,"
                  "\"Ver\":%d}",
-                 version);
+                 has_more ? "true" : "false", version);
   CU_ASSERT_FATAL (front_compress (&body));
   snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", body.len);
   CU_ASSERT_EQUAL (write (fd, head, strlen (head)), (ssize_t)strlen (head));
@@ -532,6 +532,12 @@
   buffer_free (&body);
 }
 
+static void
+answer_with_all_rows (int fd, int version)
+{
+  answer_with_part (fd, version, false);
+}
+
 static bool
 is_loaded (void *user)
 {
@@ -591,6 +597,82 @@
   close (silent);
 }
 
+static bool
+is_next_part_asked (void *user)
+{
+  Node *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return node->watch->parts_version != 0 && front_channel_is_pending (node->watch->channel);
+}
+
+/* Guards against a front that asks another one for the same part of a table without end. */
+static void
+test_repeated_part_is_requested_elsewhere (void)
+{
+  Node *node = node_new (2 * (int64_t)FRONT_SETTLED_MS);
+  int silent = add_silent_fronts (node), fd;
+  struct sockaddr_in source;
+
+  read_again_at_peers (node);
+  source = node->watch->source;
+  fd = accept_at (node, silent);
+  answer_with_part (fd, OWN_VERSION, true);
+  CU_ASSERT_FATAL (suite_wait (is_next_part_asked, node));
+  answer_with_part (fd, OWN_VERSION, true);
+  CU_ASSERT_FATAL (suite_wait (is_given_up, node));
+  CU_ASSERT_FALSE (node->watch->loaded);
+  CU_ASSERT_EQUAL (node->watch->pages.count, 0);
+  CU_ASSERT_NOT_EQUAL (node->watch->source.sin_addr.s_addr, source.sin_addr.s_addr);
+  node_free (node);
+  close (fd);
+  close (silent);
+}
+
+static bool
+is_part_fetched (void *user)
+{
+  Node *node = user;
+
+  event_base_loop (node->front.base, EVLOOP_NONBLOCK);
+  return node->peers.fetches[STORE_OPERATOR].parts.count > 0;
+}
+
+static unsigned
+requests_at (int fd)
+{
+  char text[4096] = { 0 };
+  unsigned count = 0;
+
+  CU_ASSERT (read (fd, text, sizeof text - 1) > 0);
+  for (const char *at = text; (at = strstr (at, "GET /rows/")); at++)
+    count++;
+  return count;
+}
+
+/* The same while rows that the store has not reported are fetched. */
+static void
+test_repeated_part_ends_a_fetch (void)
+{
+  Node *node = node_new (0);
+  Fetch *fetched = &node->peers.fetches[STORE_OPERATOR];
+  int fd;
+
+  ask (node);
+  fetched->needs_all = true;
+  fetch (node);
+  fd = accept_at (node, node->listener);
+  answer_with_part (fd, OWN_VERSION, true);
+  CU_ASSERT_FATAL (suite_wait (is_part_fetched, node));
+  answer_with_part (fd, OWN_VERSION, true);
+  CU_ASSERT_FATAL (suite_wait (is_fetched, node));
+  CU_ASSERT_EQUAL (requests_at (fd), 2);
+  CU_ASSERT (peer_has_failed (node->peers.list[0], LATER_MS, clock_boot_ms ()));
+  CU_ASSERT_PTR_NULL (front_table_find (&node->watch->table, "a"));
+  node_free (node);
+  close (fd);
+}
+
 static void
 answer_with_page (Node *node, bool has_more)
 {
@@ -727,6 +809,8 @@
   { "dropped_changes_are_read_at_the_store", test_dropped_changes_are_read_at_the_store },
   { "rows_of_another_front_confirm_nothing", test_rows_of_another_front_confirm_nothing },
   { "older_rows_of_a_front_are_not_taken", test_older_rows_of_a_front_are_not_taken },
+  { "repeated_part_is_requested_elsewhere", test_repeated_part_is_requested_elsewhere },
+  { "repeated_part_ends_a_fetch", test_repeated_part_ends_a_fetch },
   { "pages_are_as_old_as_the_first_one", test_pages_are_as_old_as_the_first_one },
   { "late_read_at_a_front_is_made_at_the_store", test_late_read_at_a_front_is_made_at_the_store },
   { "read_that_the_store_refuses_is_made_at_a_front",
