--- a/regress/front/cases_names.py
+++ b/regress/front/cases_names.py
@@ -5,16 +5,17 @@
 import sys
 import time
 
-from cases import check, equal, main, traffic, wait_for_work_in_domain
+from cases import check, equal, log_events, main, traffic, wait_for_work_in_domain
 
 ROWS_PER_PAGE = 500
 RECOVERY_S = 12  # after a start of all fronts until they serve
 KEY_MAX_BYTES = 200
 # Each sorts behind the rows that fill its page, and before the configuration and the engines.
 NAMES = [
-    "&z", "#z", "%z", "%7a", "=z", "?z", "a/z", "b z", "b+z", "b\0z", "b\x7f", "b\u00e9", "b\U0001f600", 'b"\\', "b\r\nz",
+    "&z", "#z", "%z", "%7a", "=z", "?z", "b z", "b+z", "b\0z", "b\x7f", "b\u00e9", "b\U0001f600", 'b"\\', "b\r\nz",
     "&From=a", "&" * KEY_MAX_BYTES,
 ]  # fmt: skip
+PLAIN_NAMES = ["a/z"]  # that an engine may have
 LAST = "~"  # sorts behind all rows
 FEW_NAMES = ["&z", "#z", "%z", "b z", "b+z"]
 FEED_S = 1  # until the fronts know a change
@@ -62,7 +63,7 @@
 async def name_at_page_end_of_servers(site):
     """An unreadable entry is the last on the first page of the servers as all fronts start. Guards against a name that
     changes the URL of the next page, so that fronts never have the whole table, and serve nothing."""
-    await start_with_names_at_page_end(site, "servers", NAMES)
+    await start_with_names_at_page_end(site, "servers", [*NAMES, *PLAIN_NAMES])
 
 
 async def name_at_page_end_of_orders(site):
@@ -80,6 +81,30 @@
     await start_with_names_at_page_end(site, "lovagehub_fronts", FEW_NAMES)
 
 
+async def names_over_sound_entries(site):
+    """Entries under odd names are sound but for these: they name a service, and the address of an engine. Guards against
+    requests that are sent there, are refused after as many attempts as they have, or carry a header field out of a name."""
+    good = [engine for engine in site.engines if engine.service == "orders"]
+    entry = json.dumps({**good[0].entry(), "Slots": 64})
+    names = [*NAMES, *(f"{good[0].name}{rest}" for rest in ("\0", "\0z", "\r\nX-Other: 1", "\r\n\r\n", " ", "\t"))]
+    for name in names:
+        await site.store.put("servers", name, entry)
+    for engine in good:  # fronts take the entry that was written first, of equal ones
+        await engine.report()
+    for what in ("beside odd names", "after a start"):
+        await asyncio.sleep(FEED_S)
+        site.runs.clear()
+        for answer in await traffic(site, time.monotonic() + 1, "/once/"):
+            equal((answer.status, len(site.runs_of(answer))), (200, 1), f"{answer!r} {what}")
+            check(site, answer)
+        fields = [run.fields for run in site.runs]
+        equal({one.get("lovagehub-target-instance") for one in fields}, {engine.name for engine in good}, f"ids {what}")
+        equal([one for one in fields if "x-other" in one], [], f"requests with a field out of a name {what}")
+        await start_all(site, what)
+    states = {event["server"]: event["state"] for event in log_events(site, "server_state")}
+    equal({states.get(name.replace("\0", "\ufffd")) for name in names}, {"unreadable"}, "states in the log")
+
+
 async def unreadable_entries_beside_engines(site):
     """Unreadable entries stand under the names of engines with a NUL behind, and are removed. Guards against an entry that
     ends the work of the engine whose name is cut out of its own."""
@@ -127,7 +152,7 @@
 
 CASES = [
     name_at_page_end_of_servers, name_at_page_end_of_orders, name_at_page_end_of_status, name_at_page_end_of_fronts,
-    unreadable_entries_beside_engines, orders_with_a_nul, states_with_a_nul,
+    names_over_sound_entries, unreadable_entries_beside_engines, orders_with_a_nul, states_with_a_nul,
 ]  # fmt: skip
 
 if __name__ == "__main__":
