Roll out a service only by the order under its own name

What callers saw: an order under another name than the service's, such as rollout/texts&z with a sound value for texts, moved the requests for texts to the version that it names. Nobody had ordered that of texts, and no state of it could be written, as that is bound to the order's row, which is elsewhere.

Cause: fronts took the service from the order's value alone, and the end of an order from its key.

Evidence: orders_under_other_names on the code before, also with names without a NUL: requests went to v1 and v2.

Others, and unreadable ones, which were skipped without a word, are logged (rollout_order_refused).

--- a/regress/front/cases_names.py
+++ b/regress/front/cases_names.py
@@ -119,6 +119,32 @@
     await serve_all(site, "after a start")
 
 
+async def expect_version(site, version, what):
+    site.runs.clear()
+    for answer in await traffic(site, time.monotonic() + 1, "/text/"):
+        equal(answer.status, 200, what)
+        check(site, answer)
+    equal({run.engine.version for run in site.runs}, {version}, what)
+
+
+async def orders_under_other_names(site):
+    """Orders of a roll-out stand in the operator's table under names that aren't the service's. Guards against requests
+    that go to a version although no roll-out of their service was ordered."""
+    for _ in range(2):
+        await site.add_engine("texts", "v2").start()
+    order = json.dumps({"Service": "texts", "Target": "v2", "RampS": 4})
+    names = ["texts\0", "texts&z", "&z", "texts ", "orders"]
+    for name in names:
+        await site.store.put("op", f"rollout/{name}", order)
+    await asyncio.sleep(FEED_S)
+    await expect_version(site, "v1", "versions that got requests")
+    await start_all(site, "orders under other names")
+    await expect_version(site, "v1", "versions that got requests after a start")
+    equal([key for table, key in site.store.rows if table == "status"], [], "states of roll-outs")
+    refused = {event["key"] for event in log_events(site, "rollout_order_refused")}
+    equal(refused, {f"rollout/{name}".replace("\0", "\ufffd") for name in names}, "refused orders in the log")
+
+
 async def orders_with_a_nul(site):
     """Entries of the operator's table have the name of the configuration or of an evacuation with a NUL behind. Guards
     against fronts that take them for these."""
@@ -152,7 +178,8 @@
 
 CASES = [
     name_at_page_end_of_servers, name_at_page_end_of_orders, name_at_page_end_of_status, name_at_page_end_of_fronts,
-    names_over_sound_entries, unreadable_entries_beside_engines, orders_with_a_nul, states_with_a_nul,
+    names_over_sound_entries, unreadable_entries_beside_engines, orders_under_other_names,
+    orders_with_a_nul, states_with_a_nul,
 ]  # fmt: skip
 
 if __name__ == "__main__":
--- a/src/front_store_apply.c
+++ b/src/front_store_apply.c
@@ -66,6 +66,27 @@
   return store_era_is_settling (&store->watches[STORE_OPERATOR]);
 }
 
+/* False if the row is unreadable, or orders the roll-out of another service than its key names. */
+static bool
+order_decode (const StoreRow *row, RolloutOrder *order)
+{
+  const char *service = row->key + strlen (wire_key_rollout);
+
+  return wire_rollout_decode ((Span){ .text = row->value, .len = row->value_len }, row->version,
+                              order)
+         && strcmp (order->service, service) == 0;
+}
+
+static void
+log_order_refused (const StoreRow *row)
+{
+  FrontLine *line = front_log_begin (FRONT_EVENT_ORDER_REFUSED);
+
+  front_log_text (line, "key", row->key);
+  front_log_number (line, "row_version", store_version_number (row->version));
+  front_log_end (line);
+}
+
 static void
 apply_order (FrontStore *store, const StoreRow *row)
 {
@@ -79,9 +100,11 @@
         front_rollouts_order_removed (front->rollouts, row->key + strlen (wire_key_rollout));
       return;
     }
-  if (!wire_rollout_decode ((Span){ .text = row->value, .len = row->value_len }, row->version,
-                            &order))
-    return;
+  if (!order_decode (row, &order))
+    {
+      log_order_refused (row);
+      return;
+    }
   if (is_deferred (store))
     {
       front_rollouts_repeat_order (front->rollouts, &order);
