Ask for the usage of exactly the team that was named

Cause: the name was put into the URL's query as it was. The steward refuses names that no team has, but got another one.

Why it holds: the name is percent-encoded, and its length isn't cut. The steward then says that it is no team's name.

--- a/src/ctl_record.c
+++ b/src/ctl_record.c
@@ -3,7 +3,10 @@
  */
 #include "ctl_submit.h"
 #include "ctl_table.h"
+#include "util_buffer.h"
 #include "util_clock.h"
+#include <ne_alloc.h>
+#include <ne_uri.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -188,16 +191,30 @@
   ctl_table_print (&table);
 }
 
+/** Path of the usage of one team; NULL: of all. */
+static void
+usage_path (Buffer *out, const char *team)
+{
+  char *escaped;
+
+  buffer_add_string (out, "/v1/usage");
+  if (team == NULL)
+    return;
+  escaped = ne_path_escape (team);
+  buffer_printf (out, "?team=%s", escaped);
+  ne_free (escaped);
+}
+
 CtlExit
 ctl_usage (Ctl *ctl, const CtlArgs *args)
 {
-  char path[CTL_PATH_SIZE];
+  Buffer path = { 0 };
   Json *body;
   CtlExit status;
 
-  snprintf (path, sizeof path, "/v1/usage%s%s",
-            args->team == NULL ? "" : "?team=", args->team == NULL ? "" : args->team);
-  status = ctl_http_get (ctl, path, &body);
+  usage_path (&path, args->team);
+  status = ctl_http_get (ctl, path.data, &body);
+  buffer_free (&path);
   if (status != CTL_DONE)
     return status;
   if (ctl->json)
--- a/tests/test_ctl_commands.c
+++ b/tests/test_ctl_commands.c
@@ -325,6 +325,31 @@
   fake_heads_each (check_cut_head);
 }
 
+/* Guards against the usage of another team, or of all, for a name with a meaning in URLs. */
+static void
+test_usage_names_any_team (void)
+{
+  static const struct
+  {
+    const char *team, *log;
+  } teams[] = {
+    { NULL, "GET /v1/usage \n" },
+    { "workshop", "GET /v1/usage?team=workshop \n" },
+    { "shop&x", "GET /v1/usage?team=shop&x \n" },
+    { "shop#1", "GET /v1/usage?team=shop#1 \n" },
+    { "%73hop", "GET /v1/usage?team=%73hop \n" },
+    { "a+b c", "GET /v1/usage?team=a+b c \n" },
+  };
+  const FakeReply replies[] = { { 200, "{\"teams\":[]}" }, { 0, NULL } };
+
+  for (size_t i = 0; i < SUITE_COUNT (teams); i++)
+    {
+      const CtlArgs args = { .team = teams[i].team };
+
+      fake_steward_expect (ctl_usage, &args, replies, CTL_DONE, teams[i].log);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "withdraw_exit_statuses", test_withdraw_exit_statuses },
   { "withdraw_missing_or_withdrawn_version", test_withdraw_missing_or_withdrawn_version },
@@ -338,6 +363,7 @@
   { "unreachable_steward_is_skipped", test_unreachable_steward_is_skipped },
   { "version_create_submits_document", test_version_create_submits_document },
   { "audit_since_is_checked", test_audit_since_is_checked },
+  { "usage_names_any_team", test_usage_names_any_team },
   { "settings_check_detects_kind", test_settings_check_detects_kind },
 };
 
