Scan behind a row's whole key, and end scans that get no further

What is seen: a recovery of usage records read rows of other writers again if they share the first 19 bytes of a key that is longer than a gate's, until they counted as passed often enough and were deleted. Of one pass over 256 such rows and a gate the number of rows was wrong.

Cause: the key at which the next page begins was cut to the length of a gate's. No scan had a check that its pages get further, so that a platform that repeats rows would have kept a thread for good.

Why it holds: recovery and usage find the next page by one function, which uses the whole key and returns an error if the rows end before the place where the scan began.

--- a/src/bill_recover.c
+++ b/src/bill_recover.c
@@ -216,7 +216,7 @@
 /* Handles one page of rows and moves `from` past the last one. */
 static StatusCode
 page_recover (Platform *platform,
-              char from[BILL_GATE_KEY_SIZE + 1],
+              Buffer *from,
               bool *more,
               BillGateAlive alive,
               void *context,
@@ -224,7 +224,7 @@
               Status *st)
 {
   PlatformRows rows = { .rows = NULL };
-  StatusCode code = platform->ops->scan (platform, BILL_GATE_TABLE, from, NULL, SCAN_MAX,
+  StatusCode code = platform->ops->scan (platform, BILL_GATE_TABLE, from->data, NULL, SCAN_MAX,
                                          TIMEOUT_MS, &rows, st);
 
   *more = code == STATUS_OK && rows.count == SCAN_MAX;
@@ -235,8 +235,8 @@
       if (!alive (context, gate))
         code = gate_recover (platform, &rows.rows[i], gate, out, st);
     }
-  if (*more)
-    snprintf (from, BILL_GATE_KEY_SIZE + 1, "%s ", rows.rows[rows.count - 1].key);
+  if (code == STATUS_OK && *more)
+    code = platform_rows_next (&rows, from, st);
   platform_rows_clear (&rows);
   return code;
 }
@@ -248,12 +248,13 @@
                       BillRecovery *out,
                       Status *st)
 {
-  char from[BILL_GATE_KEY_SIZE + 1] = "";
+  Buffer from = { 0 };
   bool more = true;
   StatusCode code = status_ok (st);
 
   *out = (BillRecovery){ 0 };
   while (code == STATUS_OK && more)
-    code = page_recover (platform, from, &more, alive, context, out, st);
+    code = page_recover (platform, &from, &more, alive, context, out, st);
+  buffer_free (&from);
   return code;
 }
--- a/src/platform.c
+++ b/src/platform.c
@@ -36,6 +36,20 @@
   memset (rows, 0, sizeof *rows);
 }
 
+StatusCode
+platform_rows_next (const PlatformRows *rows, Buffer *from, Status *st)
+{
+  const char *last_key = rows->rows[rows->count - 1].key;
+
+  if (from->data && strcmp (last_key, from->data) < 0)
+    return status_set (st, STATUS_UNAVAILABLE, "platform.scan", NULL,
+                       "the rows end before \"%s\", where the scan begins", from->data);
+  buffer_clear (from);
+  buffer_add_string (from, last_key);
+  buffer_add_string (from, "\x01"); /* the least possible byte of a key */
+  return status_ok (st);
+}
+
 void
 platform_vms_clear (PlatformVms *vms)
 {
--- a/src/platform.h
+++ b/src/platform.h
@@ -118,6 +118,10 @@
 void txn_ops_clear (TxnOp *ops, size_t count);
 void platform_row_clear (PlatformRow *row);
 void platform_rows_clear (PlatformRows *rows);
+/** Sets from, where a scan began that gave at least one row, to where the next one begins: behind
+ * the last of these rows. STATUS_UNAVAILABLE if that is no further, as the scans would never end.
+ */
+StatusCode platform_rows_next (const PlatformRows *rows, Buffer *from, Status *st);
 void platform_vms_clear (PlatformVms *vms);
 
 #endif
--- a/src/steward_usage.c
+++ b/src/steward_usage.c
@@ -128,11 +128,7 @@
       add_record (all, &record);
   *rows_read = rows.count;
   if (rows.count > 0)
-    {
-      buffer_clear (from);
-      buffer_add_string (from, rows.rows[rows.count - 1].key);
-      buffer_add (from, "\x01", 1);
-    }
+    code = platform_rows_next (&rows, from, st);
   platform_rows_clear (&rows);
   return code;
 }
--- a/tests/test_bill_recover.c
+++ b/tests/test_bill_recover.c
@@ -11,6 +11,8 @@
 #include <string.h>
 
 #define SPOOL_MAX (1U << 20)
+#define PAGE_ROWS 256 /* that a recovery reads at once */
+#define KEY_SIZE  64  /* bytes of a key of another writer */
 
 static bool
 is_alive (void *context, uint64_t gate)
@@ -323,6 +325,42 @@
   bill_replica_free (replica);
 }
 
+static void
+put_gate_row (Platform *platform, const char *key)
+{
+  TxnOp op = { .kind = TXN_PUT, .table = BILL_GATE_TABLE, .key = key, .value = "{}" };
+
+  CU_ASSERT_EQUAL (platform->ops->txn (platform, &op, 1, 1000, NULL), STATUS_OK);
+  txn_ops_clear (&op, 1);
+}
+
+/* Guards against a recovery that reads the same rows without end, behind a row of another writer
+ * whose key is longer than that of a gate. */
+static void
+test_rows_behind_a_long_key_are_recovered (void)
+{
+  FakeSite site = fake_site_new ();
+  FakeGate *gate = fake_gate_new (&site, 0xfedcba9876543210U, SPOOL_MAX);
+  BillRecovery recovery;
+  bool alive = false;
+  char key[KEY_SIZE];
+
+  fake_link_set (gate->link, CALL_TXN, LINK_REFUSED);
+  for (int n = 0; n < 20; n++)
+    CU_ASSERT_EQUAL (fake_gate_commit (gate, n), BILL_AT_OBJECT_STORE);
+  fake_gate_kill (gate);
+  for (int n = 0; n < PAGE_ROWS; n++)
+    {
+      snprintf (key, sizeof key, "%016x-of-another-writer-%04d", 0, n);
+      put_gate_row (site.platform, key);
+    }
+  CU_ASSERT_EQUAL (bill_recover_objects (site.platform, is_alive, &alive, &recovery, NULL),
+                   STATUS_OK);
+  CU_ASSERT_EQUAL (recovery.records, 20);
+  CU_ASSERT_EQUAL (recovery.gates, PAGE_ROWS + 1);
+  fake_site_free (&site);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -335,6 +373,7 @@
     { "invalid_object_is_skipped", test_invalid_object_is_skipped },
     { "recovery_is_resumed", test_recovery_is_resumed },
     { "malformed_record_is_retried", test_malformed_record_is_retried },
+    { "rows_behind_a_long_key_are_recovered", test_rows_behind_a_long_key_are_recovered },
     { "replica_removes_done_records", test_replica_removes_done_records },
     { "replica_writes_after_hold_time", test_replica_writes_after_hold_time },
     { "replica_has_a_limit", test_replica_has_a_limit },
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -155,6 +155,32 @@
   CU_ASSERT_EQUAL (count_rows (p, "d", NULL, 2, ""), 0);
 }
 
+/* Guards against a key that changes the URL of the next page. */
+static void
+check_pages (Platform *p)
+{
+  static const char *const keys[] = { "\n", " z", "#z", "%41", "%z", "&from=a", "&z",
+                                      "+z", "=z", "?z", "A",   "b",  "b\x01",   "\xc3\xa9" };
+  Buffer from = { 0 };
+
+  for (size_t i = 0; i < SUITE_COUNT (keys); i++)
+    {
+      TxnOp op = { .kind = TXN_PUT, .table = "p", .key = keys[i], .value = "{}" };
+      CU_ASSERT_EQUAL (p->ops->txn (p, &op, 1, TIMEOUT_MS, NULL), STATUS_OK);
+    }
+  for (size_t i = 0; i < SUITE_COUNT (keys); i++)
+    {
+      PlatformRows rows;
+      CU_ASSERT_EQUAL_FATAL (p->ops->scan (p, "p", from.data, NULL, 1, TIMEOUT_MS, &rows, NULL),
+                             STATUS_OK);
+      CU_ASSERT_EQUAL_FATAL (rows.count, 1);
+      CU_ASSERT_STRING_EQUAL (rows.rows[0].key, keys[i]);
+      CU_ASSERT_EQUAL (platform_rows_next (&rows, &from, NULL), STATUS_OK);
+      platform_rows_clear (&rows);
+    }
+  buffer_free (&from);
+}
+
 static void
 check_objects (Platform *p)
 {
@@ -199,6 +225,7 @@
   check_rows (p);
   check_transactions (p);
   check_scan (p);
+  check_pages (p);
   check_objects (p);
   check_vms (p);
   check_rating (p);
@@ -356,6 +383,27 @@
   platform_free (fake);
 }
 
+/* Guards against scans without end, of rows that a platform gives again. */
+static void
+test_repeated_rows_end_a_scan (void)
+{
+  static const char *const keys[] = { "b", "b", "a", "" };
+  Buffer from = { 0 };
+
+  for (size_t i = 0; i < SUITE_COUNT (keys); i++)
+    {
+      char key[2];
+      PlatformRow row = { .key = strcpy (key, keys[i]) };
+      const PlatformRows rows = { .rows = &row, .count = 1 };
+      Status st;
+
+      CU_ASSERT_EQUAL (platform_rows_next (&rows, &from, &st),
+                       i == 0 ? STATUS_OK : STATUS_UNAVAILABLE);
+      CU_ASSERT_STRING_EQUAL (from.data, "b\x01");
+    }
+  buffer_free (&from);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -365,6 +413,7 @@
           { "write_outcome_is_reported", test_write_outcome_is_reported },
           { "failed_reads_are_unavailable", test_failed_reads_are_unavailable },
           { "unknown_write_may_take_effect_late", test_unknown_write_may_take_effect_late },
-          { "late_transaction_is_checked", test_late_transaction_is_checked } };
+          { "late_transaction_is_checked", test_late_transaction_is_checked },
+          { "repeated_rows_end_a_scan", test_repeated_rows_end_a_scan } };
   return suite_main (argc, argv, "platform", cases, SUITE_COUNT (cases));
 }
