--- a/tests/test_front_watch.c
+++ b/tests/test_front_watch.c
@@ -87,6 +87,7 @@
   store_watch_clear (node->watch);
   if (node->peers.fetches[STORE_OPERATOR].channel)
     front_channel_free (node->peers.fetches[STORE_OPERATOR].channel);
+  store_answer_clear (&node->peers.fetches[STORE_OPERATOR].parts);
   front_rollouts_free (node->front.rollouts);
   front_servers_free (node->front.servers);
   event_base_free (node->front.base);
