--- a/regress/front/cases_names.py
+++ b/regress/front/cases_names.py
@@ -4,6 +4,7 @@
 import json
 import sys
 import time
+from collections import Counter
 
 from cases import check, equal, log_events, main, traffic, wait_for_work_in_domain
 
@@ -18,6 +19,7 @@
 PLAIN_NAMES = ["a/z"]  # that an engine may have
 LAST = "~"  # sorts behind all rows
 FEW_NAMES = ["&z", "#z", "%z", "b z", "b+z"]
+READS_MAX = 3  # of a page within some seconds, as an answer may come late
 FEED_S = 1  # until the fronts know a change
 
 
@@ -55,8 +57,9 @@
         await start_all(site, what)
         await serve_all(site, what)
         for front in site.fronts:
-            pages = [page for page in front.store_endpoint.pages if f"Table={table}&" in page]
-            equal(len(set(pages)), len(pages), f"{what}: different pages among those that front {front.number} read")
+            pages = Counter(page for page in front.store_endpoint.pages if f"Table={table}&" in page)
+            if max(pages.values(), default=0) > READS_MAX:
+                raise AssertionError(f"{what}: front {front.number} read {pages}")
         await put_page(site, table, name, None)
 
 
@@ -81,6 +84,17 @@
     await start_with_names_at_page_end(site, "lovagehub_fronts", FEW_NAMES)
 
 
+async def expect_engines_only(site, engines, what):
+    site.runs.clear()
+    for answer in await traffic(site, time.monotonic() + 1, "/once/"):
+        equal((answer.status, len(site.runs_of(answer))), (200, 1), f"{answer!r} {what}")
+        check(site, answer)
+    fields = [run.fields for run in site.runs]
+    targets = {one.get("lovagehub-target-instance") for one in fields}
+    equal(targets - {engine.name for engine in engines}, set(), f"ids of no engine {what}")
+    equal([one for one in fields if "x-other" in one], [], f"requests with a field out of a name {what}")
+
+
 async def names_over_sound_entries(site):
     """Entries under odd names are sound but for these: they name a service, and the address of an engine. Guards against
     requests that are sent there, are refused after as many attempts as they have, or carry a header field out of a name."""
@@ -91,16 +105,10 @@
         await site.store.put("servers", name, entry)
     for engine in good:  # fronts take the entry that was written first, of equal ones
         await engine.report()
-    for what in ("beside odd names", "after a start"):
-        await asyncio.sleep(FEED_S)
-        site.runs.clear()
-        for answer in await traffic(site, time.monotonic() + 1, "/once/"):
-            equal((answer.status, len(site.runs_of(answer))), (200, 1), f"{answer!r} {what}")
-            check(site, answer)
-        fields = [run.fields for run in site.runs]
-        equal({one.get("lovagehub-target-instance") for one in fields}, {engine.name for engine in good}, f"ids {what}")
-        equal([one for one in fields if "x-other" in one], [], f"requests with a field out of a name {what}")
-        await start_all(site, what)
+    await asyncio.sleep(FEED_S)
+    await expect_engines_only(site, good, "beside odd names")
+    await start_all(site, "beside odd names")
+    await expect_engines_only(site, good, "after a start")
     states = {event["server"]: event["state"] for event in log_events(site, "server_state")}
     equal({states.get(name.replace("\0", "\ufffd")) for name in names}, {"unreadable"}, "states in the log")
 
