--- a/regress/front/cases_names.py
+++ b/regress/front/cases_names.py
@@ -84,6 +84,22 @@
     await start_with_names_at_page_end(site, "lovagehub_fronts", FEW_NAMES)
 
 
+async def one_front_starts_beside_others(site):
+    """Odd entries stand at the end of a page of the servers and within the next one, and one front starts beside others,
+    before the store and without it. Guards against a front that gets such a table neither there nor from another one."""
+    await put_page(site, "servers", "&z", "{}")
+    for name in ("=z", "?z", "b z", "b+z", "b\0z", "b\r\nz"):
+        await site.store.put("servers", name, "{}")
+    await asyncio.sleep(FEED_S)
+    front = site.fronts[1]
+    for mode in ("ok", "busy"):
+        front.store_endpoint.set(mode)
+        await front.kill()
+        await front.start()
+        await site.wait(front.is_ready, f"front ready, store {mode}", RECOVERY_S)
+        await serve_all(site, f"store {mode}")
+
+
 async def expect_engines_only(site, engines, what):
     site.runs.clear()
     for answer in await traffic(site, time.monotonic() + 1, "/once/"):
@@ -186,7 +202,7 @@
 
 CASES = [
     name_at_page_end_of_servers, name_at_page_end_of_orders, name_at_page_end_of_status, name_at_page_end_of_fronts,
-    names_over_sound_entries, unreadable_entries_beside_engines, orders_under_other_names,
+    one_front_starts_beside_others, names_over_sound_entries, unreadable_entries_beside_engines, orders_under_other_names,
     orders_with_a_nul, states_with_a_nul,
 ]  # fmt: skip
 
